--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -12,9 +12,11 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::{Instant, sleep_until};
@@ -75,6 +77,16 @@
     pub(crate) to: SocketAddr,
     pub(crate) ended: Vec<Ended>,
     pub(crate) connection: Option<Connection>,
+    pub(crate) dialled: Dialled,
+}
+
+/// What a call did to get a connection, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Dialled {
+    /// Connections that came up.
+    pub(crate) opened: usize,
+    /// Why one did not.
+    pub(crate) failed: Option<io::ErrorKind>,
 }
 
 /// Makes the call and tells the node of its outcomes.
@@ -84,13 +96,12 @@
     let Some(request) = request(&waiting, call.to) else {
         // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
         let ended = waiting.iter().map(|item| end(item, Outcome::NotSent)).collect();
-        return tell(&call, ended, connection).await;
+        return tell(&call, ended, connection, Dialled::default()).await;
     };
     let mut given_up = Vec::new();
-    let begun = AtomicBool::new(false);
+    let progress = Progress::default();
     let answer = {
-        let begun = &begun;
-        let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request, begun));
+        let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request, &progress));
         loop {
             let Some(until) = waiting.iter().map(|i| i.until).min() else { break None };
             tokio::select! {
@@ -106,7 +117,7 @@
                     }
                     // Guards the rule on waits: a connection may take its whole time to come up, and what was
                     // decided before the wait would then be written in the midst of it.
-                    Order::Hold if !begun.load(Ordering::Relaxed) => {
+                    Order::Hold if !progress.begun.load(Ordering::Relaxed) => {
                         part(&mut waiting, &mut given_up, Outcome::NotSent, |_| true);
                     }
                     Order::Hold => {}
@@ -114,7 +125,7 @@
             }
             // The last of them is told of only when the connection is closed: it holds the slot till then.
             if !waiting.is_empty() {
-                tell(&call, std::mem::take(&mut given_up), None).await;
+                tell(&call, std::mem::take(&mut given_up), None, progress.take()).await;
             }
         }
     };
@@ -122,16 +133,16 @@
         if let Some(open) = connection.take() {
             open.close().await;
         }
-        return tell(&call, given_up, None).await;
+        return tell(&call, given_up, None, progress.take()).await;
     };
     let whole = answer.as_ref().is_ok_and(|a| a.whole);
-    tell(&call, outcomes(&waiting, &answer), connection.filter(|_| whole)).await;
+    tell(&call, outcomes(&waiting, &answer), connection.filter(|_| whole), progress.take()).await;
 }
 
-async fn tell(call: &Call, ended: Vec<Ended>, connection: Option<Connection>) {
+async fn tell(call: &Call, ended: Vec<Ended>, connection: Option<Connection>, dialled: Dialled) {
+    let news = CallNews { target: call.target, to: call.to, ended, connection, dialled };
     // The node is gone only when the process ends.
-    let _ =
-        call.node.send(Input::Call(CallNews { target: call.target, to: call.to, ended, connection })).await;
+    let _ = call.node.send(Input::Call(news)).await;
 }
 
 fn end(item: &Item, outcome: Outcome) -> Ended {
@@ -221,12 +232,34 @@
     Spoilt,
 }
 
+/// How far an exchange has come, seen from beside it.
+#[derive(Default)]
+struct Progress {
+    /// Something may have been written.
+    begun: AtomicBool,
+    dialled: Mutex<Dialled>,
+}
+
+impl Progress {
+    fn dialled(&self, failed: Option<&io::Error>) {
+        let mut dialled = self.dialled.lock().unwrap_or_else(PoisonError::into_inner);
+        match failed {
+            Some(e) => dialled.failed = Some(e.kind()),
+            None => dialled.opened += 1,
+        }
+    }
+
+    fn take(&self) -> Dialled {
+        std::mem::take(&mut self.dialled.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
 async fn exchange(
     connection: &mut Option<Connection>,
     to: SocketAddr,
     connect_timeout: Duration,
     request: Request<Full<Bytes>>,
-    begun: &AtomicBool,
+    progress: &Progress,
 ) -> Result<Answer, Silence> {
     let several = request.uri().path() == "/hook/batch";
     let mut request = Box::new(request);
@@ -237,10 +270,11 @@
         };
         if !reused {
             let opened = Connection::open(to, connect_timeout).await;
+            progress.dialled(opened.as_ref().err());
             *connection = Some(opened.map_err(|_| Silence::NeverRan)?);
         }
         let Some(open) = connection else { return Err(Silence::NeverRan) };
-        begun.store(true, Ordering::Relaxed);
+        progress.begun.store(true, Ordering::Relaxed);
         match open.send(*request).await {
             Ok(response) => return read(response, several).await,
             // Guards what is delivered: the first line says so, whatever became of the rest. Not on a connection
@@ -254,7 +288,7 @@
             Err(Broken::Spoilt) => return Err(Silence::Spoilt),
             // The idle connection had been closed before a byte was written: the call opens another one.
             Err(Broken::Unsent(unsent)) if reused => {
-                begun.store(false, Ordering::Relaxed);
+                progress.begun.store(false, Ordering::Relaxed);
                 (request, *connection) = (unsent, None);
             }
             Err(Broken::Unsent(_)) => return Err(Silence::NeverRan),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod node;
 mod notices;
+mod tally;
 
 pub use config::{Config, ConfigError};
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -13,6 +13,7 @@
 use crate::net::intake::{Answer, HandedIn, Phase};
 use crate::net::journal::{End, Journal, JournalError, Open, Record, Taken};
 use crate::net::notices::{Notice, NoticeEnd};
+use crate::net::tally::{Loss, Tally};
 use crate::wire::{Names, index};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -154,6 +155,7 @@
     events: Vec<Event>,
     wake: Option<Micros>,
     closing: Option<Instant>,
+    tally: Tally,
 }
 
 impl Node {
@@ -192,6 +194,7 @@
             events: Vec::new(),
             wake: None,
             closing: None,
+            tally: Tally::new(),
         };
         let now = node.clock.now();
         node.list(now, &config.known);
@@ -301,6 +304,10 @@
         }
         self.commit(now, fresh, sends);
         self.pass_on_notices();
+        if let Some(counts) = self.tally.due() {
+            let (held, out, idle) = (self.messages.len(), self.calls.len(), self.idle);
+            eprintln!("node: {held} held, {out} calls out, {idle} connections idle; {counts}");
+        }
         let limit = self.idle_limit();
         self.idle = 0;
         for target in self.targets.values_mut() {
@@ -339,6 +346,9 @@
             None => None,
         };
         if let Some(known) = known {
+            if matches!(known, Answer::Refused(_)) {
+                self.tally.lost(Loss::HeldMost);
+            }
             // A client that has left needs no answer.
             let _ = answer.send(known);
             return None;
@@ -409,6 +419,7 @@
     /// The module's final answer: to the client while it waits, else by a notice.
     fn give_up(&mut self, id: MessageId, end: End, wait: Option<Micros>) {
         let Some(mut message) = self.messages.remove(&id) else { return };
+        self.tally.lost(if end == End::Refused { Loss::Refused } else { Loss::Failed });
         self.ids.remove(&message.taken.id);
         let wait = wait.and_then(|w| u64::try_from(w).ok());
         if !message.taken_on {
@@ -465,6 +476,7 @@
         for id in taken {
             if let Some(message) = self.messages.get_mut(&id) {
                 message.taken_on = true;
+                self.tally.taken_on();
                 if !message.answer(Answer::Accepted) {
                     self.client_left(id);
                 }
@@ -476,6 +488,8 @@
     /// Not taken on after all: the client is refused, if it has not left, and the module forgets the message.
     fn turn_away(&mut self, id: MessageId) {
         if let Some(mut message) = self.messages.remove(&id) {
+            let left = message.clients.iter().all(|client| client.is_closed());
+            self.tally.lost(if left { Loss::ClientLeft } else { Loss::JournalFull });
             self.ids.remove(&message.taken.id);
             message.answer(Answer::Refused(None));
             self.events.push(Event::ClientLeft { id });
@@ -485,6 +499,7 @@
     /// The client left before it heard that the message was taken on.
     fn client_left(&mut self, id: MessageId) {
         if let Some(message) = self.messages.remove(&id) {
+            self.tally.lost(Loss::ClientLeft);
             self.ids.remove(&message.taken.id);
             self.journal.note(&Record::Over(message.taken.id, End::Refused, 0), unix_now());
             self.events.push(Event::ClientLeft { id });
@@ -591,15 +606,16 @@
             target.idle.push((Instant::now(), connection));
             self.idle += 1;
         }
+        self.tally.dialled(news.to, news.dialled);
         if news.ended.iter().any(|e| e.wait.is_some()) {
             self.hold(news.target);
         }
         for ended in news.ended {
-            self.ended(now, ended);
+            self.ended(now, news.to, ended);
         }
     }
 
-    fn ended(&mut self, now: Micros, ended: calls::Ended) {
+    fn ended(&mut self, now: Micros, to: SocketAddr, ended: calls::Ended) {
         let calls::Ended { id, attempt, outcome, finished, report, wait } = ended;
         let Some(out) = self.out.remove(&(id, attempt)) else { return };
         if let Some(call) = self.calls.get_mut(&out.call) {
@@ -612,6 +628,8 @@
                 }
             }
         }
+        let took = Duration::from_micros(u64::try_from(now - out.sent).unwrap_or(0));
+        self.tally.ended(to, outcome, took);
         let unix = unix_now();
         if finished && let Some(message) = self.messages.remove(&id) {
             let Taken { id: name, deadline, .. } = message.taken;
--- /dev/null
+++ b/src/net/tally.rs
@@ -0,0 +1,152 @@
+//! Counts what happens between two log lines: enough to see from the log alone what a bad day is made of.
+
+use crate::api::Outcome;
+use crate::net::calls::Dialled;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How often the counts are logged.
+const EVERY: Duration = Duration::from_secs(5);
+/// So many of the endpoints with the most calls that failed have a line of their own.
+const WORST: usize = 3;
+
+/// Why a message was not taken on or was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Loss {
+    /// The forwarder holds all that it may.
+    HeldMost,
+    /// The journal has no room.
+    JournalFull,
+    /// The client left before it heard.
+    ClientLeft,
+    /// The module refused it.
+    Refused,
+    /// The module gave it up.
+    Failed,
+}
+
+#[derive(Debug, Default)]
+struct Endpoint {
+    calls: usize,
+    failed: usize,
+    unconnected: usize,
+    opened: usize,
+    worst_wait: Duration,
+}
+
+/// What happened since the last line.
+#[derive(Debug)]
+pub(crate) struct Tally {
+    since: Instant,
+    taken_on: usize,
+    losses: BTreeMap<Loss, usize>,
+    outcomes: BTreeMap<&'static str, usize>,
+    opened: usize,
+    unconnected: BTreeMap<String, usize>,
+    endpoints: BTreeMap<SocketAddr, Endpoint>,
+}
+
+impl Tally {
+    pub(crate) fn new() -> Self {
+        Tally {
+            since: Instant::now(),
+            taken_on: 0,
+            losses: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            opened: 0,
+            unconnected: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn taken_on(&mut self) {
+        self.taken_on += 1;
+    }
+
+    pub(crate) fn lost(&mut self, loss: Loss) {
+        *self.losses.entry(loss).or_default() += 1;
+    }
+
+    pub(crate) fn dialled(&mut self, to: SocketAddr, dialled: Dialled) {
+        let endpoint = self.endpoints.entry(to).or_default();
+        endpoint.opened += dialled.opened;
+        self.opened += dialled.opened;
+        if let Some(kind) = dialled.failed {
+            endpoint.unconnected += 1;
+            *self.unconnected.entry(kind.to_string()).or_default() += 1;
+        }
+    }
+
+    pub(crate) fn ended(&mut self, to: SocketAddr, outcome: Outcome, took: Duration) {
+        let (name, failed) = match outcome {
+            Outcome::Delivered => ("delivered", false),
+            Outcome::Error => ("error", true),
+            Outcome::Full { wait: Some(_) } => ("full with a wait", false),
+            Outcome::Full { wait: None } => ("full", false),
+            Outcome::TimedOut => ("timed out", true),
+            Outcome::ConnectFailed => ("not connected", true),
+            Outcome::Reset => ("reset", true),
+            Outcome::Spoilt => ("spoilt", true),
+            Outcome::Cancelled => ("called off", true),
+            Outcome::NotSent => ("not sent", false),
+        };
+        *self.outcomes.entry(name).or_default() += 1;
+        let endpoint = self.endpoints.entry(to).or_default();
+        endpoint.calls += 1;
+        endpoint.failed += usize::from(failed);
+        endpoint.worst_wait = endpoint.worst_wait.max(took);
+    }
+
+    /// The counts, if it is time for a line and anything has happened, and a new start.
+    pub(crate) fn due(&mut self) -> Option<Tally> {
+        if self.since.elapsed() < EVERY {
+            return None;
+        }
+        let counts = std::mem::replace(self, Tally::new());
+        let idle = counts.taken_on == 0 && counts.losses.is_empty() && counts.outcomes.is_empty();
+        Some(counts).filter(|_| !idle)
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "taken on {}, lost {:?}; attempts {:?}", self.taken_on, self.losses, self.outcomes)?;
+        write!(f, "; connections opened {}, not opened {:?}", self.opened, self.unconnected)?;
+        let mut worst: Vec<_> = self.endpoints.iter().filter(|(_, e)| e.failed > 0).collect();
+        worst.sort_by_key(|(_, e)| std::cmp::Reverse(e.failed));
+        for (at, e) in worst.iter().take(WORST) {
+            write!(f, "\n  {at}: {} attempts, {} failed, {} connections", e.calls, e.failed, e.opened)?;
+            write!(f, " opened and {} not, longest {:?}", e.unconnected, e.worst_wait)?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn a_line_comes_only_when_due_and_counts_start_anew() {
+        let at: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+        let mut tally = Tally::new();
+        tally.taken_on();
+        tally.lost(Loss::Refused);
+        tally.ended(at, Outcome::ConnectFailed, Duration::from_millis(3));
+        tally.dialled(at, Dialled { opened: 1, failed: Some(std::io::ErrorKind::ConnectionRefused) });
+        assert!(tally.due().is_none());
+        tokio::time::advance(EVERY).await;
+        let line = tally.due().expect("it is due").to_string();
+        assert_eq!(
+            line,
+            "taken on 1, lost {Refused: 1}; attempts {\"not connected\": 1}; connections opened 1, not opened \
+             {\"connection refused\": 1}\n  127.0.0.1:9: 1 attempts, 1 failed, 1 connections opened and 1 not, \
+             longest 3ms"
+        );
+        tokio::time::advance(EVERY).await;
+        assert!(tally.due().is_none(), "nothing has happened since");
+    }
+}
