--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -13,12 +13,18 @@
 
 /// Length and checksum.
 const FRAME_HEAD: usize = 8;
-/// Room kept for each open message, so that its attempts and its end still fit when the disk is full.
+/// Room kept for each open message, so that its attempts and its end still fit when the disk is full. Those that
+/// are written use it up.
 const RESERVE: u64 = 1024;
+/// Longest record of a message taken on, but for its body: an id, a key and two names.
+const TAKEN_MOST: u64 = 640;
 /// A file is not compacted while it is shorter than this.
 const COMPACT_FROM: u64 = 256 << 10;
 /// To make room, a file is compacted where that frees this part of the bound.
 const WORTH_COMPACTING: u64 = 16;
+/// A file is also compacted once it and its copy would take all but this part of the bound: later the copy
+/// would no longer fit beside it, and nothing more could be taken on until most of what is held has ended.
+const COMPACT_MARGIN: u64 = 8;
 /// Ends that are remembered at the most, so that a message handed in again finds its answer.
 const ENDS_MOST: usize = 4096;
 
@@ -109,15 +115,25 @@
     Io(#[from] io::Error),
 }
 
+/// What an open message takes up.
+#[derive(Clone, Copy, Default)]
+struct Live {
+    /// Bytes of its records.
+    bytes: u64,
+    /// Room that is kept for those to come.
+    reserved: u64,
+}
+
 /// The open journal.
 pub(crate) struct Journal {
     path: PathBuf,
     file: File,
     len: u64,
     limit: u64,
-    /// Bytes of the records of each open message, and of all of them.
-    live: HashMap<String, u64>,
+    /// What each open message takes up, and all of them.
+    live: HashMap<String, Live>,
     live_bytes: u64,
+    reserved: u64,
     /// Ends still remembered, and until when (Unix ms).
     ends: HashMap<String, (End, u64)>,
     /// When ends that are past were last dropped (Unix ms).
@@ -146,6 +162,7 @@
             limit,
             live: HashMap::new(),
             live_bytes: 0,
+            reserved: 0,
             ends: HashMap::new(),
             swept: now,
             backlog: Vec::new(),
@@ -184,23 +201,35 @@
     /// Whether messages of this many bytes in all could still be taken on.
     pub(crate) fn has_room(&mut self, messages: usize, bytes: usize, now: u64) -> bool {
         // Records are short but for the body; names and keys are bounded where messages come in.
-        let more = bytes as u64 + messages as u64 * RESERVE;
-        if self.fits(self.len, more) {
+        let (bytes, reserve) = (bytes as u64 + messages as u64 * TAKEN_MOST, messages as u64 * RESERVE);
+        if self.fits(self.len, bytes, reserve) {
             return true;
         }
         // Guards the processor: near the bound, where compacting frees next to nothing, doing it for each message
         // would take more time than there is, just when the most is held.
-        let freed = self.len.saturating_sub(self.compacted_len());
-        freed >= self.limit / WORTH_COMPACTING
-            && self.fits(self.compacted_len(), more)
+        self.is_worth_compacting()
+            && self.fits(self.compacted_len(), bytes, reserve)
             && self.compact(now).is_ok()
-            && self.fits(self.len, more)
+            && self.fits(self.len, bytes, reserve)
+    }
+
+    /// Room for a file of this length and `more` bytes, and beside it for its compacted copy or for the records
+    /// to come, whichever is longer. Not for both: a copy is made while there is room for it, and messages can
+    /// end without one.
+    fn fits(&self, len: u64, more: u64, reserve: u64) -> bool {
+        let beside = (self.compacted_len() + more).max(self.reserved + reserve);
+        len + self.backlog.len() as u64 + more + beside <= self.limit
     }
 
-    /// Room for a file of this length, its compacted copy, and `more` in both.
-    fn fits(&self, len: u64, more: u64) -> bool {
-        let reserve = self.live.len() as u64 * RESERVE;
-        len + self.compacted_len() + self.backlog.len() as u64 + 2 * (reserve + more) <= self.limit
+    fn is_worth_compacting(&self) -> bool {
+        self.len.saturating_sub(self.compacted_len()) >= self.limit / WORTH_COMPACTING
+    }
+
+    /// Whether the file has grown long, or so long that its copy will soon not fit beside it.
+    fn is_due_for_compacting(&self) -> bool {
+        let both = self.len + self.compacted_len().max(self.reserved);
+        self.len > COMPACT_FROM.max(3 * self.compacted_len())
+            || (self.is_worth_compacting() && both > self.limit - self.limit / COMPACT_MARGIN)
     }
 
     fn compacted_len(&self) -> u64 {
@@ -225,7 +254,7 @@
                 for (record, size) in records.iter().zip(sizes) {
                     self.book(record, size, now);
                 }
-                if self.len > COMPACT_FROM.max(3 * self.compacted_len()) {
+                if self.is_due_for_compacting() {
                     // The long file still holds all: it is tried again after the next turn.
                     if let Err(e) = self.compact(now) {
                         eprintln!("journal: not compacted: {e}");
@@ -257,15 +286,24 @@
     fn book(&mut self, record: &Record, size: u64, now: u64) {
         match record {
             Record::Over(id, end, until) => {
-                self.live_bytes -= self.live.remove(id).unwrap_or(0);
+                let live = self.live.remove(id).unwrap_or_default();
+                self.live_bytes -= live.bytes;
+                self.reserved -= live.reserved;
                 self.remember(id, *end, *until, now);
                 return;
             }
             Record::Owed(id, end, until) => self.remember(id, (*end).into(), *until, now),
             _ => {}
         }
-        *self.live.entry(record.id().to_owned()).or_default() += size;
+        let live = self.live.entry(record.id().to_owned()).or_default();
+        live.bytes += size;
         self.live_bytes += size;
+        let reserved = match record {
+            Record::Taken(_) => RESERVE,
+            _ => live.reserved.saturating_sub(size),
+        };
+        self.reserved = self.reserved - live.reserved + reserved;
+        live.reserved = reserved;
     }
 
     fn remember(&mut self, id: &str, end: End, until: u64, now: u64) {
@@ -540,6 +578,27 @@
         assert!(journal.has_room(1, 500, NOW));
     }
 
+    /// As many as a sender may hold on its busiest day (`openCap` near 950), each with an attempt, beside the
+    /// ends of those before them.
+    #[test]
+    fn all_that_a_sender_may_hold_finds_room() {
+        let folder = Folder::new();
+        let (mut journal, _) = Journal::open(&folder.0, 2_850_000, NOW).expect("it opens");
+        let id = |n: usize| format!("{n:016x}");
+        let held = 950;
+        for n in 0..3 * held {
+            assert!(journal.has_room(1, 900, NOW), "message {n}, {} bytes in the file", journal.len);
+            journal.commit(&[taken(&id(n), vec![0; 900])], NOW).expect("it said that there is room");
+            journal.commit(&[Record::Sent(id(n), 0, NOW, "magazzino".into())], NOW).expect("kept room");
+            journal.note(&Record::Ended(id(n), 0, true), NOW);
+            if n >= held {
+                journal.note(&Record::Over(id(n - held), End::Delivered, NOW + 1000), NOW);
+            }
+            journal.commit(&[], NOW).expect("kept room");
+        }
+        assert_eq!(journal.live.len(), held);
+    }
+
     #[test]
     fn near_the_bound_it_is_not_compacted_for_each_message() {
         let folder = Folder::new();
