Learn the age at which idle connections die, and don't book that as sickness

Ages are now learnt for each endpoint and for all, and a new outcome, Dead, is no mark against the endpoint. Also logs, every five seconds, which destinations hold the backlog, and why.

--- a/src/api.rs
+++ b/src/api.rs
@@ -152,6 +152,9 @@
     /// Answered with what can't be read; it may have taken effect. Says nothing of the destination's health:
     /// it has worked and answered, and something on the way spoilt that.
     Spoilt,
+    /// The connection had stood idle and broke as soon as the call was written to it; it may have taken effect.
+    /// Says nothing of the destination's health: the connection had died unseen.
+    Dead,
     /// Called off; it may have taken effect.
     Cancelled,
     /// Never sent by the host, for want of a slot or for another reason of its own.
@@ -322,6 +325,27 @@
     Subscribe,
 }
 
+/// What holds a destination's messages, for the log: of its routes the one that is ready first.
+#[derive(Clone, Copy, Debug)]
+pub struct Backlog {
+    /// The destination.
+    pub dest: DestId,
+    /// Messages that wait.
+    pub messages: usize,
+    /// Calls that are out.
+    pub calls: usize,
+    /// It holds the smaller share of the slots.
+    pub falters: bool,
+    /// It is held to be down: trials only.
+    pub outage: bool,
+    /// Calls a second that are allowed; `None` where nothing limits them.
+    pub rate: Option<f64>,
+    /// Until the next call may go.
+    pub ready_in: Micros,
+    /// Until the end of the wait that it told.
+    pub waits_for: Micros,
+}
+
 impl Default for Settings {
     /// Nothing allowed, nothing limited: the neutral value of every setting.
     fn default() -> Self {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -889,7 +889,8 @@
         self.call_ended(now, &a, &end);
         if let Some(t) = a.key.as_ref().and_then(|key| self.turns.get_mut(key)) {
             t.out = t.out.saturating_sub(1);
-            if matches!(end.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            if matches!(end.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Dead | Outcome::Cancelled)
+            {
                 t.rest_until = t.rest_until.max(now + self.e.s.turn_gap);
             }
         }
@@ -917,7 +918,9 @@
             return self.give_back(now, id, actions);
         }
         let step = (e.aim as Micros / RETRY_PART) << (m.attempts - 1).min(4);
-        let delay = if end.outcome.never_ran() { 0 } else { step };
+        // A dead connection tells nothing against another one, now.
+        let at_once = end.outcome.never_ran() || end.outcome == Outcome::Dead;
+        let delay = if at_once { 0 } else { step };
         if delay > 0 { self.park(id, now + delay) } else { self.enqueue(now, id) }
     }
 
@@ -950,7 +953,7 @@
                 t.avoid_until = now;
                 t.crowded = 0;
             }
-            Outcome::Full { .. } | Outcome::NotSent | Outcome::Spoilt => {}
+            Outcome::Full { .. } | Outcome::NotSent | Outcome::Spoilt | Outcome::Dead => {}
             // Turned away at once: it lives, but its table of connections is full.
             Outcome::ConnectFailed if end.elapsed < e.s.connect_timeout / 2 => {
                 t.crowded = (t.crowded + 1).min(6);
@@ -976,12 +979,36 @@
         match end.outcome {
             Outcome::Delivered => scope.delivered(now, end.elapsed as f64, &e),
             Outcome::Full { wait } => scope.refused(now, now - end.elapsed, wait, &e),
-            // Nobody's health shows in an answer that was spoilt on its way.
-            Outcome::NotSent | Outcome::Spoilt => {}
+            // Nobody's health shows in an answer that was spoilt on its way, or in a connection that was dead.
+            Outcome::NotSent | Outcome::Spoilt | Outcome::Dead => {}
             outcome => scope.failed(now, outcome, &e),
         }
     }
 
+    /// For the log: the destinations with most messages waiting, and what holds them.
+    pub fn backlog(&self, now: Micros) -> Vec<Backlog> {
+        let lanes = |dest: &DestId| self.dests[dest].lanes.values().map(BTreeSet::len).sum();
+        let mut waiting: Vec<(usize, DestId)> = self.waiting.iter().map(|d| (lanes(d), *d)).collect();
+        waiting.sort_unstable_by(|a, b| b.cmp(a));
+        let one = |(messages, dest): (usize, DestId)| {
+            let d = &self.dests[&dest];
+            let routes =
+                d.targets.iter().map(|t| if d.kind.routes_apart { &self.targets[t].scope } else { &d.scope });
+            let scope = routes.min_by_key(|scope| scope.ready_at(now, &self.e)).unwrap_or(&d.scope);
+            Backlog {
+                dest,
+                messages,
+                calls: self.counters.get(&dest).copied().unwrap_or(0),
+                falters: self.dest_falters(dest, now),
+                outage: matches!(scope.state, State::Outage(_)),
+                rate: scope.rate(now, &self.e).map(|(rate, _)| rate),
+                ready_in: (scope.ready_at(now, &self.e) - now).max(0),
+                waits_for: (scope.wait_until - now).max(0),
+            }
+        };
+        waiting.into_iter().take(4).map(one).collect()
+    }
+
     // ---- Timers ----
 
     fn timers(&mut self, now: Micros, actions: &mut Vec<Action>) {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -2,6 +2,7 @@
 
 use crate::api::{MessageId, Micros, Outcome, Report, TargetId};
 use crate::net::http::{self, Broken, Connection};
+use crate::net::keep::Kept;
 use crate::net::node::Input;
 use crate::wire::read_report;
 use base64::Engine;
@@ -23,6 +24,9 @@
 
 /// Longest answer that is read.
 const ANSWER_MOST: usize = 64 << 10;
+/// A connection that breaks so soon after a call was written to it, and that had stood idle before, was dead by
+/// then: calls take longer.
+const DEAD_WITHIN: Duration = Duration::from_millis(100);
 /// Longest wait that is believed (ms): far longer than any that is meant, and one that was spoilt on its way does
 /// not shut a destination out for good.
 const WAIT_MOST: f64 = 60_000.0;
@@ -80,13 +84,15 @@
     pub(crate) dialled: Dialled,
 }
 
-/// What a call did to get a connection, for the log.
+/// What a call did to get a connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Dialled {
     /// Connections that came up.
     pub(crate) opened: usize,
     /// Why one did not.
     pub(crate) failed: Option<io::ErrorKind>,
+    /// How the idle connection fared, where one carried the call.
+    pub(crate) kept: Option<Kept>,
 }
 
 /// Makes the call and tells the node of its outcomes.
@@ -230,6 +236,8 @@
     MayHaveRun,
     /// It may have, and the target has answered.
     Spoilt,
+    /// It may have, but the connection had stood idle and was dead already.
+    Dead,
 }
 
 /// How far an exchange has come, seen from beside it.
@@ -249,6 +257,10 @@
         }
     }
 
+    fn kept(&self, kept: Kept) {
+        self.dialled.lock().unwrap_or_else(PoisonError::into_inner).kept = Some(kept);
+    }
+
     fn take(&self) -> Dialled {
         std::mem::take(&mut self.dialled.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -275,8 +287,14 @@
         }
         let Some(open) = connection else { return Err(Silence::NeverRan) };
         progress.begun.store(true, Ordering::Relaxed);
+        let written = Instant::now();
         match open.send(*request).await {
-            Ok(response) => return read(response, several).await,
+            Ok(response) => {
+                if reused {
+                    progress.kept(Kept::Alive);
+                }
+                return read(response, several).await;
+            }
             // Guards what is delivered: the first line says so, whatever became of the rest. Not on a connection
             // that has carried another call: that call's answer may have had a second copy, which came late, and
             // to take a message for delivered that is not would lose it. In doubt it may have run.
@@ -292,6 +310,10 @@
                 (request, *connection) = (unsent, None);
             }
             Err(Broken::Unsent(_)) => return Err(Silence::NeverRan),
+            Err(Broken::InDoubt) if reused && written.elapsed() < DEAD_WITHIN => {
+                progress.kept(Kept::Dead);
+                return Err(Silence::Dead);
+            }
             Err(Broken::InDoubt) => return Err(Silence::MayHaveRun),
         }
     }
@@ -350,6 +372,7 @@
         Err(Silence::NeverRan) => return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect(),
         Err(Silence::MayHaveRun) => return waiting.iter().map(|i| end(i, Outcome::Reset)).collect(),
         Err(Silence::Spoilt) => return waiting.iter().map(|i| end(i, Outcome::Spoilt)).collect(),
+        Err(Silence::Dead) => return waiting.iter().map(|i| end(i, Outcome::Dead)).collect(),
     };
     let ended = waiting.iter().map(|item| {
         let mut states = answer.states.iter().flatten();
--- /dev/null
+++ b/src/net/keep.rs
@@ -0,0 +1,90 @@
+//! How long a connection may stand idle and still carry a call. `idleClose` is what the other side promises; what
+//! stands between may forget a connection much sooner and say so only to the next call written to it. That call
+//! may have run, and what must not run twice is lost by it: so the age at which this happens is learnt.
+
+use crate::api::Micros;
+use crate::parts::Fading;
+
+/// Ages are told apart by powers of two from this one on; the first class holds all younger ones.
+const FIRST: Micros = 4_000;
+const CLASSES: usize = 13;
+/// What was seen fades by e in this time: a path that has become well again is soon tried again.
+const SPAN: f64 = 10e6;
+/// So many connections found dead at one age, faded,
+const DEAD_LEAST: f64 = 1.2;
+/// and such a share of those tried, and none that old is used: a new connection costs far less than a call.
+const DEAD_SHARE: f64 = 0.2;
+/// Connections imagined alive at each age: few samples do not condemn, new connections break now and then too.
+const PRIOR_ALIVE: f64 = 4.0;
+
+/// How an idle connection fared with the next call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kept {
+    /// It brought an answer.
+    Alive,
+    /// It broke as soon as the call was written.
+    Dead,
+}
+
+/// What is known of idle connections, by their age.
+#[derive(Clone, Default)]
+pub(crate) struct Ages {
+    alive: [Fading; CLASSES],
+    dead: [Fading; CLASSES],
+}
+
+impl Ages {
+    fn class(age: Micros) -> usize {
+        let doublings = (age.max(0) / FIRST).checked_ilog2().map_or(0, |n| n as usize + 1);
+        doublings.min(CLASSES - 1)
+    }
+
+    pub(crate) fn add(&mut self, now: Micros, age: Micros, kept: Kept) {
+        let counts = if kept == Kept::Alive { &mut self.alive } else { &mut self.dead };
+        counts[Self::class(age)].add(now, SPAN);
+    }
+
+    /// The age from which connections are not to be used, if there is one.
+    pub(crate) fn limit(&self, now: Micros) -> Option<Micros> {
+        let dead = |n: &usize| {
+            let (dead, alive) = (self.dead[*n].get(now, SPAN), self.alive[*n].get(now, SPAN));
+            dead >= DEAD_LEAST && dead > DEAD_SHARE * (dead + alive + PRIOR_ALIVE)
+        };
+        (0..CLASSES).find(dead).map(|n| if n == 0 { 0 } else { FIRST << (n - 1) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Micros = 1_000;
+
+    #[test]
+    fn ages_at_which_connections_die_are_avoided_until_that_is_long_ago() {
+        let mut ages = Ages::default();
+        assert_eq!(ages.limit(0), None);
+        // One may have had another reason.
+        ages.add(0, 200 * MS, Kept::Dead);
+        assert_eq!(ages.limit(0), None);
+        ages.add(0, 150 * MS, Kept::Dead);
+        assert_eq!(ages.limit(0), Some(128 * MS));
+        // Younger ones live, but for a few; older ones say nothing new.
+        for n in 0..20 {
+            ages.add(0, 70 * MS, if n < 2 { Kept::Dead } else { Kept::Alive });
+            ages.add(0, 5000 * MS, Kept::Dead);
+        }
+        assert_eq!(ages.limit(0), Some(128 * MS));
+        assert_eq!(ages.limit(120_000 * MS), None);
+    }
+
+    #[test]
+    fn where_connections_die_at_once_none_is_kept() {
+        let mut ages = Ages::default();
+        (0..2).for_each(|_| ages.add(0, 0, Kept::Dead));
+        assert_eq!(ages.limit(0), Some(0));
+        // Any age has a class.
+        ages.add(0, -5, Kept::Alive);
+        ages.add(0, Micros::MAX, Kept::Dead);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod http;
 mod intake;
 mod journal;
+mod keep;
 mod node;
 mod notices;
 mod tally;
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -12,6 +12,7 @@
 use crate::net::http::Connection;
 use crate::net::intake::{Answer, HandedIn, Phase};
 use crate::net::journal::{End, Journal, JournalError, Open, Record, Taken};
+use crate::net::keep::Ages;
 use crate::net::notices::{Notice, NoticeEnd};
 use crate::net::tally::{Loss, Tally};
 use crate::wire::{Names, index};
@@ -102,6 +103,7 @@
     /// Calls that are out.
     out: usize,
     idle: Vec<(Instant, Connection)>,
+    ages: Ages,
 }
 
 /// An attempt that is out.
@@ -115,6 +117,8 @@
     target: TargetId,
     /// Attempts of it that have not ended.
     left: usize,
+    /// How long its connection had stood idle before.
+    idle_for: Micros,
     orders: Sender<Order>,
 }
 
@@ -125,6 +129,11 @@
     until: Micros,
 }
 
+/// The time for which a connection may stand idle, no longer than these ages tell.
+fn bounded(limit: Duration, ages: &Ages, now: Micros) -> Duration {
+    ages.limit(now).map_or(limit, |age| limit.min(Duration::from_micros(age.unsigned_abs())))
+}
+
 /// Everything the forwarder knows.
 pub(crate) struct Node {
     settings: Settings,
@@ -143,6 +152,8 @@
     gone: BTreeMap<TargetId, Micros>,
     /// Connections without a call, over all targets.
     idle: usize,
+    /// Of those to all targets: what forgets them may stand close to this forwarder.
+    ages: Ages,
     out: HashMap<(MessageId, usize), Out>,
     calls: HashMap<u64, CallOut>,
     next_call: u64,
@@ -182,6 +193,7 @@
             uids: HashMap::new(),
             next_target: 0,
             idle: 0,
+            ages: Ages::default(),
             gone: BTreeMap::new(),
             out: HashMap::new(),
             calls: HashMap::new(),
@@ -307,18 +319,33 @@
         if let Some(counts) = self.tally.due() {
             let (held, out, idle) = (self.messages.len(), self.calls.len(), self.idle);
             eprintln!("node: {held} held, {out} calls out, {idle} connections idle; {counts}");
+            for b in self.balancer.backlog(now) {
+                eprintln!(
+                    "node: destination {}: {} wait, {} calls out, falters {}, outage {}, rate {:.1?}, ready in {} ms, \
+                     waits {} ms",
+                    b.dest,
+                    b.messages,
+                    b.calls,
+                    b.falters,
+                    b.outage,
+                    b.rate,
+                    b.ready_in / 1000,
+                    b.waits_for / 1000
+                );
+            }
         }
-        let limit = self.idle_limit();
+        let limit = self.idle_limit(now);
         self.idle = 0;
         for target in self.targets.values_mut() {
+            let limit = bounded(limit, &target.ages, now);
             target.idle.retain(|(since, c)| c.is_open() && since.elapsed() < limit);
             self.idle += target.idle.len();
         }
     }
 
-    fn idle_limit(&self) -> Duration {
+    fn idle_limit(&self, now: Micros) -> Duration {
         let limit = Duration::from_micros(self.settings.idle_close.max(0) as u64);
-        limit - limit / IDLE_MARGIN
+        bounded(limit - limit / IDLE_MARGIN, &self.ages, now)
     }
 
     // ---- Intake ----
@@ -559,10 +586,17 @@
                 until: self.clock.instant(send.until),
             });
         }
+        let limit = self.idle_limit(now);
         let Some(t) = self.targets.get_mut(&target).filter(|_| !items.is_empty()) else { return };
+        // The youngest; where that is too old, so are all.
+        let limit = bounded(limit, &t.ages, now);
+        let idle = t.idle.pop().map(|(since, connection)| (since.elapsed(), connection));
+        let idle = idle.filter(|(age, _)| *age < limit);
+        let idle_for = idle.as_ref().map_or(0, |(age, _)| Micros::try_from(age.as_micros()).unwrap_or(0));
         // Each attempt is called off once at most; one more place is for a wait.
         let (sender, orders) = channel(items.len() + 1);
-        self.calls.insert(self.next_call, CallOut { target, left: items.len(), orders: sender });
+        let out = CallOut { target, left: items.len(), idle_for, orders: sender };
+        self.calls.insert(self.next_call, out);
         self.next_call += 1;
         t.out += 1;
         let connect_timeout = Duration::from_micros(self.settings.connect_timeout.max(1000) as u64);
@@ -570,7 +604,7 @@
             target,
             to: t.to,
             items,
-            idle: t.idle.pop().map(|(_, connection)| connection),
+            idle: idle.map(|(_, connection)| connection),
             connect_timeout,
             orders,
             node: self.inputs.clone(),
@@ -607,6 +641,13 @@
             self.idle += 1;
         }
         self.tally.dialled(news.to, news.dialled);
+        let call = news.ended.first().and_then(|e| self.out.get(&(e.id, e.attempt)));
+        if let Some(kept) = news.dialled.kept
+            && let Some(call) = call.and_then(|out| self.calls.get(&out.call))
+        {
+            self.ages.add(now, call.idle_for, kept);
+            self.targets.get_mut(&news.target).into_iter().for_each(|t| t.ages.add(now, call.idle_for, kept));
+        }
         if news.ended.iter().any(|e| e.wait.is_some()) {
             self.hold(news.target);
         }
@@ -697,6 +738,7 @@
             batch,
             out: 0,
             idle: Vec::new(),
+            ages: Ages::default(),
         };
         let known = self.targets.entry(target).or_insert_with(new);
         // A target that is to end wants no connections either.
--- a/src/net/tally.rs
+++ b/src/net/tally.rs
@@ -90,6 +90,7 @@
             Outcome::ConnectFailed => ("not connected", true),
             Outcome::Reset => ("reset", true),
             Outcome::Spoilt => ("spoilt", true),
+            Outcome::Dead => ("on a dead connection", true),
             Outcome::Cancelled => ("called off", true),
             Outcome::NotSent => ("not sent", false),
         };
@@ -136,7 +137,10 @@
         tally.taken_on();
         tally.lost(Loss::Refused);
         tally.ended(at, Outcome::ConnectFailed, Duration::from_millis(3));
-        tally.dialled(at, Dialled { opened: 1, failed: Some(std::io::ErrorKind::ConnectionRefused) });
+        tally.dialled(
+            at,
+            Dialled { opened: 1, failed: Some(std::io::ErrorKind::ConnectionRefused), kept: None },
+        );
         assert!(tally.due().is_none());
         tokio::time::advance(EVERY).await;
         let line = tally.due().expect("it is due").to_string();
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -730,3 +730,27 @@
     call.write("HTTP/1.1 200 OK\r\n\0\r\n\r\n").await;
     assert_eq!(discovery.notice().await, json!({"message": "second", "outcome": "given_up"}));
 }
+
+#[tokio::test]
+async fn connections_found_dead_at_an_age_are_soon_not_used_at_that_age() {
+    let (_discovery, raw, f) = raw_world("plain", |_| {}).await;
+    let mut idle: Option<RawCall> = None;
+    // Each connection is dead by its second call. At every age two deaths are enough.
+    for n in 0..40 {
+        let id = format!("m{n}");
+        f.hand_in("keyed", &id, 20_000).await;
+        if let Some(mut old) = idle.take() {
+            let mut part = [0; 4096];
+            let read = timeout(support::SOON, old.0.read(&mut part)).await.expect("it is used or closed");
+            if read.is_ok_and(|n| n == 0) {
+                return;
+            }
+        }
+        let mut new = raw.accept().await;
+        new.request().await;
+        new.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        f.until_delivered("keyed", &id).await;
+        idle = Some(new);
+    }
+    panic!("the last connection was used like the first");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -562,3 +562,16 @@
     let all = timed_sends(&rig.pass(4 * SEC));
     assert_eq!(all.first().map(|(_, id, _)| *id), Some(31), "{all:?}");
 }
+
+#[test]
+fn a_dead_connection_says_nothing_of_health_and_its_message_goes_again_at_once() {
+    let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
+    for id in 0..6 {
+        assert_eq!(sends(&rig.submit(id, 1, 1)), [(id, 10)]);
+        assert_eq!(sends(&rig.ended(id, 0, Outcome::Dead, 10 * MS)), [(id, 10)], "at once");
+        assert!(rig.ended(id, 1, Outcome::Delivered, 10 * MS).is_empty());
+    }
+    // What must not run twice may have: it is given up, and that at once.
+    assert_eq!(sends(&rig.submit(9, 2, 1)), [(9, 10)]);
+    assert_eq!(rig.ended(9, 0, Outcome::Dead, 10 * MS), [Action::Fail { id: 9 }]);
+}
