--- a/src/logic.rs
+++ b/src/logic.rs
@@ -979,7 +979,7 @@
         match end.outcome {
             Outcome::Delivered => scope.delivered(now, end.elapsed as f64, &e),
             Outcome::Full { wait } => scope.refused(now, now - end.elapsed, wait, &e),
-            // Nobody's health shows in an answer that was spoilt on its way, or in a connection that was dead.
+            // Nobody's health shows in an answer spoilt on its way, or in a connection that was dead.
             Outcome::NotSent | Outcome::Spoilt | Outcome::Dead => {}
             outcome => scope.failed(now, outcome, &e),
         }
