Let a refusal cut the pace no lower than the even part of the listed rate

A refusal cut the pace to 0.7 of what the sender itself had sent in the mean of the last 11 s, or since its start over 3 s at least. One that had hardly begun, or rarely calls, fell from a listed 8.4 or 15 calls a second to 1.0 and 1.8 (logged 0.16 s after a route was listed), and recovers by 8% a second. An even part was the floor only where a limit is told in reports, which this site has none of; now the listed rate serves there.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -133,9 +133,10 @@
         self.long.get(now, e.warm) * SECOND / (e.warm * (1.0 - (-age / e.warm).exp()))
     }
 
-    /// What this sender may count on of a limit told for all (calls a second); 0 where none is told.
+    /// What this sender may count on of a limit told for all (calls a second). Where none is told, its even part
+    /// of the listed rate, which is rough; 0 where there is none either.
     fn own_part(&self, e: &Env) -> f64 {
-        self.ceiling.unwrap_or(0.0) * e.part
+        self.ceiling.unwrap_or(self.listed / UNEVEN) * e.part
     }
 
     /// A told limit far from the listed one was spoilt on its way: a tiny one would starve the destination,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -575,3 +575,23 @@
     assert_eq!(sends(&rig.submit(9, 2, 1)), [(9, 10)]);
     assert_eq!(rig.ended(9, 0, Outcome::Dead, 10 * MS), [Action::Fail { id: 9 }]);
 }
+
+#[test]
+fn a_refusal_leaves_a_rare_caller_its_even_part_of_the_listed_rate() {
+    let listed = Entry { weight: 20.0, ..entry(10, 1, 0) };
+    let mut rig = Rig::new(Settings { weights: Weights::Rough, ..settings() }, vec![listed]);
+    // It has sent next to nothing when it meets a limit that others use up.
+    assert_eq!(sends(&rig.submit(1, 0, 1)).len(), 1);
+    rig.pass(50 * MS);
+    rig.ended(1, 0, Outcome::Full { wait: None }, 50 * MS);
+    (10..40).for_each(|id| drop(rig.submit(id, 0, 1)));
+    let mut sent = 0;
+    for _ in 0..200 {
+        for (_, id, _) in timed_sends(&rig.pass(10 * MS)) {
+            sent += 1;
+            rig.ended(id, usize::from(id < 10), Outcome::Delivered, 10 * MS);
+        }
+    }
+    // Two senders, 20 a second listed: 7 a second each after the cut, for most of two seconds.
+    assert!((10..=20).contains(&sent), "{sent} in two seconds");
+}
