--- a/src/logic.rs
+++ b/src/logic.rs
@@ -134,8 +134,8 @@
         self.long.get(now, e.warm) * SECOND / (e.warm * (1.0 - (-age / e.warm).exp()))
     }
 
-    /// What this sender may count on of a limit told for all (calls a second). Where none is told, its even part
-    /// of the listed rate, which is rough; 0 where there is none either.
+    /// What this sender may count on of a limit told for all (calls a second). Where none is told, its even
+    /// part of the listed rate, which is rough; 0 where there is none either.
     fn own_part(&self, e: &Env) -> f64 {
         self.ceiling.unwrap_or(self.listed / UNEVEN) * e.part
     }
