Call off calls whose answers are lost where they keep others out under the cap

Calls were called off only with every slot taken. Now an overdue call is lost once its endpoint has answered much later ones, and makes room where messages wait for its place; where none can go out, one at a time makes room for a trial.

The log of the backlog moves to a file of its own.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,8 @@
 //! Reading order: constants; `Scope` (what is known of a destination, or of a route where routes are
 //! apart); state; then `Balancer`: list, intake, admission, choice, outcomes, timers.
 
+mod backlog;
+
 use crate::api::*;
 use crate::parts::{Fading, chance};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -300,6 +302,8 @@
     /// When each idle connection was last used.
     idle: VecDeque<Micros>,
     avoid_until: Micros,
+    /// When the latest call was sent that it has answered.
+    answered: Micros,
     /// Connections turned away in a row, and until when none is tried.
     crowded: u32,
     closed_until: Micros,
@@ -338,6 +342,7 @@
     class: usize,
     sent: Micros,
     called_off: bool,
+    lost: bool,
     key: Option<String>,
 }
 
@@ -445,6 +450,7 @@
             let new = || Target {
                 avoid_until: now,
                 closed_until: now,
+                answered: Micros::MIN,
                 scope: Scope::new(now, &mut self.seed),
                 ..Target::default()
             };
@@ -701,6 +707,10 @@
                 offers.remove(&dest);
             }
         }
+        let cap = self.cap(FALTER_QUARTERS);
+        let full = sick_calls >= cap || self.calls.len() >= self.e.s.slots;
+        offers.retain(|dest, _| full || self.counters.get(dest).is_some_and(|calls| *calls >= cap));
+        self.call_off_lost(now, &offers, actions);
         self.reclaim(now, actions);
         self.close_idle(now, actions);
         self.forget_targets(now);
@@ -739,6 +749,33 @@
         }
     }
 
+    /// No answer comes any more to a call that is overdue, also as slow as things are now, where much later
+    /// ones have been answered. It would keep its place under the cap for as long as its message may wait.
+    /// What must not run twice is given up by that: only where others wait for its place. Where no later call
+    /// can go out, since a destination is held by such calls alone, the oldest makes room for a trial.
+    fn call_off_lost(&mut self, now: Micros, held: &BTreeMap<DestId, Offer>, actions: &mut Vec<Action>) {
+        let e = self.e.clone();
+        let none_ends = |dest: &DestId| !self.attempts.values().any(|a| a.called_off && a.dest == *dest);
+        let ready = held.iter().filter(|(dest, offer)| offer.found.is_ok() && none_ends(dest));
+        let mut tried: BTreeSet<DestId> = ready.map(|(dest, _)| *dest).collect();
+        let mut trials = BTreeSet::new();
+        for (&(id, attempt), a) in self.attempts.iter_mut().filter(|(_, a)| !a.called_off && e.s.cancel) {
+            let (d, t) = (&self.dests[&a.dest], &self.targets[&a.target]);
+            let scope = if d.kind.routes_apart { &t.scope } else { &d.scope };
+            let once = e.s.classes[a.class].effect == Effect::Unsafe;
+            let late = scope.patience(&e).max((OVERDUE_TIMES * scope.pace) as Micros);
+            let late = late + if once { e.aim as Micros / 2 } else { 0 };
+            a.lost = held.contains_key(&a.dest) && a.sent.saturating_add(late) < t.answered;
+            let silent = now - a.sent.max(scope.last_good) > late;
+            let trial =
+                trials.contains(&a.call) || (silent && tried.remove(&a.dest) && trials.insert(a.call));
+            if a.lost || trial {
+                a.called_off = true;
+                actions.push(Action::Cancel { id, attempt });
+            }
+        }
+    }
+
     /// Slots for all: with every slot taken, calls long overdue give back all but a few, those that may be
     /// repeated first. One that must not run twice is lost by that, so its call is given half an aim more.
     fn reclaim(&mut self, now: Micros, actions: &mut Vec<Action>) {
@@ -857,7 +894,16 @@
             if let Some(t) = key.as_ref().and_then(|k| self.turns.get_mut(k)) {
                 t.out += 1;
             }
-            let a = Attempt { call, target, dest, class: m.m.class, sent: now, called_off: false, key };
+            let a = Attempt {
+                call,
+                target,
+                dest,
+                class: m.m.class,
+                sent: now,
+                called_off: false,
+                lost: false,
+                key,
+            };
             self.attempts.insert((id, m.attempts), a);
             m.attempts += 1;
             travelling += 1;
@@ -952,9 +998,11 @@
         match end.outcome {
             Outcome::Delivered => {
                 t.pace = if t.pace > 0.0 { t.pace + PACE_GAIN * (took - t.pace) } else { took };
-                t.avoid_until = now;
+                (t.avoid_until, t.answered) = (now, t.answered.max(a.sent));
                 t.crowded = 0;
             }
+            // Its endpoint has answered since: that says more than an answer that is lost.
+            Outcome::Cancelled if a.lost => return,
             Outcome::Full { .. } | Outcome::NotSent | Outcome::Spoilt | Outcome::Dead => {}
             // Turned away at once: it lives, but its table of connections is full.
             Outcome::ConnectFailed if end.elapsed < e.s.connect_timeout / 2 => {
@@ -987,30 +1035,6 @@
         }
     }
 
-    /// For the log: the destinations with most messages waiting, and what holds them.
-    pub fn backlog(&self, now: Micros) -> Vec<Backlog> {
-        let lanes = |dest: &DestId| self.dests[dest].lanes.values().map(BTreeSet::len).sum();
-        let mut waiting: Vec<(usize, DestId)> = self.waiting.iter().map(|d| (lanes(d), *d)).collect();
-        waiting.sort_unstable_by(|a, b| b.cmp(a));
-        let one = |(messages, dest): (usize, DestId)| {
-            let d = &self.dests[&dest];
-            let routes =
-                d.targets.iter().map(|t| if d.kind.routes_apart { &self.targets[t].scope } else { &d.scope });
-            let scope = routes.min_by_key(|scope| scope.ready_at(now, &self.e)).unwrap_or(&d.scope);
-            Backlog {
-                dest,
-                messages,
-                calls: self.counters.get(&dest).copied().unwrap_or(0),
-                falters: self.dest_falters(dest, now),
-                outage: matches!(scope.state, State::Outage(_)),
-                rate: scope.rate(now, &self.e).map(|(rate, _)| rate),
-                ready_in: (scope.ready_at(now, &self.e) - now).max(0),
-                waits_for: (scope.wait_until - now).max(0),
-            }
-        };
-        waiting.into_iter().take(4).map(one).collect()
-    }
-
     // ---- Timers ----
 
     fn timers(&mut self, now: Micros, actions: &mut Vec<Action>) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -623,3 +623,32 @@
     // Two senders, 20 a second listed: 7 a second each after the cut, for most of two seconds.
     assert!((10..=20).contains(&sent), "{sent} in two seconds");
 }
+
+#[test]
+fn calls_lost_by_an_endpoint_that_answers_again_do_not_keep_their_places_under_the_cap() {
+    let mut rig = Rig::new(Settings { cancel: true, ..settings() }, vec![entry(10, 1, 0)]);
+    for id in 100..140 {
+        assert_eq!(sends(&rig.submit(id, 2, 1)), [(id, 10)]);
+        rig.pass(100 * MS);
+        rig.ended(id, 0, Outcome::Delivered, 100 * MS);
+    }
+    // Four, half of the slots, are never answered; one that is sent much later is.
+    (1..5).for_each(|id| assert_eq!(sends(&rig.submit(id, 2, 1)), [(id, 10)]));
+    assert_eq!(rig.pass(5 * SEC), [], "nothing waits for their places");
+    let called_off = |all: Vec<Action>| -> Vec<MessageId> {
+        let id = |a: Action| if let Action::Cancel { id, .. } = a { Some(id) } else { None };
+        all.into_iter().filter_map(id).collect()
+    };
+    // One that waits: a single call makes room for a trial, and is given up at once.
+    assert!(sends(&rig.submit(5, 2, 1)).is_empty(), "half of the slots are taken");
+    assert_eq!(called_off(rig.pass(3 * SEC).into_iter().map(|(_, a)| a).collect()), [1]);
+    let mut after = rig.ended(1, 0, Outcome::Cancelled, 7 * SEC);
+    assert!(after.contains(&Action::Fail { id: 1 }));
+    after.extend(rig.pass(3 * SEC).into_iter().map(|(_, a)| a));
+    assert_eq!(sends(&after), [(5, 10)]);
+    rig.ended(5, 0, Outcome::Delivered, 100 * MS);
+    // It was answered: for what waits now, those that are lost make room.
+    let mut all: Vec<Action> = (6..12).flat_map(|id| rig.submit(id, 2, 1)).collect();
+    all.extend(rig.pass(SEC).into_iter().map(|(_, a)| a));
+    assert_eq!(called_off(all), [2, 3, 4]);
+}
