Tell of a message's end only once its call is over and its connection closed

In a call with several messages those that were called off or timed out were told of while the call was still out for the rest, and went again beside it; calling off lost calls made that common. A call that broke was told of before its socket was closed.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -129,10 +129,8 @@
                     Order::Hold => {}
                 },
             }
-            // The last of them is told of only when the connection is closed: it holds the slot till then.
-            if !waiting.is_empty() {
-                tell(&call, std::mem::take(&mut given_up), None, progress.take()).await;
-            }
+            // They are told of only once the call is over: until then each holds its copy out, and another
+            // attempt would be a second one.
         }
     };
     let Some(answer) = answer else {
@@ -141,8 +139,13 @@
         }
         return tell(&call, given_up, None, progress.take()).await;
     };
-    let whole = answer.as_ref().is_ok_and(|a| a.whole);
-    tell(&call, outcomes(&waiting, &answer), connection.filter(|_| whole), progress.take()).await;
+    if !answer.as_ref().is_ok_and(|a| a.whole)
+        && let Some(open) = connection.take()
+    {
+        open.close().await;
+    }
+    given_up.extend(outcomes(&waiting, &answer));
+    tell(&call, given_up, connection, progress.take()).await;
 }
 
 async fn tell(call: &Call, ended: Vec<Ended>, connection: Option<Connection>, dialled: Dialled) {
