Answer operators' calls, bans and drains

Ruled out: the front (it asks /-/ready, which said 200 to the end).

A hold told to calls that still connect now also follows a drain or an end in the list: the same fault as with a ban. It is told once a call, since its orders have room for one, and is kept for a call that dials anew.

--- a/src/api.rs
+++ b/src/api.rs
@@ -272,6 +272,20 @@
     ListWhole(Vec<Entry>),
     /// The changed lines of the endpoint list.
     ListChanges(Vec<Entry>),
+    /// Operators take an endpoint out: nothing new goes there, whatever the list says, until the ban ends.
+    Ban {
+        /// The endpoint; it need not be listed.
+        target: TargetId,
+    },
+    /// An endpoint is put back, perhaps cold.
+    BanEnded {
+        /// The endpoint.
+        target: TargetId,
+    },
+    /// Operators send the clients away; what was taken on is still delivered.
+    Drain,
+    /// Clients are welcome again.
+    Resume,
     /// A subscription failed or broke; the old list stays.
     ListBroken,
     /// A moment asked for with [`Action::Wake`] has come.
@@ -323,6 +337,8 @@
     },
     /// Subscribe to changes of the endpoint list.
     Subscribe,
+    /// Whether clients are to come and to keep their connections. Those that come all the same are served.
+    Admit(bool),
 }
 
 /// What holds a destination's messages, for the log: of its routes the one that is ready first.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,10 @@
 //! Every decision of plankwalk. The interface (settings, events, actions) is in `src/api.rs`.
 //!
 //! Reading order: constants; `Scope` (what is known of a destination, or of a route where routes are
-//! apart); state; then `Balancer`: list, intake, admission, choice, outcomes, timers.
+//! apart); state; then `Balancer`: intake, admission, choice, outcomes, timers. In `logic/`: the list and bans.
 
 mod backlog;
+mod list;
 
 use crate::api::*;
 use crate::parts::{Fading, chance};
@@ -210,10 +211,15 @@
         self.state = State::Outage(now.max(self.wait_until) + (gap * part) as Micros);
     }
 
-    fn enter_outage(&mut self, now: Micros, e: &Env) {
+    /// What it bore while it was well is the measure for its return.
+    fn keep_base(&mut self, now: Micros, e: &Env) {
         if self.state == State::Open {
             self.base = self.own_rate(now, e).max(self.own_part(e) / UNEVEN).max(e.least);
         }
+    }
+
+    fn enter_outage(&mut self, now: Micros, e: &Env) {
+        self.keep_base(now, e);
         if !matches!(self.state, State::Outage(_)) {
             self.plan_trial(now, e);
         }
@@ -302,6 +308,8 @@
     /// When each idle connection was last used.
     idle: VecDeque<Micros>,
     avoid_until: Micros,
+    /// The list has it as serving.
+    serving: bool,
     /// When the latest call was sent that it has answered.
     answered: Micros,
     /// Connections turned away in a row, and until when none is tried.
@@ -369,6 +377,8 @@
     targets: BTreeMap<TargetId, Target>,
     /// Endpoints that the list no longer holds, and since when.
     gone: BTreeMap<TargetId, Micros>,
+    /// Endpoints that operators have taken out, listed or not.
+    banned: BTreeSet<TargetId>,
     /// The design's counter: calls of this sender to one destination; dropped when idle.
     counters: BTreeMap<DestId, usize>,
     messages: BTreeMap<MessageId, Message>,
@@ -427,6 +437,10 @@
                 self.list(now, entries);
             }
             Event::ListChanges(entries) => self.list(now, entries),
+            Event::Ban { target } => self.ban(now, target),
+            Event::BanEnded { target } => self.end_ban(now, target),
+            Event::Drain => actions.push(Action::Admit(false)),
+            Event::Resume => actions.push(Action::Admit(true)),
             Event::ListBroken => {
                 self.broken += 1;
                 let gap = (self.e.aim as Micros / 8) << self.broken.min(4);
@@ -438,68 +452,6 @@
         }
     }
 
-    // ---- The endpoint list ----
-
-    /// Only what is listed as serving gets anything new, from the moment it is heard.
-    fn list(&mut self, now: Micros, entries: Vec<Entry>) {
-        self.broken = 0;
-        for entry in entries {
-            let new = || Dest { scope: Scope::new(now, &mut self.seed), ..Dest::default() };
-            let dest = self.dests.entry(entry.dest).or_insert_with(new);
-            dest.kind = self.e.s.kinds.get(entry.kind).copied().unwrap_or_default();
-            let new = || Target {
-                avoid_until: now,
-                closed_until: now,
-                answered: Micros::MIN,
-                scope: Scope::new(now, &mut self.seed),
-                ..Target::default()
-            };
-            let target = self.targets.entry(entry.target).or_insert_with(new);
-            (target.dest, target.zone) = (entry.dest, entry.zone);
-            if entry.listing == Listing::Serving {
-                dest.targets.insert(entry.target);
-            } else {
-                dest.targets.remove(&entry.target);
-            }
-            if entry.listing == Listing::Deleted {
-                self.gone.entry(entry.target).or_insert(now);
-            } else {
-                self.gone.remove(&entry.target);
-            }
-            let scope = if dest.kind.routes_apart { &mut target.scope } else { &mut dest.scope };
-            if self.e.s.weights != Weights::Off && entry.weight > 0.0 {
-                scope.listed = entry.weight;
-            }
-            if scope.listed > 0.0 && scope.limit.is_none() {
-                let part = if dest.kind.batch > 1 { self.e.s.senders.max(1) as f64 } else { 1.0 };
-                scope.limit = Some(scope.listed / part);
-            }
-        }
-    }
-
-    /// Forgets endpoints that are gone, once no call is out there. What holds for one (a wait, an outage)
-    /// holds on if it is listed again soon; what its destination has taught stays.
-    fn forget_targets(&mut self, now: Micros) {
-        let (targets, warm) = (&mut self.targets, self.e.warm as Micros);
-        self.gone.retain(|id, since| {
-            let kept =
-                targets.get(id).is_some_and(|t| t.out > 0 || now < t.scope.wait_until.max(*since + warm));
-            if !kept {
-                targets.remove(id);
-            }
-            kept
-        });
-    }
-
-    /// Waits, limits, health and slow start hold for a destination, or route by route.
-    fn scope(&mut self, dest: DestId, target: TargetId) -> &mut Scope {
-        let d = self.dests.get_mut(&dest).expect("only known destinations are sent to");
-        if !d.kind.routes_apart {
-            return &mut d.scope;
-        }
-        &mut self.targets.get_mut(&target).expect("only known endpoints are sent to").scope
-    }
-
     // ---- Intake ----
 
     fn submit(&mut self, now: Micros, m: Submit, actions: &mut Vec<Action>) {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -126,7 +126,8 @@
                     Order::Hold if !progress.begun.load(Ordering::Relaxed) => {
                         part(&mut waiting, &mut given_up, Outcome::NotSent, |_| true);
                     }
-                    Order::Hold => {}
+                    // Written already, or about to be; should that fail before a byte went, it is not tried anew.
+                    Order::Hold => progress.held.store(true, Ordering::Relaxed),
                 },
             }
             // They are told of only once the call is over: until then each holds its copy out, and another
@@ -236,6 +237,8 @@
 #[derive(Clone, Copy)]
 enum Silence {
     NeverRan,
+    /// It was held back before anything was written.
+    Held,
     MayHaveRun,
     /// It may have, and the target has answered.
     Spoilt,
@@ -248,6 +251,8 @@
 struct Progress {
     /// Something may have been written.
     begun: AtomicBool,
+    /// Nothing more is to be written.
+    held: AtomicBool,
     dialled: Mutex<Dialled>,
 }
 
@@ -308,6 +313,7 @@
             }
             Err(Broken::Spoilt) => return Err(Silence::Spoilt),
             // The idle connection had been closed before a byte was written: the call opens another one.
+            Err(Broken::Unsent(_)) if progress.held.load(Ordering::Relaxed) => return Err(Silence::Held),
             Err(Broken::Unsent(unsent)) if reused => {
                 progress.begun.store(false, Ordering::Relaxed);
                 (request, *connection) = (unsent, None);
@@ -373,6 +379,7 @@
     let answer = match answer {
         Ok(answer) => answer,
         Err(Silence::NeverRan) => return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect(),
+        Err(Silence::Held) => return waiting.iter().map(|i| end(i, Outcome::NotSent)).collect(),
         Err(Silence::MayHaveRun) => return waiting.iter().map(|i| end(i, Outcome::Reset)).collect(),
         Err(Silence::Spoilt) => return waiting.iter().map(|i| end(i, Outcome::Spoilt)).collect(),
         Err(Silence::Dead) => return waiting.iter().map(|i| end(i, Outcome::Dead)).collect(),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -21,6 +21,9 @@
     /// The file is not of the agreed form.
     #[error("cannot make out {0}: {1}")]
     Form(PathBuf, #[source] serde_json::Error),
+    /// The operators' address cannot be read.
+    #[error("the operators' address: {0}")]
+    Admin(#[source] std::net::AddrParseError),
     /// The seed is no hexadecimal number.
     #[error("the seed is no hexadecimal number")]
     Seed(#[from] std::num::ParseIntError),
@@ -41,6 +44,7 @@
 struct File {
     listen: SocketAddr,
     discovery: SocketAddr,
+    admin: Option<SocketAddr>,
     seed: String,
     limits: Limits,
     known: List,
@@ -51,6 +55,8 @@
 pub struct Config {
     pub(crate) listen: SocketAddr,
     pub(crate) discovery: SocketAddr,
+    /// Where operators call; nowhere if it is not told.
+    pub(crate) admin: Option<SocketAddr>,
     pub(crate) state: PathBuf,
     pub(crate) seed: u64,
     pub(crate) limits: Limits,
@@ -63,7 +69,12 @@
     /// Reads the file that the environment names.
     pub fn from_env() -> Result<Self, ConfigError> {
         let var = |name| env::var_os(name).map(PathBuf::from).ok_or(ConfigError::Missing(name));
-        Config::read(&var("BALANCER_CONFIG")?, var("BALANCER_STATE")?)
+        let mut config = Config::read(&var("BALANCER_CONFIG")?, var("BALANCER_STATE")?)?;
+        // Each process is told its own, while the file may be shared.
+        if let Some(admin) = env::var("BALANCER_ADMIN").ok().filter(|admin| !admin.is_empty()) {
+            config.admin = Some(admin.parse().map_err(ConfigError::Admin)?);
+        }
+        Ok(config)
     }
 
     fn read(path: &Path, state: PathBuf) -> Result<Self, ConfigError> {
@@ -75,6 +86,7 @@
         Ok(Config {
             listen: file.listen,
             discovery: file.discovery,
+            admin: file.admin,
             state,
             seed: u64::from_str_radix(&file.seed, 16)?,
             limits: file.limits,
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -42,6 +42,11 @@
 /// Where room is short, a connection without an open request gives way after this time: a client that has
 /// something to say has said it by then.
 const SPARE: Duration = Duration::from_millis(250);
+/// While clients are sent away, connections without an open request are closed after this time: by then the front
+/// has heard of it, and what was on its way has come.
+const LEAVE: Duration = Duration::from_millis(400);
+/// How often that is looked for.
+const LEAVE_STEP: Duration = Duration::from_millis(50);
 /// When a client is to come again for whose message there is no room now.
 const AGAIN: Duration = Duration::from_secs(1);
 /// All that a client hears for whom there is no room.
@@ -75,6 +80,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
     Open,
+    /// Clients are sent away, and not ready is said; those that come all the same are served.
+    Draining,
     /// Each answer is the last on its connection.
     Closing,
     /// Nothing new is read.
@@ -123,6 +130,8 @@
     idle_from: AtomicU64,
     /// The head that was read last is ambiguous.
     ambiguous: AtomicBool,
+    /// Bytes of a request have come that is not answered yet.
+    begun: AtomicBool,
 }
 
 impl Use {
@@ -134,6 +143,7 @@
     }
 
     fn end(&self) {
+        self.begun.store(false, Relaxed);
         self.idle_from.store(self.age(), Relaxed);
     }
 
@@ -184,6 +194,7 @@
             asked: AtomicBool::new(false),
             idle_from: AtomicU64::new(0),
             ambiguous: AtomicBool::new(false),
+            begun: AtomicBool::new(false),
         });
         let task = self.tasks.spawn(client(stream, intake, using.clone()));
         self.open.push(Client { using, task });
@@ -206,8 +217,9 @@
     let _ = stream.set_nodelay(true);
     let mut phase = intake.phase.clone();
     let stream = Guarded { stream, heads: Heads::default(), using: using.clone() };
+    let at = using.clone();
     let service = service_fn(move |request| {
-        let (intake, using) = (intake.clone(), using.clone());
+        let (intake, using) = (intake.clone(), at.clone());
         async move {
             using.begin();
             let reply = intake.answer(request, using.ambiguous.load(Relaxed)).await;
@@ -221,11 +233,34 @@
     // A client that breaks off harms nobody else.
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = phase.wait_for(|p| *p == Phase::Shut) => connection.as_mut().graceful_shutdown(),
+        () = leaves(&mut phase, &using) => connection.as_mut().graceful_shutdown(),
     }
     let _ = connection.await;
 }
 
+/// Ends when the connection is to close: at once where all is shut, and without an open request where clients are
+/// sent away. A request of which anything has come is awaited and answered.
+async fn leaves(phase: &mut watch::Receiver<Phase>, using: &Use) {
+    loop {
+        // The node is gone only when the process ends.
+        if phase
+            .wait_for(|p| matches!(p, Phase::Draining | Phase::Shut))
+            .await
+            .is_ok_and(|p| *p == Phase::Shut)
+        {
+            return;
+        }
+        let since = Instant::now();
+        while *phase.borrow() == Phase::Draining {
+            let idle = using.idle().is_some_and(|idle| idle >= LEAVE.min(since.elapsed()));
+            if since.elapsed() >= LEAVE && idle && !using.begun.load(Relaxed) {
+                return;
+            }
+            sleep(LEAVE_STEP).await;
+        }
+    }
+}
+
 /// A client's stream that looks at each head before the parser does, which hides a `Content-Length` that
 /// stands behind `Transfer-Encoding` or is repeated.
 struct Guarded {
@@ -242,6 +277,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.using.begun.store(true, Relaxed);
+        }
         if self.heads.read(&buf.filled()[before..]) {
             self.using.ambiguous.store(true, Relaxed);
         }
@@ -277,7 +315,10 @@
             _ if ambiguous => status(StatusCode::BAD_REQUEST),
             // Messages come with their length; without chunks, where a body ends is never in doubt.
             _ if request.headers().contains_key(TRANSFER_ENCODING) => status(StatusCode::LENGTH_REQUIRED),
-            (&Method::GET, "/-/ready") => status(StatusCode::OK),
+            (&Method::GET, "/-/ready") => status(match *self.phase.borrow() {
+                Phase::Draining => StatusCode::SERVICE_UNAVAILABLE,
+                _ => StatusCode::OK,
+            }),
             (&Method::POST, path) if path.len() > 1 => match self.hand_in(request).await {
                 Ok(answer) => reply(answer),
                 Err(code) => status(code),
@@ -285,7 +326,7 @@
             _ => status(StatusCode::NOT_FOUND),
         };
         // Nothing behind a request that was not understood is read as another.
-        if reply.status().is_client_error() || *self.phase.borrow() >= Phase::Closing {
+        if reply.status().is_client_error() || *self.phase.borrow() >= Phase::Draining {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -6,7 +6,7 @@
 use crate::net::notices::NoticeEnd;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
@@ -58,11 +58,17 @@
     Owed(String, NoticeEnd, u64),
     /// Nothing more is owed: message, its end, and until when (Unix ms) that is worth remembering.
     Over(String, End, u64),
+    /// Operators have taken this endpoint out;
+    Banned(String),
+    /// and put it back.
+    Allowed(String),
 }
 
 impl Record {
+    /// The message, or the endpoint.
     fn id(&self) -> &str {
         match self {
+            Record::Banned(uid) | Record::Allowed(uid) => uid,
             Record::Taken(Taken { id, .. })
             | Record::Sent(id, ..)
             | Record::Ended(id, ..)
@@ -136,6 +142,8 @@
     reserved: u64,
     /// Ends still remembered, and until when (Unix ms).
     ends: HashMap<String, (End, u64)>,
+    /// Endpoints that operators have taken out.
+    bans: BTreeSet<String>,
     /// When ends that are past were last dropped (Unix ms).
     swept: u64,
     /// Frames that have no choice but to be written: ends of attempts and messages.
@@ -164,6 +172,7 @@
             live_bytes: 0,
             reserved: 0,
             ends: HashMap::new(),
+            bans: BTreeSet::new(),
             swept: now,
             backlog: Vec::new(),
         };
@@ -193,6 +202,11 @@
         self.ends.get(id).copied()
     }
 
+    /// Endpoints that operators have taken out.
+    pub(crate) fn bans(&self) -> &BTreeSet<String> {
+        &self.bans
+    }
+
     /// Whether all that was noted stands in the file.
     pub(crate) fn is_settled(&self) -> bool {
         self.backlog.is_empty()
@@ -233,7 +247,7 @@
     }
 
     fn compacted_len(&self) -> u64 {
-        self.live_bytes + self.ends.len() as u64 * 128
+        self.live_bytes + (self.ends.len() + self.bans.len()) as u64 * 128
     }
 
     /// Writes what was noted and these records, all or nothing.
@@ -292,6 +306,14 @@
                 self.remember(id, *end, *until, now);
                 return;
             }
+            Record::Banned(uid) => {
+                self.bans.insert(uid.clone());
+                return;
+            }
+            Record::Allowed(uid) => {
+                self.bans.remove(uid);
+                return;
+            }
             Record::Owed(id, end, until) => self.remember(id, (*end).into(), *until, now),
             _ => {}
         }
@@ -322,10 +344,13 @@
         self.ends.retain(|_, (_, until)| *until > now);
         let text = fs::read(&self.path)?;
         let mut kept = Vec::with_capacity(self.compacted_len() as usize);
+        // Once each, however often they were begun and ended.
+        self.bans.iter().for_each(|uid| put(&Record::Banned(uid.clone()), &mut kept));
         let mut at = 0;
         for (record, size) in Frames(&text[..text.len().min(self.len as usize)]) {
             let keep = match &record {
                 Record::Over(id, ..) => self.ends.contains_key(id),
+                Record::Banned(_) | Record::Allowed(_) => false,
                 other => self.live.contains_key(other.id()),
             };
             if keep {
@@ -422,6 +447,8 @@
                 }
             }
             Record::Over(id, ..) => drop(self.open.remove(&id)),
+            // The journal keeps them.
+            Record::Banned(_) | Record::Allowed(_) => {}
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The real forwarder: the decision module on sockets.
 
+mod admin;
 mod calls;
 mod config;
 mod discovery;
@@ -41,7 +42,9 @@
 
 impl Sockets {
     fn share(config: &Config) -> Self {
-        let free = config.limits.sockets.saturating_sub(OWN.saturating_add(config.settings.slots));
+        let operators = if config.admin.is_some() { admin::CALLERS + 1 } else { 0 };
+        let own = OWN.saturating_add(operators).saturating_add(config.settings.slots);
+        let free = config.limits.sockets.saturating_sub(own);
         Sockets { clients: (free * 2 / 3).max(1), idle: (free / 3).max(1) }
     }
 }
@@ -93,6 +96,9 @@
         // The node is gone only when the process ends.
         let _ = told.send(Input::Close).await;
     });
+    if let Some(at) = config.admin {
+        tokio::spawn(admin::serve(TcpListener::bind(at).await?, inputs.clone()));
+    }
     let listener = TcpListener::bind(config.listen).await?;
     let (phase, closing) = watch::channel(Phase::Open);
     let intake = Intake {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -6,6 +6,7 @@
     TargetId,
 };
 use crate::logic::Balancer;
+use crate::net::admin;
 use crate::net::calls::{self, Call, CallNews, Item, Order};
 use crate::net::config::Config;
 use crate::net::discovery::{Line, List, State};
@@ -16,7 +17,7 @@
 use crate::net::notices::{Notice, NoticeEnd};
 use crate::net::tally::{Loss, Tally};
 use crate::wire::{Names, index};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -39,6 +40,8 @@
 const GONE_KEPT: Micros = 30_000_000;
 /// Clients that may wait for the answer to one message.
 const SAME_MOST: usize = 4;
+/// Ids of endpoints that the list no longer holds and that operators may still name.
+const NAMES_KEPT: usize = 1024;
 /// Notices in one request.
 const NOTICES_MOST: usize = 64;
 
@@ -49,6 +52,8 @@
     List(List),
     /// These notices have been acknowledged.
     Noticed(Vec<Notice>),
+    /// Operators call.
+    Asked(admin::Asked),
     /// The process is to end.
     Close,
 }
@@ -119,6 +124,8 @@
     left: usize,
     /// How long its connection had stood idle before.
     idle_for: Micros,
+    /// It has been told that nothing more is to be written.
+    held: bool,
     orders: Sender<Order>,
 }
 
@@ -129,6 +136,15 @@
     until: Micros,
 }
 
+/// Once for each call: its orders have room for one hold.
+fn hold(calls: &mut HashMap<u64, CallOut>, of: impl Fn(&CallOut) -> bool) {
+    for call in calls.values_mut().filter(|call| !call.held && of(call)) {
+        call.held = true;
+        // Closed: its outcome is on its way.
+        let _ = call.orders.try_send(Order::Hold);
+    }
+}
+
 /// The time for which a connection may stand idle, no longer than these ages tell.
 fn bounded(limit: Duration, ages: &Ages, now: Micros) -> Duration {
     ages.limit(now).map_or(limit, |age| limit.min(Duration::from_micros(age.unsigned_abs())))
@@ -166,6 +182,10 @@
     events: Vec<Event>,
     wake: Option<Micros>,
     closing: Option<Instant>,
+    /// The module wants clients to come.
+    admits: bool,
+    /// Ids that were listed once, for operators who name one; the oldest go first.
+    once_listed: VecDeque<String>,
     tally: Tally,
 }
 
@@ -206,6 +226,8 @@
             events: Vec::new(),
             wake: None,
             closing: None,
+            admits: true,
+            once_listed: VecDeque::new(),
             tally: Tally::new(),
         };
         let now = node.clock.now();
@@ -236,25 +258,26 @@
             }
             last = Instant::now();
             self.turn(batch);
-            if let Some(since) = self.closing {
-                let now = match since.elapsed() {
-                    age if self.may_shut(age) => Phase::Shut,
-                    _ => Phase::Closing,
-                };
-                phase.send_if_modified(|p| {
-                    *p < now && {
-                        *p = now;
-                        true
-                    }
-                });
-                if since.elapsed() > EXIT || (intake.is_finished() && self.journal.is_settled()) {
-                    intake.abort();
-                    return;
-                }
+            let now = self.phase();
+            phase.send_if_modified(|p| std::mem::replace(p, now) != now);
+            if let Some(since) = self.closing
+                && (since.elapsed() > EXIT || (intake.is_finished() && self.journal.is_settled()))
+            {
+                intake.abort();
+                return;
             }
         }
     }
 
+    fn phase(&self) -> Phase {
+        match self.closing.map(|since| since.elapsed()) {
+            Some(age) if self.may_shut(age) => Phase::Shut,
+            Some(_) => Phase::Closing,
+            None if self.admits => Phase::Open,
+            None => Phase::Draining,
+        }
+    }
+
     fn may_shut(&self, age: Duration) -> bool {
         age >= LAST_ANSWERS
             || (age >= SERVE && self.out.is_empty() && (age >= START_CALLS || self.messages.is_empty()))
@@ -281,6 +304,11 @@
                 Input::Call(news) => self.call_news(now, news),
                 Input::List(list) => self.list(now, &list),
                 Input::Noticed(batch) => self.noticed(batch),
+                Input::Asked(admin::Asked { call, answer }) => {
+                    let reply = self.asked(now, call);
+                    // A caller that has left needs no answer.
+                    let _ = answer.send(reply);
+                }
                 Input::Close => self.closing = self.closing.or(Some(Instant::now())),
             }
         }
@@ -312,6 +340,7 @@
                 Action::Wake { at } => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
                 // The list is watched all the time.
                 Action::Subscribe => {}
+                Action::Admit(admits) => self.admits = admits,
             }
         }
         self.commit(now, fresh, sends);
@@ -595,7 +624,7 @@
         let idle_for = idle.as_ref().map_or(0, |(age, _)| Micros::try_from(age.as_micros()).unwrap_or(0));
         // Each attempt is called off once at most; one more place is for a wait.
         let (sender, orders) = channel(items.len() + 1);
-        let out = CallOut { target, left: items.len(), idle_for, orders: sender };
+        let out = CallOut { target, left: items.len(), idle_for, held: false, orders: sender };
         self.calls.insert(self.next_call, out);
         self.next_call += 1;
         t.out += 1;
@@ -621,20 +650,23 @@
     }
 
     /// A wait was told at this target: calls of its destination that are not written yet are not to be.
-    fn hold(&self, target: TargetId) {
+    fn hold(&mut self, target: TargetId) {
         let dest = self.targets.get(&target).map(|t| t.dest);
-        for call in self.calls.values() {
-            if self.targets.get(&call.target).map(|t| t.dest) == dest {
-                // Full: it has been told so before.
-                let _ = call.orders.try_send(Order::Hold);
-            }
-        }
+        let targets = &self.targets;
+        hold(&mut self.calls, |call| targets.get(&call.target).map(|t| t.dest) == dest);
+    }
+
+    /// Nothing new may go to this target: neither on a connection that is kept nor on one that still comes up.
+    fn leave_out(&mut self, target: TargetId) {
+        self.targets.get_mut(&target).into_iter().for_each(|t| t.idle.clear());
+        hold(&mut self.calls, |call| call.target == target);
     }
 
     fn call_news(&mut self, now: Micros, news: CallNews) {
         if let Some(connection) = news.connection
             && let Some(target) = self.targets.get_mut(&news.target).filter(|t| t.to == news.to)
             && !self.gone.contains_key(&news.target)
+            && !self.journal.bans().contains(&target.uid)
             && self.idle < self.idle_most
         {
             target.idle.push((Instant::now(), connection));
@@ -707,6 +739,54 @@
         }
     }
 
+    // ---- Operators ----
+
+    fn asked(&mut self, now: Micros, call: admin::Call) -> admin::Reply {
+        let reply = match &call {
+            admin::Call::Ready => return self.ready(),
+            admin::Call::Disable(id) => self.ban(now, id, true),
+            admin::Call::Enable(id) => self.ban(now, id, false),
+            admin::Call::Drain => self.admit(now, Event::Drain, "draining"),
+            admin::Call::Resume => self.admit(now, Event::Resume, "taking clients"),
+        };
+        eprintln!("admin: {call:?}: {reply:?}");
+        reply
+    }
+
+    fn ready(&self) -> admin::Reply {
+        match self.phase() {
+            Phase::Open => Ok("ready".to_owned()),
+            Phase::Draining => Err("draining".to_owned()),
+            Phase::Closing | Phase::Shut => Err("about to end".to_owned()),
+        }
+    }
+
+    fn admit(&mut self, now: Micros, event: Event, done: &str) -> admin::Reply {
+        self.balancer.on_event(now, event, &mut self.actions);
+        Ok(done.to_owned())
+    }
+
+    /// Begins or ends the ban of an endpoint. It stands in the journal before anybody hears of it. To say it
+    /// twice does no harm.
+    fn ban(&mut self, now: Micros, uid: &str, banned: bool) -> admin::Reply {
+        let target = self.uids.get(uid).copied();
+        let known = target.is_some() || self.once_listed.iter().any(|known| known == uid);
+        if !known && !self.journal.bans().contains(uid) {
+            return Err("no such endpoint was ever listed".to_owned());
+        }
+        let record = if banned { Record::Banned(uid.to_owned()) } else { Record::Allowed(uid.to_owned()) };
+        if banned != self.journal.bans().contains(uid) {
+            self.journal.commit(&[record], unix_now()).map_err(|e| e.to_string())?;
+        }
+        if let Some(target) = target {
+            let event = if banned { Event::Ban { target } } else { Event::BanEnded { target } };
+            self.balancer.on_event(now, event, &mut self.actions);
+            // What the endpoint had open is worth nothing after a restart.
+            self.leave_out(target);
+        }
+        Ok(format!("{uid} {}", if banned { "left out" } else { "put back" }))
+    }
+
     // ---- The list ----
 
     fn list(&mut self, now: Micros, list: &List) {
@@ -718,8 +798,8 @@
         let entries: Vec<Entry> = list.targets.iter().map(|line| self.line(now, line)).collect();
         let event = if list.all { Event::ListWhole(entries) } else { Event::ListChanges(entries) };
         self.balancer.on_event(now, event, &mut self.actions);
-        for id in self.gone.keys() {
-            self.targets.get_mut(id).into_iter().for_each(|t| t.idle.clear());
+        for id in self.gone.keys().copied().collect::<Vec<_>>() {
+            self.leave_out(id);
         }
         self.forget_targets(now);
     }
@@ -741,11 +821,15 @@
             ages: Ages::default(),
         };
         let known = self.targets.entry(target).or_insert_with(new);
+        let moved = known.to != line.endpoint;
+        (known.dest, known.to, known.batch) = (line.pod_group, line.endpoint, batch);
         // A target that is to end wants no connections either.
-        if known.to != line.endpoint || line.state == State::Terminating {
-            known.idle.clear();
+        if moved || line.state == State::Terminating {
+            self.leave_out(target);
+        }
+        if self.journal.bans().contains(&line.uid) {
+            self.balancer.on_event(now, Event::Ban { target }, &mut self.actions);
         }
-        (known.dest, known.to, known.batch) = (line.pod_group, line.endpoint, batch);
         if line.state == State::Terminated {
             self.gone.entry(target).or_insert(now);
         } else {
@@ -769,12 +853,20 @@
     /// memory: over a long day targets are replaced again and again, each under a new id.
     fn forget_targets(&mut self, now: Micros) {
         let (targets, uids) = (&mut self.targets, &mut self.uids);
+        let mut forgotten = Vec::new();
         self.gone.retain(|id, since| {
             let kept = targets.get(id).is_some_and(|t| t.out > 0) || now < *since + GONE_KEPT;
             if !kept && let Some(target) = targets.remove(id) {
                 uids.remove(&target.uid);
+                forgotten.push((*id, target.uid));
             }
             kept
         });
+        for (target, uid) in forgotten {
+            // Its number is never used again. The ban holds on under its id.
+            self.balancer.on_event(now, Event::BanEnded { target }, &mut self.actions);
+            self.once_listed.truncate(NAMES_KEPT - 1);
+            self.once_listed.push_front(uid);
+        }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -349,6 +349,8 @@
                     write!(out, "SET_ALARM forwarder={number} time={} handle=0", ms(at))
                 }
                 Action::Subscribe => write!(out, "SUBSCRIBE forwarder={number} want=1"),
+                // Only operators of the real forwarder ask for it.
+                Action::Admit(_) => continue,
             };
             done.and_then(|()| out.write_char('\n')).expect("writing to a string does not fail");
             if matches!(action, Action::Refuse { .. } | Action::Fail { .. }) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -652,3 +652,42 @@
     all.extend(rig.pass(SEC).into_iter().map(|(_, a)| a));
     assert_eq!(called_off(all), [2, 3, 4]);
 }
+
+#[test]
+fn a_banned_endpoint_is_left_out_whatever_the_list_says_and_comes_back_cold() {
+    for kind in [0, 1] {
+        let mut rig = Rig::new(settings(), vec![entry(1, 10, kind), entry(2, 10, kind)]);
+        rig.turn(vec![Event::Ban { target: 1 }]);
+        rig.turn(vec![Event::ListWhole(vec![entry(1, 10, kind), entry(2, 10, kind)])]);
+        for id in 0..20 {
+            let sent = sends(&rig.submit(id, 0, 10));
+            assert!(sent.iter().all(|(_, target)| *target == 2), "{sent:?}");
+            for (id, _) in sent {
+                rig.ended(id, 0, Outcome::Delivered, 50 * MS);
+            }
+            rig.pass(SEC / 10);
+        }
+        // With the other one out, what comes back is met with a trickle.
+        rig.turn(vec![Event::Ban { target: 2 }, Event::BanEnded { target: 1 }]);
+        let mut sent = 0;
+        for id in 100..300 {
+            let mut out = sends(&rig.submit(id, 0, 10));
+            out.extend(timed_sends(&rig.pass(5 * MS)).into_iter().map(|(_, id, target)| (id, target)));
+            for (id, target) in out {
+                assert_eq!(target, 1);
+                sent += 1;
+                rig.ended(id, 0, Outcome::Delivered, 0);
+            }
+        }
+        // About 10 a second before; cold, in one second, under twice a fifth of that and the first at once.
+        assert!((1..=6).contains(&sent), "{sent} of kind {kind}");
+    }
+}
+
+#[test]
+fn a_drain_only_turns_clients_away() {
+    let mut rig = Rig::new(settings(), vec![entry(1, 10, 0)]);
+    assert_eq!(rig.turn(vec![Event::Drain]), [Action::Admit(false)]);
+    assert_eq!(sends(&rig.submit(1, 0, 10)), [(1, 1)]);
+    assert_eq!(rig.turn(vec![Event::Resume]), [Action::Admit(true)]);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Small loopback stand-ins for targets, discovery and clients, and the real program between them.
-#![allow(missing_docs)]
+#![allow(dead_code, missing_docs)]
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -231,6 +231,8 @@
 /// The real program, with a folder of its own.
 pub struct Forwarder {
     pub addr: SocketAddr,
+    /// Where operators call.
+    pub admin: SocketAddr,
     folder: PathBuf,
     process: Child,
 }
@@ -245,14 +247,15 @@
         // An address of its own: nobody else takes the port between its choice and the start.
         let pid = process::id();
         let own = format!("127.{}.{}.{}:0", 1 + pid / 250 % 250, 1 + pid % 250, 1 + number);
-        let free = std::net::TcpListener::bind(own).expect("a free port");
-        let addr = free.local_addr().expect("it is bound");
+        let free = [&own, &own].map(|own| std::net::TcpListener::bind(own).expect("a free port"));
+        let [addr, admin] = free.each_ref().map(|free| free.local_addr().expect("it is bound"));
         drop(free);
         let mut config = config(addr, discovery.addr, known);
+        config["admin"] = json!(admin.to_string());
         change(&mut config);
         fs::write(folder.join("config.json"), config.to_string()).expect("the folder is writable");
         let process = spawn(&folder);
-        let forwarder = Forwarder { addr, folder, process };
+        let forwarder = Forwarder { addr, admin, folder, process };
         forwarder.ready().await;
         forwarder
     }
@@ -271,6 +274,13 @@
         self.ready().await;
     }
 
+    /// An operators' call: the answer's line.
+    pub async fn call(&self, line: &str) -> String {
+        let mut caller = RawCall(TcpStream::connect(self.admin).await.expect("it listens"));
+        caller.write(&format!("{line}\n")).await;
+        caller.rest().await
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         self.process.kill().and_then(|()| self.process.wait()).expect("it was running");
