--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,8 @@
 //! Every decision of plankwalk. The interface (settings, events, actions) is in `src/api.rs`.
 //!
 //! Reading order: constants; `Scope` (what is known of a destination, or of a route where routes are
-//! apart); state; then `Balancer`: intake, admission, choice, outcomes, timers. In `logic/list.rs`: the list and
-//! bans.
+//! apart); state; then `Balancer`: intake, admission, choice, outcomes, timers. The list and the bans are in
+//! `list.rs`.
 
 mod backlog;
 mod list;
