--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -102,6 +102,31 @@
     w.forwarder.until_delivered("unsafe", "taken").await;
 }
 
+#[tokio::test]
+async fn a_message_timed_out_in_a_call_with_others_goes_again_only_once_that_call_is_over() {
+    // Long turns, so that both messages travel together; a short aim, so that the keyed one times out soon, while
+    // the other is waited for to its end.
+    let mut w = world("several", |c| {
+        c["settings"]["round"] = json!(400.0);
+        c["settings"]["classes"][0]["goalTime"] = json!(100.0);
+    })
+    .await;
+    w.forwarder.hand_in("unsafe", "first", 9000).await;
+    w.target.next().await.answer(200);
+    tokio::join!(w.forwarder.hand_in("keyed", "keyed", 20_000), w.forwarder.hand_in("unsafe", "slow", 6500));
+    let call = w.target.next().await;
+    assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
+    // While the call is open, its copy of the keyed message may still run: another beside it would be a second.
+    tokio::select! {
+        () = call.closed() => {}
+        second = w.target.next() => panic!("a second copy beside the first: {}", second.header("req-id")),
+    }
+    let again = w.target.next().await;
+    assert_eq!((again.path.as_str(), again.header("req-id")), ("/hook", "keyed"));
+    again.answer(200);
+    assert_eq!(w.discovery.notice().await, json!({"message": "slow", "outcome": "given_up"}));
+}
+
 #[tokio::test]
 async fn an_unsafe_message_that_may_have_run_is_given_up() {
     let mut w = plain().await;
