--- a/src/api.rs
+++ b/src/api.rs
@@ -2,6 +2,8 @@
 //!
 //! Time is integer microseconds on the host's own clock; only differences matter.
 
+use serde::{Deserialize, Serialize};
+
 /// A moment or a span, in microseconds.
 pub type Micros = i64;
 /// A message, numbered by the host; never used twice in the life of a [`crate::Balancer`].
@@ -132,7 +134,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Delivered,
@@ -169,7 +171,7 @@
 }
 
 /// What a destination tells of its limit.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Calls a second that the limit allows; `None` where there is no limit.
     pub limit: Option<f64>,
@@ -229,6 +231,68 @@
     pub attempts: usize,
     /// When the first attempt that may have run was sent, and the zone of its endpoint.
     pub risk: Option<(Micros, usize)>,
+    /// The attempt after these, where it is still out.
+    pub out: Option<StillOut>,
+}
+
+/// An attempt of an earlier process that is still out. It still gets its [`Ended`].
+#[derive(Clone, Copy, Debug)]
+pub struct StillOut {
+    /// Attempts that travel together share this number. Later calls have higher ones.
+    pub call: u64,
+    /// The endpoint.
+    pub target: TargetId,
+    /// When it was sent.
+    pub sent: Micros,
+}
+
+/// How a destination fares, or a route where routes are apart. Times are spans from now.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Condition {
+    /// Nothing is known against it.
+    Well,
+    /// It is held to be down.
+    Down {
+        /// Until the next trial.
+        next_try: Micros,
+    },
+    /// It is back, and cold.
+    Cold {
+        /// For so long.
+        since: Micros,
+    },
+}
+
+/// What a process has learnt of a destination, or of a route, for the process that takes over. Times are spans
+/// from the moment of the take-over.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Learnt {
+    /// The destination.
+    pub dest: DestId,
+    /// The route, where routes are apart.
+    pub target: Option<TargetId>,
+    /// Until the end of the wait that it told.
+    pub wait_for: Micros,
+    /// Until the next spaced call falls due.
+    pub due_in: Micros,
+    /// How it fares.
+    pub state: Condition,
+    /// Calls a second that it bore while it was well.
+    pub base: f64,
+    /// For how long it has been known.
+    pub age: Micros,
+    /// Calls sent there, faded.
+    pub sent: f64,
+    /// Outcomes that were good, that were bad, and that were bad and may have run, faded.
+    pub health: [f64; 3],
+    /// Time that deliveries usually take, and take now.
+    pub usual: f64,
+    /// See `usual`.
+    pub pace: f64,
+    /// Calls a second that are allowed now, and that were told for all senders.
+    pub limit: Option<f64>,
+    /// See `limit`.
+    pub ceiling: Option<f64>,
 }
 
 /// The end of an attempt. Attempts of a message are numbered from 0 in the order of their sends.
@@ -282,6 +346,17 @@
         /// The endpoint.
         target: TargetId,
     },
+    /// What an earlier process had learnt of a destination that is listed.
+    Learnt(Learnt),
+    /// A call of an earlier process is still out for a message that is over.
+    StillOut {
+        /// A number that no message has.
+        id: MessageId,
+        /// Which attempt.
+        attempt: usize,
+        /// The call.
+        out: StillOut,
+    },
     /// Operators send the clients away; what was taken on is still delivered.
     Drain,
     /// Clients are welcome again.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,9 +2,10 @@
 //!
 //! Reading order: constants; `Scope` (what is known of a destination, or of a route where routes are
 //! apart); state; then `Balancer`: intake, admission, choice, outcomes, timers. The list and the bans are in
-//! `list.rs`.
+//! `list.rs`, what a new version takes over in `handover.rs`.
 
 mod backlog;
+mod handover;
 mod list;
 
 use crate::api::*;
@@ -440,6 +441,9 @@
             Event::ListChanges(entries) => self.list(now, entries),
             Event::Ban { target } => self.ban(now, target),
             Event::BanEnded { target } => self.end_ban(now, target),
+            Event::Learnt(learnt) => self.learn(now, &learnt),
+            // Its message is over; the call still takes its slot.
+            Event::StillOut { id, attempt, out } => drop(self.still_out(id, attempt, 0, out)),
             Event::Drain => actions.push(Action::Admit(false)),
             Event::Resume => actions.push(Action::Admit(true)),
             Event::ListBroken => {
@@ -477,10 +481,14 @@
         // A client that comes with less patience than the aim is on time until it leaves.
         let due = m.give_up_at - if m.give_up_at - now > c.aim { c.deadline - c.aim } else { 0 };
         let m = Submit { key: key.clone(), ..m };
-        let Past { attempts, risk } = m.past;
+        let Past { attempts, risk, out } = m.past;
+        let class = m.class;
         let held = Message { m, over, due, alarm: now, attempts, place: Place::Turn, risk, started: false };
         self.messages.insert(id, held);
         self.set_alarm(id);
+        if out.is_some_and(|out| self.still_out(id, attempts, class, out)) {
+            return;
+        }
         if self.spent(&self.messages[&id]) {
             return self.give_back(now, id, actions);
         }
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -2,6 +2,7 @@
 //! writes, and keeps callers that dawdle from being in anybody's way.
 
 use crate::net::node::Input;
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,7 +24,7 @@
 const WRITE: Duration = Duration::from_secs(1);
 
 /// What operators may ask.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Call {
     /// Whether this process is ready to serve.
     Ready,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -32,7 +32,7 @@
 }
 
 /// What the list says of one target.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Line {
     pub(crate) uid: String,
     pub(crate) endpoint: SocketAddr,
@@ -49,7 +49,7 @@
 }
 
 /// Where a target stands.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum State {
     InService,
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::io;
 use std::pin::{Pin, pin};
@@ -46,7 +47,7 @@
 /// has heard of it, and what was on its way has come.
 const LEAVE: Duration = Duration::from_millis(400);
 /// How often that is looked for.
-const LEAVE_STEP: Duration = Duration::from_millis(50);
+const LEAVE_STEP: Duration = Duration::from_millis(20);
 /// When a client is to come again for whose message there is no room now.
 const AGAIN: Duration = Duration::from_secs(1);
 /// All that a client hears for whom there is no room.
@@ -68,7 +69,7 @@
 }
 
 /// What a client is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Answer {
     Accepted,
     Delivered,
@@ -84,10 +85,23 @@
     Draining,
     /// Each answer is the last on its connection.
     Closing,
+    /// A new version takes over: nobody is accepted here, and idle connections are closed.
+    Handing,
     /// Nothing new is read.
     Shut,
 }
 
+impl Phase {
+    /// After what time connections without an open request are closed, if they are.
+    fn leaving(self) -> Option<Duration> {
+        match self {
+            Phase::Open | Phase::Closing => None,
+            Phase::Draining => Some(LEAVE),
+            Phase::Handing | Phase::Shut => Some(Duration::ZERO),
+        }
+    }
+}
+
 /// What all connections share.
 pub(crate) struct Intake {
     pub(crate) names: Names,
@@ -160,8 +174,19 @@
 
 impl Clients {
     async fn accept(&mut self, listener: TcpListener, intake: Arc<Intake>) {
+        let mut phase = intake.phase.clone();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                // Another process accepts on the same socket: what this one does not take is taken there.
+                _ = phase.wait_for(|p| *p == Phase::Handing) => None,
+                accepted = listener.accept() => Some(accepted),
+            };
+            let Some(accepted) = accepted else {
+                let _ = phase.wait_for(|p| *p != Phase::Handing).await;
+                continue;
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     self.take(stream, intake.clone());
                     // A connection that gives way is closed by its task: without a turn for that, a wave of new
@@ -238,22 +263,17 @@
     let _ = connection.await;
 }
 
-/// Ends when the connection is to close: at once where all is shut, and without an open request where clients are
-/// sent away. A request of which anything has come is awaited and answered.
+/// Ends when the connection is to close: without an open request, at once where all is shut or handed over, and after
+/// a while where clients are sent away. A request of which anything has come is awaited and answered.
 async fn leaves(phase: &mut watch::Receiver<Phase>, using: &Use) {
     loop {
         // The node is gone only when the process ends.
-        if phase
-            .wait_for(|p| matches!(p, Phase::Draining | Phase::Shut))
-            .await
-            .is_ok_and(|p| *p == Phase::Shut)
-        {
-            return;
-        }
+        let _ = phase.wait_for(|p| p.leaving().is_some()).await;
         let since = Instant::now();
-        while *phase.borrow() == Phase::Draining {
-            let idle = using.idle().is_some_and(|idle| idle >= LEAVE.min(since.elapsed()));
-            if since.elapsed() >= LEAVE && idle && !using.begun.load(Relaxed) {
+        loop {
+            let Some(after) = phase.borrow().leaving() else { break };
+            let idle = using.idle().is_some_and(|idle| idle >= after);
+            if since.elapsed() >= after && idle && !using.begun.load(Relaxed) {
                 return;
             }
             sleep(LEAVE_STEP).await;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,8 +4,10 @@
 mod calls;
 mod config;
 mod discovery;
+mod handover;
 mod heads;
 mod http;
+mod inherit;
 mod intake;
 mod journal;
 mod keep;
@@ -14,9 +16,10 @@
 mod tally;
 
 pub use config::{Config, ConfigError};
+pub use inherit::{InheritError, listener as inherited_listener};
 
 use intake::{Intake, Phase};
-use node::{Input, Node};
+use node::{Input, Node, Outside};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -76,30 +79,43 @@
     }
 }
 
-/// Runs until SIGTERM.
-pub async fn run(config: Config) -> Result<(), RunError> {
+/// Runs until SIGTERM, or until a new version has taken over and all is done. Clients come to the inherited listener;
+/// without one, the address is bound.
+pub async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
     // Before anybody can see that it is ready: SIGHUP without a handler would end the process.
     let hangup = signal(SignalKind::hangup())?;
+    let mut terminate = signal(SignalKind::terminate())?;
     let Sockets { clients, idle } = Sockets::share(&config);
-    let (inputs, received) = mpsc::channel(INPUTS);
+    let (inputs, mut received) = mpsc::channel(INPUTS);
+    if let Some(at) = config.admin {
+        tokio::spawn(admin::serve(TcpListener::bind(at).await?, inputs.clone()));
+    }
+    // Before anything is taken over: a process that can't serve leaves the other one alone.
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
+    let begin = tokio::select! {
+        begin = handover::begin(&config.state, &mut received) => begin?,
+        _ = terminate.recv() => return Ok(()),
+    };
     let (notices, batches) = mpsc::channel(1);
-    let node =
-        Node::start(&config, idle, notices, inputs.clone()).map_err(|e| RunError::Journal(e.to_string()))?;
     let (told, at) = watch::channel(config.discovery);
-    tokio::spawn(discovery::watch(at.clone(), config.known.rev, inputs.clone()));
-    tokio::spawn(notices::send_all(at, batches, inputs.clone()));
+    let to = Outside { idle_most: idle, notices, inputs: inputs.clone() };
+    let mut node = Node::start(&config, to, begin).await.map_err(|e| RunError::Journal(e.to_string()))?;
+    handover::listen(&config.state, inputs.clone()).unwrap_or_else(|e| {
+        // It serves all the same; a new version waits until it has ended.
+        eprintln!("handover: no new version can take over: {e}");
+    });
+    node.ends_with_it(tokio::spawn(discovery::watch(at.clone(), node.rev(), inputs.clone())).abort_handle());
+    node.ends_with_it(tokio::spawn(notices::send_all(at, batches, inputs.clone())).abort_handle());
     tokio::spawn(reload(hangup, told));
-    let mut terminate = signal(SignalKind::terminate())?;
     let told = inputs.clone();
     tokio::spawn(async move {
         terminate.recv().await;
         // The node is gone only when the process ends.
         let _ = told.send(Input::Close).await;
     });
-    if let Some(at) = config.admin {
-        tokio::spawn(admin::serve(TcpListener::bind(at).await?, inputs.clone()));
-    }
-    let listener = TcpListener::bind(config.listen).await?;
     let (phase, closing) = watch::channel(Phase::Open);
     let intake = Intake {
         names: config.names,
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1,15 +1,18 @@
 //! The one owner of the decision module, its clock and the messages. It carries out what the module decides
 //! and reports what came of it; it decides nothing itself.
 
+mod upgrade;
+
 use crate::api::{
-    Action, DestId, Ended, Entry, Event, Listing, MessageId, Micros, Outcome, Past, Settings, Submit,
-    TargetId,
+    Action, DestId, Ended, Entry, Event, Listing, MessageId, Micros, Outcome, Past, Settings, StillOut,
+    Submit, TargetId,
 };
 use crate::logic::Balancer;
 use crate::net::admin;
 use crate::net::calls::{self, Call, CallNews, Item, Order};
 use crate::net::config::Config;
 use crate::net::discovery::{Line, List, State};
+use crate::net::handover::{self, Begin, Frame, Link, Lock, News};
 use crate::net::http::Connection;
 use crate::net::intake::{Answer, HandedIn, Phase};
 use crate::net::journal::{End, Journal, JournalError, Open, Record, Taken};
@@ -22,8 +25,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{oneshot, watch};
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{Instant, sleep_until};
+use upgrade::{FLUSH, LINGER, Newer, Waiting};
 
 /// After SIGTERM new clients go on coming for so long;
 const SERVE: Duration = Duration::from_millis(400);
@@ -54,6 +58,10 @@
     Noticed(Vec<Notice>),
     /// Operators call.
     Asked(admin::Asked),
+    /// A new version asks for all.
+    TakeOver(Link),
+    /// Another process has spoken, or has gone.
+    Process(News),
     /// The process is to end.
     Close,
 }
@@ -100,6 +108,8 @@
 }
 
 struct Target {
+    /// What the list said last.
+    line: Line,
     uid: String,
     dest: DestId,
     to: SocketAddr,
@@ -115,6 +125,8 @@
 struct Out {
     sent: Micros,
     call: u64,
+    /// Its message, which may be over.
+    name: String,
 }
 
 /// A call that is out.
@@ -126,7 +138,32 @@
     idle_for: Micros,
     /// It has been told that nothing more is to be written.
     held: bool,
-    orders: Sender<Order>,
+    way: Way,
+}
+
+/// Where a call is made.
+enum Way {
+    Here(Sender<Order>),
+    /// By the process before this one.
+    Older,
+}
+
+impl CallOut {
+    /// Says something to a call that is made here.
+    fn order(&self, order: Order) {
+        if let Way::Here(orders) = &self.way {
+            // Closed: its outcome is on its way.
+            let _ = orders.try_send(order);
+        }
+    }
+}
+
+/// What the node needs to speak to the rest of the program.
+pub(crate) struct Outside {
+    /// Connections to targets that may stand idle.
+    pub(crate) idle_most: usize,
+    pub(crate) notices: Sender<Vec<Notice>>,
+    pub(crate) inputs: Sender<Input>,
 }
 
 struct Send {
@@ -140,8 +177,7 @@
 fn hold(calls: &mut HashMap<u64, CallOut>, of: impl Fn(&CallOut) -> bool) {
     for call in calls.values_mut().filter(|call| !call.held && of(call)) {
         call.held = true;
-        // Closed: its outcome is on its way.
-        let _ = call.orders.try_send(Order::Hold);
+        call.order(Order::Hold);
     }
 }
 
@@ -186,20 +222,34 @@
     admits: bool,
     /// Ids that were listed once, for operators who name one; the oldest go first.
     once_listed: VecDeque<String>,
+    /// Version of the list.
+    rev: u64,
+    lock: Lock,
+    /// The process before this one, while it has calls out.
+    older: Option<Link>,
+    newer: Newer,
+    /// Who waits for a word of the new version.
+    waiting: HashMap<u64, Waiting>,
+    next_word: u64,
+    /// Ends when this process owns nothing any more.
+    tasks: Vec<AbortHandle>,
     tally: Tally,
 }
 
 impl Node {
-    /// Replays the journal and hands every open message back to the module.
-    pub(crate) fn start(
-        config: &Config,
-        idle_most: usize,
-        notices: Sender<Vec<Notice>>,
-        inputs: Sender<Input>,
-    ) -> Result<Self, JournalError> {
+    /// Replays the journal and hands every open message back to the module, with what an older process that lives
+    /// has handed over.
+    pub(crate) async fn start(config: &Config, to: Outside, begin: Begin) -> Result<Self, JournalError> {
+        let Outside { idle_most, notices, inputs } = to;
         // A little is left for the rounding of file sizes.
         let limit = (config.limits.disk_mb * 0.95e6) as u64;
         let (journal, open) = Journal::open(&config.state, limit, unix_now())?;
+        let older = match begin.older {
+            Some(older) => older.owned(inputs.clone()).await,
+            None => Err(handover::HandoverError::Closed),
+        };
+        // It died when it had handed over: its calls ended with it, and the journal knows of them.
+        let (rest, older) = older.map_or((None, None), |(rest, link)| (Some(rest), Some(link)));
         let mut node = Node {
             settings: config.settings.clone(),
             names: config.names.clone(),
@@ -228,11 +278,18 @@
             closing: None,
             admits: true,
             once_listed: VecDeque::new(),
+            rev: 0,
+            lock: begin.lock,
+            older,
+            newer: Newer::None,
+            waiting: HashMap::new(),
+            next_word: 0,
+            tasks: Vec::new(),
             tally: Tally::new(),
         };
         let now = node.clock.now();
         node.list(now, &config.known);
-        open.into_iter().for_each(|open| node.resume(now, open));
+        node.take_up(now, open, rest);
         node.finish_turn(now, Vec::new());
         Ok(node)
     }
@@ -258,18 +315,48 @@
             }
             last = Instant::now();
             self.turn(batch);
+            self.hand_over();
             let now = self.phase();
             phase.send_if_modified(|p| std::mem::replace(p, now) != now);
-            if let Some(since) = self.closing
-                && (since.elapsed() > EXIT || (intake.is_finished() && self.journal.is_settled()))
-            {
+            if self.is_over(intake.is_finished()) {
                 intake.abort();
+                if let Newer::Owns { link, .. } = self.newer {
+                    link.flush(FLUSH).await;
+                }
                 return;
             }
         }
     }
 
+    /// Whether the process may end; `intake`: no client is left.
+    fn is_over(&self, intake: bool) -> bool {
+        let late = self.closing.is_some_and(|since| since.elapsed() > EXIT);
+        let done = match &self.newer {
+            Newer::Owns { since, .. } => {
+                let nothing = intake && self.calls.is_empty() && self.waiting.is_empty();
+                nothing && (self.closing.is_some() || since.elapsed() > LINGER)
+            }
+            _ => self.closing.is_some() && intake && self.journal.is_settled(),
+        };
+        late || done
+    }
+
+    /// The version of the list.
+    pub(crate) fn rev(&self) -> u64 {
+        self.rev
+    }
+
+    /// Ends this task once a new version owns all.
+    pub(crate) fn ends_with_it(&mut self, task: AbortHandle) {
+        self.tasks.push(task);
+    }
+
     fn phase(&self) -> Phase {
+        match self.newer {
+            Newer::Told { .. } => return Phase::Handing,
+            Newer::Owns { .. } => return Phase::Shut,
+            Newer::None | Newer::Asked(_) => {}
+        }
         match self.closing.map(|since| since.elapsed()) {
             Some(age) if self.may_shut(age) => Phase::Shut,
             Some(_) => Phase::Closing,
@@ -285,7 +372,11 @@
 
     fn next_turn(&self) -> Instant {
         let now = Instant::now();
-        let far = now + if self.closing.is_some() { CLOSING_STEP } else { Duration::from_secs(1) };
+        let soon = self.closing.is_some() || !matches!(self.newer, Newer::None);
+        let far = now + if soon { CLOSING_STEP } else { Duration::from_secs(1) };
+        if matches!(self.newer, Newer::Told { .. } | Newer::Owns { .. }) {
+            return far;
+        }
         if !self.events.is_empty() {
             return now;
         }
@@ -293,6 +384,15 @@
     }
 
     fn turn(&mut self, batch: Vec<Input>) {
+        match &mut self.newer {
+            Newer::Told { held, .. } => held.extend(batch),
+            Newer::Owns { .. } => return self.pass_on(batch),
+            Newer::None | Newer::Asked(_) => return self.own_turn(batch),
+        }
+        self.hear_newer();
+    }
+
+    fn own_turn(&mut self, batch: Vec<Input>) {
         let now = self.clock.now();
         for event in std::mem::take(&mut self.events) {
             self.balancer.on_event(now, event, &mut self.actions);
@@ -304,12 +404,18 @@
                 Input::Call(news) => self.call_news(now, news),
                 Input::List(list) => self.list(now, &list),
                 Input::Noticed(batch) => self.noticed(batch),
+                // Nobody waits any more: what was not answered in time is not done.
+                Input::Asked(asked) if asked.answer.is_closed() => {}
                 Input::Asked(admin::Asked { call, answer }) => {
                     let reply = self.asked(now, call);
                     // A caller that has left needs no answer.
                     let _ = answer.send(reply);
                 }
                 Input::Close => self.closing = self.closing.or(Some(Instant::now())),
+                // Of two that ask, one has to ask again.
+                Input::TakeOver(link) if matches!(self.newer, Newer::None) => self.newer = Newer::Asked(link),
+                Input::TakeOver(_) => {}
+                Input::Process(news) => fresh.extend(self.process_news(now, news)),
             }
         }
         if self.wake.is_some_and(|at| at <= now) {
@@ -443,24 +549,43 @@
     }
 
     /// Takes up a message of an earlier process.
-    fn resume(&mut self, now: Micros, open: Open) {
+    fn resume(&mut self, now: Micros, open: Open, still_out: &mut BTreeMap<(String, usize), StillOut>) {
         let Open { taken, attempts, owed } = open;
         if let Some(end) = owed {
             return self.owed.push(Notice { message: taken.id, end });
         }
         let unix = unix_now();
         let ago = |then: u64| (then as i64 - unix as i64).saturating_mul(1000);
-        let risk = attempts.iter().find(|a| a.may_have_run).map(|a| {
-            (now.saturating_add(ago(a.sent)), index(&self.names.zones, &a.zone).unwrap_or(usize::MAX))
-        });
-        let past = Past { attempts: attempts.len(), risk };
+        let zones = &self.names.zones;
+        let risk_of = |of: usize| {
+            attempts[..of]
+                .iter()
+                .find(|a| a.may_have_run)
+                .map(|a| (now.saturating_add(ago(a.sent)), index(zones, &a.zone).unwrap_or(usize::MAX)))
+        };
+        let risk = risk_of(attempts.len());
+        let past = Past { attempts: attempts.len(), risk, out: None };
         let class = index(&self.names.classes, &taken.class);
         let tenant = taken.tenant.as_ref().and_then(|t| index(&self.names.tenants, t));
         let give_up_at = now.saturating_add(ago(taken.deadline));
-        let message =
-            Message { taken, give_up_at, attempts: past.attempts, clients: Vec::new(), taken_on: true };
+        // The last attempt may be out yet.
+        let last = past.attempts.checked_sub(1);
+        let out = last.and_then(|last| still_out.remove(&(taken.id.clone(), last)));
+        let attempts = past.attempts;
+        let past = match out {
+            // What it may have done is told when it ends.
+            Some(_) => Past { attempts: attempts - 1, risk: risk_of(attempts - 1), out },
+            None => past,
+        };
+        let name = taken.id.clone();
+        let message = Message { taken, give_up_at, attempts, clients: Vec::new(), taken_on: true };
         match class {
-            Some(class) => drop(self.submit(now, message, class, tenant, past)),
+            Some(class) => {
+                let id = self.submit(now, message, class, tenant, past);
+                if let Some(StillOut { call, sent, .. }) = out {
+                    self.out.insert((id, past.attempts), Out { sent, call, name });
+                }
+            }
             // The settings know its class no longer: nothing may be promised about its effect.
             None => {
                 let id = self.next_id;
@@ -605,7 +730,8 @@
                 self.not_sent(&send);
                 continue;
             };
-            self.out.insert((send.id, send.attempt), Out { sent: now, call: self.next_call });
+            let name = message.taken.id.clone();
+            self.out.insert((send.id, send.attempt), Out { sent: now, call: self.next_call, name });
             items.push(Item {
                 id: send.id,
                 attempt: send.attempt,
@@ -624,7 +750,7 @@
         let idle_for = idle.as_ref().map_or(0, |(age, _)| Micros::try_from(age.as_micros()).unwrap_or(0));
         // Each attempt is called off once at most; one more place is for a wait.
         let (sender, orders) = channel(items.len() + 1);
-        let out = CallOut { target, left: items.len(), idle_for, held: false, orders: sender };
+        let out = CallOut { target, left: items.len(), idle_for, held: false, way: Way::Here(sender) };
         self.calls.insert(self.next_call, out);
         self.next_call += 1;
         t.out += 1;
@@ -642,10 +768,12 @@
     }
 
     fn cancel(&mut self, id: MessageId, attempt: usize) {
-        let call = self.out.get(&(id, attempt)).and_then(|out| self.calls.get(&out.call));
-        if let Some(call) = call {
-            // Closed: its outcome is on its way.
-            let _ = call.orders.try_send(Order::CallOff(id, attempt));
+        let Some(out) = self.out.get(&(id, attempt)) else { return };
+        match self.calls.get(&out.call) {
+            Some(CallOut { way: Way::Older, .. }) => {
+                self.older.iter().for_each(|older| older.say(Frame::CallOff(out.name.clone(), attempt)));
+            }
+            call => call.into_iter().for_each(|call| call.order(Order::CallOff(id, attempt))),
         }
     }
 
@@ -688,19 +816,23 @@
         }
     }
 
-    fn ended(&mut self, now: Micros, to: SocketAddr, ended: calls::Ended) {
-        let calls::Ended { id, attempt, outcome, finished, report, wait } = ended;
-        let Some(out) = self.out.remove(&(id, attempt)) else { return };
+    /// An attempt is out no more; with the last one its call is over.
+    fn call_over(&mut self, id: MessageId, attempt: usize) -> Option<Out> {
+        let out = self.out.remove(&(id, attempt))?;
         if let Some(call) = self.calls.get_mut(&out.call) {
             call.left -= 1;
             if call.left == 0 {
                 let target = call.target;
                 self.calls.remove(&out.call);
-                if let Some(target) = self.targets.get_mut(&target) {
-                    target.out -= 1;
-                }
+                self.targets.get_mut(&target).into_iter().for_each(|t| t.out -= 1);
             }
         }
+        Some(out)
+    }
+
+    fn ended(&mut self, now: Micros, to: SocketAddr, ended: calls::Ended) {
+        let calls::Ended { id, attempt, outcome, finished, report, wait } = ended;
+        let Some(out) = self.call_over(id, attempt) else { return };
         let took = Duration::from_micros(u64::try_from(now - out.sent).unwrap_or(0));
         self.tally.ended(to, outcome, took);
         let unix = unix_now();
@@ -757,7 +889,7 @@
         match self.phase() {
             Phase::Open => Ok("ready".to_owned()),
             Phase::Draining => Err("draining".to_owned()),
-            Phase::Closing | Phase::Shut => Err("about to end".to_owned()),
+            Phase::Closing | Phase::Handing | Phase::Shut => Err("about to end".to_owned()),
         }
     }
 
@@ -790,6 +922,7 @@
     // ---- The list ----
 
     fn list(&mut self, now: Micros, list: &List) {
+        self.rev = list.rev;
         if list.all {
             for id in self.targets.keys() {
                 self.gone.entry(*id).or_insert(now);
@@ -811,6 +944,7 @@
         let kind = index(&self.names.kinds, &line.model).unwrap_or(usize::MAX);
         let batch = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
         let new = || Target {
+            line: line.clone(),
             uid: line.uid.clone(),
             dest: line.pod_group,
             to: line.endpoint,
@@ -823,6 +957,7 @@
         let known = self.targets.entry(target).or_insert_with(new);
         let moved = known.to != line.endpoint;
         (known.dest, known.to, known.batch) = (line.pod_group, line.endpoint, batch);
+        known.line = line.clone();
         // A target that is to end wants no connections either.
         if moved || line.state == State::Terminating {
             self.leave_out(target);
--- a/src/parts.rs
+++ b/src/parts.rs
@@ -20,6 +20,11 @@
         self.0 * (-((now - self.1) as f64) / span).exp()
     }
 
+    /// A count that stands at this now.
+    pub(crate) fn of(count: f64, now: Micros) -> Fading {
+        Fading(count, now)
+    }
+
     /// Counts one more.
     pub(crate) fn add(&mut self, now: Micros, span: f64) {
         *self = Fading(self.get(now, span) + 1.0, now);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -519,7 +519,7 @@
 
 #[test]
 fn a_resumed_message_keeps_its_attempts_and_its_risk() {
-    let past = |attempts, ago: Option<Micros>| Past { attempts, risk: ago.map(|ago| (ago, 0)) };
+    let past = |attempts, ago: Option<Micros>| Past { attempts, risk: ago.map(|ago| (ago, 0)), out: None };
     let goes = |actions: &[Action]| !sends(actions).is_empty();
     let fails = |actions: &[Action]| actions.contains(&Action::Fail { id: 1 });
     // Never ran: it goes on, while it has attempts left; then it is handed back.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,8 +9,9 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -235,11 +236,27 @@
     pub admin: SocketAddr,
     folder: PathBuf,
     process: Child,
+    /// Held for all processes, where they inherit it.
+    listener: Option<std::net::TcpListener>,
 }
 
 impl Forwarder {
     /// Starts it with a configuration that may be changed, and waits until it is ready.
     pub async fn start(discovery: &Discovery, known: &[Value], change: impl FnOnce(&mut Value)) -> Self {
+        Forwarder::start_with(discovery, known, change, false).await
+    }
+
+    /// The same, on a listening socket that it and the versions after it inherit.
+    pub async fn start_inheriting(discovery: &Discovery, known: &[Value]) -> Self {
+        Forwarder::start_with(discovery, known, |_| {}, true).await
+    }
+
+    async fn start_with(
+        discovery: &Discovery,
+        known: &[Value],
+        change: impl FnOnce(&mut Value),
+        inherits: bool,
+    ) -> Self {
         static STARTED: AtomicUsize = AtomicUsize::new(0);
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let folder = env::temp_dir().join(format!("yarrowhill-test-{}-{number}", process::id()));
@@ -249,13 +266,15 @@
         let own = format!("127.{}.{}.{}:0", 1 + pid / 250 % 250, 1 + pid % 250, 1 + number);
         let free = [&own, &own].map(|own| std::net::TcpListener::bind(own).expect("a free port"));
         let [addr, admin] = free.each_ref().map(|free| free.local_addr().expect("it is bound"));
-        drop(free);
+        let [listener, other] = free;
+        drop(other);
+        let listener = Some(listener).filter(|_| inherits);
         let mut config = config(addr, discovery.addr, known);
         config["admin"] = json!(admin.to_string());
         change(&mut config);
         fs::write(folder.join("config.json"), config.to_string()).expect("the folder is writable");
-        let process = spawn(&folder);
-        let forwarder = Forwarder { addr, admin, folder, process };
+        let process = spawn(&folder, listener.as_ref(), None);
+        let forwarder = Forwarder { addr, admin, folder, process, listener };
         forwarder.ready().await;
         forwarder
     }
@@ -270,10 +289,31 @@
     }
 
     pub async fn restart(&mut self) {
-        self.process = spawn(&self.folder);
+        self.process = spawn(&self.folder, self.listener.as_ref(), None);
         self.ready().await;
     }
 
+    /// Starts a new version beside this one, and waits until it says that it is ready.
+    pub async fn upgrade(&mut self) -> Old {
+        let free = std::net::TcpListener::bind((self.admin.ip(), 0)).expect("a free port");
+        self.admin = free.local_addr().expect("it is bound");
+        drop(free);
+        let new = spawn(&self.folder, self.listener.as_ref(), Some(self.admin));
+        let old = std::mem::replace(&mut self.process, new);
+        let ready = async {
+            while TcpStream::connect(self.admin).await.is_err() || self.call("ready").await != "ACK ready\n" {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(SOON, ready).await.expect("the new version gets ready");
+        Old(old)
+    }
+
+    /// A file in the folder that lasts.
+    pub fn state(&self, name: &str) -> PathBuf {
+        self.folder.join("state").join(name)
+    }
+
     /// An operators' call: the answer's line.
     pub async fn call(&self, line: &str) -> String {
         let mut caller = RawCall(TcpStream::connect(self.admin).await.expect("it listens"));
@@ -301,20 +341,11 @@
     }
 
     fn signal(&self, name: &str) {
-        let pid = self.process.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
+        signal(&self.process, name);
     }
 
     pub async fn exited(&mut self) -> ExitStatus {
-        let exit = async {
-            loop {
-                match self.process.try_wait().expect("it can be waited for") {
-                    Some(status) => return status,
-                    None => sleep(Duration::from_millis(5)).await,
-                }
-            }
-        };
-        timeout(SOON, exit).await.expect("the forwarder ends")
+        exited(&mut self.process).await
     }
 
     pub fn journal(&self) -> PathBuf {
@@ -355,8 +386,61 @@
     }
 }
 
-fn spawn(folder: &std::path::Path) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_yarrowhill"))
+/// An old version that a new one has taken over from.
+pub struct Old(Child);
+
+impl Old {
+    pub fn terminate(&self) {
+        signal(&self.0, "-TERM");
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        self.0.kill().and_then(|()| self.0.wait()).expect("it was running");
+    }
+
+    pub async fn exited(&mut self) -> ExitStatus {
+        exited(&mut self.0).await
+    }
+}
+
+impl Drop for Old {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn signal(process: &Child, name: &str) {
+    let pid = process.id().to_string();
+    assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
+}
+
+async fn exited(process: &mut Child) -> ExitStatus {
+    let exit = async {
+        loop {
+            match process.try_wait().expect("it can be waited for") {
+                Some(status) => return status,
+                None => sleep(Duration::from_millis(5)).await,
+            }
+        }
+    };
+    timeout(SOON, exit).await.expect("the forwarder ends")
+}
+
+fn spawn(folder: &Path, listener: Option<&std::net::TcpListener>, admin: Option<SocketAddr>) -> Child {
+    let program = env!("CARGO_BIN_EXE_yarrowhill");
+    let mut command = Command::new(program);
+    if let Some(listener) = listener {
+        let listener = listener.try_clone().expect("a descriptor");
+        command = Command::new("/bin/sh");
+        command.args(["-c", "exec \"$0\" 3<&0 0</dev/null", program]);
+        command.stdin(Stdio::from(OwnedFd::from(listener))).env("BALANCER_FD", "3");
+    }
+    if let Some(admin) = admin {
+        command.env("BALANCER_ADMIN", admin.to_string());
+    }
+    command
         .env("BALANCER_CONFIG", folder.join("config.json"))
         .env("BALANCER_STATE", folder.join("state"))
         .spawn()
