End a call with the first of its messages that is given up

Ruled out: late copies of answers (the first guess), upgrades, late notices. The test fails without the change.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -58,6 +58,9 @@
 pub(crate) enum Order {
     /// This attempt is called off.
     CallOff(MessageId, usize),
+    /// A message of the call was given up, and its client hears so: the call is given up with it. On the wire no
+    /// message can be taken out of a call, and what was given up must not be delivered after all.
+    GiveUp,
     /// The destination told a wait: nothing may be written from now on.
     Hold,
 }
@@ -121,6 +124,7 @@
                         let named = |i: &Item| (i.id, i.attempt) == (id, attempt);
                         part(&mut waiting, &mut given_up, Outcome::Cancelled, named);
                     }
+                    Order::GiveUp => part(&mut waiting, &mut given_up, Outcome::TimedOut, |_| true),
                     // Guards the rule on waits: a connection may take its whole time to come up, and what was
                     // decided before the wait would then be written in the midst of it.
                     Order::Hold if !progress.begun.load(Ordering::Relaxed) => {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -44,6 +44,8 @@
     Ended(Vec<Ended>),
     /// The successor calls an attempt off.
     CallOff(String, usize),
+    /// The successor has given up the message of an attempt.
+    GiveUp(String, usize),
     /// A client of the old process hands in a message.
     HandedIn(u64, HandedIn),
     /// Its answer.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -600,6 +600,9 @@
     /// The module's final answer: to the client while it waits, else by a notice.
     fn give_up(&mut self, id: MessageId, end: End, wait: Option<Micros>) {
         let Some(mut message) = self.messages.remove(&id) else { return };
+        if let Some(last) = message.attempts.checked_sub(1) {
+            self.order(id, last, || Order::GiveUp, Frame::GiveUp);
+        }
         self.tally.lost(if end == End::Refused { Loss::Refused } else { Loss::Failed });
         self.ids.remove(&message.taken.id);
         let wait = wait.and_then(|w| u64::try_from(w).ok());
@@ -748,8 +751,8 @@
         let idle = t.idle.pop().map(|(since, connection)| (since.elapsed(), connection));
         let idle = idle.filter(|(age, _)| *age < limit);
         let idle_for = idle.as_ref().map_or(0, |(age, _)| Micros::try_from(age.as_micros()).unwrap_or(0));
-        // Each attempt is called off once at most; one more place is for a wait.
-        let (sender, orders) = channel(items.len() + 1);
+        // Each attempt is called off or given up once at most; one more place is for a wait.
+        let (sender, orders) = channel(2 * items.len() + 1);
         let out = CallOut { target, left: items.len(), idle_for, held: false, way: Way::Here(sender) };
         self.calls.insert(self.next_call, out);
         self.next_call += 1;
@@ -768,12 +771,24 @@
     }
 
     fn cancel(&mut self, id: MessageId, attempt: usize) {
+        self.order(id, attempt, || Order::CallOff(id, attempt), Frame::CallOff);
+    }
+
+    /// Says something to the call of an attempt that is out, here or at the old process.
+    fn order(
+        &self,
+        id: MessageId,
+        attempt: usize,
+        here: impl FnOnce() -> Order,
+        older: impl FnOnce(String, usize) -> Frame,
+    ) {
         let Some(out) = self.out.get(&(id, attempt)) else { return };
-        match self.calls.get(&out.call) {
-            Some(CallOut { way: Way::Older, .. }) => {
-                self.older.iter().for_each(|older| older.say(Frame::CallOff(out.name.clone(), attempt)));
+        match (self.calls.get(&out.call), &self.older) {
+            (Some(CallOut { way: Way::Older, .. }), Some(process)) => {
+                process.say(older(out.name.clone(), attempt));
             }
-            call => call.into_iter().for_each(|call| call.order(Order::CallOff(id, attempt))),
+            (Some(call), _) => call.order(here()),
+            (None, _) => {}
         }
     }
 
--- a/src/net/node/upgrade.rs
+++ b/src/net/node/upgrade.rs
@@ -4,7 +4,7 @@
 use super::{CallOut, HandedIn, Input, LAST_ANSWERS, Node, Out, Target, Way};
 use crate::api::{Event, Learnt, MessageId, Micros, Outcome, StillOut, TargetId};
 use crate::net::admin;
-use crate::net::calls::{self, CallNews};
+use crate::net::calls::{self, CallNews, Order};
 use crate::net::discovery::{Line, List, State};
 use crate::net::handover::{self, Frame, Link, News, Rest, Side};
 use crate::net::intake::Answer;
@@ -315,6 +315,11 @@
                     self.cancel(id, attempt);
                 }
             }
+            Some(Frame::GiveUp(message, attempt)) => {
+                if let Some(id) = self.named(&message, attempt) {
+                    self.order(id, attempt, || Order::GiveUp, Frame::GiveUp);
+                }
+            }
             Some(odd) => eprintln!("handover: {}: {odd:?}", handover::HandoverError::Odd),
             None => {
                 eprintln!("handover: the new version has gone");
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -127,6 +127,25 @@
     assert_eq!(w.discovery.notice().await, json!({"message": "slow", "outcome": "given_up"}));
 }
 
+#[tokio::test]
+async fn with_a_message_that_is_given_up_its_call_ends() {
+    let mut w = world("several", |c| c["settings"]["round"] = json!(400.0)).await;
+    w.forwarder.hand_in("unsafe", "first", 9000).await;
+    w.target.next().await.answer(200);
+    tokio::join!(w.forwarder.hand_in("unsafe", "short", 2000), w.forwarder.hand_in("unsafe", "long", 60_000));
+    let call = w.target.next().await;
+    assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
+    // Told that it is given up, its client may pay another way: it must not be delivered after that. The other one
+    // may have run, and is given up too.
+    let mut given_up = w.discovery.notices().await;
+    call.closed().await;
+    while given_up.len() < 2 {
+        given_up.extend(w.discovery.notices().await);
+    }
+    let notice = |id| json!({"message": id, "outcome": "given_up"});
+    assert_eq!(given_up, [notice("short"), notice("long")]);
+}
+
 #[tokio::test]
 async fn an_unsafe_message_that_may_have_run_is_given_up() {
     let mut w = plain().await;
