Share the descriptors between an old and a new version

Two processes beset by crowds that stop half way held 218 descriptors of 192 in the new test; now they stay under it.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -48,6 +48,10 @@
 const LEAVE: Duration = Duration::from_millis(400);
 /// How often that is looked for.
 const LEAVE_STEP: Duration = Duration::from_millis(20);
+/// While two processes share the descriptors of one, the new one keeps to the Nth part of its clients,
+const NEW_PART: usize = 2;
+/// and the old one to this part.
+const OLD_PART: usize = 3;
 /// When a client is to come again for whose message there is no room now.
 const AGAIN: Duration = Duration::from_secs(1);
 /// All that a client hears for whom there is no room.
@@ -108,6 +112,8 @@
     pub(crate) settings: Settings,
     pub(crate) node: Sender<Input>,
     pub(crate) phase: watch::Receiver<Phase>,
+    /// An older process still has descriptors of those that are for both.
+    pub(crate) shared: Arc<AtomicBool>,
     /// KiB that bodies may take until the node has them.
     pub(crate) bodies: Semaphore,
 }
@@ -183,15 +189,17 @@
                 accepted = listener.accept() => Some(accepted),
             };
             let Some(accepted) = accepted else {
+                self.shrink(self.most / OLD_PART);
                 let _ = phase.wait_for(|p| *p != Phase::Handing).await;
                 continue;
             };
             match accepted {
                 Ok((stream, _)) => {
-                    self.take(stream, intake.clone());
+                    let most = if intake.shared.load(Relaxed) { self.most / NEW_PART } else { self.most };
+                    self.take(stream, intake.clone(), most.max(1));
                     // A connection that gives way is closed by its task: without a turn for that, a wave of new
                     // ones would pass the bound.
-                    if self.open.len() >= self.most {
+                    if self.open.len() >= most {
                         yield_now().await;
                     }
                 }
@@ -206,10 +214,10 @@
 
     /// Serves a new connection, in place of an idle one where there is no room. Guards good clients against
     /// silent ones: nobody waits for room, so connections that say nothing shut nobody out.
-    fn take(&mut self, stream: TcpStream, intake: Arc<Intake>) {
+    fn take(&mut self, stream: TcpStream, intake: Arc<Intake>, most: usize) {
         while self.tasks.try_join_next().is_some() {}
         self.open.retain(|client| !client.task.is_finished());
-        if self.open.len() >= self.most && !self.make_room() {
+        if self.open.len() >= most && !self.make_room(SPARE) {
             // Its bytes fit into the socket's empty buffer; a client that has left needs none.
             let _ = stream.try_write(NO_ROOM);
             return;
@@ -225,11 +233,17 @@
         self.open.push(Client { using, task });
     }
 
+    /// Closes connections without a whole request down to this number.
+    fn shrink(&mut self, most: usize) {
+        self.open.retain(|client| !client.task.is_finished());
+        while self.open.len() > most && self.make_room(Duration::ZERO) {}
+    }
+
     /// Closes one connection without an open request: one that never asked before the others, then the longest
-    /// idle.
-    fn make_room(&mut self) -> bool {
+    /// idle, and none that is idle for less than this.
+    fn make_room(&mut self, least: Duration) -> bool {
         let idle = self.open.iter().enumerate().filter_map(|(n, client)| {
-            let idle = client.using.idle().filter(|idle| *idle >= SPARE)?;
+            let idle = client.using.idle().filter(|idle| *idle >= least)?;
             Some((!client.using.asked.load(Relaxed), idle, n))
         });
         let Some((.., n)) = idle.max() else { return false };
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -22,6 +22,9 @@
 use crate::wire::{Names, index};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::{oneshot, watch};
@@ -164,6 +167,8 @@
     pub(crate) idle_most: usize,
     pub(crate) notices: Sender<Vec<Notice>>,
     pub(crate) inputs: Sender<Input>,
+    /// Whether an older process still has descriptors of those that are for both.
+    pub(crate) shared: Arc<AtomicBool>,
 }
 
 struct Send {
@@ -227,6 +232,7 @@
     lock: Lock,
     /// The process before this one, while it has calls out.
     older: Option<Link>,
+    shared: Arc<AtomicBool>,
     newer: Newer,
     /// Who waits for a word of the new version.
     waiting: HashMap<u64, Waiting>,
@@ -240,7 +246,7 @@
     /// Replays the journal and hands every open message back to the module, with what an older process that lives
     /// has handed over.
     pub(crate) async fn start(config: &Config, to: Outside, begin: Begin) -> Result<Self, JournalError> {
-        let Outside { idle_most, notices, inputs } = to;
+        let Outside { idle_most, notices, inputs, shared } = to;
         // A little is left for the rounding of file sizes.
         let limit = (config.limits.disk_mb * 0.95e6) as u64;
         let (journal, open) = Journal::open(&config.state, limit, unix_now())?;
@@ -250,6 +256,7 @@
         };
         // It died when it had handed over: its calls ended with it, and the journal knows of them.
         let (rest, older) = older.map_or((None, None), |(rest, link)| (Some(rest), Some(link)));
+        shared.store(older.is_some(), Relaxed);
         let mut node = Node {
             settings: config.settings.clone(),
             names: config.names.clone(),
@@ -281,6 +288,7 @@
             rev: 0,
             lock: begin.lock,
             older,
+            shared,
             newer: Newer::None,
             waiting: HashMap::new(),
             next_word: 0,
@@ -806,11 +814,13 @@
     }
 
     fn call_news(&mut self, now: Micros, news: CallNews) {
+        // An older process has some of what is for both.
+        let idle_most = if self.older.is_some() { self.idle_most / 2 } else { self.idle_most };
         if let Some(connection) = news.connection
             && let Some(target) = self.targets.get_mut(&news.target).filter(|t| t.to == news.to)
             && !self.gone.contains_key(&news.target)
             && !self.journal.bans().contains(&target.uid)
-            && self.idle < self.idle_most
+            && self.idle < idle_most
         {
             target.idle.push((Instant::now(), connection));
             self.idle += 1;
--- a/src/net/node/upgrade.rs
+++ b/src/net/node/upgrade.rs
@@ -13,6 +13,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -146,6 +147,7 @@
                 eprintln!("handover: the old process has gone, with {} attempts out", ends.len());
                 self.ended_elsewhere(now, ends);
                 self.older = None;
+                self.shared.store(false, Relaxed);
             }
             (Side::Newer, None) if matches!(&self.newer, Newer::Asked(asked) if asked.id == link) => {
                 self.newer = Newer::None;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -247,8 +247,12 @@
     }
 
     /// The same, on a listening socket that it and the versions after it inherit.
-    pub async fn start_inheriting(discovery: &Discovery, known: &[Value]) -> Self {
-        Forwarder::start_with(discovery, known, |_| {}, true).await
+    pub async fn start_inheriting(
+        discovery: &Discovery,
+        known: &[Value],
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
+        Forwarder::start_with(discovery, known, change, true).await
     }
 
     async fn start_with(
@@ -309,6 +313,11 @@
         Old(old)
     }
 
+    /// Descriptors that its process has open.
+    pub fn descriptors(&self) -> usize {
+        descriptors(&self.process)
+    }
+
     /// A file in the folder that lasts.
     pub fn state(&self, name: &str) -> PathBuf {
         self.folder.join("state").join(name)
@@ -402,6 +411,10 @@
     pub async fn exited(&mut self) -> ExitStatus {
         exited(&mut self.0).await
     }
+
+    pub fn descriptors(&self) -> usize {
+        descriptors(&self.0)
+    }
 }
 
 impl Drop for Old {
@@ -411,6 +424,10 @@
     }
 }
 
+fn descriptors(process: &Child) -> usize {
+    fs::read_dir(format!("/proc/{}/fd", process.id())).map_or(0, Iterator::count)
+}
+
 fn signal(process: &Child, name: &str) {
     let pid = process.id().to_string();
     assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -2,12 +2,12 @@
 
 mod support;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use std::time::{Duration, Instant};
-use support::{Discovery, Forwarder, RawCall, SOON, Stub, target};
+use support::{Discovery, Forwarder, RawCall, SOON, Stub, request, target};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpStream, UnixStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 const QUIET: Duration = Duration::from_millis(150);
 
@@ -18,10 +18,14 @@
 }
 
 async fn world() -> World {
+    world_with(|_| {}).await
+}
+
+async fn world_with(change: impl FnOnce(&mut Value)) -> World {
     let (discovery, stub) = (Discovery::start().await, Stub::start().await);
     let known =
         [target("t", stub.addr, 7, "plain", "in_service"), target("u", stub.addr, 8, "plain", "in_service")];
-    let forwarder = Forwarder::start_inheriting(&discovery, &known).await;
+    let forwarder = Forwarder::start_inheriting(&discovery, &known, change).await;
     World { discovery, target: stub, forwarder }
 }
 
@@ -116,6 +120,38 @@
     w.forwarder.until_delivered("keyed", "half").await;
 }
 
+/// Connections that stop half way through a request.
+async fn crowd(w: &World, count: usize) -> Vec<TcpStream> {
+    let mut crowd = Vec::new();
+    for _ in 0..count {
+        let mut stream = TcpStream::connect(w.forwarder.addr).await.expect("it listens");
+        // One for which there is no room is closed.
+        let _ = stream.write_all(b"POST /keyed HTTP/1.1\r\nHost: a\r\n").await;
+        crowd.push(stream);
+    }
+    crowd
+}
+
+#[tokio::test]
+async fn two_processes_beset_by_crowds_keep_to_the_descriptors_of_one() {
+    let limit = 192;
+    let mut w = world_with(|c| c["limits"]["sockets"] = json!(limit)).await;
+    let _first = crowd(&w, 150).await;
+    let old = w.forwarder.upgrade().await;
+    let _second = crowd(&w, 150).await;
+    // Once somebody is served beside the crowd, the new version has accepted all that came before.
+    let mut most = 0;
+    let served = async {
+        while request(w.forwarder.addr, "GET", "/-/ready", &[], b"").await.is_none_or(|r| r.status() != 200) {
+            most = most.max(old.descriptors() + w.forwarder.descriptors());
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(SOON, served).await.expect("the crowd shuts nobody out");
+    most = most.max(old.descriptors() + w.forwarder.descriptors());
+    assert!((60..limit).contains(&most), "{most}");
+}
+
 /// A process that asks to take over and hears what the journal does not hold, but never says that it owns it.
 async fn asks(w: &World) -> (BufReader<UnixStream>, String) {
     let mut heir =
