Let a message be written for as long as its peer is owed an answer

A body had 0.8 s, so that a message written slowly failed although 3 s are allowed; now a whole request has 2.8 s, and its head 2.4 s of them.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -37,9 +37,10 @@
 /// A message may not be deliverable for longer than this; it keeps sums of times far from overflow.
 const DEADLINE_MOST: u64 = 24 * 3600 * 1000;
 /// So long a connection may stand without a whole head, whether it is idle, silent or slow;
-const HEAD: Duration = Duration::from_secs(2);
-/// and so long a body may take. Together they end a client that sends no whole request within 3 s.
-const BODY: Duration = Duration::from_millis(800);
+const HEAD: Duration = Duration::from_millis(2400);
+/// and so long a whole request, from its first byte, the first one from when the connection opened: a client that
+/// sends none within 3 s is told so.
+const WHOLE: Duration = Duration::from_millis(2800);
 /// Where room is short, a connection without an open request gives way after this time: a client that has
 /// something to say has said it by then.
 const SPARE: Duration = Duration::from_millis(250);
@@ -152,6 +153,8 @@
     ambiguous: AtomicBool,
     /// Bytes of a request have come that is not answered yet.
     begun: AtomicBool,
+    /// Milliseconds from `opened` to its first byte; 0 for the first request.
+    begun_at: AtomicU64,
 }
 
 impl Use {
@@ -167,6 +170,19 @@
         self.idle_from.store(self.age(), Relaxed);
     }
 
+    /// Bytes of a request have come.
+    fn bytes(&self) {
+        if !self.begun.swap(true, Relaxed) && self.asked.load(Relaxed) {
+            self.begun_at.store(self.age(), Relaxed);
+        }
+    }
+
+    /// What is left of the time for the whole request.
+    fn left(&self) -> Duration {
+        let took = self.age().saturating_sub(self.begun_at.load(Relaxed));
+        WHOLE.saturating_sub(Duration::from_millis(took))
+    }
+
     fn age(&self) -> u64 {
         u64::try_from(self.opened.elapsed().as_millis()).unwrap_or(Use::BUSY - 1)
     }
@@ -228,6 +244,7 @@
             idle_from: AtomicU64::new(0),
             ambiguous: AtomicBool::new(false),
             begun: AtomicBool::new(false),
+            begun_at: AtomicU64::new(0),
         });
         let task = self.tasks.spawn(client(stream, intake, using.clone()));
         self.open.push(Client { using, task });
@@ -261,7 +278,7 @@
         let (intake, using) = (intake.clone(), at.clone());
         async move {
             using.begin();
-            let reply = intake.answer(request, using.ambiguous.load(Relaxed)).await;
+            let reply = intake.answer(request, using.ambiguous.load(Relaxed), using.left()).await;
             using.end();
             Ok::<_, Infallible>(reply)
         }
@@ -312,7 +329,7 @@
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.using.begun.store(true, Relaxed);
+            self.using.bytes();
         }
         if self.heads.read(&buf.filled()[before..]) {
             self.using.ambiguous.store(true, Relaxed);
@@ -344,7 +361,7 @@
 }
 
 impl Intake {
-    async fn answer(&self, request: Request<Incoming>, ambiguous: bool) -> Reply {
+    async fn answer(&self, request: Request<Incoming>, ambiguous: bool, left: Duration) -> Reply {
         let mut reply = match (request.method(), request.uri().path()) {
             _ if ambiguous => status(StatusCode::BAD_REQUEST),
             // Messages come with their length; without chunks, where a body ends is never in doubt.
@@ -353,7 +370,7 @@
                 Phase::Draining => StatusCode::SERVICE_UNAVAILABLE,
                 _ => StatusCode::OK,
             }),
-            (&Method::POST, path) if path.len() > 1 => match self.hand_in(request).await {
+            (&Method::POST, path) if path.len() > 1 => match self.hand_in(request, left).await {
                 Ok(answer) => reply(answer),
                 Err(code) => status(code),
             },
@@ -366,7 +383,8 @@
         reply
     }
 
-    async fn hand_in(&self, request: Request<Incoming>) -> Result<Answer, StatusCode> {
+    /// `left`: how long its body may still take.
+    async fn hand_in(&self, request: Request<Incoming>, left: Duration) -> Result<Answer, StatusCode> {
         let (parts, body) = request.into_parts();
         // The path's first part is the class; there is nothing below it.
         let class = parts.uri.path().trim_start_matches('/');
@@ -382,7 +400,7 @@
         let Ok(_room) = self.bodies.try_acquire_many(length.div_ceil(1024) as u32) else {
             return Ok(Answer::Refused(Some(AGAIN)));
         };
-        let body = read_body(body).await?;
+        let body = read_body(body, left).await?;
         let (answer, answered) = oneshot::channel();
         let message = HandedIn {
             id: head.id,
@@ -441,8 +459,8 @@
     remaining: Duration,
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, StatusCode> {
-    match timeout(BODY, Limited::new(body, BODY_MOST).collect()).await {
+async fn read_body(body: Incoming, left: Duration) -> Result<Bytes, StatusCode> {
+    match timeout(left, Limited::new(body, BODY_MOST).collect()).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
         Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -555,6 +555,33 @@
     }
 }
 
+#[tokio::test]
+async fn a_message_that_is_written_slowly_is_taken_on() {
+    let mut w = plain().await;
+    let mut client = RawCall(TcpStream::connect(w.forwarder.addr).await.expect("it listens"));
+    let head =
+        "POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 9000\r\nEnvelope: dest=7\r\n";
+    // Most of it is body, which alone takes more than a second; on a kept connection too.
+    for id in ["a", "b"] {
+        client
+            .write(&format!("{head}Req-Id: {id}\r\nIdempotency-Key: {id}\r\nContent-Length: 4\r\n\r\nsl"))
+            .await;
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+        client.write("ow").await;
+        let mut answer = [0; 12];
+        timeout(support::SOON, client.0.read_exact(&mut answer))
+            .await
+            .expect("an answer")
+            .expect("it is open");
+        assert_eq!(&answer, b"HTTP/1.1 202");
+        let mut rest = Vec::new();
+        while !rest.ends_with(b"\r\n\r\n") {
+            client.0.read_buf(&mut rest).await.expect("it is open");
+        }
+        w.target.next().await.answer(200);
+    }
+}
+
 #[tokio::test]
 async fn sighup_moves_to_another_discovery_and_an_unreadable_file_changes_nothing() {
     let mut w = plain().await;
