--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -40,6 +40,8 @@
     Rest(Box<Rest>),
     /// The successor has the lock and has read the journal; it has written nothing yet.
     Owned,
+    /// Connections of clients that the old process still has.
+    Clients(usize),
     /// These attempts, still out with the old process, have ended.
     Ended(Vec<Ended>),
     /// The successor calls an attempt off.
@@ -63,6 +65,8 @@
     pub(crate) rev: u64,
     pub(crate) targets: Vec<Line>,
     pub(crate) calls: Vec<Out>,
+    /// Connections of clients that the old process still has.
+    pub(crate) clients: usize,
     /// By the endpoint's id, where routes are apart.
     pub(crate) learnt: Vec<(Option<String>, Learnt)>,
 }
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -18,7 +18,7 @@
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -49,10 +49,9 @@
 const LEAVE: Duration = Duration::from_millis(400);
 /// How often that is looked for.
 const LEAVE_STEP: Duration = Duration::from_millis(20);
-/// While two processes share the descriptors of one, the new one keeps to the Nth part of its clients,
-const NEW_PART: usize = 2;
-/// and the old one to this part.
-const OLD_PART: usize = 3;
+/// While two processes share the descriptors of one, the new one leaves the old one's clients their places, but for this
+/// part of all places.
+const LEAST_PART: usize = 4;
 /// When a client is to come again for whose message there is no room now.
 const AGAIN: Duration = Duration::from_secs(1);
 /// All that a client hears for whom there is no room.
@@ -107,14 +106,22 @@
     }
 }
 
+/// Clients' connections: they count together while two processes share the descriptors of one.
+#[derive(Default)]
+pub(crate) struct Places {
+    /// At this process.
+    pub(crate) here: AtomicUsize,
+    /// At the old process.
+    pub(crate) older: AtomicUsize,
+}
+
 /// What all connections share.
 pub(crate) struct Intake {
     pub(crate) names: Names,
     pub(crate) settings: Settings,
     pub(crate) node: Sender<Input>,
     pub(crate) phase: watch::Receiver<Phase>,
-    /// An older process still has descriptors of those that are for both.
-    pub(crate) shared: Arc<AtomicBool>,
+    pub(crate) places: Arc<Places>,
     /// KiB that bodies may take until the node has them.
     pub(crate) bodies: Semaphore,
 }
@@ -122,12 +129,18 @@
 /// Serves clients, at most `most` connections at a time, until all is shut and the last has its answer.
 pub(crate) async fn serve(listener: TcpListener, most: usize, intake: Arc<Intake>) {
     let mut phase = intake.phase.clone();
-    let mut clients = Clients { most, open: Vec::new(), tasks: JoinSet::new() };
+    let places = intake.places.clone();
+    let mut clients = Clients { most, open: Vec::new(), tasks: JoinSet::new(), places };
     tokio::select! {
         () = clients.accept(listener, intake) => {}
         _ = phase.wait_for(|p| *p == Phase::Shut) => {}
     }
-    while clients.tasks.join_next().await.is_some() {}
+    while !clients.tasks.is_empty() {
+        clients.shrink();
+        // Until the last has its answer.
+        let _ = timeout(LEAVE_STEP, clients.tasks.join_next()).await;
+    }
+    clients.count();
 }
 
 /// The open connections.
@@ -135,6 +148,7 @@
     most: usize,
     open: Vec<Client>,
     tasks: JoinSet<()>,
+    places: Arc<Places>,
 }
 
 struct Client {
@@ -205,14 +219,14 @@
                 accepted = listener.accept() => Some(accepted),
             };
             let Some(accepted) = accepted else {
-                self.shrink(self.most / OLD_PART);
                 let _ = phase.wait_for(|p| *p != Phase::Handing).await;
                 continue;
             };
             match accepted {
                 Ok((stream, _)) => {
-                    let most = if intake.shared.load(Relaxed) { self.most / NEW_PART } else { self.most };
-                    self.take(stream, intake.clone(), most.max(1));
+                    let most = self.most.saturating_sub(intake.places.older.load(Relaxed));
+                    let most = most.max(self.most / LEAST_PART).max(1);
+                    self.take(stream, intake.clone(), most);
                     // A connection that gives way is closed by its task: without a turn for that, a wave of new
                     // ones would pass the bound.
                     if self.open.len() >= most {
@@ -231,9 +245,8 @@
     /// Serves a new connection, in place of an idle one where there is no room. Guards good clients against
     /// silent ones: nobody waits for room, so connections that say nothing shut nobody out.
     fn take(&mut self, stream: TcpStream, intake: Arc<Intake>, most: usize) {
-        while self.tasks.try_join_next().is_some() {}
-        self.open.retain(|client| !client.task.is_finished());
-        if self.open.len() >= most && !self.make_room(SPARE) {
+        self.count();
+        if self.open.len() >= most && !self.make_room() {
             // Its bytes fit into the socket's empty buffer; a client that has left needs none.
             let _ = stream.try_write(NO_ROOM);
             return;
@@ -248,19 +261,27 @@
         });
         let task = self.tasks.spawn(client(stream, intake, using.clone()));
         self.open.push(Client { using, task });
+        self.places.here.store(self.tasks.len(), Relaxed);
     }
 
-    /// Closes connections without a whole request down to this number.
-    fn shrink(&mut self, most: usize) {
+    /// Forgets connections that are closed.
+    fn count(&mut self) {
+        while self.tasks.try_join_next().is_some() {}
         self.open.retain(|client| !client.task.is_finished());
-        while self.open.len() > most && self.make_room(Duration::ZERO) {}
+        self.places.here.store(self.tasks.len(), Relaxed);
+    }
+
+    /// What dawdles half way through a request gives way down to the part that a new version leaves in any case.
+    fn shrink(&mut self) {
+        self.count();
+        while self.open.len() > self.most / LEAST_PART && self.make_room() {}
     }
 
     /// Closes one connection without an open request: one that never asked before the others, then the longest
-    /// idle, and none that is idle for less than this.
-    fn make_room(&mut self, least: Duration) -> bool {
+    /// idle.
+    fn make_room(&mut self) -> bool {
         let idle = self.open.iter().enumerate().filter_map(|(n, client)| {
-            let idle = client.using.idle().filter(|idle| *idle >= least)?;
+            let idle = client.using.idle().filter(|idle| *idle >= SPARE)?;
             Some((!client.using.asked.load(Relaxed), idle, n))
         });
         let Some((.., n)) = idle.max() else { return false };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,12 +18,11 @@
 pub use config::{Config, ConfigError};
 pub use inherit::{InheritError, listener as inherited_listener};
 
-use intake::{Intake, Phase};
+use intake::{Intake, Phase, Places};
 use node::{Input, Node, Outside};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -102,8 +101,8 @@
     };
     let (notices, batches) = mpsc::channel(1);
     let (told, at) = watch::channel(config.discovery);
-    let shared = Arc::new(AtomicBool::new(false));
-    let to = Outside { idle_most: idle, notices, inputs: inputs.clone(), shared: shared.clone() };
+    let places = Arc::new(Places::default());
+    let to = Outside { idle_most: idle, notices, inputs: inputs.clone(), places: places.clone() };
     let mut node = Node::start(&config, to, begin).await.map_err(|e| RunError::Journal(e.to_string()))?;
     handover::listen(&config.state, inputs.clone()).unwrap_or_else(|e| {
         // It serves all the same; a new version waits until it has ended.
@@ -124,7 +123,7 @@
         settings: config.settings,
         node: inputs,
         phase: closing,
-        shared,
+        places,
         bodies: Semaphore::new(config.limits.memory_mb.max(1) * 1024 / BODIES),
     };
     let intake = tokio::spawn(intake::serve(listener, clients, Arc::new(intake)));
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -12,9 +12,9 @@
 use crate::net::calls::{self, Call, CallNews, Item, Order};
 use crate::net::config::Config;
 use crate::net::discovery::{Line, List, State};
-use crate::net::handover::{self, Begin, Frame, Link, Lock, News};
+use crate::net::handover::{self, Begin, Frame, Link, Lock, News, Rest};
 use crate::net::http::Connection;
-use crate::net::intake::{Answer, HandedIn, Phase};
+use crate::net::intake::{Answer, HandedIn, Phase, Places};
 use crate::net::journal::{End, Journal, JournalError, Open, Record, Taken};
 use crate::net::keep::Ages;
 use crate::net::notices::{Notice, NoticeEnd};
@@ -23,7 +23,6 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -167,8 +166,7 @@
     pub(crate) idle_most: usize,
     pub(crate) notices: Sender<Vec<Notice>>,
     pub(crate) inputs: Sender<Input>,
-    /// Whether an older process still has descriptors of those that are for both.
-    pub(crate) shared: Arc<AtomicBool>,
+    pub(crate) places: Arc<Places>,
 }
 
 struct Send {
@@ -232,7 +230,7 @@
     lock: Lock,
     /// The process before this one, while it has calls out.
     older: Option<Link>,
-    shared: Arc<AtomicBool>,
+    places: Arc<Places>,
     newer: Newer,
     /// Who waits for a word of the new version.
     waiting: HashMap<u64, Waiting>,
@@ -246,7 +244,7 @@
     /// Replays the journal and hands every open message back to the module, with what an older process that lives
     /// has handed over.
     pub(crate) async fn start(config: &Config, to: Outside, begin: Begin) -> Result<Self, JournalError> {
-        let Outside { idle_most, notices, inputs, shared } = to;
+        let Outside { idle_most, notices, inputs, places } = to;
         // A little is left for the rounding of file sizes.
         let limit = (config.limits.disk_mb * 0.95e6) as u64;
         let (journal, open) = Journal::open(&config.state, limit, unix_now())?;
@@ -256,7 +254,7 @@
         };
         // It died when it had handed over: its calls ended with it, and the journal knows of them.
         let (rest, older) = older.map_or((None, None), |(rest, link)| (Some(rest), Some(link)));
-        shared.store(older.is_some(), Relaxed);
+        places.older.store(rest.as_ref().map_or(0, |rest: &Rest| rest.clients), Relaxed);
         let mut node = Node {
             settings: config.settings.clone(),
             names: config.names.clone(),
@@ -288,7 +286,7 @@
             rev: 0,
             lock: begin.lock,
             older,
-            shared,
+            places,
             newer: Newer::None,
             waiting: HashMap::new(),
             next_word: 0,
--- a/src/net/node/upgrade.rs
+++ b/src/net/node/upgrade.rs
@@ -88,6 +88,7 @@
             rev: self.rev,
             targets: self.targets.iter().map(line).collect(),
             calls: calls.into_values().collect(),
+            clients: self.places.here.load(Relaxed),
             learnt: self.balancer.learnt(now).into_iter().map(learnt).collect(),
         }
     }
@@ -95,7 +96,7 @@
     /// Goes on from the journal, and from what an older process has told.
     pub(super) fn take_up(&mut self, now: Micros, open: Vec<Open>, rest: Option<Rest>) {
         let mut still_out = BTreeMap::new();
-        if let Some(Rest { rev, targets, calls, learnt }) = rest {
+        if let Some(Rest { rev, targets, calls, learnt, .. }) = rest {
             eprintln!("handover: took over {} messages and {} calls out", open.len(), calls.len());
             self.list(now, &List { rev, all: true, targets });
             for handover::Out { target, age, attempts } in calls {
@@ -135,6 +136,7 @@
     ) -> Option<MessageId> {
         match (side, frame) {
             (Side::Older, Some(Frame::Ended(ends))) => self.ended_elsewhere(now, ends),
+            (Side::Older, Some(Frame::Clients(count))) => self.places.older.store(count, Relaxed),
             (Side::Older, Some(Frame::HandedIn(word, message))) => {
                 return self.handed_in_elsewhere(now, word, message);
             }
@@ -147,7 +149,7 @@
                 eprintln!("handover: the old process has gone, with {} attempts out", ends.len());
                 self.ended_elsewhere(now, ends);
                 self.older = None;
-                self.shared.store(false, Relaxed);
+                self.places.older.store(0, Relaxed);
             }
             (Side::Newer, None) if matches!(&self.newer, Newer::Asked(asked) if asked.id == link) => {
                 self.newer = Newer::None;
@@ -263,7 +265,8 @@
             let out: Vec<(MessageId, usize)> = self.out.keys().copied().collect();
             out.into_iter().for_each(|(id, attempt)| self.cancel(id, attempt));
         }
-        let mut frames = Vec::new();
+        // Told with each turn: the new version waits for their places.
+        let mut frames = vec![Frame::Clients(self.places.here.load(Relaxed))];
         for input in batch {
             match input {
                 Input::HandedIn(message) => frames.push(self.pass_message(message)),
