Log the time that calls take slots by outcome, and the endpoints of those that wait

Suspected: calls that hang are called off too late while slots are short, and a destination that falters gets none of the slots that others which falter share.

--- a/src/api.rs
+++ b/src/api.rs
@@ -423,6 +423,8 @@
     pub dest: DestId,
     /// Messages that wait.
     pub messages: usize,
+    /// Endpoints that may be sent to.
+    pub endpoints: usize,
     /// Calls that are out.
     pub calls: usize,
     /// It holds the smaller share of the slots.
--- a/src/logic/backlog.rs
+++ b/src/logic/backlog.rs
@@ -21,6 +21,7 @@
             Backlog {
                 dest,
                 messages,
+                endpoints: d.targets.len(),
                 calls: self.counters.get(&dest).copied().unwrap_or(0),
                 falters: self.dest_falters(dest, now),
                 outage: matches!(scope.state, State::Outage(_)),
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -462,10 +462,11 @@
             eprintln!("node: {held} held, {out} calls out, {idle} connections idle; {counts}");
             for b in self.balancer.backlog(now) {
                 eprintln!(
-                    "node: destination {}: {} wait, {} calls out, falters {}, outage {}, rate {:.1?}, ready in {} ms, \
+                    "node: destination {}: {} wait, {} endpoints, {} calls out, falters {}, outage {}, rate {:.1?}, ready in {} ms, \
                      waits {} ms",
                     b.dest,
                     b.messages,
+                    b.endpoints,
                     b.calls,
                     b.falters,
                     b.outage,
@@ -857,7 +858,7 @@
         let calls::Ended { id, attempt, outcome, finished, report, wait } = ended;
         let Some(out) = self.call_over(id, attempt) else { return };
         let took = Duration::from_micros(u64::try_from(now - out.sent).unwrap_or(0));
-        self.tally.ended(to, outcome, took);
+        self.tally.ended(to, outcome, took, !self.calls.contains_key(&out.call));
         let unix = unix_now();
         if finished && let Some(message) = self.messages.remove(&id) {
             let Taken { id: name, deadline, .. } = message.taken;
--- a/src/net/tally.rs
+++ b/src/net/tally.rs
@@ -44,6 +44,8 @@
     taken_on: usize,
     losses: BTreeMap<Loss, usize>,
     outcomes: BTreeMap<&'static str, usize>,
+    /// For how long calls took slots, by the last end heard of each.
+    slot_time: BTreeMap<&'static str, Duration>,
     opened: usize,
     unconnected: BTreeMap<String, usize>,
     endpoints: BTreeMap<SocketAddr, Endpoint>,
@@ -56,6 +58,7 @@
             taken_on: 0,
             losses: BTreeMap::new(),
             outcomes: BTreeMap::new(),
+            slot_time: BTreeMap::new(),
             opened: 0,
             unconnected: BTreeMap::new(),
             endpoints: BTreeMap::new(),
@@ -80,7 +83,8 @@
         }
     }
 
-    pub(crate) fn ended(&mut self, to: SocketAddr, outcome: Outcome, took: Duration) {
+    /// An attempt ended; `last` is whether its call is over with it.
+    pub(crate) fn ended(&mut self, to: SocketAddr, outcome: Outcome, took: Duration, last: bool) {
         let (name, failed) = match outcome {
             Outcome::Delivered => ("delivered", false),
             Outcome::Error => ("error", true),
@@ -95,6 +99,9 @@
             Outcome::NotSent => ("not sent", false),
         };
         *self.outcomes.entry(name).or_default() += 1;
+        if last {
+            *self.slot_time.entry(name).or_default() += took;
+        }
         let endpoint = self.endpoints.entry(to).or_default();
         endpoint.calls += 1;
         endpoint.failed += usize::from(failed);
@@ -115,6 +122,8 @@
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "taken on {}, lost {:?}; attempts {:?}", self.taken_on, self.losses, self.outcomes)?;
+        let slot_time: BTreeMap<_, _> = self.slot_time.iter().map(|(k, v)| (k, v.as_millis())).collect();
+        write!(f, "; slots taken for ms {slot_time:?}")?;
         write!(f, "; connections opened {}, not opened {:?}", self.opened, self.unconnected)?;
         let mut worst: Vec<_> = self.endpoints.iter().filter(|(_, e)| e.failed > 0).collect();
         worst.sort_by_key(|(_, e)| std::cmp::Reverse(e.failed));
@@ -136,7 +145,8 @@
         let mut tally = Tally::new();
         tally.taken_on();
         tally.lost(Loss::Refused);
-        tally.ended(at, Outcome::ConnectFailed, Duration::from_millis(3));
+        tally.ended(at, Outcome::ConnectFailed, Duration::from_millis(2), false);
+        tally.ended(at, Outcome::ConnectFailed, Duration::from_millis(3), true);
         tally.dialled(
             at,
             Dialled { opened: 1, failed: Some(std::io::ErrorKind::ConnectionRefused), kept: None },
@@ -146,8 +156,9 @@
         let line = tally.due().expect("it is due").to_string();
         assert_eq!(
             line,
-            "taken on 1, lost {Refused: 1}; attempts {\"not connected\": 1}; connections opened 1, not opened \
-             {\"connection refused\": 1}\n  127.0.0.1:9: 1 attempts, 1 failed, 1 connections opened and 1 not, \
+            "taken on 1, lost {Refused: 1}; attempts {\"not connected\": 2}; slots taken for ms \
+             {\"not connected\": 3}; connections opened 1, not opened \
+             {\"connection refused\": 1}\n  127.0.0.1:9: 2 attempts, 2 failed, 1 connections opened and 1 not, \
              longest 3ms"
         );
         tokio::time::advance(EVERY).await;
