Give slots back from calls that hang as soon as others need them

Ruled out: endpoints missing from the list, waits, pace, caps: destinations with up to 295 messages waiting were ready to be sent to while all 17 slots were taken.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,7 +32,9 @@
 /// with so many calls overdue it is held to hang.
 const HUNG_CALLS: usize = 2;
 /// Where slots are short, overdue calls may keep the Nth part of them.
-const STUCK_PART: usize = 4;
+const STUCK_PART: usize = 8;
+/// There a call is overdue after the Nth part of an aim already.
+const SHORT_PART: f64 = 8.0;
 /// So many refusals in a row without a told wait are a shut door, not a limit.
 const SHUT_REFUSALS: u32 = 4;
 /// Gain of one delivery in the usual pace (tens of calls) and in the present one (a few).
@@ -158,6 +160,12 @@
         (OVERDUE_TIMES * self.usual).max(e.aim / 2.0) as Micros
     }
 
+    /// The same where slots are short and others wait: as slow as things are now.
+    fn short_patience(&self, e: &Env) -> Micros {
+        let pace = self.usual.max(self.pace);
+        if pace > 0.0 { (OVERDUE_TIMES * pace).max(e.aim / SHORT_PART) as Micros } else { self.patience(e) }
+    }
+
     fn overdue(&self, now: Micros, e: &Env) -> usize {
         let late = self.patience(e);
         self.out.values().take_while(|sent| now - **sent > late && **sent >= self.last_good - late).count()
@@ -748,7 +756,7 @@
         for a in self.attempts.values().filter(|a| !a.called_off) {
             let (d, t) = (&self.dests[&a.dest], &self.targets[&a.target]);
             let scope = if d.kind.routes_apart { &t.scope } else { &d.scope };
-            let call = out.entry(a.call).or_insert((false, a.sent, scope.patience(&self.e)));
+            let call = out.entry(a.call).or_insert((false, a.sent, scope.short_patience(&self.e)));
             call.0 |= self.e.s.classes[a.class].effect == Effect::Unsafe;
         }
         let extra = |once: bool| if once { self.e.aim as Micros / 2 } else { 0 };
