--- a/src/net/keep.rs
+++ b/src/net/keep.rs
@@ -17,6 +17,12 @@
 /// Connections imagined alive at each age: few samples do not condemn, new connections break now and then too.
 const PRIOR_ALIVE: f64 = 4.0;
 
+/// A call that must not run twice is lost by a dead connection, often with several messages in it: it is written to
+/// an idle one only where no more than this share die by that age,
+const ONCE_SHARE: f64 = 0.01;
+/// with a part of a death imagined: what nobody has tried is not safe.
+const ONCE_DOUBT: f64 = 0.2;
+
 /// How an idle connection fared with the next call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kept {
@@ -44,13 +50,32 @@
         counts[Self::class(age)].add(now, SPAN);
     }
 
+    /// The age up to which idle connections are known to live: one that lived longer speaks for all younger ones.
+    pub(crate) fn proven(&self, now: Micros) -> Micros {
+        let mut alive: f64 = self.alive.iter().map(|a| a.get(now, SPAN)).sum();
+        let mut dead = 0.0;
+        for n in 0..CLASSES {
+            dead += self.dead[n].get(now, SPAN);
+            if dead + ONCE_DOUBT > ONCE_SHARE * (dead + alive) {
+                return Self::least(n);
+            }
+            alive -= self.alive[n].get(now, SPAN);
+        }
+        Micros::MAX
+    }
+
+    /// The youngest age of a class.
+    fn least(class: usize) -> Micros {
+        if class == 0 { 0 } else { FIRST << (class - 1) }
+    }
+
     /// The age from which connections are not to be used, if there is one.
     pub(crate) fn limit(&self, now: Micros) -> Option<Micros> {
         let dead = |n: &usize| {
             let (dead, alive) = (self.dead[*n].get(now, SPAN), self.alive[*n].get(now, SPAN));
             dead >= DEAD_LEAST && dead > DEAD_SHARE * (dead + alive + PRIOR_ALIVE)
         };
-        (0..CLASSES).find(dead).map(|n| if n == 0 { 0 } else { FIRST << (n - 1) })
+        (0..CLASSES).find(dead).map(Self::least)
     }
 }
 
@@ -78,6 +103,26 @@
         assert_eq!(ages.limit(120_000 * MS), None);
     }
 
+    #[test]
+    fn only_ages_at_which_hardly_any_die_are_proven() {
+        let mut ages = Ages::default();
+        assert_eq!(ages.proven(0), 0, "nothing has been tried");
+        for _ in 0..30 {
+            ages.add(0, 40 * MS, Kept::Alive);
+        }
+        assert_eq!(ages.proven(0), 64 * MS, "no older one has been tried");
+        for _ in 0..60 {
+            ages.add(0, 300 * MS, Kept::Alive);
+        }
+        assert_eq!(ages.proven(0), 512 * MS);
+        // One of 90 is too many, and younger ones are as safe as before.
+        ages.add(0, 100 * MS, Kept::Dead);
+        assert_eq!(ages.proven(0), 64 * MS);
+        assert_eq!(ages.limit(0), None, "what may run twice goes on it");
+        // What was seen long ago proves nothing.
+        assert_eq!(ages.proven(120_000 * MS), 0);
+    }
+
     #[test]
     fn where_connections_die_at_once_none_is_kept() {
         let mut ages = Ages::default();
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -4,8 +4,8 @@
 mod upgrade;
 
 use crate::api::{
-    Action, DestId, Ended, Entry, Event, Listing, MessageId, Micros, Outcome, Past, Settings, StillOut,
-    Submit, TargetId,
+    Action, DestId, Effect, Ended, Entry, Event, Listing, MessageId, Micros, Outcome, Past, Settings,
+    StillOut, Submit, TargetId,
 };
 use crate::logic::Balancer;
 use crate::net::admin;
@@ -734,12 +734,15 @@
 
     fn start_call(&mut self, now: Micros, target: TargetId, sends: Vec<Send>) {
         let mut items = Vec::with_capacity(sends.len());
+        let mut once = false;
         for send in sends {
             let known = self.targets.contains_key(&target);
             let Some(message) = self.messages.get(&send.id).filter(|_| known) else {
                 self.not_sent(&send);
                 continue;
             };
+            once |= index(&self.names.classes, &message.taken.class)
+                .is_none_or(|class| self.settings.classes[class].effect == Effect::Unsafe);
             let name = message.taken.id.clone();
             self.out.insert((send.id, send.attempt), Out { sent: now, call: self.next_call, name });
             items.push(Item {
@@ -753,10 +756,16 @@
         }
         let limit = self.idle_limit(now);
         let Some(t) = self.targets.get_mut(&target).filter(|_| !items.is_empty()) else { return };
-        // The youngest; where that is too old, so are all.
+        // The youngest; where that is too old, so are all. What must not run twice goes on none that may be dead.
         let limit = bounded(limit, &t.ages, now);
-        let idle = t.idle.pop().map(|(since, connection)| (since.elapsed(), connection));
-        let idle = idle.filter(|(age, _)| *age < limit);
+        let proven = if once { self.ages.proven(now) } else { Micros::MAX };
+        let limit = limit.min(Duration::from_micros(proven.unsigned_abs()));
+        let idle = t.idle.pop_if(|(since, _)| since.elapsed() < limit);
+        if idle.is_none() && !t.idle.is_empty() {
+            // The new connection takes the place of the oldest; others may still carry what can be repeated.
+            t.idle.remove(0);
+        }
+        let idle = idle.map(|(since, connection)| (since.elapsed(), connection));
         let idle_for = idle.as_ref().map_or(0, |(age, _)| Micros::try_from(age.as_micros()).unwrap_or(0));
         // Each attempt is called off or given up once at most; one more place is for a wait.
         let (sender, orders) = channel(2 * items.len() + 1);
