Count connections refused in one wave as one, as it is with refusals

Six connections refused within 40 ms kept an endpoint without a call for 16 s while 241 messages waited. Ruled out: slots, told waits, the list, bans.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -322,8 +322,9 @@
     serving: bool,
     /// When the latest call was sent that it has answered.
     answered: Micros,
-    /// Connections turned away in a row, and until when none is tried.
+    /// Waves of connections turned away in a row, when the last was heard of, and until when none is tried.
     crowded: u32,
+    turned_away: Micros,
     closed_until: Micros,
     scope: Scope,
 }
@@ -975,9 +976,12 @@
             Outcome::Full { .. } | Outcome::NotSent | Outcome::Spoilt | Outcome::Dead => {}
             // Turned away at once: it lives, but its table of connections is full.
             Outcome::ConnectFailed if end.elapsed < e.s.connect_timeout / 2 => {
-                t.crowded = (t.crowded + 1).min(6);
-                let wait = e.aim / 16.0 * f64::from(1 << t.crowded) * (0.5 + chance(&mut self.seed));
-                t.closed_until = now + wait as Micros;
+                // Those sent before the first of them was heard of count as one.
+                if a.sent >= t.turned_away {
+                    (t.turned_away, t.crowded) = (now, (t.crowded + 1).min(6));
+                    let wait = e.aim / 16.0 * f64::from(1 << t.crowded) * (0.5 + chance(&mut self.seed));
+                    t.closed_until = now + wait as Micros;
+                }
                 self.crowded_until = now + e.warm as Micros;
                 return;
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -295,6 +295,29 @@
     assert_eq!(first_off(40, false), None, "nobody waits");
 }
 
+/// Seen on a day with upgrades: six calls met an endpoint that restarted, and each doubled its wait: it got nothing
+/// for 16 s, while 240 messages waited.
+#[test]
+fn calls_turned_away_in_one_wave_count_as_one() {
+    let mut rig = Rig::new(Settings { connect_timeout: SEC, ..settings() }, vec![entry(10, 1, 0)]);
+    for id in 0..6 {
+        assert_eq!(sends(&rig.submit(id, 0, 1)).len(), 1);
+    }
+    rig.now += 2 * MS;
+    let again: usize = (0..6).map(|id| sends(&rig.ended(id, 0, Outcome::ConnectFailed, 2 * MS)).len()).sum();
+    assert_eq!(again, 0, "it is left alone for a while");
+    // Each further wave doubles the wait, as it should.
+    for (wave, from, to) in [(1, 185, 570), (2, 370, 1130), (3, 740, 2260)] {
+        let turned_away = rig.now;
+        while timed_sends(&rig.pass(5 * MS)).len() < 6 {
+            assert!(rig.now - turned_away < to * MS, "wave {wave}");
+        }
+        assert!(rig.now - turned_away >= from * MS, "wave {wave}");
+        rig.now += 2 * MS;
+        (0..6).for_each(|id| drop(rig.ended(id, wave, Outcome::ConnectFailed, 2 * MS)));
+    }
+}
+
 #[test]
 fn a_sender_subscribes_at_its_start_and_again_after_a_break() {
     let mut rig = Rig::new(Settings { ask: true, ..settings() }, vec![entry(10, 1, 0)]);
