Keep a message that was handed in anew when its earlier notice is acknowledged late

A message that was handed back, handed in once more and taken on was noted as over when the first notice was acknowledged, and the next process did not know it. The test loses it without the change.

--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -899,6 +899,11 @@
     fn noticed(&mut self, batch: Vec<Notice>) {
         let unix = unix_now();
         for Notice { message, end } in batch {
+            // Taken on anew since: the end of its earlier stay must not end this one in the journal.
+            let anew = self.ids.get(&message).and_then(|id| self.messages.get(id));
+            if anew.is_some_and(|message| message.taken_on) {
+                continue;
+            }
             let until = self.journal.end_of(&message).map_or(0, |(_, until)| until);
             self.journal.note(&Record::Over(message, end.into(), until), unix);
         }
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -496,6 +496,39 @@
     w.target.next().await.answer(200);
 }
 
+#[tokio::test]
+async fn a_message_handed_in_anew_outlives_the_late_end_of_its_earlier_notice() {
+    let mut w = plain().await;
+    assert_eq!(w.forwarder.hand_in("keyed", "m", 500).await.status(), 202);
+    w.target.next().await.answer_with(429, &[("Wait-Ms", "20000")], "");
+    let notice = w.discovery.next_notice().await;
+    assert!(String::from_utf8_lossy(&notice.body).contains("handed_back"));
+    // The client comes again before the notice is acknowledged.
+    let anew = async {
+        for n in 0.. {
+            // Old ends are forgotten as others come.
+            w.forwarder.hand_in("keyed", &format!("x{n}"), 300).await;
+            if w.forwarder.hand_in("keyed", "m", 40_000).await.status() == 202 {
+                return;
+            }
+        }
+    };
+    timeout(support::SOON, anew).await.expect("it is taken on once the old end is forgotten");
+    notice.answer(200);
+    // With a later notice the end of that one stands in the journal.
+    w.forwarder.hand_in("keyed", "last", 300).await;
+    while !w.discovery.notices().await.iter().any(|notice| notice["message"] == "last") {}
+    w.forwarder.kill();
+    w.forwarder.restart().await;
+    loop {
+        let call = w.target.next().await;
+        if call.header("req-id") == "m" {
+            return;
+        }
+        call.answer(200);
+    }
+}
+
 #[tokio::test]
 async fn a_notice_is_owed_until_it_is_acknowledged() {
     let mut w = plain().await;
