Write no repeat once its key's life is over, however late its connection comes up

At fault: Action::Send carried a time-out only, and calls::make wrote whenever the connection came up. Sends now carry the latest time at which they may be written; later the call ends as not sent. Siblings looked at: waits and drains already hold back calls that are not written, and now share that code.

--- a/src/api.rs
+++ b/src/api.rs
@@ -380,6 +380,8 @@
         target: TargetId,
         /// Time-out; 0: until the client stops waiting.
         timeout: Micros,
+        /// Not to be written after this time, should its connection take so long to come up.
+        latest: Micros,
     },
     /// Final answer: handed back; another try does no harm.
     Refuse {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -881,7 +881,8 @@
             let left = (m.m.give_up_at - now).max(1);
             let repeatable = e.s.classes[m.m.class].effect != Effect::Unsafe;
             let short = (TIMEOUT_TIMES * usual).max(2.0 * e.aim) as Micros;
-            out.push(Action::Send { id, target, timeout: if repeatable { short.min(left) } else { left } });
+            let timeout = if repeatable { short.min(left) } else { left };
+            out.push(Action::Send { id, target, timeout, latest: self.sendable_until(&self.messages[&id]) });
             let (d, t) = (&self.dests[&dest], &self.targets[&target]);
             let scope = if kind.routes_apart { &t.scope } else { &d.scope };
             next = self.pick(d, scope, t, now).map(|(_, id)| id);
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -40,6 +40,8 @@
     pub(crate) body: Bytes,
     /// The wait for it ends then.
     pub(crate) until: Instant,
+    /// It must not be written after this: its key may be forgotten by then.
+    pub(crate) latest: Instant,
 }
 
 /// A call to make.
@@ -109,6 +111,7 @@
     };
     let mut given_up = Vec::new();
     let progress = Progress::default();
+    let mut latest = waiting.iter().map(|i| i.latest).min();
     let answer = {
         let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request, &progress));
         loop {
@@ -119,6 +122,12 @@
                     let now = Instant::now();
                     part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| i.until <= now);
                 }
+                // Guards against a repeat that is decided in time and written too late, since its connection took
+                // a second to come up. The whole call: on the wire no message can be taken out of it.
+                () = sleep_until(latest.unwrap_or(until)), if latest.is_some() => {
+                    latest = None;
+                    hold(&progress, &mut waiting, &mut given_up);
+                }
                 Some(order) = call.orders.recv() => match order {
                     Order::CallOff(id, attempt) => {
                         let named = |i: &Item| (i.id, i.attempt) == (id, attempt);
@@ -127,11 +136,7 @@
                     Order::GiveUp => part(&mut waiting, &mut given_up, Outcome::TimedOut, |_| true),
                     // Guards the rule on waits: a connection may take its whole time to come up, and what was
                     // decided before the wait would then be written in the midst of it.
-                    Order::Hold if !progress.begun.load(Ordering::Relaxed) => {
-                        part(&mut waiting, &mut given_up, Outcome::NotSent, |_| true);
-                    }
-                    // Written already, or about to be; should that fail before a byte went, it is not tried anew.
-                    Order::Hold => progress.held.store(true, Ordering::Relaxed),
+                    Order::Hold => hold(&progress, &mut waiting, &mut given_up),
                 },
             }
             // They are told of only once the call is over: until then each holds its copy out, and another
@@ -163,6 +168,16 @@
     Ended { id: item.id, attempt: item.attempt, outcome, finished: false, report: None, wait: None }
 }
 
+/// Nothing may be written from now on.
+fn hold(progress: &Progress, waiting: &mut Vec<Item>, ended: &mut Vec<Ended>) {
+    if progress.begun.load(Ordering::Relaxed) {
+        // Written already, or about to be; should that fail before a byte went, it is not tried anew.
+        progress.held.store(true, Ordering::Relaxed);
+    } else {
+        part(waiting, ended, Outcome::NotSent, |_| true);
+    }
+}
+
 /// Moves those that meet the condition to the ended ones.
 fn part(waiting: &mut Vec<Item>, ended: &mut Vec<Ended>, outcome: Outcome, gone: impl Fn(&Item) -> bool) {
     waiting.retain(|item| {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -174,6 +174,8 @@
     attempt: usize,
     target: TargetId,
     until: Micros,
+    /// Not written after this.
+    latest: Micros,
 }
 
 /// Once for each call: its orders have room for one hold.
@@ -440,7 +442,9 @@
         let mut sends = Vec::new();
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Send { id, target, timeout } => sends.extend(self.prepare(now, id, target, timeout)),
+                Action::Send { id, target, timeout, latest } => {
+                    sends.extend(self.prepare(now, id, target, timeout, latest));
+                }
                 Action::Refuse { id, wait } => {
                     self.give_up(id, End::Refused, Some(wait).filter(|w| *w > 0));
                 }
@@ -711,12 +715,19 @@
 
     // ---- Calls ----
 
-    fn prepare(&mut self, now: Micros, id: MessageId, target: TargetId, timeout: Micros) -> Option<Send> {
+    fn prepare(
+        &mut self,
+        now: Micros,
+        id: MessageId,
+        target: TargetId,
+        timeout: Micros,
+        latest: Micros,
+    ) -> Option<Send> {
         let message = self.messages.get_mut(&id)?;
         let attempt = message.attempts;
         message.attempts += 1;
         let until = if timeout == 0 { message.give_up_at } else { now.saturating_add(timeout) };
-        Some(Send { id, attempt, target, until: until.min(message.give_up_at) })
+        Some(Send { id, attempt, target, until: until.min(message.give_up_at), latest })
     }
 
     /// Sends of one turn to one endpoint travel together, up to what its kind allows.
@@ -752,6 +763,7 @@
                 key: message.taken.key.clone(),
                 body: message.taken.body.clone(),
                 until: self.clock.instant(send.until),
+                latest: self.clock.instant(send.latest),
             });
         }
         let limit = self.idle_limit(now);
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -289,6 +289,46 @@
     assert!(told.elapsed() >= Duration::from_secs(5), "{:?}", told.elapsed());
 }
 
+#[tokio::test]
+async fn a_repeat_whose_connection_comes_up_after_the_keys_life_is_not_written() {
+    let (mut discovery, mut stub, (listener, queued)) =
+        (Discovery::start().await, Stub::start().await, jammed().await);
+    let jammed = listener.local_addr().expect("it is bound");
+    let known =
+        [target("t", stub.addr, 7, "plain", "in_service"), target("u", jammed, 7, "plain", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |c| {
+        for class in [0, 1] {
+            // The repeat does not time out meanwhile.
+            c["settings"]["classes"][class]["goalTime"] = json!(20_000);
+        }
+        c["settings"]["classes"][0]["keyTtl"] = json!(2000);
+        c["settings"]["limits"]["connectTimeout"] = json!(30_000);
+    })
+    .await;
+    assert!(f.call("disable-server u").await.starts_with("ACK"));
+    f.hand_in("keyed", "m", 28_000).await;
+    let call = stub.next().await;
+    // Only the other endpoint is left for the repeat, and its connection does not come up.
+    assert!(f.call("disable-server t").await.starts_with("ACK"));
+    assert!(f.call("enable-server u").await.starts_with("ACK"));
+    call.hang_up();
+    // The message ends once its key's life is over, not when the connection would come up or time out.
+    assert_eq!(discovery.notice().await, json!({"message": "m", "outcome": "given_up"}));
+    for _ in 0..queued.len() {
+        listener.accept().await.expect("one was queued");
+    }
+    // Whoever comes now had called before; nothing is written there.
+    let written = async {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("it listens");
+            if stream.read(&mut [0; 64]).await.is_ok_and(|n| n > 0) {
+                return;
+            }
+        }
+    };
+    assert!(timeout(Duration::from_secs(2), written).await.is_err());
+}
+
 #[tokio::test]
 async fn a_wait_beside_accepted_messages_binds_too() {
     let mut w = world("several", |c| c["settings"]["round"] = json!(400.0)).await;
