Spread the first tries of many senders that begin together over the listed rate

Ruled out: slots and held messages; the list; dead endpoints (42 delivered at 19 s).

At fault: list.rs took a route's whole listed rate as each sender's pace, and a new scope's first call was due at once. Where more than four share, the pace now begins at twice the even part and the first call is due by chance within the time of one call.

--- a/src/logic/list.rs
+++ b/src/logic/list.rs
@@ -1,7 +1,24 @@
 //! The endpoint list, and what operators have taken out of it.
 
-use super::{Balancer, Dest, Scope, State, Target};
+use super::{BURST_S, Balancer, Dest, Env, SECOND, Scope, State, Target};
 use crate::api::*;
+use crate::parts::chance;
+
+impl Scope {
+    /// The pace to begin with, where a limit is listed.
+    fn begin(&mut self, now: Micros, batch: usize, e: &Env) {
+        let many = e.part < 0.5;
+        let part = if batch > 1 { 1.0 / e.s.senders.max(1) as f64 } else { 1.0 };
+        let limit = self.listed * if many { part.min(e.part) } else { part };
+        self.limit = Some(limit);
+        // Many begin in step, after a restart or with a new endpoint: first tries are spread over the time that the
+        // limit gives to one call of each.
+        if many {
+            let first = chance(&mut self.seed) / limit.max(e.least);
+            self.due = now + ((BURST_S + first) * SECOND) as Micros;
+        }
+    }
+}
 
 impl Balancer {
     /// Only what is listed as serving gets anything new, from the moment it is heard.
@@ -36,8 +53,7 @@
                 scope.listed = entry.weight;
             }
             if scope.listed > 0.0 && scope.limit.is_none() {
-                let part = if dest.kind.batch > 1 { self.e.s.senders.max(1) as f64 } else { 1.0 };
-                scope.limit = Some(scope.listed / part);
+                scope.begin(now, dest.kind.batch, &self.e);
             }
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use plankwalk::api::*;
+use std::collections::BTreeSet;
 
 #[test]
 fn a_destination_stays_under_three_quarters_of_the_slots() {
@@ -488,6 +489,33 @@
     assert!(at_once <= 6, "{at_once} of 19 within a second of the end: {back:?}");
 }
 
+/// Seen on a day of the whole fleet: 200 senders began anew together, and each sent what it held at once.
+#[test]
+fn first_tries_of_many_senders_that_begin_together_stay_within_the_listed_rate() {
+    for kind in [0, 1, 2] {
+        let listed = Entry { weight: 20.0, ..entry(10, 1, kind) };
+        let (mut first, mut all) = (0, 0);
+        for seed in 1..=50 {
+            let mut rig = Rig::new(Settings { weights: Weights::Rough, ..many() }, vec![]);
+            rig.sender =
+                plankwalk::Balancer::new(Settings { weights: Weights::Rough, ..many() }, seed * 7919);
+            rig.turn(vec![Event::ListWhole(vec![listed])]);
+            let mut sent = Vec::new();
+            for id in 0..5 {
+                sent.extend(sends(&rig.submit(id, 0, 1)).into_iter().map(|(id, _)| (rig.now, id, 10)));
+            }
+            let begun = rig.now;
+            sent.extend(timed_sends(&rig.pass(10 * SEC)));
+            let calls: BTreeSet<Micros> = sent.iter().map(|(at, ..)| *at).collect();
+            first += calls.iter().filter(|at| **at < begun + SEC).count();
+            all += calls.len();
+        }
+        // Twice the even part of 20 a second at the most; a whole burst would be 50 calls at once and more behind.
+        assert!((8..=48).contains(&first), "{first} calls in the first second, kind {kind}");
+        assert!(all >= 50, "each has sent in ten seconds: {all}, kind {kind}");
+    }
+}
+
 /// An answer is owed whatever the host hands in.
 #[test]
 fn a_message_of_an_unknown_class_is_refused_at_once_and_a_known_id_is_passed_over() {
