--- a/src/logic/list.rs
+++ b/src/logic/list.rs
@@ -11,8 +11,8 @@
         let part = if batch > 1 { 1.0 / e.s.senders.max(1) as f64 } else { 1.0 };
         let limit = self.listed * if many { part.min(e.part) } else { part };
         self.limit = Some(limit);
-        // Many begin in step, after a restart or with a new endpoint: first tries are spread over the time that the
-        // limit gives to one call of each.
+        // Many begin in step, after a restart or with a new endpoint: first tries are spread over the time of
+        // one call each.
         if many {
             let first = chance(&mut self.seed) / limit.max(e.least);
             self.due = now + ((BURST_S + first) * SECOND) as Micros;
