Gather messages for a call of several inside their aim, where many share its limit

At fault: candidate() called a destination ready as soon as its pace allowed a call.

Few senders behave as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,6 +45,8 @@
 const RECOVER: f64 = 0.08;
 /// Sends let through unspaced, as a span of the limit (seconds).
 const BURST_S: f64 = 0.3;
+/// Where many share a limit on calls, messages for a call of several gather for the Nth part of their aim.
+const GATHER_PART: Micros = 3;
 /// Time-out of repeatable messages as a multiple of the usual pace, and two aims at least.
 const TIMEOUT_TIMES: f64 = 10.0;
 /// The first further attempt after one that may have run waits the Nth part of the aim; then doubled.
@@ -460,8 +462,7 @@
                 let gap = (self.e.aim as Micros / 8) << self.broken.min(4);
                 self.subscribe_at = Some(now + gap / 2 + (gap as f64 * chance(&mut self.seed)) as Micros);
             }
-            Event::Wake if now >= self.wake_at => self.wake_at = Micros::MAX,
-            Event::Wake => {}
+            Event::Wake => self.wake_at = if now >= self.wake_at { Micros::MAX } else { self.wake_at },
             Event::TurnEnd => self.turn_end(now, actions),
         }
     }
@@ -486,12 +487,11 @@
             seen.add(now, e.warm);
             over = seen.get(now, e.warm) * SECOND / e.warm > tenant.quota;
         }
-        let (id, key) = (m.id, m.key.clone().filter(|_| c.ordered));
+        let (id, class, key) = (m.id, m.class, m.key.clone().filter(|_| c.ordered));
         // A client that comes with less patience than the aim is on time until it leaves.
         let due = m.give_up_at - if m.give_up_at - now > c.aim { c.deadline - c.aim } else { 0 };
         let m = Submit { key: key.clone(), ..m };
         let Past { attempts, risk, out } = m.past;
-        let class = m.class;
         let held = Message { m, over, due, alarm: now, attempts, place: Place::Turn, risk, started: false };
         self.messages.insert(id, held);
         self.set_alarm(id);
@@ -832,11 +832,14 @@
         // who gather messages against starving when slots are short.
         let waiting: usize = d.lanes.values().map(BTreeSet::len).sum();
         let travelling = waiting.min(d.kind.batch.max(1)) as f64;
+        let gathered = if waiting < d.kind.batch { self.gathered_at(d) } else { Micros::MIN };
         for (_, id) in self.endpoints(d, now) {
             let t = &self.targets[&id];
             let scope = if d.kind.routes_apart { &t.scope } else { &d.scope };
             let idle = t.idle.back().is_some_and(|at| now - at < self.e.s.idle_close);
-            let ready = scope.ready_at(now, &self.e).max(if idle { now } else { t.closed_until });
+            let gathered = if matches!(scope.state, State::Outage(_)) { now } else { gathered };
+            let ready =
+                scope.ready_at(now, &self.e).max(gathered).max(if idle { now } else { t.closed_until });
             if ready > now {
                 again = again.min(ready);
             } else if let Some((value, message)) = self.pick(d, scope, t, now) {
@@ -849,6 +852,16 @@
         Err(again)
     }
 
+    /// When the messages that wait have gathered long enough. What goes inside its aim earns the same, and each
+    /// call with few messages takes the place of a full one of another sender.
+    fn gathered_at(&self, d: &Dest) -> Micros {
+        let gathered = d.lanes.iter().filter_map(|((class, _), lane)| {
+            let aim = self.e.s.classes[*class].aim;
+            Some(lane.first()?.0 - aim + aim / GATHER_PART)
+        });
+        gathered.min().filter(|_| self.e.part < 0.5 && d.scope.limit.is_some()).unwrap_or(Micros::MIN)
+    }
+
     /// One call: the message and, where the kind allows it, others that wait for the same destination.
     fn send(&mut self, now: Micros, dest: DestId, target: TargetId, first: MessageId, out: &mut Vec<Action>) {
         let (e, call) = (self.e.clone(), self.next_call);
@@ -860,26 +873,17 @@
             self.unqueue(id);
             let m = self.messages.get_mut(&id).expect("picked from a lane");
             m.place = Place::Out;
-            let key = m.m.key.clone();
+            let (class, key) = (m.m.class, m.m.key.clone());
             if let Some(t) = key.as_ref().and_then(|k| self.turns.get_mut(k)) {
                 t.out += 1;
             }
-            let a = Attempt {
-                call,
-                target,
-                dest,
-                class: m.m.class,
-                sent: now,
-                called_off: false,
-                lost: false,
-                key,
-            };
+            let a = Attempt { call, target, dest, class, sent: now, called_off: false, lost: false, key };
             self.attempts.insert((id, m.attempts), a);
             m.attempts += 1;
             travelling += 1;
             // Long for what must not run twice; from the usual pace for the rest.
             let left = (m.m.give_up_at - now).max(1);
-            let repeatable = e.s.classes[m.m.class].effect != Effect::Unsafe;
+            let repeatable = e.s.classes[class].effect != Effect::Unsafe;
             let short = (TIMEOUT_TIMES * usual).max(2.0 * e.aim) as Micros;
             let timeout = if repeatable { short.min(left) } else { left };
             out.push(Action::Send { id, target, timeout, latest: self.sendable_until(&self.messages[&id]) });
