--- a/src/logic.rs
+++ b/src/logic.rs
@@ -828,8 +828,7 @@
     fn candidate(&self, dest: DestId, now: Micros) -> Result<(f64, TargetId, MessageId), Micros> {
         let d = &self.dests[&dest];
         let mut again = Micros::MAX;
-        // A call takes one slot, however many messages it carries: what it earns is all of them. Guards those
-        // who gather messages against starving when slots are short.
+        // A call takes one slot and earns all that it carries: who gathers must not starve for slots.
         let waiting: usize = d.lanes.values().map(BTreeSet::len).sum();
         let travelling = waiting.min(d.kind.batch.max(1)) as f64;
         let gathered = if waiting < d.kind.batch { self.gathered_at(d) } else { Micros::MIN };
@@ -852,8 +851,8 @@
         Err(again)
     }
 
-    /// When the messages that wait have gathered long enough. What goes inside its aim earns the same, and each
-    /// call with few messages takes the place of a full one of another sender.
+    /// When the messages that wait have gathered long enough: inside its aim each earns the same, and a call
+    /// with few takes the place of another sender's full one.
     fn gathered_at(&self, d: &Dest) -> Micros {
         let gathered = d.lanes.iter().filter_map(|((class, _), lane)| {
             let aim = self.e.s.classes[*class].aim;
