End pace and waits after refusals at four even parts where many share a limit

Ruled out: slots (0 calls out), endpoints (all calls from 13 s on were delivered).

At fault: Scope::refused let waits grow to 12 s and the pace to next to nothing, where a call each 0.9 s is the even part. Few senders are left as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,7 +43,7 @@
 /// A refusal cuts the pace to this part of what was sent; it recovers by this part a second.
 const BACK_OFF: f64 = 0.7;
 const RECOVER: f64 = 0.08;
-/// The longest wait after refusals, in even parts: what all senders still try then is far below the limit.
+/// Where many share, the longest wait after refusals, in even parts of the limit.
 const REST_TIMES: f64 = 4.0;
 /// Sends let through unspaced, as a span of the limit (seconds).
 const BURST_S: f64 = 0.3;
@@ -285,19 +285,20 @@
     /// Calls refused in one wave, sent before the first of them was heard of, count as one refusal.
     fn refused(&mut self, now: Micros, sent: Micros, wait: Option<Micros>, e: &Env) {
         let own = self.own_part(e);
+        let many = own > 0.0 && e.part < 0.5;
+        let floor = if many { own / REST_TIMES } else { e.least / 4.0 };
         if sent >= self.last_refusal {
             self.refusals += 1;
             // A limit is told for all senders: what counts is what this one sends, or its even part. One call
             // alone is no rate: rare callers would each go on far over their part.
             let known = 1.0 - 1.0 / self.long.get(now, e.warm).max(1.0);
             let sent = (self.own_rate(now, e) * known).max(own);
-            self.limit = Some((self.limit.map_or(sent, |l| l.min(sent)) * BACK_OFF).max(e.least / 4.0));
+            self.limit = Some((self.limit.map_or(sent, |l| l.min(sent)) * BACK_OFF).max(floor));
             (self.adjusted_at, self.last_refusal) = (now, now);
         }
         // Refused calls may use up the limit: each wave doubles the wait, and none come back together.
         let spaced = SECOND / self.limit.unwrap_or(e.least).max(e.least / 4.0);
-        let rare = if own > 0.0 { REST_TIMES * SECOND / own } else { 0.0 };
-        let most = (e.aim * (1.0 / e.part).min(4.0)).max(rare);
+        let most = if many { REST_TIMES * SECOND / own } else { e.aim * (1.0 / e.part).min(4.0) };
         let own = (spaced * f64::from(1u32 << self.refusals.min(4)) / 2.0).min(most);
         let part = if e.part < 0.5 { 0.5 + chance(&mut self.seed) } else { 1.0 };
         self.wait_until = self.wait_until.max(now + wait.unwrap_or(0).max((own * part) as Micros));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -544,6 +544,31 @@
     assert!((5..=20).contains(&late), "two thirds of their part at the most: {tries:?}");
 }
 
+/// Seen on a day of the whole fleet: after one wave of refusals 300 senders of a limit of 330 a second waited for up
+/// to 18 s, with thousands of messages and half of the limit unused.
+#[test]
+fn where_each_may_call_often_no_wait_after_refusals_is_long() {
+    let settings = Settings { weights: Weights::Rough, senders: 300, ..many() };
+    for seed in 1..=10 {
+        let mut rig = Rig::new(settings.clone(), vec![]);
+        rig.sender = plankwalk::Balancer::new(settings.clone(), seed * 7919);
+        rig.turn(vec![Event::ListWhole(vec![Entry { weight: 300.0, ..entry(10, 1, 0) }])]);
+        let (mut last, mut tries, mut attempts) = (rig.now, 0, BTreeMap::new());
+        for id in 0..40 {
+            let mut sent: Vec<_> = sends(&rig.submit(id, 0, 1)).into_iter().map(|s| (rig.now, s.0)).collect();
+            sent.extend(timed_sends(&rig.pass(SEC)).into_iter().map(|(at, id, _)| (at, id)));
+            for (at, id) in sent {
+                assert!(at - last <= 7 * SEC, "{} ms between two tries, seed {seed}", (at - last) / MS);
+                (last, tries) = (at, tries + 1);
+                let attempt: &mut usize = attempts.entry(id).or_default();
+                rig.ended(id, *attempt, Outcome::Full { wait: Some(200 * MS) }, 100 * MS);
+                *attempt += 1;
+            }
+        }
+        assert!(tries >= 6, "{tries} tries in 40 s, seed {seed}");
+    }
+}
+
 /// Seen on a day of the whole fleet: hundreds of senders, each with a message a second for a destination, made a
 /// call of each message, and a limit on calls refused what full calls would have carried.
 #[test]
