Back off from discovery apart and longer where all senders ask one service

All call again in step, at a steady pace, and each time for the whole list. At fault: the steady BACK_OFF of 0.4 s without chance in net/discovery.rs, and 'known = None' after every kind of failure. Mend: pauses by chance, doubled up to guarantees.askWithin where discovery is asked; after a no the watch goes on from what is known. Tests: unit tests of the pauses; over sockets, that a no is followed by a watch and not the whole list.

--- a/src/api.rs
+++ b/src/api.rs
@@ -113,6 +113,8 @@
     pub max_retry_after: Micros,
     /// The endpoint list answers only when asked.
     pub ask: bool,
+    /// There a sender that watches nothing counts as told of all that is so old since its last call.
+    pub ask_within: Micros,
     /// What the list's weights hold.
     pub weights: Weights,
     /// An idle connection closes after this time.
@@ -459,6 +461,7 @@
             retry_after: false,
             max_retry_after: 0,
             ask: false,
+            ask_within: 0,
             weights: Weights::Off,
             idle_close: 0,
             connect_timeout: 0,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,7 +1,9 @@
 //! Keeps the list of targets: one watch after another, and the whole list after an error.
 
+use crate::api::Settings;
 use crate::net::http::{self, Connection};
 use crate::net::node::Input;
+use crate::parts::chance;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -18,7 +20,8 @@
 /// An answer later than this is taken for lost.
 const GRACE: Duration = Duration::from_millis(500);
 const CONNECT: Duration = Duration::from_secs(1);
-/// A failed call is followed by the next after the first of these, doubled up to the second.
+/// A failed call is followed by the next after the first of these, doubled up to the second, or up to the time that the
+/// settings give for asking.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Longest list that is read.
 const MOST: usize = 8 << 20;
@@ -71,25 +74,60 @@
     Form(#[from] serde_json::Error),
 }
 
+/// The times between calls that fail. Where all senders ask one service, calls in step and at a steady pace would keep
+/// it from ever answering any of them: each comes at a time of its own, and later with each failure.
+pub(crate) struct Pauses {
+    next: Duration,
+    most: Duration,
+    seed: u64,
+}
+
+impl Pauses {
+    pub(crate) fn new(settings: &Settings, seed: u64) -> Self {
+        let within = if settings.ask {
+            Duration::from_micros(settings.ask_within.max(0) as u64)
+        } else {
+            Duration::ZERO
+        };
+        Pauses { next: BACK_OFF.0, most: within.max(BACK_OFF.1), seed: seed | 1 }
+    }
+
+    fn next(&mut self) -> Duration {
+        let pause = self.next.mul_f64(0.5 + chance(&mut self.seed));
+        self.next = (self.next * 2).min(self.most);
+        pause
+    }
+
+    /// A call has been answered.
+    fn end(&mut self) {
+        self.next = BACK_OFF.0;
+    }
+}
+
 /// Watches from `rev` on, for ever; whatever is told goes to the node in its order. A new address breaks off
 /// the watch at the old one, and the whole list is asked for there: the old one may have fallen behind.
-pub(crate) async fn watch(mut at: watch::Receiver<SocketAddr>, rev: u64, node: Sender<Input>) {
+pub(crate) async fn watch(
+    mut at: watch::Receiver<SocketAddr>,
+    rev: u64,
+    node: Sender<Input>,
+    mut pauses: Pauses,
+) {
     let mut known = Some(rev);
     let mut connection = None;
-    let mut pause = BACK_OFF.0;
     loop {
         let to = *at.borrow_and_update();
         let told = tokio::select! {
             biased;
             told = call(to, known, &mut connection) => told,
             Ok(()) = at.changed() => {
-                (known, connection, pause) = (None, None, BACK_OFF.0);
+                (known, connection) = (None, None);
+                pauses.end();
                 continue;
             }
         };
         match told {
             Ok(list) => {
-                pause = BACK_OFF.0;
+                pauses.end();
                 known = Some(list.rev);
                 if node.send(Input::List(list)).await.is_err() {
                     return;
@@ -97,10 +135,14 @@
             }
             Err(e) => {
                 eprintln!("discovery: {e}");
-                (known, connection) = (None, None);
+                connection = None;
+                // One that has no time now says nothing against what is known: the whole list would cost it more.
+                known = known.filter(|_| matches!(e, Failed::Status(_)));
                 // A new address is tried at once.
-                let _ = timeout(pause, at.changed()).await;
-                pause = (pause * 2).min(BACK_OFF.1);
+                if timeout(pauses.next(), at.changed()).await.is_ok() {
+                    known = None;
+                    pauses.end();
+                }
             }
         }
     }
@@ -132,3 +174,35 @@
     let text = timeout(limit, exchange).await.map_err(|_| Failed::Silent)??;
     Ok(serde_json::from_slice(&text)?)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn pauses(ask: bool, seed: u64) -> Vec<Duration> {
+        let settings = Settings { ask, ask_within: 10_000_000, ..Settings::default() };
+        let mut pauses = Pauses::new(&settings, seed);
+        (0..12).map(|_| pauses.next()).collect()
+    }
+
+    #[test]
+    fn where_all_ask_one_service_failed_calls_thin_out_and_fall_apart() {
+        let (one, other) = (pauses(true, 0x8c1f_30d2_7a5b_e964), pauses(true, 0x51d2_0c7e_93ab_4f06));
+        assert!(one.iter().zip(&other).all(|(a, b)| a != b), "{one:?} {other:?}");
+        // Twelve steady pauses of the longest kind for one's own agent would be over in five seconds.
+        for all in [one, other] {
+            assert!(all.iter().sum::<Duration>() > Duration::from_secs(20), "{all:?}");
+            assert!(all.iter().all(|pause| *pause <= Duration::from_secs(15)), "{all:?}");
+        }
+        assert!(pauses(false, 3).iter().all(|pause| *pause <= BACK_OFF.1 * 3 / 2));
+    }
+
+    #[test]
+    fn after_an_answer_they_are_short_again() {
+        let settings = Settings { ask: true, ask_within: 10_000_000, ..Settings::default() };
+        let mut pauses = Pauses::new(&settings, 3);
+        assert!((0..9).map(|_| pauses.next()).max() > Some(BACK_OFF.1));
+        pauses.end();
+        assert!(pauses.next() <= BACK_OFF.0 * 3 / 2);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -108,7 +108,9 @@
         // It serves all the same; a new version waits until it has ended.
         eprintln!("handover: no new version can take over: {e}");
     });
-    node.ends_with_it(tokio::spawn(discovery::watch(at.clone(), node.rev(), inputs.clone())).abort_handle());
+    let pauses = discovery::Pauses::new(&config.settings, config.seed);
+    let watch = discovery::watch(at.clone(), node.rev(), inputs.clone(), pauses);
+    node.ends_with_it(tokio::spawn(watch).abort_handle());
     node.ends_with_it(tokio::spawn(notices::send_all(at, batches, inputs.clone())).abort_handle());
     tokio::spawn(reload(hangup, told));
     let told = inputs.clone();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -259,6 +259,7 @@
             None | Some("push") => false,
             Some(v) => return Err(c.fields.bad("discovery", format!("unknown mode {v:?}"))),
         },
+        ask_within: c.time("guarantees.askWithin")?,
         weights: match c.fields.get("weights") {
             Some("nominal") => Weights::Nominal,
             Some("rough") => Weights::Rough,
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -716,6 +716,22 @@
     w.forwarder.until_delivered("keyed", "before").await;
 }
 
+#[tokio::test]
+async fn after_a_no_from_discovery_only_what_is_new_is_asked_for() {
+    let mut stub = Stub::start().await;
+    let discovery = Discovery::start().await;
+    let f = Forwarder::start(&discovery, &[], |c| c["discovery"] = json!(stub.addr.to_string())).await;
+    for _ in 0..3 {
+        let call = stub.next().await;
+        assert_eq!(call.path, "/api/targets?index=1&wait=2000");
+        call.answer(503);
+    }
+    // What can't be read leaves nothing to go on from.
+    stub.next().await.answer_with(200, &[], "{");
+    assert_eq!(stub.next().await.path, "/api/targets");
+    drop(f);
+}
+
 /// One destination, 7, whose target says what the test gives it.
 async fn raw_world(model: &str, change: impl FnOnce(&mut Value)) -> (Discovery, Raw, Forwarder) {
     let (discovery, raw) = (Discovery::start().await, Raw::start().await);
