--- a/src/api.rs
+++ b/src/api.rs
@@ -229,6 +229,8 @@
 /// What is known of a message that an earlier process of this sender had taken on.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Past {
+    /// It was taken on: it is to be tried, if no attempt was made yet, as long as its time allows.
+    pub taken_on: bool,
     /// Attempts that were made; further ones are numbered from here.
     pub attempts: usize,
     /// When the first attempt that may have run was sent, and the zone of its endpoint.
@@ -312,6 +314,8 @@
     pub finished: bool,
     /// What the destination told of its limit.
     pub report: Option<Report>,
+    /// It never left this process: it is none of the attempts that a message may have.
+    pub unsent: bool,
     /// How long nothing may be sent there, where that was told beside another outcome than
     /// [`Outcome::Full`], which carries its own.
     pub wait: Option<Micros>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,6 +55,8 @@
 const RETRY_PART: i64 = 16;
 /// Held messages are shed once the Nth part of `openCap` is left.
 const SHED_PART: usize = 32;
+/// To turn away a new one costs this part of what it costs to give back one that was taken on.
+const NEW_PART: f64 = 0.7;
 /// An endpoint whose call failed is avoided for the Nth part of `warmAfter`.
 const AVOID_PART: i64 = 4;
 /// A sender leaves no idle connection at a receiver where it keeps less than one busy, or less than its part
@@ -356,6 +358,8 @@
     due: Micros,
     alarm: Micros,
     attempts: usize,
+    /// Of those, the ones that never left this process.
+    unsent: usize,
     place: Place,
     /// When the first attempt that may have run was sent, and its zone.
     risk: Option<(Micros, usize)>,
@@ -423,19 +427,19 @@
 
 impl Balancer {
     /// A sender that knows its settings and nothing else.
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    pub fn new(mut settings: Settings, seed: u64) -> Self {
+        settings.max_retry_after = if settings.retry_after { settings.max_retry_after.max(0) } else { 0 };
         let aims = settings.classes.iter().map(|c| c.aim).filter(|aim| *aim > 0);
         let aim = aims.min().unwrap_or(SECOND as Micros).max(1000) as f64;
         let warm = (settings.warm_after.max(settings.overload_for) as f64).max(aim);
-        let health = warm * HEALTH_SPAN;
         let part = UNEVEN / (settings.senders as f64).max(UNEVEN);
         let least = SECOND / aim * part;
-        let (ask, tenants, tick) = (settings.ask, settings.tenants.len(), settings.round.max(1000));
+        let (ask, tick) = (settings.ask, settings.round.max(1000));
         Balancer {
-            e: Arc::new(Env { s: settings, aim, warm, health, part, least, tick }),
+            tenants: vec![Fading::default(); settings.tenants.len()],
+            e: Arc::new(Env { s: settings, aim, warm, health: warm * HEALTH_SPAN, part, least, tick }),
             seed: seed | 1,
             crowded_until: Micros::MIN,
-            tenants: vec![Fading::default(); tenants],
             wake_at: Micros::MAX,
             subscribe_at: ask.then_some(Micros::MIN),
             ..Balancer::default()
@@ -485,9 +489,8 @@
             return actions.push(Action::Refuse { id: m.id, wait: 0 });
         };
         // Nothing is kept for a destination that the list has never named: anybody may name any number.
-        if m.past.attempts == 0 && !self.dests.contains_key(&m.dest) {
-            return actions
-                .push(Action::Refuse { id: m.id, wait: e.s.max_retry_after.clamp(0, e.aim as Micros) });
+        if !m.past.taken_on && !self.dests.contains_key(&m.dest) {
+            return actions.push(Action::Refuse { id: m.id, wait: e.s.max_retry_after.min(e.aim as Micros) });
         }
         let mut over = false;
         if let Some((tenant, seen)) = m.tenant.and_then(|t| e.s.tenants.get(t).zip(self.tenants.get_mut(t))) {
@@ -498,8 +501,9 @@
         // A client that comes with less patience than the aim is on time until it leaves.
         let due = m.give_up_at - if m.give_up_at - now > c.aim { c.deadline - c.aim } else { 0 };
         let m = Submit { key: key.clone(), ..m };
-        let Past { attempts, risk, out } = m.past;
-        let held = Message { m, over, due, alarm: now, attempts, place: Place::Turn, risk, started: false };
+        let Past { taken_on, attempts, risk, out } = m.past;
+        let (place, unsent) = (Place::Turn, 0);
+        let held = Message { m, over, due, alarm: now, attempts, unsent, place, risk, started: false };
         self.messages.insert(id, held);
         self.set_alarm(id);
         if out.is_some_and(|out| self.still_out(id, attempts, class, out)) {
@@ -514,8 +518,8 @@
         } else {
             self.enqueue(now, id);
         }
-        if self.messages.len() + e.s.open_cap / SHED_PART > e.s.open_cap {
-            self.shed(now, actions);
+        if !taken_on && self.messages.len() + e.s.open_cap / SHED_PART > e.s.open_cap {
+            self.shed(now, id, actions);
         }
     }
 
@@ -533,7 +537,7 @@
     /// No further attempt is allowed, by count or because an unsafe one may have run.
     fn spent(&self, m: &Message) -> bool {
         let once = self.e.s.classes[m.m.class].effect == Effect::Unsafe;
-        (once && m.risk.is_some()) || m.attempts >= self.e.s.max_attempts
+        (once && m.risk.is_some()) || m.attempts - m.unsent >= self.e.s.max_attempts
     }
 
     fn set_alarm(&mut self, id: MessageId) {
@@ -604,18 +608,20 @@
             actions.push(Action::Fail { id });
         } else {
             let wait = self.dests.get(&m.m.dest).map_or(0, |d| d.scope.wait_until - now);
-            let most = if self.e.s.retry_after { self.e.s.max_retry_after.max(0) } else { 0 };
-            actions.push(Action::Refuse { id, wait: wait.clamp(0, most) });
+            actions.push(Action::Refuse { id, wait: wait.clamp(0, self.e.s.max_retry_after) });
         }
         self.forget(now, id);
     }
 
-    /// Near the cap, the message with least worth still to win makes room for what comes.
-    fn shed(&mut self, now: Micros, actions: &mut Vec<Action>) {
+    /// Near the cap, the message with least worth still to win makes room: the new one before one taken on, and
+    /// what an earlier process had taken on not before it was tried.
+    fn shed(&mut self, now: Micros, new: MessageId, actions: &mut Vec<Action>) {
         let lanes = self.waiting.iter().flat_map(|d| self.dests[d].lanes.values());
         let worth = lanes.filter_map(|lane| {
-            let (_, id) = *lane.first()?;
-            Some((self.value(&self.messages[&id], now) / lane.len() as f64, id))
+            let (_, first) = *lane.iter().find(|(_, id)| !self.messages[id].m.past.taken_on)?;
+            let (id, part) =
+                if lane.iter().any(|(_, id)| *id == new) { (new, NEW_PART) } else { (first, 1.0) };
+            Some((self.value(&self.messages[&id], now) * part / lane.len() as f64, id))
         });
         if let Some((_, id)) = worth.min_by(|a, b| a.0.total_cmp(&b.0)) {
             self.give_back(now, id, actions);
@@ -648,26 +654,22 @@
     /// The ordinary path: what earns most goes while slots are free and its destination is under its cap.
     fn turn_end(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.timers(now, actions);
-        let waiting: Vec<DestId> = self.waiting.iter().copied().collect();
-        waiting.iter().for_each(|dest| self.watch(*dest, now));
+        self.waiting.clone().iter().for_each(|dest| self.watch(*dest, now));
         let sick = self.counters.iter().filter(|(dest, _)| self.dest_falters(**dest, now));
         let mut sick_calls: usize = sick.map(|(_, calls)| calls).sum();
         let mut wake = Micros::MAX;
-        let mut offers: BTreeMap<DestId, Offer> =
-            self.waiting.iter().map(|dest| (*dest, self.offer(*dest, now))).collect();
+        let mut offers: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.offer(*d, now))).collect();
         while self.calls.len() < self.e.s.slots {
             let mut best: Option<(f64, DestId, TargetId, MessageId, bool)> = None;
             wake = Micros::MAX;
-            for (&dest, offer) in &offers {
-                let cap = self.cap(if offer.falters { FALTER_QUARTERS } else { STEADY_QUARTERS });
+            for (&dest, o) in &offers {
+                let cap = self.cap(if o.falters { FALTER_QUARTERS } else { STEADY_QUARTERS });
                 let calls = self.counters.get(&dest).copied().unwrap_or(0);
-                if calls >= cap || (offer.falters && sick_calls >= self.cap(FALTER_QUARTERS)) {
+                if calls >= cap || (o.falters && sick_calls >= self.cap(FALTER_QUARTERS)) {
                     continue;
                 }
-                match offer.found {
-                    Ok((v, t, m)) if best.is_none_or(|b| v > b.0) => {
-                        best = Some((v, dest, t, m, offer.falters))
-                    }
+                match o.found {
+                    Ok((v, t, m)) if best.is_none_or(|b| v > b.0) => best = Some((v, dest, t, m, o.falters)),
                     Ok(_) => {}
                     Err(at) => wake = wake.min(at),
                 }
@@ -733,7 +735,7 @@
         let none_ends = |dest: &DestId| !self.attempts.values().any(|a| a.called_off && a.dest == *dest);
         let ready = held.iter().filter(|(dest, offer)| offer.found.is_ok() && none_ends(dest));
         let mut tried: BTreeSet<DestId> = ready.map(|(dest, _)| *dest).collect();
-        let mut trials = BTreeSet::new();
+        let mut tries = BTreeSet::new();
         for (&(id, attempt), a) in self.attempts.iter_mut().filter(|(_, a)| !a.called_off && e.s.cancel) {
             let (d, t) = (&self.dests[&a.dest], &self.targets[&a.target]);
             let scope = if d.kind.routes_apart { &t.scope } else { &d.scope };
@@ -742,8 +744,7 @@
             let late = late + if once { e.aim as Micros / 2 } else { 0 };
             a.lost = held.contains_key(&a.dest) && a.sent.saturating_add(late) < t.answered;
             let silent = now - a.sent.max(scope.last_good) > late;
-            let trial =
-                trials.contains(&a.call) || (silent && tried.remove(&a.dest) && trials.insert(a.call));
+            let trial = tries.contains(&a.call) || (silent && tried.remove(&a.dest) && tries.insert(a.call));
             if a.lost || trial {
                 a.called_off = true;
                 actions.push(Action::Cancel { id, attempt });
@@ -767,8 +768,7 @@
         }
         let extra = |once: bool| if once { self.e.aim as Micros / 2 } else { 0 };
         let late = out.into_iter().filter(|(_, (once, sent, late))| now - sent > late + extra(*once));
-        let mut stuck: Vec<(bool, Micros, u64)> =
-            late.map(|(call, (once, sent, _))| (once, sent, call)).collect();
+        let mut stuck: Vec<_> = late.map(|(call, (once, sent, _))| (once, sent, call)).collect();
         stuck.sort_unstable();
         stuck.truncate(stuck.len().saturating_sub((self.e.s.slots / STUCK_PART).max(1)));
         for (&(id, attempt), a) in &mut self.attempts {
@@ -935,7 +935,7 @@
         if !end.outcome.never_ran() && m.risk.is_none() {
             m.risk = Some((a.sent, zone));
         }
-        m.place = Place::Turn;
+        (m.place, m.unsent) = (Place::Turn, m.unsent + usize::from(end.unsent));
         self.set_alarm(id);
         let m = &self.messages[&id];
         if now >= m.alarm || self.spent(m) {
@@ -943,7 +943,8 @@
         }
         let step = (e.aim as Micros / RETRY_PART) << (m.attempts - 1).min(4);
         // A dead connection tells nothing against another one, now.
-        let at_once = end.outcome.never_ran() || end.outcome == Outcome::Dead;
+        let held = end.unsent && end.outcome == Outcome::NotSent;
+        let at_once = (end.outcome.never_ran() && !held) || end.outcome == Outcome::Dead;
         if at_once { self.enqueue(now, id) } else { self.park(id, now + step) }
     }
 
@@ -1016,9 +1017,7 @@
     // ---- Timers ----
 
     fn timers(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        if self.subscribe_at.take_if(|at| *at <= now).is_some() {
-            actions.push(Action::Subscribe);
-        }
+        actions.extend(self.subscribe_at.take_if(|at| *at <= now).map(|_| Action::Subscribe));
         while let Some(&(at, id)) = self.alarms.first().filter(|(at, _)| *at <= now) {
             self.alarms.remove(&(at, id));
             let m = self.messages.get_mut(&id).expect("alarms go with their message");
--- a/src/logic/list.rs
+++ b/src/logic/list.rs
@@ -61,12 +61,11 @@
     /// Forgets endpoints that are gone, once no call is out there. What holds for one (a wait, an outage)
     /// holds on if it is listed again soon; what its destination has taught stays.
     pub(super) fn forget_targets(&mut self, now: Micros) {
-        let (targets, warm) = (&mut self.targets, self.e.warm as Micros);
-        self.gone.retain(|id, since| {
-            let kept =
-                targets.get(id).is_some_and(|t| t.out > 0 || now < t.scope.wait_until.max(*since + warm));
+        let (known, warm) = (&mut self.targets, self.e.warm as Micros);
+        self.gone.retain(|id, at| {
+            let kept = known.get(id).is_some_and(|t| t.out > 0 || now < t.scope.wait_until.max(*at + warm));
             if !kept {
-                targets.remove(id);
+                known.remove(id);
             }
             kept
         });
@@ -74,19 +73,16 @@
 
     /// Waits, limits, health and slow start hold for a destination, or route by route.
     pub(super) fn scope(&mut self, dest: DestId, target: TargetId) -> &mut Scope {
-        let d = self.dests.get_mut(&dest).expect("only known destinations are sent to");
-        if !d.kind.routes_apart {
-            return &mut d.scope;
+        match self.dests.get_mut(&dest).expect("only known destinations are sent to") {
+            d if !d.kind.routes_apart => &mut d.scope,
+            _ => &mut self.targets.get_mut(&target).expect("only known endpoints are sent to").scope,
         }
-        &mut self.targets.get_mut(&target).expect("only known endpoints are sent to").scope
     }
 
     /// Leaves an endpoint out until the ban ends, whatever the list says of it.
     pub(super) fn ban(&mut self, now: Micros, target: TargetId) {
-        if !self.banned.insert(target) {
-            return;
-        }
-        let Some(dest) = self.targets.get(&target).map(|t| t.dest) else { return };
+        let new = self.banned.insert(target);
+        let Some(dest) = self.targets.get(&target).filter(|_| new).map(|t| t.dest) else { return };
         let e = self.e.clone();
         self.scope(dest, target).keep_base(now, &e);
         self.dests.get_mut(&dest).expect("listed with its endpoints").targets.remove(&target);
@@ -95,18 +91,13 @@
     /// Puts it back. It may have been started anew meanwhile: as after an outage it is held to be cold. Where
     /// others share its limit, they go first while it warms up.
     pub(super) fn end_ban(&mut self, now: Micros, target: TargetId) {
-        if !self.banned.remove(&target) {
-            return;
-        }
-        let e = self.e.clone();
-        let Some(t) = self.targets.get_mut(&target) else { return };
+        let (e, ended) = (self.e.clone(), self.banned.remove(&target));
+        let Some(t) = self.targets.get_mut(&target).filter(|_| ended) else { return };
         t.avoid_until = now + e.warm as Micros;
         t.idle.clear();
         let (dest, serving) = (t.dest, t.serving);
         let d = self.dests.get_mut(&dest).expect("listed with its endpoints");
-        if serving {
-            d.targets.insert(target);
-        }
+        d.targets.extend(serving.then_some(target));
         if d.kind.routes_apart || d.targets.len() <= 1 {
             let scope = self.scope(dest, target);
             // Held to be down, it is tried first, and is cold after that.
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -2,8 +2,9 @@
 
 use crate::api::{MessageId, Micros, Outcome, Report, TargetId};
 use crate::net::http::{self, Broken, Connection};
+use crate::net::journal::{Record, Shared};
 use crate::net::keep::Kept;
-use crate::net::node::Input;
+use crate::net::node::{Input, unix_now};
 use crate::wire::read_report;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -17,7 +18,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::{Instant, sleep_until};
@@ -53,6 +54,7 @@
     pub(crate) connect_timeout: Duration,
     /// What the node says to the call while it is out.
     pub(crate) orders: Receiver<Order>,
+    pub(crate) gate: Arc<Gate>,
     pub(crate) node: Sender<Input>,
 }
 
@@ -77,6 +79,8 @@
     pub(crate) report: Option<Report>,
     /// A wait that was told, whatever the outcome.
     pub(crate) wait: Option<Micros>,
+    /// Nothing of it was written.
+    pub(crate) unsent: bool,
 }
 
 /// News of a call: attempts that ended, and its connection if it can be used again.
@@ -110,7 +114,8 @@
         return tell(&call, ended, connection, Dialled::default()).await;
     };
     let mut given_up = Vec::new();
-    let progress = Progress::default();
+    let gate = call.gate.clone();
+    let progress = Progress::new(&gate);
     let mut latest = waiting.iter().map(|i| i.latest).min();
     let answer = {
         let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request, &progress));
@@ -126,7 +131,7 @@
                 // a second to come up. The whole call: on the wire no message can be taken out of it.
                 () = sleep_until(latest.unwrap_or(until)), if latest.is_some() => {
                     latest = None;
-                    hold(&progress, &mut waiting, &mut given_up);
+                    hold(&gate, &mut waiting, &mut given_up);
                 }
                 Some(order) = call.orders.recv() => match order {
                     Order::CallOff(id, attempt) => {
@@ -136,13 +141,19 @@
                     Order::GiveUp => part(&mut waiting, &mut given_up, Outcome::TimedOut, |_| true),
                     // Guards the rule on waits: a connection may take its whole time to come up, and what was
                     // decided before the wait would then be written in the midst of it.
-                    Order::Hold => hold(&progress, &mut waiting, &mut given_up),
+                    Order::Hold => hold(&gate, &mut waiting, &mut given_up),
                 },
             }
             // They are told of only once the call is over: until then each holds its copy out, and another
             // attempt would be a second one.
         }
     };
+    if !gate.begun() {
+        // Called off or out of time before its connection was up: it never left, and must not look as if it had.
+        for ended in given_up.iter_mut().filter(|ended| ended.outcome != Outcome::NotSent) {
+            (ended.outcome, ended.unsent) = (Outcome::ConnectFailed, true);
+        }
+    }
     let Some(answer) = answer else {
         if let Some(open) = connection.take() {
             open.close().await;
@@ -165,15 +176,20 @@
 }
 
 fn end(item: &Item, outcome: Outcome) -> Ended {
-    Ended { id: item.id, attempt: item.attempt, outcome, finished: false, report: None, wait: None }
+    let (id, attempt, unsent) = (item.id, item.attempt, is_unsent(outcome));
+    Ended { id, attempt, outcome, finished: false, report: None, wait: None, unsent }
+}
+
+/// Whether nothing was written, where no answer says that the target has seen it.
+fn is_unsent(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::ConnectFailed | Outcome::NotSent)
 }
 
 /// Nothing may be written from now on.
-fn hold(progress: &Progress, waiting: &mut Vec<Item>, ended: &mut Vec<Ended>) {
-    if progress.begun.load(Ordering::Relaxed) {
-        // Written already, or about to be; should that fail before a byte went, it is not tried anew.
-        progress.held.store(true, Ordering::Relaxed);
-    } else {
+fn hold(gate: &Gate, waiting: &mut Vec<Item>, ended: &mut Vec<Ended>) {
+    // Written already, it goes on; should that fail before a byte went, it is not tried anew.
+    gate.hold();
+    if !gate.begun() {
         part(waiting, ended, Outcome::NotSent, |_| true);
     }
 }
@@ -265,17 +281,64 @@
     Dead,
 }
 
-/// How far an exchange has come, seen from beside it.
-#[derive(Default)]
-struct Progress {
+/// The last look before a call is written. Its attempts are noted in the journal then and not before: what a
+/// process leaves behind that never left it must not look tried to the next one.
+pub(crate) struct Gate {
+    journal: Shared,
+    /// What is to be noted.
+    attempts: Vec<(String, usize)>,
+    zone: String,
     /// Something may have been written.
     begun: AtomicBool,
     /// Nothing more is to be written.
     held: AtomicBool,
+}
+
+impl Gate {
+    pub(crate) fn new(journal: Shared, attempts: Vec<(String, usize)>, zone: String) -> Self {
+        Gate { journal, attempts, zone, begun: AtomicBool::new(false), held: AtomicBool::new(false) }
+    }
+
+    /// Nothing more is to be written, from now on.
+    pub(crate) fn hold(&self) {
+        self.held.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether something may have been written.
+    pub(crate) fn begun(&self) -> bool {
+        self.begun.load(Ordering::Relaxed)
+    }
+
+    /// True if the call may be written now. Between this and the first byte nothing is awaited.
+    fn pass(&self) -> bool {
+        if self.held.load(Ordering::Relaxed) {
+            return false;
+        }
+        if !self.begun() {
+            let unix = unix_now();
+            let sent = |(name, n): &(String, usize)| Record::Sent(name.clone(), *n, unix, self.zone.clone());
+            let records: Vec<Record> = self.attempts.iter().map(sent).collect();
+            if let Err(e) = self.journal.get().commit(&records, unix) {
+                eprintln!("journal: a call is held back: {e}");
+                return false;
+            }
+            self.begun.store(true, Ordering::Relaxed);
+        }
+        true
+    }
+}
+
+/// How far an exchange has come, seen from beside it.
+struct Progress<'a> {
+    gate: &'a Gate,
     dialled: Mutex<Dialled>,
 }
 
-impl Progress {
+impl<'a> Progress<'a> {
+    fn new(gate: &'a Gate) -> Self {
+        Progress { gate, dialled: Mutex::default() }
+    }
+
     fn dialled(&self, failed: Option<&io::Error>) {
         let mut dialled = self.dialled.lock().unwrap_or_else(PoisonError::into_inner);
         match failed {
@@ -298,7 +361,7 @@
     to: SocketAddr,
     connect_timeout: Duration,
     request: Request<Full<Bytes>>,
-    progress: &Progress,
+    progress: &Progress<'_>,
 ) -> Result<Answer, Silence> {
     let several = request.uri().path() == "/hook/batch";
     let mut request = Box::new(request);
@@ -313,7 +376,9 @@
             *connection = Some(opened.map_err(|_| Silence::NeverRan)?);
         }
         let Some(open) = connection else { return Err(Silence::NeverRan) };
-        progress.begun.store(true, Ordering::Relaxed);
+        if !progress.gate.pass() {
+            return Err(Silence::Held);
+        }
         let written = Instant::now();
         match open.send(*request).await {
             Ok(response) => {
@@ -332,9 +397,7 @@
             }
             Err(Broken::Spoilt) => return Err(Silence::Spoilt),
             // The idle connection had been closed before a byte was written: the call opens another one.
-            Err(Broken::Unsent(_)) if progress.held.load(Ordering::Relaxed) => return Err(Silence::Held),
             Err(Broken::Unsent(unsent)) if reused => {
-                progress.begun.store(false, Ordering::Relaxed);
                 (request, *connection) = (unsent, None);
             }
             Err(Broken::Unsent(_)) => return Err(Silence::NeverRan),
@@ -408,7 +471,7 @@
         let state = states.find(|s| s.id == item.name).map(|s| s.state.as_str());
         let (outcome, finished) = outcome(answer, state);
         // A wait binds beside every outcome: it may come with messages that were all accepted.
-        Ended { finished, report: answer.report, wait: answer.wait, ..end(item, outcome) }
+        Ended { finished, report: answer.report, wait: answer.wait, unsent: false, ..end(item, outcome) }
     });
     let mut ended: Vec<Ended> = ended.collect();
     // The module judges a call by the last end that it hears of it: a few accepted messages must not hide
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -90,6 +90,8 @@
     pub(crate) finished: bool,
     pub(crate) report: Option<Report>,
     pub(crate) wait: Option<i64>,
+    #[serde(default)]
+    pub(crate) unsent: bool,
 }
 
 /// A message on its way in.
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -10,6 +10,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Length and checksum.
 const FRAME_HEAD: usize = 8;
@@ -150,6 +151,21 @@
     backlog: Vec<u8>,
 }
 
+/// The journal as the node and its calls share it.
+#[derive(Clone)]
+pub(crate) struct Shared(Arc<Mutex<Journal>>);
+
+impl Shared {
+    pub(crate) fn new(journal: Journal) -> Self {
+        Shared(Arc::new(Mutex::new(journal)))
+    }
+
+    /// To be held for one statement, and never across a wait.
+    pub(crate) fn get(&self) -> MutexGuard<'_, Journal> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Journal {
     /// Opens the journal of the folder, cuts off a torn tail, and replays the rest: the open messages, in the
     /// order taken.
@@ -430,9 +446,10 @@
             }
             // Without an end it may have run: the process ended while it was out.
             Record::Sent(id, attempt, sent, zone) => {
-                if let Some(open) = self.open.get_mut(&id)
-                    && open.attempts.len() == attempt
-                {
+                if let Some(open) = self.open.get_mut(&id).filter(|open| open.attempts.len() <= attempt) {
+                    // Those between were never written, and so not noted.
+                    let unsent = Attempt { sent, zone: zone.clone(), may_have_run: false };
+                    open.attempts.resize(attempt, unsent);
                     open.attempts.push(Attempt { sent, zone, may_have_run: true });
                 }
             }
@@ -483,6 +500,14 @@
         }
     }
 
+    #[test]
+    fn an_attempt_that_was_never_noted_hides_none_after_it() {
+        let sent = |n| Record::Sent("a".into(), n, NOW, "hall-a".into());
+        let open = open_of(&[taken("a", Vec::new()), sent(0), Record::Ended("a".into(), 0, false), sent(2)]);
+        let ran: Vec<bool> = open[0].attempts.iter().map(|a| a.may_have_run).collect();
+        assert_eq!(ran, [false, false, true]);
+    }
+
     const LIMIT: u64 = 3 << 20;
     const NOW: u64 = 1_800_000_000_000;
 
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -9,13 +9,13 @@
 };
 use crate::logic::Balancer;
 use crate::net::admin;
-use crate::net::calls::{self, Call, CallNews, Item, Order};
+use crate::net::calls::{self, Call, CallNews, Gate, Item, Order};
 use crate::net::config::Config;
 use crate::net::discovery::{Line, List, State};
 use crate::net::handover::{self, Begin, Frame, Link, Lock, News, Rest};
 use crate::net::http::Connection;
 use crate::net::intake::{Answer, HandedIn, Phase, Places};
-use crate::net::journal::{End, Journal, JournalError, Open, Record, Taken};
+use crate::net::journal::{End, Journal, JournalError, Open, Record, Shared, Taken};
 use crate::net::keep::Ages;
 use crate::net::notices::{Notice, NoticeEnd};
 use crate::net::tally::{Loss, Tally};
@@ -145,15 +145,27 @@
 
 /// Where a call is made.
 enum Way {
-    Here(Sender<Order>),
+    Here(Sender<Order>, Arc<Gate>),
     /// By the process before this one.
     Older,
 }
 
 impl CallOut {
+    /// Whether something of it may have been written.
+    fn is_written(&self) -> bool {
+        match &self.way {
+            Way::Here(_, gate) => gate.begun(),
+            Way::Older => true,
+        }
+    }
+
     /// Says something to a call that is made here.
     fn order(&self, order: Order) {
-        if let Way::Here(orders) = &self.way {
+        if let Way::Here(orders, gate) = &self.way {
+            if !matches!(order, Order::CallOff(..)) {
+                // At once: its connection may come up before it hears of this.
+                gate.hold();
+            }
             // Closed: its outcome is on its way.
             let _ = orders.try_send(order);
         }
@@ -197,7 +209,7 @@
     names: Names,
     balancer: Balancer,
     clock: Clock,
-    journal: Journal,
+    journal: Shared,
     messages: HashMap<MessageId, Message>,
     ids: HashMap<String, MessageId>,
     next_id: MessageId,
@@ -262,7 +274,7 @@
             names: config.names.clone(),
             balancer: Balancer::new(config.settings.clone(), config.seed),
             clock: Clock { start: Instant::now() },
-            journal,
+            journal: Shared::new(journal),
             messages: HashMap::new(),
             ids: HashMap::new(),
             next_id: 0,
@@ -344,7 +356,7 @@
                 let nothing = intake && self.calls.is_empty() && self.waiting.is_empty();
                 nothing && (self.closing.is_some() || since.elapsed() > LINGER)
             }
-            _ => self.closing.is_some() && intake && self.journal.is_settled(),
+            _ => self.closing.is_some() && intake && self.journal.get().is_settled(),
         };
         late || done
     }
@@ -510,7 +522,8 @@
             }
             return None;
         }
-        let known = match self.journal.end_of(&name) {
+        let end = self.journal.get().end_of(&name);
+        let known = match end {
             Some((End::Delivered, _)) => Some(Answer::Delivered),
             Some((End::Failed, _)) => Some(Answer::Failed),
             Some((End::Refused, _)) => Some(Answer::Refused(None)),
@@ -575,7 +588,7 @@
                 .map(|a| (now.saturating_add(ago(a.sent)), index(zones, &a.zone).unwrap_or(usize::MAX)))
         };
         let risk = risk_of(attempts.len());
-        let past = Past { attempts: attempts.len(), risk, out: None };
+        let past = Past { taken_on: true, attempts: attempts.len(), risk, out: None };
         let class = index(&self.names.classes, &taken.class);
         let tenant = taken.tenant.as_ref().and_then(|t| index(&self.names.tenants, t));
         let give_up_at = now.saturating_add(ago(taken.deadline));
@@ -585,7 +598,7 @@
         let attempts = past.attempts;
         let past = match out {
             // What it may have done is told when it ends.
-            Some(_) => Past { attempts: attempts - 1, risk: risk_of(attempts - 1), out },
+            Some(_) => Past { attempts: attempts - 1, risk: risk_of(attempts - 1), out, ..past },
             None => past,
         };
         let name = taken.id.clone();
@@ -630,7 +643,7 @@
             _ => NoticeEnd::GivenUp,
         };
         let name = message.taken.id;
-        self.journal.note(&Record::Owed(name.clone(), notice, message.taken.deadline), unix_now());
+        self.journal.get().note(&Record::Owed(name.clone(), notice, message.taken.deadline), unix_now());
         self.owed.push(Notice { message: name, end: notice });
     }
 
@@ -645,7 +658,7 @@
             let Some(message) = self.messages.get(&id) else { continue };
             let more = bytes + message.taken.body.len();
             if message.clients.iter().all(|client| client.is_closed())
-                || !self.journal.has_room(taken.len() + 1, more, unix)
+                || !self.journal.get().has_room(taken.len() + 1, more, unix)
             {
                 self.turn_away(id);
                 continue;
@@ -654,16 +667,8 @@
             records.push(Record::Taken(message.taken.clone()));
             taken.push(id);
         }
-        for send in &sends {
-            // One without a message or a target is not sent.
-            if let Some(message) = self.messages.get(&send.id)
-                && let Some(target) = self.targets.get(&send.target)
-            {
-                let zone = target.zone.clone();
-                records.push(Record::Sent(message.taken.id.clone(), send.attempt, unix, zone));
-            }
-        }
-        if let Err(e) = self.journal.commit(&records, unix) {
+        let written = self.journal.get().commit(&records, unix);
+        if let Err(e) = written {
             eprintln!("node: {e}");
             taken.into_iter().for_each(|id| self.turn_away(id));
             return sends.iter().for_each(|s| self.not_sent(s));
@@ -696,7 +701,7 @@
         if let Some(message) = self.messages.remove(&id) {
             self.tally.lost(Loss::ClientLeft);
             self.ids.remove(&message.taken.id);
-            self.journal.note(&Record::Over(message.taken.id, End::Refused, 0), unix_now());
+            self.journal.get().note(&Record::Over(message.taken.id, End::Refused, 0), unix_now());
             self.events.push(Event::ClientLeft { id });
         }
     }
@@ -710,6 +715,7 @@
             finished: !self.messages.contains_key(&send.id),
             report: None,
             wait: None,
+            unsent: true,
         }));
     }
 
@@ -781,7 +787,10 @@
         let idle_for = idle.as_ref().map_or(0, |(age, _)| Micros::try_from(age.as_micros()).unwrap_or(0));
         // Each attempt is called off or given up once at most; one more place is for a wait.
         let (sender, orders) = channel(2 * items.len() + 1);
-        let out = CallOut { target, left: items.len(), idle_for, held: false, way: Way::Here(sender) };
+        let attempts = items.iter().map(|item| (item.name.clone(), item.attempt)).collect();
+        let gate = Arc::new(Gate::new(self.journal.clone(), attempts, t.zone.clone()));
+        let way = Way::Here(sender, gate.clone());
+        let out = CallOut { target, left: items.len(), idle_for, held: false, way };
         self.calls.insert(self.next_call, out);
         self.next_call += 1;
         t.out += 1;
@@ -793,6 +802,7 @@
             idle: idle.map(|(_, connection)| connection),
             connect_timeout,
             orders,
+            gate,
             node: self.inputs.clone(),
         };
         tokio::spawn(calls::make(call));
@@ -839,7 +849,7 @@
         if let Some(connection) = news.connection
             && let Some(target) = self.targets.get_mut(&news.target).filter(|t| t.to == news.to)
             && !self.gone.contains_key(&news.target)
-            && !self.journal.bans().contains(&target.uid)
+            && !self.journal.get().bans().contains(&target.uid)
             && self.idle < idle_most
         {
             target.idle.push((Instant::now(), connection));
@@ -876,7 +886,7 @@
     }
 
     fn ended(&mut self, now: Micros, to: SocketAddr, ended: calls::Ended) {
-        let calls::Ended { id, attempt, outcome, finished, report, wait } = ended;
+        let calls::Ended { id, attempt, outcome, finished, report, wait, unsent } = ended;
         let Some(out) = self.call_over(id, attempt) else { return };
         let took = Duration::from_micros(u64::try_from(now - out.sent).unwrap_or(0));
         self.tally.ended(to, outcome, took, !self.calls.contains_key(&out.call));
@@ -885,13 +895,13 @@
             let Taken { id: name, deadline, .. } = message.taken;
             self.ids.remove(&name);
             let end = if outcome == Outcome::Delivered { End::Delivered } else { End::Failed };
-            self.journal.note(&Record::Over(name, end, deadline), unix);
+            self.journal.get().note(&Record::Over(name, end, deadline), unix);
         } else if let Some(message) = self.messages.get(&id) {
             let record = Record::Ended(message.taken.id.clone(), attempt, !outcome.never_ran());
-            self.journal.note(&record, unix);
+            self.journal.get().note(&record, unix);
         }
         let finished = !self.messages.contains_key(&id);
-        let ended = Ended { id, attempt, outcome, elapsed: now - out.sent, finished, report, wait };
+        let ended = Ended { id, attempt, outcome, elapsed: now - out.sent, finished, report, wait, unsent };
         self.balancer.on_event(now, Event::Ended(ended), &mut self.actions);
     }
 
@@ -900,7 +910,7 @@
     /// One batch at a time, and only what stands in the journal: a client that was told to come again must
     /// never meet the same message sent by the next process.
     fn pass_on_notices(&mut self) {
-        if self.owed.is_empty() || !self.journal.is_settled() {
+        if self.owed.is_empty() || !self.journal.get().is_settled() {
             return;
         }
         if let Ok(room) = self.notices.try_reserve() {
@@ -916,8 +926,8 @@
             if anew.is_some_and(|message| message.taken_on) {
                 continue;
             }
-            let until = self.journal.end_of(&message).map_or(0, |(_, until)| until);
-            self.journal.note(&Record::Over(message, end.into(), until), unix);
+            let until = self.journal.get().end_of(&message).map_or(0, |(_, until)| until);
+            self.journal.get().note(&Record::Over(message, end.into(), until), unix);
         }
     }
 
@@ -953,12 +963,12 @@
     fn ban(&mut self, now: Micros, uid: &str, banned: bool) -> admin::Reply {
         let target = self.uids.get(uid).copied();
         let known = target.is_some() || self.once_listed.iter().any(|known| known == uid);
-        if !known && !self.journal.bans().contains(uid) {
+        if !known && !self.journal.get().bans().contains(uid) {
             return Err("no such endpoint was ever listed".to_owned());
         }
         let record = if banned { Record::Banned(uid.to_owned()) } else { Record::Allowed(uid.to_owned()) };
-        if banned != self.journal.bans().contains(uid) {
-            self.journal.commit(&[record], unix_now()).map_err(|e| e.to_string())?;
+        if banned != self.journal.get().bans().contains(uid) {
+            self.journal.get().commit(&[record], unix_now()).map_err(|e| e.to_string())?;
         }
         if let Some(target) = target {
             let event = if banned { Event::Ban { target } } else { Event::BanEnded { target } };
@@ -1012,7 +1022,7 @@
         if moved || line.state == State::Terminating {
             self.leave_out(target);
         }
-        if self.journal.bans().contains(&line.uid) {
+        if self.journal.get().bans().contains(&line.uid) {
             self.balancer.on_event(now, Event::Ban { target }, &mut self.actions);
         }
         if line.state == State::Terminated {
--- a/src/net/node/upgrade.rs
+++ b/src/net/node/upgrade.rs
@@ -1,7 +1,7 @@
 //! The node's part in an upgrade: it hands over to a new version, passes on to it what still comes, and takes up what an
 //! older one has handed over. At any time one of them has the journal and sends.
 
-use super::{CallOut, HandedIn, Input, LAST_ANSWERS, Node, Out, Target, Way};
+use super::{CallOut, HandedIn, Input, LAST_ANSWERS, Node, Out, Target, Way, hold};
 use crate::api::{Event, Learnt, MessageId, Micros, Outcome, StillOut, TargetId};
 use crate::net::admin;
 use crate::net::calls::{self, CallNews, Order};
@@ -41,6 +41,8 @@
     Owns {
         link: Link,
         since: Instant,
+        /// It has died since.
+        gone: bool,
     },
 }
 
@@ -53,10 +55,15 @@
 impl Node {
     /// Once the turn is over and stands in the journal, a new version that has asked is told the rest.
     pub(super) fn hand_over(&mut self) {
-        if !matches!(self.newer, Newer::Asked(_)) || !self.journal.is_settled() || !self.events.is_empty() {
+        if !matches!(self.newer, Newer::Asked(_))
+            || !self.journal.get().is_settled()
+            || !self.events.is_empty()
+        {
             return;
         }
         let Newer::Asked(link) = std::mem::replace(&mut self.newer, Newer::None) else { return };
+        // What is not written yet is the new version's to send: it finds it untried in the journal.
+        hold(&mut self.calls, |_| true);
         link.say(Frame::Rest(Box::new(self.rest(self.clock.now()))));
         if let Err(e) = self.lock.free() {
             return eprintln!("handover: the lock is kept: {e}");
@@ -79,7 +86,8 @@
         let uid = |target: TargetId| self.targets.get(&target).map(|t| t.uid.clone());
         let mut calls: BTreeMap<u64, handover::Out> = BTreeMap::new();
         for ((_, attempt), out) in &self.out {
-            let Some(target) = self.calls.get(&out.call).and_then(|call| uid(call.target)) else { continue };
+            let written = self.calls.get(&out.call).filter(|call| call.is_written());
+            let Some(target) = written.and_then(|call| uid(call.target)) else { continue };
             let new = || handover::Out { target, age: now - out.sent, attempts: Vec::new() };
             calls.entry(out.call).or_insert_with(new).attempts.push((out.name.clone(), *attempt));
         }
@@ -172,6 +180,7 @@
             finished: false,
             report: None,
             wait: None,
+            unsent: false,
         };
         self.out.iter().filter(|(_, out)| older(out)).map(lost).collect()
     }
@@ -182,7 +191,7 @@
     }
 
     fn ended_elsewhere(&mut self, now: Micros, ends: Vec<handover::Ended>) {
-        for handover::Ended { message, attempt, outcome, finished, report, wait } in ends {
+        for handover::Ended { message, attempt, outcome, finished, report, wait, unsent } in ends {
             let Some(id) = self.named(&message, attempt) else { continue };
             let call = self.out.get(&(id, attempt)).and_then(|out| self.calls.get(&out.call));
             let Some(target) = call.map(|call| call.target) else { continue };
@@ -190,7 +199,7 @@
                 self.hold(target);
             }
             let Some(to) = self.targets.get(&target).map(|t| t.to) else { continue };
-            self.ended(now, to, calls::Ended { id, attempt, outcome, finished, report, wait });
+            self.ended(now, to, calls::Ended { id, attempt, outcome, finished, report, wait, unsent });
         }
     }
 
@@ -251,7 +260,7 @@
                 eprintln!("handover: the new version did not take over; going on");
                 return self.own_turn(held);
             }
-            self.newer = Newer::Owns { link, since: Instant::now() };
+            self.newer = Newer::Owns { link, since: Instant::now(), gone: false };
             self.tasks.drain(..).for_each(|task| task.abort());
             self.messages.clear();
             self.ids.clear();
@@ -269,12 +278,19 @@
         let mut frames = vec![Frame::Clients(self.places.here.load(Relaxed))];
         for input in batch {
             match input {
+                // Nobody is left to pass it on to, and nothing was done with it.
+                Input::HandedIn(message) if self.is_left_alone() => {
+                    let _ = message.answer.send(Answer::Refused(None));
+                }
                 Input::HandedIn(message) => frames.push(self.pass_message(message)),
                 Input::Call(news) => frames.push(self.pass_ends(news)),
                 Input::Asked(admin::Asked { call: admin::Call::Ready, answer }) => {
                     let _ = answer.send(Err("a new version has taken over".to_owned()));
                 }
                 Input::Asked(asked) if asked.answer.is_closed() => {}
+                Input::Asked(asked) if self.is_left_alone() => {
+                    let _ = asked.answer.send(Err("the new version has gone".to_owned()));
+                }
                 Input::Asked(admin::Asked { call, answer }) => {
                     frames.push(Frame::Asked(self.wait_for(Waiting::Operator(answer)), call));
                 }
@@ -300,6 +316,11 @@
         }
     }
 
+    /// Whether the new version that owned all has gone.
+    fn is_left_alone(&self) -> bool {
+        matches!(self.newer, Newer::Owns { gone: true, .. })
+    }
+
     fn newer_news(&mut self, from: u64, frame: Option<Frame>) {
         if !matches!(&self.newer, Newer::Owns { link, .. } if link.id == from) {
             return;
@@ -329,6 +350,9 @@
             None => {
                 eprintln!("handover: the new version has gone");
                 self.waiting.clear();
+                if let Newer::Owns { gone, .. } = &mut self.newer {
+                    *gone = true;
+                }
             }
         }
     }
@@ -358,12 +382,12 @@
     fn pass_ends(&mut self, news: CallNews) -> Frame {
         let late = self.closing.is_some_and(|since| since.elapsed() >= LAST_ANSWERS);
         let mut ends = Vec::new();
-        for calls::Ended { id, attempt, outcome, finished, report, wait } in news.ended {
+        for calls::Ended { id, attempt, outcome, finished, report, wait, unsent } in news.ended {
             let Some(out) = self.call_over(id, attempt) else { continue };
             // Called off for the end of this process: that says nothing of the target.
             let outcome = if late && outcome == Outcome::Cancelled { Outcome::Dead } else { outcome };
             let message = out.name;
-            ends.push(handover::Ended { message, attempt, outcome, finished, report, wait });
+            ends.push(handover::Ended { message, attempt, outcome, finished, report, wait, unsent });
         }
         Frame::Ended(ends)
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -466,7 +466,16 @@
                 held.out = held.out.saturating_sub(1);
                 held.over |= finished;
                 closes = Some(id);
-                Event::Ended(Ended { id, attempt, outcome, elapsed, finished, report, wait: None })
+                Event::Ended(Ended {
+                    id,
+                    attempt,
+                    outcome,
+                    elapsed,
+                    finished,
+                    report,
+                    unsent: false,
+                    wait: None,
+                })
             }
             "UNDER_WAY" => match known(inst)? {
                 Some(id) => Event::Started { id },
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -117,6 +117,7 @@
             finished,
             report: None,
             wait: None,
+            unsent: false,
         })])
     }
 }
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -9,9 +9,9 @@
 use std::fs::{self, OpenOptions};
 use std::io::Write;
 use std::time::{Duration, Instant};
-use support::{Discovery, Forwarder, Raw, RawCall, Stub, request, target};
+use support::{Discovery, Forwarder, Raw, RawCall, Stub, jammed, request, target};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 const QUIET: Duration = Duration::from_millis(150);
@@ -239,19 +239,6 @@
     }
 }
 
-/// An address whose connections do not come up until somebody accepts: its queue is full.
-async fn jammed() -> (TcpListener, Vec<TcpStream>) {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
-    let listener = socket.listen(1).expect("it listens");
-    let addr = listener.local_addr().expect("it is bound");
-    let mut queued = Vec::new();
-    while let Ok(Ok(stream)) = timeout(QUIET, TcpStream::connect(addr)).await {
-        queued.push(stream);
-    }
-    (listener, queued)
-}
-
 #[tokio::test]
 async fn a_call_whose_connection_comes_up_in_a_wait_is_not_written() {
     let (discovery, mut stub, (listener, queued)) =
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -188,6 +188,7 @@
             finished,
             report: None,
             wait: None,
+            unsent: false,
         }))
     }
 }
--- /dev/null
+++ b/tests/races.rs
@@ -0,0 +1,284 @@
+//! Orders of events that come about rarely, each forced: by peers that hold their side, or by a process that is stopped
+//! until all events wait for it.
+
+mod support;
+
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+use support::{Discovery, Forwarder, Raw, RawCall, SOON, Stub, jammed, target};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, sleep_until, timeout};
+
+const QUIET: Duration = Duration::from_millis(150);
+const MANY: usize = 30;
+
+/// Leaves one call out and many messages untried behind it, and ends the process by SIGKILL or by SIGTERM and SIGKILL.
+async fn leaves_many(f: &mut Forwarder, stub: &mut Stub, deadline_ms: u64, terminate: bool) {
+    assert_eq!(f.hand_in("unsafe", "first", 28_000).await.status(), 202);
+    let out = stub.next().await;
+    for n in 0..MANY {
+        let class = if n % 2 == 0 { "keyed" } else { "unsafe" };
+        assert_eq!(f.hand_in(class, &format!("m{n}"), deadline_ms).await.status(), 202);
+    }
+    if terminate {
+        f.terminate();
+        assert!(f.exited().await.success());
+    } else {
+        out.closed_after(|| f.kill()).await;
+    }
+}
+
+fn one_slot(c: &mut Value) {
+    c["settings"]["familyInfo"]["slots"] = json!(1);
+}
+
+#[tokio::test]
+async fn what_a_restart_finds_untried_is_tried_once_its_destination_is_listed() {
+    for terminate in [false, true] {
+        let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+        let known = [target("t", stub.addr, 7, "plain", "in_service")];
+        let mut f = Forwarder::start(&discovery, &known, one_slot).await;
+        leaves_many(&mut f, &mut stub, 28_000, terminate).await;
+        f.configure(|c| c["known"]["targets"] = json!([]));
+        f.restart().await;
+        // Only the one that may have run ends now.
+        assert_eq!(discovery.notice().await, json!({"message": "first", "outcome": "given_up"}));
+        assert!(discovery.is_quiet(QUIET).await);
+        discovery.push_whole(2, known.to_vec());
+        let mut tried = BTreeSet::new();
+        while tried.len() < MANY {
+            let call = stub.next().await;
+            assert!(tried.insert(call.header("req-id").to_owned()), "{} again", call.header("req-id"));
+            call.answer(200);
+        }
+        assert!(!tried.contains("first") && stub.is_quiet(QUIET).await && discovery.is_quiet(QUIET).await);
+    }
+}
+
+#[tokio::test]
+async fn what_a_restart_can_not_try_in_its_time_gets_its_notice() {
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let mut f = Forwarder::start(&discovery, &known, one_slot).await;
+    let begun = Instant::now();
+    leaves_many(&mut f, &mut stub, 3000, false).await;
+    f.configure(|c| c["known"]["targets"] = json!([]));
+    f.restart().await;
+    let mut ends = Vec::new();
+    while ends.len() < MANY + 1 {
+        ends.extend(discovery.notices().await);
+    }
+    // Each once; what never ran may come again.
+    let back = ends.iter().filter(|n| n["outcome"] == "handed_back");
+    let names: BTreeSet<String> = back.map(|n| n["message"].to_string()).collect();
+    assert_eq!((names.len(), ends.len()), (MANY, MANY + 1));
+    // Not before their time was all but up, and not after it.
+    assert!((2500..3600).contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+    assert!(discovery.is_quiet(QUIET).await);
+}
+
+#[tokio::test]
+async fn what_a_restart_finds_untried_does_not_make_room_for_what_is_new() {
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let small = |c: &mut Value| {
+        one_slot(c);
+        c["settings"]["limits"]["openCap"] = json!(64);
+    };
+    let mut f = Forwarder::start(&discovery, &known, small).await;
+    leaves_many(&mut f, &mut stub, 28_000, false).await;
+    f.restart().await;
+    assert_eq!(discovery.notice().await, json!({"message": "first", "outcome": "given_up"}));
+    let held = stub.next().await;
+    let mut refused = 0;
+    for n in 0..60 {
+        refused += usize::from(f.hand_in("keyed", &format!("n{n}"), 28_000).await.status() == 503);
+    }
+    assert!(refused > 20 && discovery.is_quiet(QUIET).await, "{refused}");
+    held.answer(200);
+}
+
+#[tokio::test]
+async fn connections_that_are_refused_are_none_of_a_messages_attempts() {
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let closed = Stub::start().await.closed().await;
+    let known = [target("t", closed, 7, "plain", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |c| {
+        c["settings"]["limits"]["maxAttempts"] = json!(2);
+        c["settings"]["classes"][0]["goalTime"] = json!(200.0);
+        c["settings"]["classes"][1]["goalTime"] = json!(200.0);
+    })
+    .await;
+    assert_eq!(f.hand_in("unsafe", "m", 28_000).await.status(), 202);
+    // Time for many more than two.
+    assert!(discovery.is_quiet(Duration::from_secs(3)).await);
+    discovery.push(2, vec![target("u", stub.addr, 7, "plain", "in_service")]);
+    let call = stub.next().await;
+    assert_eq!(call.header("req-id"), "m");
+    call.answer(200);
+    f.until_delivered("unsafe", "m").await;
+}
+
+#[tokio::test]
+async fn a_message_whose_connection_was_still_coming_up_at_sigkill_was_never_tried() {
+    let (mut discovery, mut stub, (listener, _queued)) =
+        (Discovery::start().await, Stub::start().await, jammed().await);
+    let addr = listener.local_addr().expect("it is bound");
+    let known = [target("t", addr, 7, "plain", "in_service")];
+    let mut f = Forwarder::start(&discovery, &known, |_| {}).await;
+    // Its call is decided in the turn that takes it on.
+    assert_eq!(f.hand_in("unsafe", "m", 28_000).await.status(), 202);
+    f.kill();
+    f.configure(|c| c["known"]["targets"] = json!([target("t", stub.addr, 7, "plain", "in_service")]));
+    f.restart().await;
+    tokio::select! {
+        call = stub.next() => {
+            assert_eq!(call.header("req-id"), "m");
+            call.answer(200);
+        }
+        notice = discovery.notice() => panic!("{notice}"),
+    }
+    f.until_delivered("unsafe", "m").await;
+}
+
+#[tokio::test]
+async fn a_call_called_off_before_its_connection_is_up_never_ran() {
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let ((one, _queued), (other, _too)) = (jammed().await, jammed().await);
+    let addr = |l: &tokio::net::TcpListener| l.local_addr().expect("it is bound");
+    let known = [
+        target("t", addr(&one), 7, "plain", "in_service"),
+        target("u", addr(&other), 8, "plain", "in_service"),
+        target("v", stub.addr, 9, "plain", "in_service"),
+    ];
+    let f = Forwarder::start(&discovery, &known, |c| {
+        c["settings"]["familyInfo"]["slots"] = json!(2);
+        c["settings"]["limits"]["connectTimeout"] = json!(20_000.0);
+        for class in [0, 1] {
+            c["settings"]["classes"][class]["goalTime"] = json!(400.0);
+        }
+    })
+    .await;
+    f.hand_in_for(7, "unsafe", "a", 28_000).await;
+    f.hand_in_for(8, "unsafe", "b", 28_000).await;
+    // Both slots are taken: one of the two makes room, and is not lost by that.
+    f.hand_in_for(9, "unsafe", "c", 28_000).await;
+    let call = stub.next().await;
+    assert_eq!(call.header("req-id"), "c");
+    call.answer(200);
+    assert!(discovery.is_quiet(Duration::from_millis(600)).await);
+}
+
+/// Connections to this address that are still coming up.
+fn coming_up(to: std::net::SocketAddr) -> usize {
+    // As the system lists them: the other end in hexadecimal, then 02 for a SYN that has no answer.
+    let end = format!(" 0100007F:{:04X} 02 ", to.port());
+    std::fs::read_to_string("/proc/net/tcp").expect("the system's list").matches(&end).count()
+}
+
+#[tokio::test]
+async fn a_connection_that_comes_up_while_the_process_stands_still_does_not_carry_what_is_too_late() {
+    let (discovery, mut stub, (listener, queued)) =
+        (Discovery::start().await, Stub::start().await, jammed().await);
+    let addr = listener.local_addr().expect("it is bound");
+    let known =
+        [target("t", stub.addr, 7, "plain", "in_service"), target("u", addr, 7, "plain", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |c| {
+        c["settings"]["classes"][0]["goalTime"] = json!(16_000);
+        c["settings"]["classes"][1]["goalTime"] = json!(16_000);
+        c["settings"]["classes"][0]["keyTtl"] = json!(6000);
+        c["settings"]["limits"]["connectTimeout"] = json!(30_000);
+    })
+    .await;
+    assert!(f.call("disable-server u").await.starts_with("ACK"));
+    let mut calls = Vec::new();
+    for id in ["a", "b"] {
+        f.hand_in("keyed", id, 28_000).await;
+        calls.push(stub.next().await);
+    }
+    let begun = Instant::now();
+    assert!(f.call("disable-server t").await.starts_with("ACK"));
+    assert!(f.call("enable-server u").await.starts_with("ACK"));
+    let before = coming_up(addr);
+    calls.into_iter().for_each(support::Call::hang_up);
+    // Stopped while both repeats wait for their connections.
+    let both = async {
+        while coming_up(addr) < before + 2 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(SOON, both).await.expect("both are repeated");
+    f.stop();
+    let old: BTreeSet<_> = queued.iter().map(|s| s.local_addr().expect("it is open")).collect();
+    let mut up = Vec::new();
+    while up.len() < 2 {
+        let (stream, from) =
+            timeout(SOON, listener.accept()).await.expect("it comes up").expect("it listens");
+        // What the test itself had tried is of no interest.
+        if !old.contains(&from) {
+            up.push(stream);
+        }
+    }
+    // Both are up, and their keys are forgotten by now, when the process hears of either.
+    sleep_until((begun + Duration::from_millis(6100)).into()).await;
+    f.go_on();
+    for mut stream in up {
+        let got = timeout(SOON, stream.read(&mut [0; 64])).await.expect("written or closed");
+        assert!(got.is_ok_and(|n| n == 0), "written after its key's life");
+    }
+}
+
+/// Reads a request without a body.
+async fn head(call: &mut RawCall) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\n") {
+        let read = timeout(SOON, call.0.read_buf(&mut text)).await.expect("a request comes");
+        assert!(read.expect("it is open") > 0, "closed");
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+#[tokio::test]
+async fn sighup_beside_an_answer_leaves_no_watch_at_the_old_address() {
+    let (discovery, old, mut new) = (Discovery::start().await, Raw::start().await, Stub::start().await);
+    let f = Forwarder::start(&discovery, &[], |c| c["discovery"] = json!(old.addr.to_string())).await;
+    let mut watch = old.accept().await;
+    assert!(head(&mut watch).await.starts_with("GET /api/targets?index=1&wait=2000"));
+    f.stop();
+    f.reload(|c| c["discovery"] = json!(new.addr.to_string()));
+    let list = json!({"rev": 7, "all": false, "targets": []}).to_string();
+    watch.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
+    f.go_on();
+    // The whole list is asked for at the new address, and the old connection closes without a word.
+    assert_eq!(new.next().await.path, "/api/targets");
+    assert_eq!(watch.rest().await, "");
+}
+
+#[tokio::test]
+async fn who_hands_in_at_the_old_version_when_the_new_one_has_died_is_told() {
+    let (discovery, stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let mut f = Forwarder::start_inheriting(&discovery, &known, |_| {}).await;
+    let mut clients = Vec::new();
+    for id in ["a", "b"] {
+        let mut client = RawCall(TcpStream::connect(f.addr).await.expect("it listens"));
+        client.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await;
+        let mut first = [0; 12];
+        timeout(SOON, client.0.read_exact(&mut first)).await.expect("an answer").expect("it is open");
+        client
+            .write(&format!("POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Owner: acme\r\n"))
+            .await;
+        clients.push(client);
+    }
+    let old = f.upgrade().await;
+    f.kill();
+    // The first may come before the old version hears that the new one has gone, the second does not.
+    for mut client in clients {
+        client.write("Req-Deadline-Ms: 9000\r\nIdempotency-Key: k\r\n").await;
+        client.write("Envelope: dest=7\r\nContent-Length: 2\r\n\r\nhi").await;
+        assert!(client.rest().await.contains("HTTP/1.1 503"));
+    }
+    drop(old);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -209,6 +209,7 @@
         finished: false,
         report,
         wait: None,
+        unsent: false,
     })]);
     let (mut sent, end) = (0, rig.now + 4 * SEC);
     let mut tried = std::collections::BTreeMap::from([(1, 1)]);
@@ -361,6 +362,7 @@
             finished: true,
             report,
             wait: None,
+            unsent: false,
         })]);
         let sent: usize = (2..5).map(|id| sends(&rig.submit(id, 0, 1)).len()).sum();
         assert_eq!(sent, 3, "a tiny limit holds nothing back");
@@ -441,6 +443,7 @@
             finished: true,
             report,
             wait: None,
+            unsent: false,
         })]);
     }
     rig.now += SEC;
@@ -652,6 +655,7 @@
             finished: false,
             report,
             wait: None,
+            unsent: false,
         })]);
         rig.now += 4 * SEC;
         for id in 2..20 {
@@ -678,7 +682,8 @@
 
 #[test]
 fn a_resumed_message_keeps_its_attempts_and_its_risk() {
-    let past = |attempts, ago: Option<Micros>| Past { attempts, risk: ago.map(|ago| (ago, 0)), out: None };
+    let past =
+        |attempts, ago: Option<Micros>| Past { attempts, risk: ago.map(|ago| (ago, 0)), ..Past::default() };
     let goes = |actions: &[Action]| !sends(actions).is_empty();
     let fails = |actions: &[Action]| actions.contains(&Action::Fail { id: 1 });
     // Never ran: it goes on, while it has attempts left; then it is handed back.
@@ -850,3 +855,22 @@
     assert_eq!(sends(&rig.submit(1, 0, 10)), [(1, 1)]);
     assert_eq!(rig.turn(vec![Event::Resume]), [Action::Admit(true)]);
 }
+
+#[test]
+fn near_the_bound_the_new_message_gives_way_to_one_that_was_taken_on() {
+    let mut rig = Rig::new(Settings { open_cap: 64, ..settings() }, vec![entry(10, 1, 0)]);
+    // Nothing can go: a long wait.
+    rig.submit(0, 0, 1);
+    rig.ended(0, 0, Outcome::Full { wait: Some(10 * SEC) }, 10 * MS);
+    for id in 1..62 {
+        assert_eq!(rig.submit(id, 0, 1), vec![]);
+    }
+    for id in 62..70 {
+        rig.pass(5 * MS);
+        let given_back = rig.submit(id, 0, 1);
+        assert!(
+            matches!(given_back[..], [Action::Refuse { id: given, .. }] if given == id),
+            "{given_back:?}"
+        );
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use std::{env, fs, io, process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
@@ -339,14 +339,29 @@
         self.signal("-TERM");
     }
 
+    /// SIGSTOP: all that happens now is met at once when it goes on.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+    }
+
+    /// SIGCONT.
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     /// Changes the configuration file and sends SIGHUP.
     pub fn reload(&self, change: impl FnOnce(&mut Value)) {
+        self.configure(change);
+        self.signal("-HUP");
+    }
+
+    /// Changes the configuration file.
+    pub fn configure(&self, change: impl FnOnce(&mut Value)) {
         let path = self.folder.join("config.json");
         let text = fs::read(&path).expect("it was written");
         let mut config = serde_json::from_slice(&text).expect("it is JSON");
         change(&mut config);
         fs::write(&path, config.to_string()).expect("the folder is writable");
-        self.signal("-HUP");
     }
 
     fn signal(&self, name: &str) {
@@ -363,13 +378,18 @@
 
     /// Hands in a message for destination 7 and gives the answer.
     pub async fn hand_in(&self, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
+        self.hand_in_for(7, class, id, deadline_ms).await
+    }
+
+    /// The same for another destination.
+    pub async fn hand_in_for(&self, dest: u64, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
         let deadline = deadline_ms.to_string();
         let headers = [
             ("Req-Id", id),
             ("Req-Owner", "acme"),
             ("Req-Deadline-Ms", &deadline),
             ("Idempotency-Key", &format!("key-{id}")),
-            ("Envelope", "dest=7"),
+            ("Envelope", &format!("dest={dest}")),
         ];
         let body = format!("\0body of {id}");
         let path = format!("/{class}");
@@ -503,6 +523,19 @@
     }
 }
 
+/// An address whose connections do not come up until somebody accepts: its queue is full.
+pub async fn jammed() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let listener = socket.listen(1).expect("it listens");
+    let addr = listener.local_addr().expect("it is bound");
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) = timeout(Duration::from_millis(150), TcpStream::connect(addr)).await {
+        queued.push(stream);
+    }
+    (listener, queued)
+}
+
 /// A connection of the forwarder's, or a test's own to it.
 pub struct RawCall(pub TcpStream);
 
