Let a class that is crowded out go first, and share a tenant's quota among all senders

At fault: Balancer::value ranks by worth alone; where a limit binds, the least class waits to its end. Mend: a class gains by the square of the share that it lost lately. Also, read and tested: a tenant's quota is for all senders together but was held against one sender's own rate, so that no tenant was ever over it in a fleet. Tests: rules.rs, each fails without its part.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -414,6 +414,8 @@
     alarms: BTreeSet<(Micros, MessageId)>,
     turns: BTreeMap<String, Turns>,
     tenants: Vec<Fading>,
+    /// By class: messages that were delivered, and all that ended.
+    ends: Vec<[Fading; 2]>,
     /// Destinations with a message in a lane.
     waiting: BTreeSet<DestId>,
     /// Endpoints where a call ended in this turn.
@@ -437,6 +439,7 @@
         let (ask, tick) = (settings.ask, settings.round.max(1000));
         Balancer {
             tenants: vec![Fading::default(); settings.tenants.len()],
+            ends: vec![<[Fading; 2]>::default(); settings.classes.len()],
             e: Arc::new(Env { s: settings, aim, warm, health: warm * HEALTH_SPAN, part, least, tick }),
             seed: seed | 1,
             crowded_until: Micros::MIN,
@@ -495,7 +498,7 @@
         let mut over = false;
         if let Some((tenant, seen)) = m.tenant.and_then(|t| e.s.tenants.get(t).zip(self.tenants.get_mut(t))) {
             seen.add(now, e.warm);
-            over = seen.get(now, e.warm) * SECOND / e.warm > tenant.quota;
+            over = seen.get(now, e.warm) * SECOND / e.warm > tenant.quota * e.part;
         }
         let (id, class, key) = (m.id, m.class, m.key.clone().filter(|_| c.ordered));
         // A client that comes with less patience than the aim is on time until it leaves.
@@ -603,6 +606,7 @@
     /// Refuses where no attempt may have run, else fails.
     fn give_back(&mut self, now: Micros, id: MessageId, actions: &mut Vec<Action>) {
         let Some(m) = self.messages.get(&id) else { return };
+        self.ends[m.m.class][1].add(now, self.e.warm);
         let safe = self.e.s.classes[m.m.class].effect == Effect::Safe;
         if m.place == Place::Out || (m.risk.is_some() && !safe) {
             actions.push(Action::Fail { id });
@@ -636,7 +640,12 @@
             Decay::Halves if c.aim > 0 => (-late / c.aim as f64).exp2().max(c.late_share),
             _ => 1.0 - (1.0 - c.late_share) * (late / (m.m.give_up_at - m.due).max(1) as f64).min(1.0),
         };
-        c.worth.max(0.0).sqrt() * part * if m.over { self.e.s.over_share_worth } else { 1.0 }
+        // Every class counts, the worst of them most: one that is crowded out gains by what it lost.
+        let [kept, all] = self.ends[m.m.class].map(|count| count.get(at, self.e.warm) + 1.0);
+        c.worth.max(0.0).sqrt()
+            * part
+            * (all / kept).powi(2)
+            * if m.over { self.e.s.over_share_worth } else { 1.0 }
     }
 
     // ---- Admission ----
@@ -921,6 +930,7 @@
             }
         }
         if end.finished || end.outcome == Outcome::Delivered {
+            self.ends[a.class].iter_mut().for_each(|count| count.add(now, self.e.warm));
             self.forget(now, end.id);
         } else if self.messages.contains_key(&end.id) {
             self.again(now, &a, &end, actions);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -874,3 +874,67 @@
         );
     }
 }
+
+#[test]
+fn a_class_that_was_crowded_out_goes_before_one_of_more_worth_that_was_not() {
+    let mut s = settings();
+    s.classes[0].worth = 3.0;
+    s.classes[2].worth = 1.0;
+    s.slots = 1;
+    let mut rig = Rig::new(s, vec![entry(10, 1, 0), entry(20, 2, 0)]);
+    let first = |rig: &mut Rig, id: MessageId| {
+        rig.submit(id, 0, 2);
+        rig.submit(id + 1, 2, 1);
+        rig.submit(id + 2, 0, 1);
+        let next = sends(&rig.ended(id, 0, Outcome::Delivered, 10 * MS));
+        rig.ended(next[0].0, 0, Outcome::Delivered, 10 * MS);
+        rig.ended(2 * id + 3 - next[0].0, 0, Outcome::Delivered, 10 * MS);
+        next[0].0
+    };
+    assert_eq!(first(&mut rig, 100), 102, "worth decides");
+    // Five of the other class end for want of an endpoint.
+    for id in 0..5 {
+        let (give_up_at, past) = (rig.now + 20 * MS, Past { taken_on: true, ..Past::default() });
+        let submit = Submit { id, class: 2, tenant: None, key: None, give_up_at, dest: 9, past };
+        rig.turn(vec![Event::Submit(submit)]);
+    }
+    assert_eq!(rig.pass(50 * MS).len(), 5);
+    assert_eq!(first(&mut rig, 200), 201, "and then what was lost");
+}
+
+#[test]
+fn a_tenants_share_is_shared_by_all_senders() {
+    let first = |senders| {
+        let s = Settings {
+            tenants: vec![Tenant { quota: 40.0 }],
+            senders,
+            over_share_worth: 0.1,
+            slots: 1,
+            ..settings()
+        };
+        let mut rig = Rig::new(s, vec![entry(10, 1, 0)]);
+        rig.submit(0, 0, 1);
+        // Twenty in one moment: far under the whole share, and far over a hundredth of it.
+        for id in 1..=21 {
+            let (give_up_at, tenant) = (rig.now + 16 * SEC, (id <= 20).then_some(0));
+            let past = Past::default();
+            rig.turn(vec![Event::Submit(Submit {
+                id,
+                class: 0,
+                tenant,
+                key: None,
+                give_up_at,
+                dest: 1,
+                past,
+            })]);
+        }
+        let mut order = Vec::new();
+        for _ in 0..21 {
+            let last = order.last().copied().unwrap_or(0);
+            order.extend(sends(&rig.ended(last, 0, Outcome::Delivered, 10 * MS)).iter().map(|s| s.0));
+        }
+        order.iter().position(|id| *id == 21).expect("it goes")
+    };
+    assert_eq!(first(2), 20, "inside the share the first goes first");
+    assert!(first(200) < 10, "over it the others do");
+}
