Try first what a restart found untried

At fault: Balancer::value: past its aim such a message came after every new one, until its time was up. Mend: what was taken on and never left this or an earlier process goes before all else. Test: rules.rs, fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -617,12 +617,11 @@
         self.forget(now, id);
     }
 
-    /// Near the cap, the message with least worth still to win makes room: the new one before one taken on, and
-    /// what an earlier process had taken on not before it was tried.
+    /// Near the cap, the message with least worth still to win makes room: the new one before one taken on.
     fn shed(&mut self, now: Micros, new: MessageId, actions: &mut Vec<Action>) {
         let lanes = self.waiting.iter().flat_map(|d| self.dests[d].lanes.values());
         let worth = lanes.filter_map(|lane| {
-            let (_, first) = *lane.iter().find(|(_, id)| !self.messages[id].m.past.taken_on)?;
+            let (_, first) = *lane.first()?;
             let (id, part) =
                 if lane.iter().any(|(_, id)| *id == new) { (new, NEW_PART) } else { (first, 1.0) };
             Some((self.value(&self.messages[&id], now) * part / lane.len() as f64, id))
@@ -637,6 +636,8 @@
         let c = &self.e.s.classes[m.m.class];
         let late = (at - m.due).max(0) as f64;
         let part = match self.e.s.decay {
+            // What a restart found untried goes before all else: it was taken on to be tried.
+            _ if m.m.past.taken_on && m.attempts == m.unsent => return f64::MAX,
             Decay::Halves if c.aim > 0 => (-late / c.aim as f64).exp2().max(c.late_share),
             _ => 1.0 - (1.0 - c.late_share) * (late / (m.m.give_up_at - m.due).max(1) as f64).min(1.0),
         };
@@ -686,8 +687,7 @@
             let Some((_, dest, target, id, falters)) = best else { break };
             sick_calls += usize::from(falters);
             self.send(now, dest, target, id, actions);
-            // A send changes nothing for the other destinations: to look at all again costs the most where
-            // many wait.
+            // A send changes nothing for the others: to look at all again costs the most where many wait.
             offers.remove(&dest);
             if self.waiting.contains(&dest) {
                 offers.insert(dest, self.offer(dest, now));
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -100,6 +100,8 @@
     /// once more on a new connection may meet itself: both must hear the same.
     clients: Vec<oneshot::Sender<Answer>>,
     taken_on: bool,
+    /// It was found untried at the start.
+    untried: bool,
 }
 
 impl Message {
@@ -550,7 +552,14 @@
             deadline: unix_now() + left,
             body,
         };
-        let message = Message { taken, give_up_at, attempts: 0, clients: vec![answer], taken_on: false };
+        let message = Message {
+            taken,
+            give_up_at,
+            attempts: 0,
+            clients: vec![answer],
+            taken_on: false,
+            untried: false,
+        };
         Some(self.submit(now, message, class, tenant, Past::default()))
     }
 
@@ -592,6 +601,7 @@
         let class = index(&self.names.classes, &taken.class);
         let tenant = taken.tenant.as_ref().and_then(|t| index(&self.names.tenants, t));
         let give_up_at = now.saturating_add(ago(taken.deadline));
+        let untried = past.attempts == 0;
         // The last attempt may be out yet.
         let last = past.attempts.checked_sub(1);
         let out = last.and_then(|last| still_out.remove(&(taken.id.clone(), last)));
@@ -602,7 +612,7 @@
             None => past,
         };
         let name = taken.id.clone();
-        let message = Message { taken, give_up_at, attempts, clients: Vec::new(), taken_on: true };
+        let message = Message { taken, give_up_at, attempts, clients: Vec::new(), taken_on: true, untried };
         match class {
             Some(class) => {
                 let id = self.submit(now, message, class, tenant, past);
@@ -628,6 +638,9 @@
             self.order(id, last, || Order::GiveUp, Frame::GiveUp);
         }
         self.tally.lost(if end == End::Refused { Loss::Refused } else { Loss::Failed });
+        if message.untried && message.attempts == 0 {
+            self.tally.lost(Loss::NeverTried);
+        }
         self.ids.remove(&message.taken.id);
         let wait = wait.and_then(|w| u64::try_from(w).ok());
         if !message.taken_on {
--- a/src/net/node/upgrade.rs
+++ b/src/net/node/upgrade.rs
@@ -124,6 +124,10 @@
                 }
             }
         }
+        let untried = open.iter().filter(|o| o.owed.is_none() && o.attempts.is_empty()).count();
+        if !open.is_empty() {
+            eprintln!("journal: {} messages open, {untried} of them untried", open.len());
+        }
         for open in open {
             self.resume(now, open, &mut still_out);
         }
--- a/src/net/tally.rs
+++ b/src/net/tally.rs
@@ -26,6 +26,8 @@
     Refused,
     /// The module gave it up.
     Failed,
+    /// One of these two, found untried at the start and never tried since.
+    NeverTried,
 }
 
 #[derive(Debug, Default)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -938,3 +938,27 @@
     assert_eq!(first(2), 20, "inside the share the first goes first");
     assert!(first(200) < 10, "over it the others do");
 }
+
+#[test]
+fn what_a_restart_found_untried_goes_before_what_is_new() {
+    let mut rig = Rig::new(Settings { slots: 1, ..settings() }, vec![entry(10, 1, 0)]);
+    rig.submit(0, 0, 1);
+    rig.submit(1, 0, 1);
+    // Both are late: by its worth each would come after the new one.
+    for (id, attempts) in [(2, 0), (3, 1)] {
+        let past = Past { taken_on: true, attempts, ..Past::default() };
+        let give_up_at = rig.now + 2 * SEC;
+        rig.now += 5 * MS;
+        rig.turn(vec![Event::Submit(Submit {
+            id,
+            class: 0,
+            tenant: None,
+            key: None,
+            give_up_at,
+            dest: 1,
+            past,
+        })]);
+    }
+    let next = sends(&rig.ended(0, 0, Outcome::Delivered, 10 * MS));
+    assert_eq!(next, vec![(2, 10)]);
+}
