End a call when the time of one of its messages is up, after SIGTERM too

At fault: the time-out in net/calls.rs ended single messages only and left their call out. Test: after_sigterm_too_a_call_ends_with_the_first_of_its_messages.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -41,6 +41,8 @@
     pub(crate) body: Bytes,
     /// The wait for it ends then.
     pub(crate) until: Instant,
+    /// Its time is up then: the call ends with it.
+    pub(crate) deadline: Instant,
     /// It must not be written after this: its key may be forgotten by then.
     pub(crate) latest: Instant,
 }
@@ -125,7 +127,10 @@
                 answer = &mut exchange => break Some(answer),
                 () = sleep_until(until) => {
                     let now = Instant::now();
-                    part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| i.until <= now);
+                    // As with a message that is given up. After SIGTERM nobody else ends the call: the module
+                    // decides nothing any more.
+                    let over = waiting.iter().any(|i| i.deadline <= now);
+                    part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| over || i.until <= now);
                 }
                 // Guards against a repeat that is decided in time and written too late, since its connection took
                 // a second to come up. The whole call: on the wire no message can be taken out of it.
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -782,6 +782,7 @@
                 key: message.taken.key.clone(),
                 body: message.taken.body.clone(),
                 until: self.clock.instant(send.until),
+                deadline: self.clock.instant(message.give_up_at),
                 latest: self.clock.instant(send.latest),
             });
         }
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -282,3 +282,24 @@
     }
     drop(old);
 }
+
+#[tokio::test]
+async fn after_sigterm_too_a_call_ends_with_the_first_of_its_messages() {
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "several", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |c| c["settings"]["round"] = json!(400.0)).await;
+    f.hand_in("unsafe", "first", 9000).await;
+    stub.next().await.answer(200);
+    tokio::join!(f.hand_in("unsafe", "short", 3000), f.hand_in("unsafe", "long", 60_000));
+    let call = stub.next().await;
+    assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
+    f.terminate();
+    // Its time is up between the last turn that decides anything and the end of the process.
+    call.closed().await;
+    let mut given_up = discovery.notices().await;
+    while given_up.len() < 2 {
+        given_up.extend(discovery.notices().await);
+    }
+    let notice = |id| json!({"message": id, "outcome": "given_up"});
+    assert!(given_up.contains(&notice("short")) && given_up.contains(&notice("long")), "{given_up:?}");
+}
