--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -121,28 +121,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::api::Effect;
-
-    #[test]
-    fn nested_settings_are_read_as_the_wire_reads_them() {
-        let settings = serde_json::json!({
-            "classes": [{"name": "auth-notice", "idempotency": "token", "dedupScope": "all",
-                         "keyTtl": 15000.0, "goalTime": 3000.0, "deadline": 28000.0}],
-            "kinds": ["card-issuer", "small-partner"],
-            "familyInfo": {"batchByKind": [20, 1], "kindApart": [false, true], "slots": 15},
-            "realms": [{"name": "two words", "quotaRps": 2.5}],
-            "report": {"fields": ["x0", "x1"]},
-            "limits": {"cancel": true, "absent": null},
-            "zone": "hall-b", "zones": ["hall-a", "hall-b"]
-        });
-        let mut pairs = Vec::new();
-        flatten("", &settings, &mut pairs);
-        let (read, names) = settings_from(&pairs).expect("it is well formed");
-        assert_eq!(read.classes[0].effect, Effect::Keyed { life: 15_000_000, per_zone: false });
-        assert_eq!((read.classes[0].aim, read.slots, read.zone), (3_000_000, 15, 1));
-        assert_eq!((read.kinds[0].batch, read.kinds[1].routes_apart, read.cancel), (20, true, true));
-        assert_eq!((names.classes, names.tenants), (vec!["auth-notice".into()], vec!["two_words".into()]));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/journal/tests.rs
@@ -0,0 +1,205 @@
+use super::*;
+use proptest::prelude::*;
+use std::env;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static MADE: AtomicUsize = AtomicUsize::new(0);
+        let name =
+            format!("yarrowhill-journal-{}-{}", std::process::id(), MADE.fetch_add(1, Ordering::Relaxed));
+        let path = env::temp_dir().join(name);
+        fs::create_dir_all(&path).expect("a temporary folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn an_attempt_that_was_never_noted_hides_none_after_it() {
+    let sent = |n| Record::Sent("a".into(), n, NOW, "hall-a".into());
+    let open = open_of(&[taken("a", Vec::new()), sent(0), Record::Ended("a".into(), 0, false), sent(2)]);
+    let ran: Vec<bool> = open[0].attempts.iter().map(|a| a.may_have_run).collect();
+    assert_eq!(ran, [false, false, true]);
+}
+
+const LIMIT: u64 = 3 << 20;
+const NOW: u64 = 1_800_000_000_000;
+
+fn taken(id: &str, body: Vec<u8>) -> Record {
+    Record::Taken(Taken {
+        id: id.into(),
+        class: "auth-notice".into(),
+        tenant: None,
+        dest: 7,
+        key: Some("k".into()),
+        deadline: NOW + 1000,
+        body: body.into(),
+    })
+}
+
+fn record() -> impl Strategy<Value = Record> {
+    let id = "[a-c]";
+    prop_oneof![
+        (id, proptest::collection::vec(any::<u8>(), 0..40)).prop_map(|(id, body)| taken(&id, body)),
+        (id, 0..3usize, any::<u32>()).prop_map(|(id, n, at)| Record::Sent(id, n, at.into(), "hall-a".into())),
+        (id, 0..3usize, any::<bool>()).prop_map(|(id, n, ran)| Record::Ended(id, n, ran)),
+        id.prop_map(|id| Record::Owed(id, NoticeEnd::HandedBack { retry_in_ms: Some(5) }, NOW + 1000)),
+        id.prop_map(|id| Record::Over(id, End::Delivered, NOW + 1000)),
+    ]
+}
+
+fn open_of(records: &[Record]) -> Vec<Open> {
+    let mut replay = Replay::default();
+    records.iter().for_each(|r| replay.apply(r.clone()));
+    replay.open()
+}
+
+proptest! {
+    /// Wherever the text is cut or damaged, what stands whole before that is read, and nothing else.
+    #[test]
+    fn a_cut_or_damaged_text_gives_its_whole_front(
+        records in proptest::collection::vec(record(), 0..12), cut in any::<prop::sample::Index>(), flip in any::<bool>()
+    ) {
+        let (mut text, mut ends) = (Vec::new(), vec![0]);
+        for r in &records {
+            put(r, &mut text);
+            ends.push(text.len());
+        }
+        let at = cut.index(text.len() + 1);
+        if flip && at < text.len() { text[at] ^= 1 } else { text.truncate(at) }
+        let whole = ends.iter().filter(|end| **end <= at).count() - 1;
+        let read: Vec<Record> = Frames(&text).map(|(r, _)| r).collect();
+        prop_assert_eq!(read, &records[..whole]);
+    }
+
+    /// Random bytes are never fatal.
+    #[test]
+    fn any_bytes_can_be_read(text in proptest::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert_eq!(Frames(&text).map(|(_, size)| size).sum::<usize>() <= text.len(), true);
+    }
+
+    /// Opening again, with or without compacting, changes nothing of what is open.
+    #[test]
+    fn what_was_written_is_replayed(
+        records in proptest::collection::vec(record(), 0..20), compact in any::<bool>()
+    ) {
+        let folder = Folder::new();
+        let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+        for part in records.chunks(3) {
+            journal.commit(part, NOW).expect("there is room");
+        }
+        if compact {
+            journal.compact(NOW).expect("there is room");
+        }
+        let (_, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+        prop_assert_eq!(replayed, open_of(&records));
+    }
+}
+
+#[test]
+fn compacting_keeps_the_files_small_and_drops_what_is_over() {
+    let folder = Folder::new();
+    let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+    journal.commit(&[taken("kept", vec![1; 100])], NOW).expect("there is room");
+    for n in 0..2000u64 {
+        let id = format!("m{n}");
+        journal.commit(&[taken(&id, vec![0; 400])], NOW + n).expect("there is room");
+        journal.note(&Record::Over(id, End::Delivered, NOW + n + 10), NOW + n);
+        assert!(journal.len <= COMPACT_FROM + 1024);
+    }
+    journal.commit(&[], NOW).expect("there is room");
+    let size = fs::metadata(&journal.path).expect("it is there").len();
+    assert_eq!(size, journal.len);
+    let (again, replayed) = Journal::open(&folder.0, LIMIT, NOW + 2005).expect("it opens");
+    assert_eq!(replayed.iter().map(|o| o.taken.id.as_str()).collect::<Vec<_>>(), ["kept"]);
+    assert!(again.end_of("m1999").is_some() && again.end_of("m1000").is_none());
+}
+
+#[test]
+fn a_full_journal_keeps_room_for_the_ends_of_what_it_took() {
+    let folder = Folder::new();
+    let (mut journal, _) = Journal::open(&folder.0, 40_000, NOW).expect("it opens");
+    let mut held = Vec::new();
+    while journal.has_room(1, 500, NOW) {
+        let id = format!("m{}", held.len());
+        journal.commit(&[taken(&id, vec![0; 500])], NOW).expect("it said that there is room");
+        held.push(id);
+    }
+    assert!(held.len() > 2);
+    for id in held {
+        for attempt in 0..3 {
+            journal
+                .commit(&[Record::Sent(id.clone(), attempt, NOW, "hall-a".into())], NOW)
+                .expect("kept room");
+            journal.note(&Record::Ended(id.clone(), attempt, false), NOW);
+        }
+        journal.note(&Record::Over(id, End::Failed, 0), NOW);
+        journal.commit(&[], NOW).expect("kept room");
+    }
+    assert!(journal.has_room(1, 500, NOW));
+}
+
+/// As many as a sender may hold on its busiest day (`openCap` near 950), each with an attempt, beside the
+/// ends of those before them.
+#[test]
+fn all_that_a_sender_may_hold_finds_room() {
+    let folder = Folder::new();
+    let (mut journal, _) = Journal::open(&folder.0, 2_850_000, NOW).expect("it opens");
+    let id = |n: usize| format!("{n:016x}");
+    let held = 950;
+    for n in 0..3 * held {
+        assert!(journal.has_room(1, 900, NOW), "message {n}, {} bytes in the file", journal.len);
+        journal.commit(&[taken(&id(n), vec![0; 900])], NOW).expect("it said that there is room");
+        journal.commit(&[Record::Sent(id(n), 0, NOW, "magazzino".into())], NOW).expect("kept room");
+        journal.note(&Record::Ended(id(n), 0, true), NOW);
+        if n >= held {
+            journal.note(&Record::Over(id(n - held), End::Delivered, NOW + 1000), NOW);
+        }
+        journal.commit(&[], NOW).expect("kept room");
+    }
+    assert_eq!(journal.live.len(), held);
+}
+
+#[test]
+fn near_the_bound_it_is_not_compacted_for_each_message() {
+    let folder = Folder::new();
+    let (mut journal, _) = Journal::open(&folder.0, 400_000, NOW).expect("it opens");
+    let (mut compacted, mut refused) = (0, 0);
+    for n in 0..2000 {
+        let (id, len) = (format!("m{n}"), journal.len);
+        if journal.has_room(1, 500, NOW) {
+            journal.commit(&[taken(&id, vec![0; 500])], NOW).expect("it said that there is room");
+        } else {
+            refused += 1;
+            // One ends for each that is refused: there is always a little to free.
+            journal.note(&Record::Over(format!("m{refused}"), End::Failed, 0), NOW);
+            journal.commit(&[], NOW).expect("kept room");
+        }
+        compacted += usize::from(journal.len < len);
+    }
+    assert!(refused > 100 && compacted > 0 && compacted < 100, "{refused} refused, {compacted} compacted");
+}
+
+#[test]
+fn a_failed_write_leaves_nothing_behind_but_the_backlog() {
+    let folder = Folder::new();
+    let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+    journal.commit(&[taken("a", vec![])], NOW).expect("there is room");
+    journal.limit = journal.len;
+    journal.note(&Record::Over("a".into(), End::Delivered, NOW + 1), NOW);
+    assert!(journal.commit(&[taken("b", vec![])], NOW).is_err());
+    assert!(!journal.is_settled());
+    journal.limit = LIMIT;
+    journal.commit(&[], NOW).expect("there is room again");
+    assert!(journal.is_settled());
+    let (again, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+    assert!(replayed.is_empty() && again.end_of("a").is_some());
+}
--- /dev/null
+++ b/src/net/notices/tests.rs
@@ -0,0 +1,183 @@
+use super::*;
+use std::io;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+/// Longer than anything that a test waits for should take.
+const SOON: Duration = Duration::from_secs(10);
+
+/// The platform's side: what it says to a request is the test's.
+struct Platform(TcpListener);
+
+impl Platform {
+    async fn start() -> (Self, SocketAddr) {
+        Platform::start_on("127.0.0.1:0").await
+    }
+
+    async fn start_on(at: &str) -> (Self, SocketAddr) {
+        let listener = TcpListener::bind(at).await.expect("a free port");
+        let at = listener.local_addr().expect("it is bound");
+        (Platform(listener), at)
+    }
+
+    async fn accept(&self) -> TcpStream {
+        timeout(SOON, self.0.accept()).await.expect("a connection comes").expect("it listens").0
+    }
+}
+
+/// Reads one request; its first line and its body.
+async fn request(stream: &mut TcpStream) -> io::Result<(String, String)> {
+    let mut text = String::new();
+    loop {
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|l| l.strip_prefix("content-length: ")).expect("a length");
+            if body.len() >= length.parse::<usize>().expect("a number") {
+                return Ok((head.lines().next().unwrap_or_default().to_owned(), body.to_owned()));
+            }
+        }
+        let mut part = [0; 4096];
+        match timeout(SOON, stream.read(&mut part)).await.expect("a request comes")? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            n => text.push_str(str::from_utf8(&part[..n]).expect("text")),
+        }
+    }
+}
+
+async fn answer(stream: &mut TcpStream, status: &str) {
+    let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(text.as_bytes()).await.expect("it is read");
+}
+
+struct World {
+    told: watch::Sender<SocketAddr>,
+    batches: Sender<Vec<Notice>>,
+    node: Receiver<Input>,
+}
+
+fn start(at: SocketAddr) -> World {
+    let (told, at) = watch::channel(at);
+    let (batches, received) = mpsc::channel(1);
+    let (inputs, node) = mpsc::channel(16);
+    tokio::spawn(send_all(at, received, inputs));
+    World { told, batches, node }
+}
+
+impl World {
+    async fn acknowledged(&mut self) -> Vec<Notice> {
+        match timeout(SOON, self.node.recv()).await.expect("the node hears") {
+            Some(Input::Noticed(batch)) => batch,
+            _ => panic!("only acknowledgements come from here"),
+        }
+    }
+}
+
+fn batch(names: &[&str]) -> Vec<Notice> {
+    names.iter().map(|n| Notice { message: (*n).to_owned(), end: NoticeEnd::GivenUp }).collect()
+}
+
+#[tokio::test]
+async fn a_batch_is_one_request_with_an_object_a_line_and_is_acknowledged_by_204() {
+    let (platform, at) = Platform::start().await;
+    let mut w = start(at);
+    let ends = [
+        NoticeEnd::GivenUp,
+        NoticeEnd::HandedBack { retry_in_ms: Some(500) },
+        NoticeEnd::HandedBack { retry_in_ms: None },
+    ];
+    let sent: Vec<Notice> = ["a", "b\"", "c"]
+        .iter()
+        .zip(ends)
+        .map(|(name, end)| Notice { message: (*name).to_owned(), end })
+        .collect();
+    w.batches.send(sent.clone()).await.expect("it is taken");
+    let mut stream = platform.accept().await;
+    let (line, body) = request(&mut stream).await.expect("a request");
+    assert_eq!(line, "POST /v1/notices HTTP/1.1");
+    assert_eq!(
+        body,
+        "{\"message\":\"a\",\"outcome\":\"given_up\"}\n\
+         {\"message\":\"b\\\"\",\"outcome\":\"handed_back\",\"retry_in_ms\":500}\n\
+         {\"message\":\"c\",\"outcome\":\"handed_back\"}\n"
+    );
+    assert!(w.node.try_recv().is_err(), "nothing is acknowledged before the answer");
+    answer(&mut stream, "204 No Content").await;
+    assert_eq!(w.acknowledged().await, sent);
+    // The next batch travels on the same connection.
+    w.batches.send(batch(&["d"])).await.expect("it is taken");
+    request(&mut stream).await.expect("a second request");
+    answer(&mut stream, "204 No Content").await;
+    assert_eq!(w.acknowledged().await, batch(&["d"]));
+}
+
+#[tokio::test]
+async fn a_batch_is_sent_until_it_is_acknowledged() {
+    let (platform, at) = Platform::start().await;
+    let mut w = start(at);
+    w.batches.send(batch(&["a", "b"])).await.expect("it is taken");
+    let mut bodies = Vec::new();
+    for fault in ["500 Error", "", "HTTP/1.1", "silence"] {
+        let mut stream = platform.accept().await;
+        bodies.push(request(&mut stream).await.expect("a request").1);
+        match fault {
+            "" => drop(stream),
+            // Left open without a word: the next try comes by itself.
+            "silence" => {
+                let mut end = Vec::new();
+                let _ = timeout(SOON, stream.read_to_end(&mut end)).await.expect("it is given up");
+            }
+            text => answer(&mut stream, text).await,
+        }
+        assert!(w.node.try_recv().is_err(), "{fault:?} acknowledges nothing");
+    }
+    let mut stream = platform.accept().await;
+    bodies.push(request(&mut stream).await.expect("a request").1);
+    answer(&mut stream, "204 No Content").await;
+    assert_eq!(w.acknowledged().await, batch(&["a", "b"]));
+    bodies.dedup();
+    assert_eq!(bodies.len(), 1);
+}
+
+#[tokio::test]
+async fn while_nobody_listens_it_tries_again_until_somebody_does() {
+    // An address of its own: nobody else takes the port in between.
+    let (platform, at) = Platform::start_on("127.77.0.1:0").await;
+    drop(platform);
+    let mut w = start(at);
+    w.batches.send(batch(&["a"])).await.expect("it is taken");
+    // The next batch waits its turn.
+    w.batches.send(batch(&["b"])).await.expect("there is room for one");
+    assert!(w.batches.try_send(batch(&["c"])).is_err());
+    let platform = Platform(TcpListener::bind(at).await.expect("the port is still free"));
+    let mut stream = platform.accept().await;
+    for name in ["a", "b"] {
+        assert!(request(&mut stream).await.expect("a request").1.contains(&format!("\"{name}\"")));
+        answer(&mut stream, "204 No Content").await;
+        assert_eq!(w.acknowledged().await, batch(&[name]));
+    }
+}
+
+#[tokio::test]
+async fn a_new_address_gets_the_batch_that_the_old_one_left_and_all_that_follow() {
+    let ((old, from), (new, to)) = (Platform::start().await, Platform::start().await);
+    let mut w = start(from);
+    w.batches.send(batch(&["a"])).await.expect("it is taken");
+    let mut stream = old.accept().await;
+    let first = request(&mut stream).await.expect("a request").1;
+    w.told.send_replace(to);
+    let mut stream = new.accept().await;
+    assert_eq!(request(&mut stream).await.expect("a request").1, first);
+    answer(&mut stream, "204 No Content").await;
+    assert_eq!(w.acknowledged().await, batch(&["a"]));
+    w.batches.send(batch(&["b"])).await.expect("it is taken");
+    assert!(request(&mut stream).await.expect("a request").1.contains("\"b\""));
+    answer(&mut stream, "204 No Content").await;
+    assert_eq!(w.acknowledged().await, batch(&["b"]));
+    // Told between two batches, too: the connection to the old address is not used again.
+    w.told.send_replace(from);
+    w.batches.send(batch(&["c"])).await.expect("it is taken");
+    let mut stream = old.accept().await;
+    assert!(request(&mut stream).await.expect("a request").1.contains("\"c\""));
+    answer(&mut stream, "204 No Content").await;
+    assert_eq!(w.acknowledged().await, batch(&["c"]));
+}
--- a/src/net/tally.rs
+++ b/src/net/tally.rs
@@ -138,32 +138,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test(start_paused = true)]
-    async fn a_line_comes_only_when_due_and_counts_start_anew() {
-        let at: SocketAddr = "127.0.0.1:9".parse().expect("an address");
-        let mut tally = Tally::new();
-        tally.taken_on();
-        tally.lost(Loss::Refused);
-        tally.ended(at, Outcome::ConnectFailed, Duration::from_millis(2), false);
-        tally.ended(at, Outcome::ConnectFailed, Duration::from_millis(3), true);
-        tally.dialled(
-            at,
-            Dialled { opened: 1, failed: Some(std::io::ErrorKind::ConnectionRefused), kept: None },
-        );
-        assert!(tally.due().is_none());
-        tokio::time::advance(EVERY).await;
-        let line = tally.due().expect("it is due").to_string();
-        assert_eq!(
-            line,
-            "taken on 1, lost {Refused: 1}; attempts {\"not connected\": 2}; slots taken for ms \
-             {\"not connected\": 3}; connections opened 1, not opened \
-             {\"connection refused\": 1}\n  127.0.0.1:9: 2 attempts, 2 failed, 1 connections opened and 1 not, \
-             longest 3ms"
-        );
-        tokio::time::advance(EVERY).await;
-        assert!(tally.due().is_none(), "nothing has happened since");
-    }
-}
+mod tests;
