Count the time for a head from its first byte, not from when the connection became idle

A request that begins on a connection that has rested for 2.3 s was cut off 0.1 s later, without an answer. Ruled out: the time for bodies (counted from the first byte already). At fault: net/intake.rs, client(); the time is kept by Use now, which Heads tells where a request begins and ends, also of what was read ahead of its turn. Tests: a_request_that_begins_on_a_resting_connection_has_its_whole_time fails without it (early eof); pipelined requests, floods and what comes after the close at SIGTERM are held by tests that passed before too.

--- a/src/net/heads.rs
+++ b/src/net/heads.rs
@@ -43,6 +43,11 @@
         ambiguous
     }
 
+    /// Whether the bytes so far end within a request: in its head, or in its body.
+    pub(crate) fn is_within(&self) -> bool {
+        self.begun || self.body > 0 || !self.line.is_empty()
+    }
+
     fn end_line(&mut self) -> bool {
         let line = std::mem::take(&mut self.line);
         let line = line.strip_suffix(b"\r").unwrap_or(&line);
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -36,7 +36,8 @@
 const NAME_MOST: usize = 128;
 /// A message may not be deliverable for longer than this; it keeps sums of times far from overflow.
 const DEADLINE_MOST: u64 = 24 * 3600 * 1000;
-/// So long a connection may stand without a whole head, whether it is idle, silent or slow;
+/// So long a connection may be idle, and so long a head may take from its first byte, the first one from when the
+/// connection opened;
 const HEAD: Duration = Duration::from_millis(2400);
 /// and so long a whole request, from its first byte, the first one from when the connection opened: a client that
 /// sends none within 3 s is told so.
@@ -165,9 +166,9 @@
     idle_from: AtomicU64,
     /// The head that was read last is ambiguous.
     ambiguous: AtomicBool,
-    /// Bytes of a request have come that is not answered yet.
-    begun: AtomicBool,
-    /// Milliseconds from `opened` to its first byte; 0 for the first request.
+    /// The bytes that were read last end within a request.
+    within: AtomicBool,
+    /// Milliseconds from `opened` to the first byte of that request; 0 for the first one.
     begun_at: AtomicU64,
 }
 
@@ -180,15 +181,33 @@
     }
 
     fn end(&self) {
-        self.begun.store(false, Relaxed);
+        // What has come of the next request had to wait for this one.
+        self.begun_at.store(self.age(), Relaxed);
         self.idle_from.store(self.age(), Relaxed);
     }
 
-    /// Bytes of a request have come.
-    fn bytes(&self) {
-        if !self.begun.swap(true, Relaxed) && self.asked.load(Relaxed) {
+    /// Bytes have come, and end within a request or between two.
+    fn bytes(&self, within: bool) {
+        if within && !self.within.swap(within, Relaxed) && self.asked.load(Relaxed) {
             self.begun_at.store(self.age(), Relaxed);
         }
+        self.within.store(within, Relaxed);
+    }
+
+    /// Whether a request has begun that is not answered yet.
+    fn is_within(&self) -> bool {
+        self.within.load(Relaxed) || self.idle().is_none()
+    }
+
+    /// What is left of the time that it may stand idle or take for a head.
+    fn head_left(&self) -> Duration {
+        let from = if self.within.load(Relaxed) { &self.begun_at } else { &self.idle_from };
+        match from.load(Relaxed) {
+            // An open request has a time of its own.
+            Use::BUSY => HEAD,
+            _ if self.idle().is_none() => HEAD,
+            from => HEAD.saturating_sub(Duration::from_millis(self.age().saturating_sub(from))),
+        }
     }
 
     /// What is left of the time for the whole request.
@@ -256,7 +275,7 @@
             asked: AtomicBool::new(false),
             idle_from: AtomicU64::new(0),
             ambiguous: AtomicBool::new(false),
-            begun: AtomicBool::new(false),
+            within: AtomicBool::new(false),
             begun_at: AtomicU64::new(0),
         });
         let task = self.tasks.spawn(client(stream, intake, using.clone()));
@@ -305,12 +324,20 @@
         }
     });
     let mut server = http1::Builder::new();
-    server.timer(TokioTimer::new()).header_read_timeout(HEAD).max_buf_size(BUFFER);
+    // Its time for a head begins when the connection is idle, and would end in the midst of a request.
+    server.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(BUFFER);
     let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
     // A client that breaks off harms nobody else.
     tokio::select! {
         _ = connection.as_mut() => return,
         () = leaves(&mut phase, &using) => connection.as_mut().graceful_shutdown(),
+        () = expires(&using) => {
+            // Half a head is no request: it is owed a close and no more.
+            if using.is_within() {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+        }
     }
     let _ = connection.await;
 }
@@ -325,7 +352,7 @@
         loop {
             let Some(after) = phase.borrow().leaving() else { break };
             let idle = using.idle().is_some_and(|idle| idle >= after);
-            if since.elapsed() >= after && idle && !using.begun.load(Relaxed) {
+            if since.elapsed() >= after && idle && !using.is_within() {
                 return;
             }
             sleep(LEAVE_STEP).await;
@@ -333,6 +360,16 @@
     }
 }
 
+/// Ends when the connection has been idle, or has been at a head, for as long as it may.
+async fn expires(using: &Use) {
+    loop {
+        match using.head_left() {
+            Duration::ZERO => return,
+            left => sleep(left).await,
+        }
+    }
+}
+
 /// A client's stream that looks at each head before the parser does, which hides a `Content-Length` that
 /// stands behind `Transfer-Encoding` or is repeated.
 struct Guarded {
@@ -349,12 +386,12 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.using.bytes();
-        }
         if self.heads.read(&buf.filled()[before..]) {
             self.using.ambiguous.store(true, Relaxed);
         }
+        if buf.filled().len() > before {
+            self.using.bytes(self.heads.is_within());
+        }
         poll
     }
 }
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use support::{Discovery, Forwarder, Raw, RawCall, SOON, Stub, jammed, target};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, timeout};
 
@@ -303,3 +303,141 @@
     let notice = |id| json!({"message": id, "outcome": "given_up"});
     assert!(given_up.contains(&notice("short")) && given_up.contains(&notice("long")), "{given_up:?}");
 }
+
+/// A request for destination 7, without its last `less` bytes, and those bytes.
+fn message(id: &str, less: usize) -> (String, String) {
+    let text = format!(
+        "POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 9000\r\n\
+         Idempotency-Key: {id}\r\nEnvelope: dest=7\r\nContent-Length: 2\r\n\r\nhi"
+    );
+    let (first, last) = text.split_at(text.len() - less);
+    (first.to_owned(), last.to_owned())
+}
+
+async fn client_of(f: &Forwarder) -> RawCall {
+    RawCall(TcpStream::connect(f.addr).await.expect("it listens"))
+}
+
+/// All that comes until the other side closes, and whether it did so without a reset.
+async fn until_closed(client: &mut RawCall) -> (String, std::io::Result<usize>) {
+    let mut text = Vec::new();
+    let end = timeout(SOON, client.0.read_to_end(&mut text)).await.expect("it is closed");
+    (String::from_utf8_lossy(&text).into_owned(), end)
+}
+
+/// The next answer: its head, which is all of it.
+async fn answer(client: &mut RawCall) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\n") {
+        let mut byte = [0; 1];
+        timeout(SOON, client.0.read_exact(&mut byte)).await.expect("an answer").expect("it is open");
+        text.extend_from_slice(&byte);
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+#[tokio::test]
+async fn what_comes_after_the_close_at_sigterm_is_not_taken_on() {
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let mut f = Forwarder::start(&discovery, &known, |_| {}).await;
+    let mut clients = Vec::new();
+    for n in 0..4 {
+        let mut client = client_of(&f).await;
+        client.write(&message(&format!("before{n}"), 0).0).await;
+        assert!(answer(&mut client).await.starts_with("HTTP/1.1 202"));
+        stub.next().await.answer(200);
+        clients.push(client);
+    }
+    f.stop();
+    f.terminate();
+    // It comes with the signal, on a resting connection.
+    clients[0].write(&message("with", 0).0).await;
+    f.go_on();
+    let (told, end) = until_closed(&mut clients[0]).await;
+    assert!(told.starts_with("HTTP/1.1 202") && end.is_ok(), "{told:?} {end:?}");
+    let call = stub.next().await;
+    assert_eq!(call.header("req-id"), "with");
+    call.answer(200);
+    for (n, client) in clients.iter_mut().enumerate().skip(1) {
+        assert_eq!(client.0.read(&mut [0; 1]).await.expect("closed in good order"), 0);
+        // It may be reset by now.
+        let _ = client.0.write_all(message(&format!("after{n}"), 0).0.as_bytes()).await;
+        assert_eq!(until_closed(client).await.0, "");
+    }
+    assert!(f.exited().await.success());
+    f.restart().await;
+    assert!(stub.is_quiet(QUIET).await && discovery.is_quiet(QUIET).await);
+}
+
+#[tokio::test]
+async fn a_request_that_begins_on_a_resting_connection_has_its_whole_time() {
+    let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |_| {}).await;
+    let mut client = client_of(&f).await;
+    client.write(&message("first", 0).0).await;
+    assert!(answer(&mut client).await.starts_with("HTTP/1.1 202"));
+    stub.next().await.answer(200);
+    // Idle, but not yet for as long as it may be; then a head that takes longer than what is left of that.
+    sleep(Duration::from_millis(1800)).await;
+    let (head, rest) = message("second", 40);
+    client.write(&head).await;
+    sleep(Duration::from_millis(1200)).await;
+    client.write(&rest).await;
+    assert!(answer(&mut client).await.starts_with("HTTP/1.1 202"));
+    stub.next().await.answer(200);
+    // Then it is closed in good order, and half a head is not waited for.
+    let mut half = client_of(&f).await;
+    half.write(&head).await;
+    assert_eq!(until_closed(&mut half).await.0, "");
+    let (told, end) = until_closed(&mut client).await;
+    assert!(told.is_empty() && end.is_ok(), "{told:?} {end:?}");
+}
+
+#[tokio::test]
+async fn pipelined_requests_are_answered_one_by_one_and_a_flood_harms_nobody_else() {
+    let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "several", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |c| {
+        c["settings"]["limits"]["openCap"] = json!(10_000);
+        c["settings"]["familyInfo"]["slots"] = json!(1);
+    })
+    .await;
+    let before = f.descriptors();
+    // Much is sent and nobody stays to hear of it.
+    for n in 0..4 {
+        let client = client_of(&f).await;
+        let flood: String = (0..200).map(|m| message(&format!("gone{n}-{m}"), 0).0).collect();
+        let (_, mut write) = client.0.into_split();
+        write.write_all(flood.as_bytes()).await.expect("it reads");
+    }
+    let mut client = client_of(&f).await;
+    // A few bytes at a time, and all of them at once.
+    for piece in message("bytewise", 0).0.as_bytes().chunks(7) {
+        client.write(str::from_utf8(piece).expect("text")).await;
+    }
+    client.write(&(0..100).map(|n| message(&format!("m{n}"), 0).0).collect::<String>()).await;
+    for _ in 0..=100 {
+        assert!(answer(&mut client).await.starts_with("HTTP/1.1 202"));
+    }
+    let mut delivered = BTreeSet::new();
+    while !(delivered.contains("bytewise") && (0..100).all(|n| delivered.contains(&format!("m{n}")))) {
+        let call = stub.next().await;
+        let batch = serde_json::from_slice::<Vec<Value>>(&call.body);
+        let single = vec![call.header("req-id").to_owned()];
+        let ids = batch.map_or(single, |b| b.iter().map(|m| m["id"].as_str().unwrap_or("").into()).collect());
+        let ends: Vec<Value> = ids.iter().map(|id| json!({"id": id, "state": "accepted"})).collect();
+        for id in ids {
+            assert!(delivered.insert(id.clone()), "{id} again");
+        }
+        call.answer_with(200, &[], &json!(ends).to_string());
+    }
+    drop(client);
+    let closed = async {
+        while f.descriptors() > before + 1 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(SOON, closed).await.expect("no connection is left open");
+}
