Shut a client's connection down and drain it before it is closed

Ruled out: small writes held back (TCP_NODELAY is set on every connection, both ways). At fault: Guarded::poll_shutdown and Clients::take in net/intake.rs. Now the write side is shut, and what comes is dropped unparsed for 0.5 s or 256 KiB at most, or until the client closes. Test: a_close_over_unread_bytes_cuts_no_answer_short fails without it (broken pipe). who_finds_no_room_hears_so passed before too.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -14,19 +14,20 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
-use std::io;
+use std::io::{self, Read, Write};
+use std::net::Shutdown;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet, yield_now};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Sleep, sleep, timeout};
 
 /// Longest body.
 const BODY_MOST: usize = 64 << 10;
@@ -50,6 +51,10 @@
 const LEAVE: Duration = Duration::from_millis(400);
 /// How often that is looked for.
 const LEAVE_STEP: Duration = Duration::from_millis(20);
+/// A connection that is closed goes on reading, and drops what it reads, for so long and for so many bytes or until
+/// the client closes too: a socket closed over unread bytes is reset, and a reset overtakes the last answer.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_MOST: usize = 256 << 10;
 /// While two processes share the descriptors of one, the new one leaves the old one's clients their places, but for this
 /// part of all places.
 const LEAST_PART: usize = 4;
@@ -266,9 +271,7 @@
     fn take(&mut self, stream: TcpStream, intake: Arc<Intake>, most: usize) {
         self.count();
         if self.open.len() >= most && !self.make_room() {
-            // Its bytes fit into the socket's empty buffer; a client that has left needs none.
-            let _ = stream.try_write(NO_ROOM);
-            return;
+            return turn_away(stream);
         }
         let using = Arc::new(Use {
             opened: Instant::now(),
@@ -309,10 +312,25 @@
     }
 }
 
+/// Says that there is no room. What has come is read before, so that the close is none over unread bytes.
+fn turn_away(stream: TcpStream) {
+    // Without the runtime, which has yet to hear that it can be read and written.
+    let Ok(mut stream) = stream.into_std() else { return };
+    let mut unread = [0; 4096];
+    for _ in 0..LINGER_MOST / unread.len() {
+        if !stream.read(&mut unread).is_ok_and(|n| n == unread.len()) {
+            break;
+        }
+    }
+    // It fits into the socket's empty buffer; a client that has left needs none.
+    let _ = stream.write(NO_ROOM);
+    let _ = stream.shutdown(Shutdown::Write);
+}
+
 async fn client(stream: TcpStream, intake: Arc<Intake>, using: Arc<Use>) {
     let _ = stream.set_nodelay(true);
     let mut phase = intake.phase.clone();
-    let stream = Guarded { stream, heads: Heads::default(), using: using.clone() };
+    let stream = Guarded { stream, heads: Heads::default(), using: using.clone(), linger: None };
     let at = using.clone();
     let service = service_fn(move |request| {
         let (intake, using) = (intake.clone(), at.clone());
@@ -376,6 +394,14 @@
     stream: TcpStream,
     heads: Heads,
     using: Arc<Use>,
+    linger: Option<Linger>,
+}
+
+/// The end of a connection: this side has closed, the other has not.
+struct Linger {
+    until: Pin<Box<Sleep>>,
+    /// Bytes that may still come.
+    left: usize,
 }
 
 impl AsyncRead for Guarded {
@@ -405,8 +431,24 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
+    /// Nothing that is read from now on is parsed, let alone taken on.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let Guarded { stream, linger, .. } = &mut *self;
+        if linger.is_none() {
+            ready!(Pin::new(&mut *stream).poll_shutdown(cx))?;
+        }
+        let linger =
+            linger.get_or_insert_with(|| Linger { until: Box::pin(sleep(LINGER)), left: LINGER_MOST });
+        while linger.until.as_mut().poll(cx).is_pending() {
+            let mut dropped = [0; 4096];
+            let mut dropped = ReadBuf::new(&mut dropped);
+            let read = ready!(Pin::new(&mut *stream).poll_read(cx, &mut dropped));
+            linger.left = linger.left.saturating_sub(dropped.filled().len());
+            if read.is_err() || dropped.filled().is_empty() || linger.left == 0 {
+                break;
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -318,6 +318,29 @@
     RawCall(TcpStream::connect(f.addr).await.expect("it listens"))
 }
 
+#[tokio::test]
+async fn who_finds_no_room_hears_so() {
+    let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |_| {}).await;
+    // Each place is taken by a request that has begun.
+    let mut begun = Vec::new();
+    for n in 0..7 {
+        let mut client = client_of(&f).await;
+        client.write(&message(&format!("m{n}"), 1).0).await;
+        begun.push(client);
+    }
+    let mut turned_away = client_of(&f).await;
+    turned_away.write(&message("late", 0).0).await;
+    let told = turned_away.rest().await;
+    println!("{told:?}");
+    assert!(told.starts_with("HTTP/1.1 503"));
+    for mut client in begun {
+        client.write("i").await;
+        stub.next().await.answer(200);
+    }
+}
+
 /// All that comes until the other side closes, and whether it did so without a reset.
 async fn until_closed(client: &mut RawCall) -> (String, std::io::Result<usize>) {
     let mut text = Vec::new();
@@ -336,6 +359,38 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
+#[tokio::test]
+async fn a_close_over_unread_bytes_cuts_no_answer_short() {
+    let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let f = Forwarder::start(&discovery, &known, |_| {}).await;
+    assert!(f.call("drain").await.starts_with("ACK"));
+    let mut client = client_of(&f).await;
+    // Far more than is read ahead: the rest is still in the socket when the last answer goes out.
+    let more: String = (0..400).map(|n| message(&format!("more{n}"), 0).0).collect();
+    client.write(&format!("{}{more}", message("m", 0).0)).await;
+    let (told, end) = until_closed(&mut client).await;
+    assert!(told.starts_with("HTTP/1.1 202") && told.matches("HTTP/1.1").count() == 1, "{told:?}");
+    assert!(end.is_ok(), "{end:?}");
+    // Whatever is on its way still is read, or a reset would come back for it and overtake the answer.
+    for _ in 0..20 {
+        client.write("more").await;
+        sleep(Duration::from_millis(5)).await;
+    }
+    // It does not wait for ever for a client that stays.
+    let reset = async {
+        while client.0.write_all(b"more").await.is_ok() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(SOON, reset).await.expect("it is closed in the end");
+    // What was not answered was not taken on.
+    let call = stub.next().await;
+    assert_eq!(call.header("req-id"), "m");
+    call.answer(200);
+    assert!(stub.is_quiet(QUIET).await);
+}
+
 #[tokio::test]
 async fn what_comes_after_the_close_at_sigterm_is_not_taken_on() {
     let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
