Ask the clock, not a timer alone, whether a repeat may still be written

Read: a call whose connection comes up after its key's life was held back by a timer beside the exchange. Ruled out: the module's bound (latest is never later than the key's life), restarts (the gate notes its own time). At fault: Gate::pass in net/calls.rs. Test: nothing_is_written_or_noted_once_it_is_too_late fails without it.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -292,6 +292,8 @@
     journal: Shared,
     /// What is to be noted.
     attempts: Vec<(String, usize)>,
+    /// It must not be written after this.
+    latest: Instant,
     zone: String,
     /// Something may have been written.
     begun: AtomicBool,
@@ -300,8 +302,14 @@
 }
 
 impl Gate {
-    pub(crate) fn new(journal: Shared, attempts: Vec<(String, usize)>, zone: String) -> Self {
-        Gate { journal, attempts, zone, begun: AtomicBool::new(false), held: AtomicBool::new(false) }
+    pub(crate) fn new(
+        journal: Shared,
+        attempts: Vec<(String, usize)>,
+        latest: Instant,
+        zone: String,
+    ) -> Self {
+        let (begun, held) = (AtomicBool::new(false), AtomicBool::new(false));
+        Gate { journal, attempts, latest, zone, begun, held }
     }
 
     /// Nothing more is to be written, from now on.
@@ -316,7 +324,8 @@
 
     /// True if the call may be written now. Between this and the first byte nothing is awaited.
     fn pass(&self) -> bool {
-        if self.held.load(Ordering::Relaxed) {
+        // By the clock and not by a timer: both may be due in one turn, and the connection may be looked at first.
+        if self.held.load(Ordering::Relaxed) || Instant::now() >= self.latest {
             return false;
         }
         if !self.begun() {
@@ -512,3 +521,6 @@
         _ => (Outcome::Error, false),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/calls/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+use crate::net::journal::Journal;
+use std::{env, fs, process};
+
+#[test]
+fn nothing_is_written_or_noted_once_it_is_too_late() {
+    let folder = env::temp_dir().join(format!("gate-test-{}", process::id()));
+    fs::create_dir_all(&folder).expect("a temporary folder");
+    let (journal, _) = Journal::open(&folder, 1 << 20, unix_now()).expect("it opens");
+    let journal = Shared::new(journal);
+    let gate = |latest| Gate::new(journal.clone(), vec![("m".to_owned(), 0)], latest, "a".to_owned());
+    let now = Instant::now();
+    // No timer has told it so.
+    let late = gate(now);
+    assert!(!late.pass() && !late.begun());
+    let length = || fs::metadata(folder.join("journal")).map_or(0, |file| file.len());
+    assert_eq!(length(), 0, "noted");
+    let early = gate(now + Duration::from_secs(60));
+    assert!(early.pass() && early.begun() && length() > 0);
+    // Written or not, nothing more goes once it is held.
+    early.hold();
+    assert!(!early.pass());
+    fs::remove_dir_all(&folder).expect("it was there");
+}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -802,7 +802,8 @@
         // Each attempt is called off or given up once at most; one more place is for a wait.
         let (sender, orders) = channel(2 * items.len() + 1);
         let attempts = items.iter().map(|item| (item.name.clone(), item.attempt)).collect();
-        let gate = Arc::new(Gate::new(self.journal.clone(), attempts, t.zone.clone()));
+        let latest = items.iter().map(|i| i.latest).min().unwrap_or_else(Instant::now);
+        let gate = Arc::new(Gate::new(self.journal.clone(), attempts, latest, t.zone.clone()));
         let way = Way::Here(sender, gate.clone());
         let out = CallOut { target, left: items.len(), idle_for, held: false, way };
         self.calls.insert(self.next_call, out);
