Read lists line by line, and start without a list where there is none

Read in the open list: a known list or an answer with one line that can't be read was dropped whole; with the configuration's the start failed. Ruled out: indented lists, unknown kinds and zones (read as they should be). At fault: List and State in net/discovery.rs, File in net/config.rs. A line that can't be read is left out and logged, an unknown state takes nothing new, and after a change that can't be read the whole list is asked for, once. Tests: a_line_that_can_not_be_read_hides_no_other and without_a_list_to_begin_with_discovery_is_asked_for_all fail without it.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -47,7 +47,8 @@
     admin: Option<SocketAddr>,
     seed: String,
     limits: Limits,
-    known: List,
+    #[serde(default)]
+    known: Value,
     settings: Value,
 }
 
@@ -80,6 +81,11 @@
     fn read(path: &Path, state: PathBuf) -> Result<Self, ConfigError> {
         let text = fs::read(path).map_err(|e| ConfigError::Read(path.into(), e))?;
         let file: File = serde_json::from_slice(&text).map_err(|e| ConfigError::Form(path.into(), e))?;
+        // An old list is better than none, but the forwarder can do without: discovery has the present one.
+        let known = List::deserialize(file.known).unwrap_or_else(|e| {
+            eprintln!("configuration: no endpoints known: {e}");
+            List { all: true, ..List::default() }
+        });
         let mut pairs = Vec::new();
         flatten("", &file.settings, &mut pairs);
         let (settings, names) = settings_from(&pairs).map_err(ConfigError::Settings)?;
@@ -90,7 +96,7 @@
             state,
             seed: u64::from_str_radix(&file.seed, 16)?,
             limits: file.limits,
-            known: file.known,
+            known,
             settings,
             names,
         })
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -27,11 +28,38 @@
 const MOST: usize = 8 << 20;
 
 /// The list of targets, or what changed in it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
+#[serde(from = "Answer")]
 pub(crate) struct List {
     pub(crate) rev: u64,
     pub(crate) all: bool,
     pub(crate) targets: Vec<Line>,
+    /// Lines that could not be read. They are left out, and hide none of the others.
+    pub(crate) unreadable: usize,
+}
+
+/// The list as it comes.
+#[derive(Deserialize)]
+struct Answer {
+    rev: u64,
+    all: bool,
+    targets: Vec<Value>,
+}
+
+impl From<Answer> for List {
+    fn from(Answer { rev, all, targets }: Answer) -> Self {
+        let mut list = List { rev, all, ..List::default() };
+        for line in targets {
+            match serde_json::from_value(line) {
+                Ok(line) => list.targets.push(line),
+                Err(e) => {
+                    eprintln!("discovery: unreadable line: {e}");
+                    list.unreadable += 1;
+                }
+            }
+        }
+        list
+    }
 }
 
 /// What the list says of one target.
@@ -58,6 +86,9 @@
     InService,
     Terminating,
     Terminated,
+    /// One that this version does not know: nothing new goes there.
+    #[serde(other)]
+    Other,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -112,7 +143,8 @@
     node: Sender<Input>,
     mut pauses: Pauses,
 ) {
-    let mut known = Some(rev);
+    // Nothing was known at the start.
+    let mut known = Some(rev).filter(|rev| *rev > 0);
     let mut connection = None;
     let mut from = *at.borrow();
     loop {
@@ -130,7 +162,8 @@
         match told {
             Ok(list) => {
                 pauses.end();
-                known = Some(list.rev);
+                // Of a change that can't be read the whole list may tell more.
+                known = Some(list.rev).filter(|_| list.all || list.unreadable == 0);
                 if node.send(Input::List(list)).await.is_err() {
                     return;
                 }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -1034,7 +1034,7 @@
         (known.dest, known.to, known.batch) = (line.pod_group, line.endpoint, batch);
         known.line = line.clone();
         // A target that is to end wants no connections either.
-        if moved || line.state == State::Terminating {
+        if moved || matches!(line.state, State::Terminating | State::Other) {
             self.leave_out(target);
         }
         if self.journal.get().bans().contains(&line.uid) {
@@ -1052,7 +1052,7 @@
             kind,
             listing: match line.state {
                 State::InService => Listing::Serving,
-                State::Terminating => Listing::Draining,
+                State::Terminating | State::Other => Listing::Draining,
                 State::Terminated => Listing::Deleted,
             },
             weight: line.capacity_hint,
--- a/src/net/node/upgrade.rs
+++ b/src/net/node/upgrade.rs
@@ -106,7 +106,7 @@
         let mut still_out = BTreeMap::new();
         if let Some(Rest { rev, targets, calls, learnt, .. }) = rest {
             eprintln!("handover: took over {} messages and {} calls out", open.len(), calls.len());
-            self.list(now, &List { rev, all: true, targets });
+            self.list(now, &List { rev, all: true, targets, unreadable: 0 });
             for handover::Out { target, age, attempts } in calls {
                 let Some(&target) = self.uids.get(&target) else { continue };
                 let (call, left) = (self.next_call, attempts.len());
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -720,6 +720,58 @@
 }
 
 /// One destination, 7, whose target says what the test gives it.
+#[tokio::test]
+async fn a_line_that_can_not_be_read_hides_no_other() {
+    let (mut told, mut one, mut other) = (Stub::start().await, Stub::start().await, Stub::start().await);
+    let discovery = Discovery::start().await;
+    let known = [
+        json!({"uid": 5}),
+        target("t", one.addr, 7, "plain", "in_service"),
+        target("u", other.addr, 7, "plain", "asleep"),
+    ];
+    let f = Forwarder::start(&discovery, &known, |c| c["discovery"] = json!(told.addr.to_string())).await;
+    // Nothing goes where the state is not known.
+    for id in ["a", "b"] {
+        f.hand_in("keyed", id, 9000).await;
+        one.next().await.answer(200);
+    }
+    let watch = told.next().await;
+    assert!(watch.path.starts_with("/api/targets?"));
+    let changes = json!([target("v", other.addr, 8, "plain", "in_service"), {"uid": "t", "state": []}]);
+    let list = json!({"rev": 2, "all": false, "targets": changes});
+    watch.answer_with(200, &[], &format!("{list:#}"));
+    // The line that was left out may be a drain: the whole list is asked for.
+    let whole = told.next().await;
+    assert_eq!(whole.path, "/api/targets");
+    f.hand_in_for(8, "keyed", "c", 9000).await;
+    other.next().await.answer(200);
+    let list = json!({"rev": 2, "all": true, "targets": [known[1], {"uid": "w"}]});
+    whole.answer_with(200, &[], &list.to_string());
+    // Once: what can't be read there either stays so.
+    assert!(told.next().await.path.starts_with("/api/targets?index=2"));
+}
+
+#[tokio::test]
+async fn without_a_list_to_begin_with_discovery_is_asked_for_all() {
+    for known in [Value::Null, json!({"rev": "x", "targets": 3})] {
+        let (mut told, mut stub) = (Stub::start().await, Stub::start().await);
+        let discovery = Discovery::start().await;
+        let f = Forwarder::start(&discovery, &[], |c| {
+            c["known"] = known;
+            c["discovery"] = json!(told.addr.to_string());
+        })
+        .await;
+        let call = told.next().await;
+        assert_eq!(call.path, "/api/targets");
+        let list =
+            json!({"rev": 9, "all": true, "targets": [target("t", stub.addr, 7, "plain", "in_service")]});
+        call.answer_with(200, &[], &list.to_string());
+        assert!(told.next().await.path.starts_with("/api/targets?index=9"));
+        f.hand_in("keyed", "m", 9000).await;
+        stub.next().await.answer(200);
+    }
+}
+
 async fn raw_world(model: &str, change: impl FnOnce(&mut Value)) -> (Discovery, Raw, Forwarder) {
     let (discovery, raw) = (Discovery::start().await, Raw::start().await);
     let known = [target("t", raw.addr, 7, model, "in_service")];
