--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -111,6 +111,8 @@
     pub(crate) taken: Taken,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) owed: Option<NoticeEnd>,
+    /// A record that can't be read any more may have told of an attempt or of its end.
+    pub(crate) in_doubt: bool,
 }
 
 /// Why a turn could not be written. Nothing of it stands in the file.
@@ -167,8 +169,8 @@
 }
 
 impl Journal {
-    /// Opens the journal of the folder, cuts off a torn tail, and replays the rest: the open messages, in the
-    /// order taken.
+    /// Opens the journal of the folder, cuts off a torn tail, passes over what is damaged, and replays the rest: the
+    /// open messages, in the order taken.
     pub(crate) fn open(folder: &Path, limit: u64, now: u64) -> Result<(Self, Vec<Open>), JournalError> {
         let path = folder.join("journal");
         // Left by a process that ended while it compacted; the old file still holds all.
@@ -193,13 +195,25 @@
             backlog: Vec::new(),
         };
         let mut replay = Replay::default();
-        for (record, size) in Frames(&text) {
-            journal.len += size as u64;
-            journal.book(&record, size as u64, now);
+        for Frame { record, start, end } in Frames::of(&text) {
+            if start as u64 > journal.len {
+                let open = replay.doubt();
+                let passed = start as u64 - journal.len;
+                eprintln!("journal: {passed} damaged bytes passed over; {open} open messages may have run");
+            }
+            journal.len = end as u64;
+            journal.book(&record, (end - start) as u64, now);
             replay.apply(record);
         }
-        if journal.len < text.len() as u64 {
-            eprintln!("journal: cut off {} bytes of a torn tail", text.len() as u64 - journal.len);
+        let tail = &text[journal.len as usize..];
+        if !tail.is_empty() {
+            // A process that is killed leaves the front of a frame, of which nothing was acted upon. A whole one that can't
+            // be read was damaged later.
+            let open = if is_whole(tail) { replay.doubt() } else { 0 };
+            eprintln!(
+                "journal: cut off {} bytes of a torn tail; {open} open messages may have run",
+                tail.len()
+            );
             journal.file.set_len(journal.len)?;
         }
         Ok((journal, replay.open()))
@@ -362,17 +376,15 @@
         let mut kept = Vec::with_capacity(self.compacted_len() as usize);
         // Once each, however often they were begun and ended.
         self.bans.iter().for_each(|uid| put(&Record::Banned(uid.clone()), &mut kept));
-        let mut at = 0;
-        for (record, size) in Frames(&text[..text.len().min(self.len as usize)]) {
+        for Frame { record, start, end } in Frames::of(&text[..text.len().min(self.len as usize)]) {
             let keep = match &record {
                 Record::Over(id, ..) => self.ends.contains_key(id),
                 Record::Banned(_) | Record::Allowed(_) => false,
                 other => self.live.contains_key(other.id()),
             };
             if keep {
-                kept.extend_from_slice(&text[at..at + size]);
+                kept.extend_from_slice(&text[start..end]);
             }
-            at += size;
         }
         if self.len + kept.len() as u64 > self.limit {
             return Err(JournalError::Full);
@@ -404,29 +416,68 @@
     out[start + 4..payload].copy_from_slice(&sum.to_le_bytes());
 }
 
-/// Reads whole frames from the front, each with its size, and ends at the first that is not whole.
-struct Frames<'a>(&'a [u8]);
+/// A record and where it stands.
+#[derive(Debug, PartialEq)]
+struct Frame {
+    record: Record,
+    start: usize,
+    end: usize,
+}
 
-impl Iterator for Frames<'_> {
-    type Item = (Record, usize);
+/// The number that stands there.
+fn number(text: &[u8], at: usize) -> Option<u32> {
+    text.get(at..at + 4).and_then(|b| b.try_into().ok()).map(u32::from_le_bytes)
+}
 
-    fn next(&mut self) -> Option<Self::Item> {
-        let number = |at: usize| -> Option<u32> {
-            self.0.get(at..at + 4).and_then(|b| b.try_into().ok()).map(u32::from_le_bytes)
-        };
-        let size = FRAME_HEAD + number(0)? as usize;
-        let payload = self.0.get(FRAME_HEAD..size)?;
-        if crc32fast::hash(payload) != number(4)? {
-            return None;
-        }
-        let head = number(FRAME_HEAD)? as usize;
-        let (head, body) = payload.get(4..)?.split_at_checked(head)?;
-        let mut record = serde_json::from_slice(head).ok()?;
-        if let Record::Taken(taken) = &mut record {
-            taken.body = Bytes::copy_from_slice(body);
-        }
-        self.0 = &self.0[size..];
-        Some((record, size))
+/// Where the frame that begins there ends by its own length, as far as there is so much text.
+fn end_of_frame(text: &[u8], start: usize) -> Option<usize> {
+    let end = start + FRAME_HEAD + number(text, start)? as usize;
+    Some(end).filter(|end| *end <= text.len())
+}
+
+/// Whether the text is long enough for the frame that it begins with.
+fn is_whole(text: &[u8]) -> bool {
+    end_of_frame(text, 0).is_some()
+}
+
+/// The frame that begins there, if it stands there whole.
+fn frame(text: &[u8], start: usize) -> Option<Frame> {
+    let end = end_of_frame(text, start)?;
+    let payload = &text[start + FRAME_HEAD..end];
+    let (head, body) = payload.get(4..)?.split_at_checked(number(payload, 0)? as usize)?;
+    // Guards the processor where a frame is looked for byte by byte: few places look like one.
+    if !head.starts_with(b"{\"") || crc32fast::hash(payload) != number(text, start + 4)? {
+        return None;
+    }
+    let mut record = serde_json::from_slice(head).ok()?;
+    if let Record::Taken(taken) = &mut record {
+        taken.body = Bytes::copy_from_slice(body);
+    }
+    Some(Frame { record, start, end })
+}
+
+/// Finds the whole frames of a text. What lies between two of them was damaged.
+struct Frames<'a> {
+    text: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Frames<'a> {
+    fn of(text: &'a [u8]) -> Self {
+        Frames { text, at: 0 }
+    }
+}
+
+impl Iterator for Frames<'_> {
+    type Item = Frame;
+
+    fn next(&mut self) -> Option<Frame> {
+        // Behind a damaged one by its length first: a body may hold what looks like a frame.
+        let next = end_of_frame(self.text, self.at);
+        let mut places = [self.at].into_iter().chain(next).chain(self.at + 1..self.text.len());
+        let found = places.find_map(|start| frame(self.text, start))?;
+        self.at = found.end;
+        Some(found)
     }
 }
 
@@ -442,7 +493,8 @@
         match record {
             Record::Taken(taken) => {
                 self.order.push(taken.id.clone());
-                self.open.insert(taken.id.clone(), Open { taken, attempts: Vec::new(), owed: None });
+                let id = taken.id.clone();
+                self.open.insert(id, Open { taken, attempts: Vec::new(), owed: None, in_doubt: false });
             }
             // Without an end it may have run: the process ended while it was out.
             Record::Sent(id, attempt, sent, zone) => {
@@ -469,6 +521,12 @@
         }
     }
 
+    /// Records were lost here; gives how many messages they may have told of.
+    fn doubt(&mut self) -> usize {
+        self.open.values_mut().for_each(|open| open.in_doubt = true);
+        self.open.len()
+    }
+
     fn open(mut self) -> Vec<Open> {
         self.order.iter().filter_map(|id| self.open.remove(id)).collect()
     }
--- a/src/net/journal/tests.rs
+++ b/src/net/journal/tests.rs
@@ -63,9 +63,10 @@
 }
 
 proptest! {
-    /// Wherever the text is cut or damaged, what stands whole before that is read, and nothing else.
+    /// Wherever the text is cut, what stands whole before that is read; where it is damaged, all but the damaged record;
+    /// and nothing else.
     #[test]
-    fn a_cut_or_damaged_text_gives_its_whole_front(
+    fn a_cut_or_damaged_text_gives_all_that_stands_whole(
         records in proptest::collection::vec(record(), 0..12), cut in any::<prop::sample::Index>(), flip in any::<bool>()
     ) {
         let (mut text, mut ends) = (Vec::new(), vec![0]);
@@ -76,14 +77,23 @@
         let at = cut.index(text.len() + 1);
         if flip && at < text.len() { text[at] ^= 1 } else { text.truncate(at) }
         let whole = ends.iter().filter(|end| **end <= at).count() - 1;
-        let read: Vec<Record> = Frames(&text).map(|(r, _)| r).collect();
-        prop_assert_eq!(read, &records[..whole]);
+        let damaged = flip && at < text.len();
+        let mut kept = records[..whole].to_vec();
+        if damaged {
+            kept.extend_from_slice(&records[whole + 1..]);
+        }
+        let read: Vec<Record> = Frames::of(&text).map(|frame| frame.record).collect();
+        prop_assert_eq!(read, kept);
     }
 
     /// Random bytes are never fatal.
     #[test]
     fn any_bytes_can_be_read(text in proptest::collection::vec(any::<u8>(), 0..200)) {
-        prop_assert_eq!(Frames(&text).map(|(_, size)| size).sum::<usize>() <= text.len(), true);
+        let mut at = 0;
+        for Frame { start, end, .. } in Frames::of(&text) {
+            prop_assert!(at <= start && start < end && end <= text.len());
+            at = end;
+        }
     }
 
     /// Opening again, with or without compacting, changes nothing of what is open.
@@ -203,3 +213,41 @@
     let (again, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
     assert!(replayed.is_empty() && again.end_of("a").is_some());
 }
+
+#[test]
+fn damage_in_its_midst_hides_nothing_behind_it_and_leaves_what_was_open_in_doubt() {
+    let folder = Folder::new();
+    let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+    // What looks like a record in a damaged one is none.
+    let mut body = b"front ".to_vec();
+    put(&Record::Over("a".into(), End::Delivered, NOW + 1000), &mut body);
+    journal.commit(&[taken("a", Vec::new()), taken("b", body)], NOW).expect("there is room");
+    journal.commit(&[taken("c", Vec::new())], NOW).expect("there is room");
+    let mut text = fs::read(&journal.path).expect("it is there");
+    let at = text.windows(5).position(|part| part == b"front").expect("it is there");
+    text[at] ^= 1;
+    fs::write(&journal.path, &text).expect("it is writable");
+    let doubts = |open: Vec<Open>| -> Vec<(String, bool)> {
+        open.into_iter().map(|open| (open.taken.id, open.in_doubt)).collect()
+    };
+    let (mut journal, open) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+    assert_eq!(doubts(open), [("a".to_owned(), true), ("c".to_owned(), false)]);
+    // It goes on behind that, and compacting leaves the damage out.
+    journal.commit(&[taken("d", Vec::new())], NOW).expect("there is room");
+    let with_damage = journal.len;
+    journal.compact(NOW).expect("there is room");
+    assert!(journal.len < with_damage);
+    let (_, open) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+    assert_eq!(open.iter().map(|open| open.taken.id.as_str()).collect::<Vec<_>>(), ["a", "c", "d"]);
+    // A whole record that can't be read at the end is no torn one; half a record is.
+    let mut text = fs::read(&journal.path).expect("it is there");
+    text.pop();
+    fs::write(&journal.path, &text).expect("it is writable");
+    let (_, open) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+    assert_eq!(doubts(open), [("a".to_owned(), false), ("c".to_owned(), false)]);
+    let mut text = fs::read(&journal.path).expect("it is there");
+    *text.last_mut().expect("there is one") ^= 1;
+    fs::write(&journal.path, &text).expect("it is writable");
+    let (_, open) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
+    assert_eq!(doubts(open), [("a".to_owned(), true)]);
+}
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -15,7 +15,7 @@
 use crate::net::handover::{self, Begin, Frame, Link, Lock, News, Rest};
 use crate::net::http::Connection;
 use crate::net::intake::{Answer, HandedIn, Phase, Places};
-use crate::net::journal::{End, Journal, JournalError, Open, Record, Shared, Taken};
+use crate::net::journal::{Attempt, End, Journal, JournalError, Open, Record, Shared, Taken};
 use crate::net::keep::Ages;
 use crate::net::notices::{Notice, NoticeEnd};
 use crate::net::tally::{Loss, Tally};
@@ -44,6 +44,8 @@
 const IDLE_MARGIN: u32 = 8;
 /// A target that the list has lost keeps its number for so long (microseconds): listed again, it is the same.
 const GONE_KEPT: Micros = 30_000_000;
+/// Before anything that is still worth sending (microseconds).
+const LONG_AGO: Micros = 1 << 55;
 /// Clients that may wait for the answer to one message.
 const SAME_MOST: usize = 4;
 /// Ids of endpoints that the list no longer holds and that operators may still name.
@@ -583,25 +585,26 @@
 
     /// Takes up a message of an earlier process.
     fn resume(&mut self, now: Micros, open: Open, still_out: &mut BTreeMap<(String, usize), StillOut>) {
-        let Open { taken, attempts, owed } = open;
+        let Open { taken, attempts, owed, in_doubt } = open;
         if let Some(end) = owed {
             return self.owed.push(Notice { message: taken.id, end });
         }
         let unix = unix_now();
         let ago = |then: u64| (then as i64 - unix as i64).saturating_mul(1000);
         let zones = &self.names.zones;
+        // When a lost attempt was made nobody knows: too long ago for any key to be remembered.
+        let lost = in_doubt.then_some((-LONG_AGO, usize::MAX));
         let risk_of = |of: usize| {
-            attempts[..of]
-                .iter()
-                .find(|a| a.may_have_run)
-                .map(|a| (now.saturating_add(ago(a.sent)), index(zones, &a.zone).unwrap_or(usize::MAX)))
+            let first = attempts[..of].iter().find(|a| a.may_have_run);
+            let zone = |a: &Attempt| index(zones, &a.zone).unwrap_or(usize::MAX);
+            lost.or_else(|| first.map(|a| (now.saturating_add(ago(a.sent)), zone(a))))
         };
         let risk = risk_of(attempts.len());
         let past = Past { taken_on: true, attempts: attempts.len(), risk, out: None };
         let class = index(&self.names.classes, &taken.class);
         let tenant = taken.tenant.as_ref().and_then(|t| index(&self.names.tenants, t));
         let give_up_at = now.saturating_add(ago(taken.deadline));
-        let untried = past.attempts == 0;
+        let untried = past.attempts == 0 && !in_doubt;
         // The last attempt may be out yet.
         let last = past.attempts.checked_sub(1);
         let out = last.and_then(|last| still_out.remove(&(taken.id.clone(), last)));
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -496,3 +496,27 @@
     };
     timeout(SOON, closed).await.expect("no connection is left open");
 }
+
+#[tokio::test]
+async fn a_journal_damaged_in_its_midst_loses_and_repeats_nothing() {
+    let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
+    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let mut f = Forwarder::start(&discovery, &known, one_slot).await;
+    assert_eq!(f.hand_in("unsafe", "ran", 28_000).await.status(), 202);
+    let out = stub.next().await;
+    assert_eq!(f.hand_in("keyed", "waits", 28_000).await.status(), 202);
+    out.closed_after(|| f.kill()).await;
+    // The record of the attempt can't be read any more, nor can its message be taken for untried.
+    let mut text = std::fs::read(f.journal()).expect("a journal");
+    let sent = text.windows(6).position(|part| part == b"\"Sent\"").expect("it was noted");
+    text[sent] ^= 1;
+    std::fs::write(f.journal(), text).expect("it is writable");
+    f.restart().await;
+    assert_eq!(discovery.notice().await, json!({"message": "ran", "outcome": "given_up"}));
+    // What was taken on behind the damage is delivered.
+    let call = stub.next().await;
+    assert_eq!(call.header("req-id"), "waits");
+    call.answer(200);
+    f.until_delivered("keyed", "waits").await;
+    assert!(stub.is_quiet(QUIET).await && discovery.is_quiet(QUIET).await);
+}
