--- a/tests/races.rs
+++ b/tests/races.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
-use support::{Discovery, Forwarder, Raw, RawCall, SOON, Stub, jammed, target};
+use support::{Discovery, Forwarder, Raw, RawCall, SOON, Stub, jammed, request, target};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -520,3 +520,50 @@
     f.until_delivered("keyed", "waits").await;
     assert!(stub.is_quiet(QUIET).await && discovery.is_quiet(QUIET).await);
 }
+
+#[tokio::test]
+async fn with_a_full_journal_and_silent_peers_a_restart_is_soon_ready_and_ends_what_it_holds() {
+    // Discovery holds its watches, and the endpoint takes connections and says nothing.
+    let (mut discovery, silent) = (Discovery::start().await, Raw::start().await);
+    let known = [target("t", silent.addr, 7, "plain", "in_service")];
+    let mut f = Forwarder::start(&discovery, &known, |c| {
+        one_slot(c);
+        c["settings"]["limits"]["openCap"] = json!(10_000);
+    })
+    .await;
+    let body = vec![b'x'; 20_000];
+    let (mut taken_on, mut refused) = (BTreeSet::new(), 0);
+    let begun = Instant::now();
+    while refused == 0 {
+        let id = format!("m{}", taken_on.len());
+        let class = if taken_on.len() % 2 == 0 { "/unsafe" } else { "/keyed" };
+        let headers = [
+            ("Req-Id", id.as_str()),
+            ("Req-Owner", "acme"),
+            ("Req-Deadline-Ms", "8000"),
+            ("Idempotency-Key", id.as_str()),
+            ("Envelope", "dest=7"),
+        ];
+        match request(f.addr, "POST", class, &headers, &body).await.expect("an answer").status().as_u16() {
+            202 => drop(taken_on.insert(id)),
+            _ => refused += 1,
+        }
+    }
+    assert!(taken_on.len() > 50, "{}", taken_on.len());
+    f.kill();
+    let down = Instant::now();
+    f.restart().await;
+    assert!(down.elapsed() < Duration::from_secs(6), "{:?}", down.elapsed());
+    // Each message gets its end, once, when its time is up and not before what is untried could still be tried.
+    let mut ended = BTreeSet::new();
+    while ended.len() < taken_on.len() {
+        for notice in discovery.notices().await {
+            let id = notice["message"].as_str().expect("a name").to_owned();
+            // The first one's attempt was out when the process was killed.
+            assert!(id == "m0" || begun.elapsed() > Duration::from_secs(5), "{id} {:?}", begun.elapsed());
+            assert!(ended.insert(id.clone()), "{id} again");
+        }
+    }
+    assert_eq!(ended, taken_on);
+    assert!(begun.elapsed() < Duration::from_millis(12_000), "{:?}", begun.elapsed());
+}
