Take version 0 of the list for a version

At fault: discovery::watch; whether there is a list is told apart from its version now. Test: the_first_version_of_the_list_is_one_to_go_on_from fails without it.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -61,7 +61,8 @@
     pub(crate) state: PathBuf,
     pub(crate) seed: u64,
     pub(crate) limits: Limits,
-    pub(crate) known: List,
+    /// The list that this forwarder last had, where it had one.
+    pub(crate) known: Option<List>,
     pub(crate) settings: Settings,
     pub(crate) names: Names,
 }
@@ -82,10 +83,8 @@
         let text = fs::read(path).map_err(|e| ConfigError::Read(path.into(), e))?;
         let file: File = serde_json::from_slice(&text).map_err(|e| ConfigError::Form(path.into(), e))?;
         // An old list is better than none, but the forwarder can do without: discovery has the present one.
-        let known = List::deserialize(file.known).unwrap_or_else(|e| {
-            eprintln!("configuration: no endpoints known: {e}");
-            List { all: true, ..List::default() }
-        });
+        let known = List::deserialize(file.known);
+        let known = known.inspect_err(|e| eprintln!("configuration: no endpoints known: {e}")).ok();
         let mut pairs = Vec::new();
         flatten("", &file.settings, &mut pairs);
         let (settings, names) = settings_from(&pairs).map_err(ConfigError::Settings)?;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -135,16 +135,15 @@
     }
 }
 
-/// Watches from `rev` on, for ever; whatever is told goes to the node in its order. A new address breaks off
+/// Watches from `rev` on, where one is known, for ever; whatever is told goes to the node in its order. A new address breaks off
 /// the watch at the old one, and the whole list is asked for there: the old one may have fallen behind.
 pub(crate) async fn watch(
     mut at: watch::Receiver<SocketAddr>,
-    rev: u64,
+    rev: Option<u64>,
     node: Sender<Input>,
     mut pauses: Pauses,
 ) {
-    // Nothing was known at the start.
-    let mut known = Some(rev).filter(|rev| *rev > 0);
+    let mut known = rev;
     let mut connection = None;
     let mut from = *at.borrow();
     loop {
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -243,8 +243,8 @@
     admits: bool,
     /// Ids that were listed once, for operators who name one; the oldest go first.
     once_listed: VecDeque<String>,
-    /// Version of the list.
-    rev: u64,
+    /// Version of the list, where there is one.
+    rev: Option<u64>,
     lock: Lock,
     /// The process before this one, while it has calls out.
     older: Option<Link>,
@@ -301,7 +301,7 @@
             closing: None,
             admits: true,
             once_listed: VecDeque::new(),
-            rev: 0,
+            rev: None,
             lock: begin.lock,
             older,
             places,
@@ -312,7 +312,7 @@
             tally: Tally::new(),
         };
         let now = node.clock.now();
-        node.list(now, &config.known);
+        config.known.iter().for_each(|known| node.list(now, known));
         node.take_up(now, open, rest);
         node.finish_turn(now, Vec::new());
         Ok(node)
@@ -365,8 +365,8 @@
         late || done
     }
 
-    /// The version of the list.
-    pub(crate) fn rev(&self) -> u64 {
+    /// The version of the list, where there is one.
+    pub(crate) fn rev(&self) -> Option<u64> {
         self.rev
     }
 
@@ -1000,7 +1000,7 @@
     // ---- The list ----
 
     fn list(&mut self, now: Micros, list: &List) {
-        self.rev = list.rev;
+        self.rev = Some(list.rev);
         if list.all {
             for id in self.targets.keys() {
                 self.gone.entry(*id).or_insert(now);
--- a/src/net/node/upgrade.rs
+++ b/src/net/node/upgrade.rs
@@ -93,7 +93,7 @@
         }
         let learnt = |l: Learnt| (l.target.and_then(uid), l);
         Rest {
-            rev: self.rev,
+            rev: self.rev.unwrap_or(0),
             targets: self.targets.iter().map(line).collect(),
             calls: calls.into_values().collect(),
             clients: self.places.here.load(Relaxed),
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -703,6 +703,19 @@
     w.forwarder.until_delivered("keyed", "before").await;
 }
 
+#[tokio::test]
+async fn the_first_version_of_the_list_is_one_to_go_on_from() {
+    let mut stub = Stub::start().await;
+    let discovery = Discovery::start().await;
+    let f = Forwarder::start(&discovery, &[], |c| {
+        c["discovery"] = json!(stub.addr.to_string());
+        c["known"]["rev"] = json!(0);
+    })
+    .await;
+    assert!(stub.next().await.path.starts_with("/api/targets?index=0"));
+    drop(f);
+}
+
 #[tokio::test]
 async fn after_a_no_from_discovery_only_what_is_new_is_asked_for() {
     let mut stub = Stub::start().await;
