Poll the whole list at a pace found by AIMD where many senders share discovery

From 15 s on 846 calls to destination 5 alone ended as ConnectFailed: its endpoints had been replaced, and 1130 messages of five destinations were lost untried after 20 s. At fault: discovery::watch. Service works through calls in turn, also through those that nobody waits for any more; 100 watches of 2 s are three times what it can do, and an answer took up to 2 s where 0.5 s were given. Test: where_many_share_discovery_it_is_asked_for_all_now_and_then_and_given_its_time fails without it.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -108,9 +108,9 @@
         // It serves all the same; a new version waits until it has ended.
         eprintln!("handover: no new version can take over: {e}");
     });
-    let pauses = discovery::Pauses::new(&config.settings, config.seed);
-    let watch = discovery::watch(at.clone(), node.rev(), inputs.clone(), pauses);
-    node.ends_with_it(tokio::spawn(watch).abort_handle());
+    let settings = config.settings.clone();
+    let follow = discovery::follow(at.clone(), node.rev(), inputs.clone(), settings, config.seed);
+    node.ends_with_it(tokio::spawn(follow).abort_handle());
     node.ends_with_it(tokio::spawn(notices::send_all(at, batches, inputs.clone())).abort_handle());
     tokio::spawn(reload(hangup, told));
     let told = inputs.clone();
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -12,7 +12,7 @@
 use support::{Discovery, Forwarder, Raw, RawCall, Stub, jammed, request, target};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 const QUIET: Duration = Duration::from_millis(150);
 
@@ -732,6 +732,41 @@
     drop(f);
 }
 
+#[tokio::test]
+async fn where_many_share_discovery_it_is_asked_for_all_now_and_then_and_given_its_time() {
+    let (mut told, mut stub) = (Stub::start().await, Stub::start().await);
+    let discovery = Discovery::start().await;
+    let f = Forwarder::start(&discovery, &[], |c| {
+        c["discovery"] = json!(told.addr.to_string());
+        c["settings"]["discovery"] = json!("ask");
+        c["settings"]["peersTotal"] = json!(100);
+        c["settings"]["guarantees"]["askWithin"] = json!(4000.0);
+    })
+    .await;
+    let call = told.next().await;
+    assert_eq!(call.path, "/api/targets");
+    // Others are served before this one.
+    sleep(Duration::from_millis(700)).await;
+    let list = json!({"rev": 9, "all": true, "targets": [target("t", stub.addr, 7, "plain", "in_service")]});
+    let begun = Instant::now();
+    call.answer_with(200, &[], &list.to_string());
+    let call = told.next().await;
+    assert_eq!(call.path, "/api/targets");
+    // Neither at once nor later than what was told then holds.
+    assert!((500..3500).contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+    assert_eq!(f.hand_in("keyed", "m", 9000).await.status(), 202);
+    stub.next().await.answer(200);
+    // Who has no time is left alone for longer.
+    call.answer(503);
+    assert!(told.is_quiet(Duration::from_millis(1500)).await);
+    // A new address is asked at once.
+    let mut new = Stub::start().await;
+    f.reload(|c| c["discovery"] = json!(new.addr.to_string()));
+    let begun = Instant::now();
+    assert_eq!(new.next().await.path, "/api/targets");
+    assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+}
+
 /// One destination, 7, whose target says what the test gives it.
 #[tokio::test]
 async fn a_line_that_can_not_be_read_hides_no_other() {
