Give the place in the pace of a call that never got there to the next call

At fault: Scope::sent takes the place, and Balancer::call_ended never gave it back. Test: a_call_that_never_got_there_leaves_its_place_in_the_pace_to_the_next fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -257,9 +257,8 @@
         }
         match self.state {
             State::Outage(_) => {
-                self.state = State::Warming(now);
+                (self.state, self.due) = (State::Warming(now), now);
                 (self.bad, self.spent) = (Fading::default(), Fading::default());
-                self.due = now;
             }
             State::Warming(since) if (now - since) as f64 > e.warm => self.state = State::Open,
             _ => {}
@@ -966,14 +965,16 @@
             return;
         }
         self.calls.remove(&a.call);
-        let scope = self.scope(a.dest, a.target);
+        let (e, scope, took) = (self.e.clone(), self.scope(a.dest, a.target), end.elapsed as f64);
         scope.out.remove(&a.call);
-        let counter = self.counters.entry(a.dest).or_default();
-        *counter = counter.saturating_sub(1);
-        if *counter == 0 {
-            self.counters.remove(&a.dest);
+        // What never got there has used up nothing of the limit: its place in the pace is the next call's.
+        if let Some((rate, _)) = scope.rate(now, &e).filter(|_| end.unsent) {
+            scope.due -= (SECOND / rate) as Micros;
         }
-        let (e, took) = (self.e.clone(), end.elapsed as f64);
+        self.counters.retain(|dest, calls| {
+            *calls -= usize::from(*dest == a.dest);
+            *calls > 0
+        });
         let t = self.targets.get_mut(&a.target).expect("only known endpoints are sent to");
         t.out = t.out.saturating_sub(1);
         if matches!(end.outcome, Outcome::Delivered | Outcome::Error | Outcome::Full { .. }) {
@@ -984,8 +985,7 @@
         match end.outcome {
             Outcome::Delivered => {
                 t.pace = if t.pace > 0.0 { t.pace + PACE_GAIN * (took - t.pace) } else { took };
-                (t.avoid_until, t.answered) = (now, t.answered.max(a.sent));
-                t.crowded = 0;
+                (t.avoid_until, t.answered, t.crowded) = (now, t.answered.max(a.sent), 0);
             }
             // Its endpoint has answered since: that says more than an answer that is lost.
             Outcome::Cancelled if a.lost => return,
--- a/src/logic/handover.rs
+++ b/src/logic/handover.rs
@@ -29,8 +29,7 @@
     }
 
     fn learn(&mut self, now: Micros, l: &Learnt) {
-        self.wait_until = now.saturating_add(l.wait_for);
-        self.due = now.saturating_add(l.due_in);
+        (self.wait_until, self.due) = (now.saturating_add(l.wait_for), now.saturating_add(l.due_in));
         self.state = match l.state {
             Condition::Well => State::Open,
             Condition::Down { next_try } => State::Outage(now.saturating_add(next_try)),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -962,3 +962,32 @@
     let next = sends(&rig.ended(0, 0, Outcome::Delivered, 10 * MS));
     assert_eq!(next, vec![(2, 10)]);
 }
+
+#[test]
+fn a_call_that_never_got_there_leaves_its_place_in_the_pace_to_the_next() {
+    // A listed rate of 10 a second, and 100 senders: a call each ten seconds, or at first each five.
+    let many = Settings { senders: 100, weights: Weights::Nominal, connect_timeout: SEC, ..settings() };
+    let entries = || [1, 2].map(|target| Entry { weight: 10.0, ..entry(target, 7, 0) }).to_vec();
+    for got_there in [false, true] {
+        let mut rig = Rig::new(many.clone(), entries());
+        rig.submit(0, 0, 7);
+        let (_, first, target) = timed_sends(&rig.pass(6 * SEC))[0];
+        rig.submit(1, 0, 7);
+        let outcome = if got_there { Outcome::Full { wait: None } } else { Outcome::ConnectFailed };
+        let mut actions = rig.turn(vec![Event::Ended(Ended {
+            id: first,
+            attempt: 0,
+            outcome,
+            elapsed: MS,
+            finished: false,
+            report: None,
+            wait: None,
+            unsent: !got_there,
+        })]);
+        actions.extend(rig.pass(50 * MS).into_iter().map(|(_, action)| action));
+        // On the other endpoint, and once: the next one waits for its turn.
+        let sent = sends(&actions);
+        assert_eq!(sent.len(), usize::from(!got_there), "{sent:?}");
+        assert!(sent.iter().all(|(_, to)| *to != target));
+    }
+}
