--- a/src/api.rs
+++ b/src/api.rs
@@ -436,7 +436,7 @@
     /// Calls that are out.
     pub calls: usize,
     /// It holds the smaller share of the slots.
-    pub falters: bool,
+    pub degraded: bool,
     /// It is held to be down: trials only.
     pub outage: bool,
     /// Calls a second that are allowed; `None` where nothing limits them.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,17 +15,17 @@
 
 /// Quarters of the slots that a destination may hold while its calls succeed (the design's bound),
 const STEADY_QUARTERS: usize = 3;
-/// and while it falters; all faltering destinations together hold no more, so that the well keep the rest.
-const FALTER_QUARTERS: usize = 2;
+/// and while it is degraded; all degraded destinations together hold no more, so that the well keep the rest.
+const DEGRADED_QUARTERS: usize = 2;
 /// An outcome's weight falls by e in this part of `warmAfter`: health is a matter of a few seconds.
 const HEALTH_SPAN: f64 = 0.4;
 /// Outcomes imagined good (calls): few samples do not condemn.
 const PRIOR_GOOD: f64 = 3.0;
-/// Share of failures from which a destination falters.
-const FALTER_SHARE: f64 = 0.2;
+/// Share of failures from which a destination is degraded.
+const DEGRADED_SHARE: f64 = 0.2;
 /// Weighed failures (calls) from which, where they are most of all outcomes, an outage is assumed.
 const OUTAGE_FAILS: f64 = 2.5;
-/// A destination falters once calls take this multiple of its usual pace;
+/// A destination is degraded once calls take this multiple of its usual pace;
 const SLOW_TIMES: f64 = 3.0;
 /// calls out for this multiple of it, and for half an aim, are overdue;
 const OVERDUE_TIMES: f64 = 4.0;
@@ -178,11 +178,11 @@
     }
 
     /// Whether the design's smaller share holds.
-    fn falters(&self, now: Micros, e: &Env) -> bool {
+    fn is_degraded(&self, now: Micros, e: &Env) -> bool {
         let bad = self.bad.get(now, e.health);
         let share = bad / (bad + self.good.get(now, e.health) + PRIOR_GOOD);
         let slow = self.pace > SLOW_TIMES * self.usual;
-        self.state != State::Open || slow || share > FALTER_SHARE || self.overdue(now, e) > 0
+        self.state != State::Open || slow || share > DEGRADED_SHARE || self.overdue(now, e) > 0
     }
 
     /// Calls a second allowed now, and the span of them (seconds) that may go unspaced.
@@ -379,7 +379,7 @@
 
 /// What a destination could be sent in this turn: value, endpoint and message, or when to look again.
 struct Offer {
-    falters: bool,
+    degraded: bool,
     found: Result<(f64, TargetId, MessageId), Micros>,
 }
 
@@ -654,17 +654,17 @@
         (self.e.s.slots / 4 * quarters + self.e.s.slots % 4 * quarters / 4).max(1)
     }
 
-    fn dest_falters(&self, dest: DestId, now: Micros) -> bool {
+    fn is_dest_degraded(&self, dest: DestId, now: Micros) -> bool {
         let Some(d) = self.dests.get(&dest) else { return false };
         let mut routes = d.targets.iter().filter(|_| d.kind.routes_apart).map(|t| &self.targets[t].scope);
-        d.scope.falters(now, &self.e) || routes.any(|scope| scope.falters(now, &self.e))
+        d.scope.is_degraded(now, &self.e) || routes.any(|scope| scope.is_degraded(now, &self.e))
     }
 
     /// The ordinary path: what earns most goes while slots are free and its destination is under its cap.
     fn turn_end(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.timers(now, actions);
         self.waiting.clone().iter().for_each(|dest| self.watch(*dest, now));
-        let sick = self.counters.iter().filter(|(dest, _)| self.dest_falters(**dest, now));
+        let sick = self.counters.iter().filter(|(dest, _)| self.is_dest_degraded(**dest, now));
         let mut sick_calls: usize = sick.map(|(_, calls)| calls).sum();
         let mut wake = Micros::MAX;
         let mut offers: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.offer(*d, now))).collect();
@@ -672,19 +672,19 @@
             let mut best: Option<(f64, DestId, TargetId, MessageId, bool)> = None;
             wake = Micros::MAX;
             for (&dest, o) in &offers {
-                let cap = self.cap(if o.falters { FALTER_QUARTERS } else { STEADY_QUARTERS });
+                let cap = self.cap(if o.degraded { DEGRADED_QUARTERS } else { STEADY_QUARTERS });
                 let calls = self.counters.get(&dest).copied().unwrap_or(0);
-                if calls >= cap || (o.falters && sick_calls >= self.cap(FALTER_QUARTERS)) {
+                if calls >= cap || (o.degraded && sick_calls >= self.cap(DEGRADED_QUARTERS)) {
                     continue;
                 }
                 match o.found {
-                    Ok((v, t, m)) if best.is_none_or(|b| v > b.0) => best = Some((v, dest, t, m, o.falters)),
+                    Ok((v, t, m)) if best.is_none_or(|b| v > b.0) => best = Some((v, dest, t, m, o.degraded)),
                     Ok(_) => {}
                     Err(at) => wake = wake.min(at),
                 }
             }
-            let Some((_, dest, target, id, falters)) = best else { break };
-            sick_calls += usize::from(falters);
+            let Some((_, dest, target, id, degraded)) = best else { break };
+            sick_calls += usize::from(degraded);
             self.send(now, dest, target, id, actions);
             // A send changes nothing for the others: to look at all again costs the most where many wait.
             offers.remove(&dest);
@@ -692,7 +692,7 @@
                 offers.insert(dest, self.offer(dest, now));
             }
         }
-        let cap = self.cap(FALTER_QUARTERS);
+        let cap = self.cap(DEGRADED_QUARTERS);
         let full = sick_calls >= cap || self.calls.len() >= self.e.s.slots;
         offers.retain(|dest, _| full || self.counters.get(dest).is_some_and(|calls| *calls >= cap));
         self.call_off_lost(now, &offers, actions);
@@ -703,7 +703,7 @@
     }
 
     fn offer(&self, dest: DestId, now: Micros) -> Offer {
-        Offer { falters: self.dest_falters(dest, now), found: self.candidate(dest, now) }
+        Offer { degraded: self.is_dest_degraded(dest, now), found: self.candidate(dest, now) }
     }
 
     /// Tables of connections count idle ones, and many rare callers fill them: one that is not kept busy is
@@ -792,7 +792,7 @@
     /// The best message for a scope: what earns most, on time before late, earliest aim first.
     fn pick(&self, d: &Dest, scope: &Scope, target: &Target, now: Micros) -> Option<(f64, MessageId)> {
         let at = now + scope.usual as Micros;
-        let risky = scope.risk(now, &self.e) > FALTER_SHARE;
+        let risky = scope.risk(now, &self.e) > DEGRADED_SHARE;
         let trial = matches!(scope.state, State::Outage(_));
         let effect = |class: usize| self.e.s.classes[class].effect;
         let repeatable = d.lanes.keys().any(|(class, _)| effect(*class) != Effect::Unsafe);
--- a/src/logic/backlog.rs
+++ b/src/logic/backlog.rs
@@ -23,7 +23,7 @@
                 messages,
                 endpoints: d.targets.len(),
                 calls: self.counters.get(&dest).copied().unwrap_or(0),
-                falters: self.dest_falters(dest, now),
+                degraded: self.is_dest_degraded(dest, now),
                 outage: matches!(scope.state, State::Outage(_)),
                 rate: scope.rate(now, &self.e).map(|(rate, _)| rate),
                 ready_in: (scope.ready_at(now, &self.e) - now).max(0),
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -482,13 +482,13 @@
             eprintln!("node: {held} held, {out} calls out, {idle} connections idle; {counts}");
             for b in self.balancer.backlog(now) {
                 eprintln!(
-                    "node: destination {}: {} wait, {} endpoints, {} calls out, falters {}, outage {}, rate {:.1?}, ready in {} ms, \
+                    "node: destination {}: {} wait, {} endpoints, {} calls out, degraded {}, outage {}, rate {:.1?}, ready in {} ms, \
                      waits {} ms",
                     b.dest,
                     b.messages,
                     b.endpoints,
                     b.calls,
-                    b.falters,
+                    b.degraded,
                     b.outage,
                     b.rate,
                     b.ready_in / 1000,
