--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,9 +40,9 @@
 /// Gain of one delivery in the usual pace (tens of calls) and in the present one (a few).
 const USUAL_GAIN: f64 = 0.05;
 const PACE_GAIN: f64 = 0.3;
-/// A refusal cuts the pace to this part of what was sent; it recovers by this part a second.
-const BACK_OFF: f64 = 0.7;
-const RECOVER: f64 = 0.08;
+/// Multiplicative decrease of the pace at a refusal, from what was sent, and additive increase a second.
+const DECREASE: f64 = 0.7;
+const INCREASE: f64 = 0.08;
 /// Where many share, the longest wait after refusals, in even parts of the limit.
 const REST_TIMES: f64 = 4.0;
 /// Sends let through unspaced, as a span of the limit (seconds).
@@ -251,7 +251,7 @@
         // Where calls gather messages, pace is of no use until they go full or rarely.
         if let Some(l) = self.limit.filter(|l| self.full || SECOND / l > e.aim / 4.0) {
             let dt = ((now - self.adjusted_at) as f64 / SECOND).clamp(0.0, e.warm / SECOND);
-            let grown = l + dt * RECOVER * (l + e.least).max(self.own_part(e));
+            let grown = l + dt * INCREASE * (l + e.least).max(self.own_part(e));
             self.limit = Some(self.ceiling.map_or(grown, |c| grown.min(c)));
             self.adjusted_at = now;
         }
@@ -294,7 +294,7 @@
             // alone is no rate: rare callers would each go on far over their part.
             let known = 1.0 - 1.0 / self.long.get(now, e.warm).max(1.0);
             let sent = (self.own_rate(now, e) * known).max(own);
-            self.limit = Some((self.limit.map_or(sent, |l| l.min(sent)) * BACK_OFF).max(floor));
+            self.limit = Some((self.limit.map_or(sent, |l| l.min(sent)) * DECREASE).max(floor));
             (self.adjusted_at, self.last_refusal) = (now, now);
         }
         // Refused calls may use up the limit: each wave doubles the wait, and none come back together.
@@ -403,7 +403,7 @@
     /// Endpoints that operators have taken out, listed or not.
     banned: BTreeSet<TargetId>,
     /// The design's counter: calls of this sender to one destination; dropped when idle.
-    counters: BTreeMap<DestId, usize>,
+    in_flight: BTreeMap<DestId, usize>,
     messages: BTreeMap<MessageId, Message>,
     attempts: BTreeMap<(MessageId, usize), Attempt>,
     /// Attempts still out of each call; a call takes one slot.
@@ -512,7 +512,7 @@
             return;
         }
         if self.spent(&self.messages[&id]) {
-            return self.give_back(now, id, actions);
+            return self.reject(now, id, actions);
         }
         if let Some(key) = &key {
             self.turns.entry(key.clone()).or_default().queue.push_back(id);
@@ -603,7 +603,7 @@
     }
 
     /// Refuses where no attempt may have run, else fails.
-    fn give_back(&mut self, now: Micros, id: MessageId, actions: &mut Vec<Action>) {
+    fn reject(&mut self, now: Micros, id: MessageId, actions: &mut Vec<Action>) {
         let Some(m) = self.messages.get(&id) else { return };
         self.ends[m.m.class][1].add(now, self.e.warm);
         let safe = self.e.s.classes[m.m.class].effect == Effect::Safe;
@@ -626,7 +626,7 @@
             Some((self.value(&self.messages[&id], now) * part / lane.len() as f64, id))
         });
         if let Some((_, id)) = worth.min_by(|a, b| a.0.total_cmp(&b.0)) {
-            self.give_back(now, id, actions);
+            self.reject(now, id, actions);
         }
     }
 
@@ -664,7 +664,7 @@
     fn turn_end(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.timers(now, actions);
         self.waiting.clone().iter().for_each(|dest| self.watch(*dest, now));
-        let sick = self.counters.iter().filter(|(dest, _)| self.is_dest_degraded(**dest, now));
+        let sick = self.in_flight.iter().filter(|(dest, _)| self.is_dest_degraded(**dest, now));
         let mut sick_calls: usize = sick.map(|(_, calls)| calls).sum();
         let mut wake = Micros::MAX;
         let mut offers: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.offer(*d, now))).collect();
@@ -673,7 +673,7 @@
             wake = Micros::MAX;
             for (&dest, o) in &offers {
                 let cap = self.cap(if o.degraded { DEGRADED_QUARTERS } else { STEADY_QUARTERS });
-                let calls = self.counters.get(&dest).copied().unwrap_or(0);
+                let calls = self.in_flight.get(&dest).copied().unwrap_or(0);
                 if calls >= cap || (o.degraded && sick_calls >= self.cap(DEGRADED_QUARTERS)) {
                     continue;
                 }
@@ -694,7 +694,7 @@
         }
         let cap = self.cap(DEGRADED_QUARTERS);
         let full = sick_calls >= cap || self.calls.len() >= self.e.s.slots;
-        offers.retain(|dest, _| full || self.counters.get(dest).is_some_and(|calls| *calls >= cap));
+        offers.retain(|dest, _| full || self.in_flight.get(dest).is_some_and(|calls| *calls >= cap));
         self.call_off_lost(now, &offers, actions);
         self.reclaim(now, actions);
         self.close_idle(now, actions);
@@ -904,7 +904,7 @@
             next = self.pick(d, scope, t, now).map(|(_, id)| id);
         }
         self.calls.insert(call, travelling);
-        *self.counters.entry(dest).or_default() += 1;
+        *self.in_flight.entry(dest).or_default() += 1;
         let t = self.targets.get_mut(&target).expect("endpoints are known");
         t.out += 1;
         t.idle.pop_back();
@@ -948,7 +948,7 @@
         self.set_alarm(id);
         let m = &self.messages[&id];
         if now >= m.alarm || self.spent(m) {
-            return self.give_back(now, id, actions);
+            return self.reject(now, id, actions);
         }
         let step = (e.aim as Micros / RETRY_PART) << (m.attempts - 1).min(4);
         // A dead connection tells nothing against another one, now.
@@ -971,7 +971,7 @@
         if let Some((rate, _)) = scope.rate(now, &e).filter(|_| end.unsent) {
             scope.due -= (SECOND / rate) as Micros;
         }
-        self.counters.retain(|dest, calls| {
+        self.in_flight.retain(|dest, calls| {
             *calls -= usize::from(*dest == a.dest);
             *calls > 0
         });
@@ -1036,7 +1036,7 @@
                 m.alarm = latest;
                 self.alarms.insert((latest, id));
             } else if !m.started {
-                self.give_back(now, id, actions);
+                self.reject(now, id, actions);
             }
         }
         while let Some(&(at, id)) = self.parked.first().filter(|(at, _)| *at <= now) {
--- a/src/logic/backlog.rs
+++ b/src/logic/backlog.rs
@@ -22,7 +22,7 @@
                 dest,
                 messages,
                 endpoints: d.targets.len(),
-                calls: self.counters.get(&dest).copied().unwrap_or(0),
+                calls: self.in_flight.get(&dest).copied().unwrap_or(0),
                 degraded: self.is_dest_degraded(dest, now),
                 outage: matches!(scope.state, State::Outage(_)),
                 rate: scope.rate(now, &self.e).map(|(rate, _)| rate),
--- a/src/logic/handover.rs
+++ b/src/logic/handover.rs
@@ -66,7 +66,7 @@
         let StillOut { call, target, sent } = out;
         let Some(dest) = self.targets.get(&target).map(|t| t.dest) else { return false };
         if !self.calls.contains_key(&call) {
-            *self.counters.entry(dest).or_default() += 1;
+            *self.in_flight.entry(dest).or_default() += 1;
             self.targets.get_mut(&target).expect("just seen").out += 1;
             self.scope(dest, target).out.insert(call, sent);
             self.next_call = self.next_call.max(call + 1);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -23,7 +23,7 @@
 const GRACE: Duration = Duration::from_millis(500);
 const CONNECT: Duration = Duration::from_secs(1);
 /// A watch that fails is followed by the next after the first of these, doubled up to the second.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// More senders than these share out what the service can do.
 const FEW: usize = 4;
 /// Calls of each sender in the time that the settings give for asking: at first, at least and at most,
@@ -123,26 +123,26 @@
 }
 
 /// The times between watches that fail.
-struct Pauses {
+struct Backoff {
     next: Duration,
     seed: u64,
 }
 
-impl Pauses {
+impl Backoff {
     fn new(seed: u64) -> Self {
-        Pauses { next: BACK_OFF.0, seed: seed | 1 }
+        Backoff { next: BACKOFF.0, seed: seed | 1 }
     }
 
     /// Exponential backoff with jitter.
     fn next(&mut self) -> Duration {
         let pause = self.next.mul_f64(0.5 + chance(&mut self.seed));
-        self.next = (self.next * 2).min(BACK_OFF.1);
+        self.next = (self.next * 2).min(BACKOFF.1);
         pause
     }
 
     /// A call has been answered.
     fn end(&mut self) {
-        self.next = BACK_OFF.0;
+        self.next = BACKOFF.0;
     }
 }
 
@@ -195,7 +195,7 @@
 ) {
     match Polls::new(&settings, seed) {
         Some(polls) => poll(at, rev.is_some(), node, polls).await,
-        None => watch(at, rev, node, Pauses::new(seed)).await,
+        None => watch(at, rev, node, Backoff::new(seed)).await,
     }
 }
 
@@ -248,7 +248,7 @@
     mut at: watch::Receiver<SocketAddr>,
     rev: Option<u64>,
     node: Sender<Input>,
-    mut pauses: Pauses,
+    mut backoff: Backoff,
 ) {
     let mut known = rev;
     let mut connection = None;
@@ -258,7 +258,7 @@
         // Told between an answer and this: the connection would go on at the old address.
         if std::mem::replace(&mut from, to) != to {
             (known, connection) = (None, None);
-            pauses.end();
+            backoff.end();
         }
         let (path, limit) = match known {
             Some(rev) => (format!("/api/targets?index={rev}&wait={}", WATCH.as_millis()), WATCH + GRACE),
@@ -271,7 +271,7 @@
         };
         match told {
             Ok(list) => {
-                pauses.end();
+                backoff.end();
                 // Of a change that can't be read the whole list may tell more.
                 known = Some(list.rev).filter(|_| list.all || list.unreadable == 0);
                 if node.send(Input::List(list)).await.is_err() {
@@ -284,7 +284,7 @@
                 // One that has no time now says nothing against what is known: the whole list would cost it more.
                 known = known.filter(|_| matches!(e, Failed::Status(_)));
                 // A new address is tried at once.
-                let _ = timeout(pauses.next(), at.changed()).await;
+                let _ = timeout(backoff.next(), at.changed()).await;
             }
         }
     }
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -43,9 +43,9 @@
     for _ in 0..4 {
         polls.failed(&refused());
     }
-    let pauses: Vec<Duration> = (0..100).map(|_| polls.answered()).collect();
-    assert!(pauses.iter().all(|pause| *pause < within), "{pauses:?}");
-    assert!(pauses[90..].iter().all(|pause| *pause <= within / 3), "{pauses:?}");
+    let backoff: Vec<Duration> = (0..100).map(|_| polls.answered()).collect();
+    assert!(backoff.iter().all(|pause| *pause < within), "{backoff:?}");
+    assert!(backoff[90..].iter().all(|pause| *pause <= within / 3), "{backoff:?}");
     // One refusal halves the pace, one answer does not bring it back.
     polls.failed(&refused());
     polls.answered();
@@ -56,9 +56,9 @@
 
 #[test]
 fn watches_that_fail_are_soon_tried_again() {
-    let mut pauses = Pauses::new(3);
-    let all: Vec<Duration> = (0..9).map(|_| pauses.next()).collect();
-    assert!(all.iter().all(|pause| *pause <= BACK_OFF.1 * 3 / 2) && all[8] >= BACK_OFF.1 / 2, "{all:?}");
-    pauses.end();
-    assert!(pauses.next() <= BACK_OFF.0 * 3 / 2);
+    let mut backoff = Backoff::new(3);
+    let all: Vec<Duration> = (0..9).map(|_| backoff.next()).collect();
+    assert!(all.iter().all(|pause| *pause <= BACKOFF.1 * 3 / 2) && all[8] >= BACKOFF.1 / 2, "{all:?}");
+    backoff.end();
+    assert!(backoff.next() <= BACKOFF.0 * 3 / 2);
 }
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -19,7 +19,7 @@
 const ANSWER: Duration = Duration::from_millis(250);
 const CONNECT: Duration = Duration::from_millis(250);
 /// A failed call is followed by the next after the first of these, doubled up to the second.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(200));
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(200));
 
 /// How a message ended that was taken on and not delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,7 +65,7 @@
     let mut connection = None;
     while let Some(batch) = batches.recv().await {
         let text = lines(&batch);
-        let mut pause = BACK_OFF.0;
+        let mut pause = BACKOFF.0;
         loop {
             if at.has_changed().unwrap_or(false) {
                 connection = None;
@@ -81,8 +81,8 @@
             connection = None;
             // A new address is tried at once.
             tokio::select! {
-                () = sleep(pause) => pause = (pause * 2).min(BACK_OFF.1),
-                Ok(()) = wait_for_change(&at) => pause = BACK_OFF.0,
+                () = sleep(pause) => pause = (pause * 2).min(BACKOFF.1),
+                Ok(()) = wait_for_change(&at) => pause = BACKOFF.0,
             }
         }
         if node.send(Input::Noticed(batch)).await.is_err() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -14,7 +14,7 @@
 }
 
 #[test]
-fn a_faltering_destination_holds_half_of_the_slots_at_most() {
+fn a_degraded_destination_holds_half_of_the_slots_at_most() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
     for id in 0..2 {
         assert_eq!(sends(&rig.submit(id, 0, 1)).len(), 1);
