Do not take an endpoint that is down for a full table of connections

From 5 s, when half of the traffic's destinations are down, each refused connection had this sender close every idle connection it used in the next 11 s, at all destinations, and all senders did so at once. Ruled out: connections that paths forget (0 closed as idle, no reset), the age limits (as before the outage). At fault: Balancer::call_ended, crowded_until. A second refusal in a row at an endpoint ends what the first one began. Test: an_endpoint_that_is_down_closes_no_idle_connection_elsewhere fails without it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -998,7 +998,8 @@
                     let wait = e.aim / 16.0 * f64::from(1 << t.crowded) * (0.5 + chance(&mut self.seed));
                     t.closed_until = now + wait as Micros;
                 }
-                self.crowded_until = now + e.warm as Micros;
+                // Turned away again and again it is down, which says nothing of others' tables.
+                self.crowded_until = if t.crowded > 1 { now } else { now + e.warm as Micros };
                 return;
             }
             _ => t.avoid_until = now + e.s.warm_after / AVOID_PART,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -410,6 +410,20 @@
     }
 }
 
+#[test]
+fn an_endpoint_that_is_down_closes_no_idle_connection_elsewhere() {
+    let mut rig = Rig::new(many(), vec![entry(10, 1, 0), entry(20, 2, 0)]);
+    rig.submit(1, 0, 1);
+    rig.ended(1, 0, Outcome::Delivered, 200 * MS);
+    rig.submit(2, 0, 2);
+    for attempt in 0..3 {
+        rig.ended(2, attempt, Outcome::ConnectFailed, 50 * MS);
+        assert_eq!(sends(&rig.pass(5 * SEC).into_iter().map(|(_, a)| a).collect::<Vec<_>>()), [(2, 20)]);
+    }
+    rig.submit(3, 0, 1);
+    assert!(!closed(&rig.ended(3, 0, Outcome::Delivered, 200 * MS)), "it is down, not full");
+}
+
 /// Seen at a recorded incident: a few connections turned away at once were taken for an outage of seconds.
 #[test]
 fn a_connection_turned_away_at_once_is_a_full_table_and_no_outage() {
