--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -1019,3 +1019,33 @@
     }
     panic!("the last connection was used like the first");
 }
+
+#[tokio::test]
+async fn answers_in_pieces_are_read_and_endless_or_half_ones_hold_nothing_up() {
+    let (_discovery, raw, f) = raw_world("plain", |_| {}).await;
+    f.hand_in("keyed", "a", 9000).await;
+    let mut call = raw.accept().await;
+    call.request().await;
+    call.0.set_nodelay(true).expect("it is open");
+    for byte in "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".chars() {
+        call.write(&byte.to_string()).await;
+    }
+    f.until_delivered("keyed", "a").await;
+    // Half a line that nothing asked for: the connection carries no other call.
+    call.write("HTTP/1.1 20").await;
+    assert_eq!(call.rest().await, "");
+    f.hand_in("keyed", "b", 9000).await;
+    let mut endless = raw.accept().await;
+    assert!(endless.request().await.contains("req-id: b"));
+    let begun = Instant::now();
+    endless.write("HTTP/1.1 500 No\r\nContent-Length: 1000000\r\n\r\n").await;
+    while endless.0.write_all(b"more").await.is_ok() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+    // It may have run, and may be repeated.
+    let mut call = raw.accept().await;
+    assert!(call.request().await.contains("req-id: b"));
+    call.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+    f.until_delivered("keyed", "b").await;
+}
