--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -522,5 +522,7 @@
     }
 }
 
+#[cfg(test)]
+mod format_tests;
 #[cfg(test)]
 mod tests;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -314,5 +314,7 @@
     Ok(serde_json::from_slice(&text)?)
 }
 
+#[cfg(test)]
+mod format_tests;
 #[cfg(test)]
 mod tests;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -369,3 +369,6 @@
     }
     Ok(Older { rest: *rest, wire })
 }
+
+#[cfg(test)]
+mod format_tests;
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -582,3 +582,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod format_tests;
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -532,5 +532,7 @@
     }
 }
 
+#[cfg(test)]
+mod format_tests;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/net/journal/format_tests.rs
@@ -0,0 +1,384 @@
+//! Holds the bytes of the journal: files that earlier versions have written must be read the same for ever, also
+//! where they are damaged, and what is written must not change unnoticed.
+
+use super::tests::Folder;
+use super::*;
+
+/// A journal with every kind of record, as version 0.1.0 wrote it.
+const EVERY_RECORD: &[u8] = include_bytes!("../../../tests/fixtures/journal/every-record.journal");
+/// The same journal after version 0.1.0 had compacted it.
+const COMPACTED: &[u8] = include_bytes!("../../../tests/fixtures/journal/compacted.journal");
+/// Digest of what is read from each front part of [`EVERY_RECORD`].
+const TORN_TAILS_DIGEST: u64 = 0x006f_bc40_601a_6062;
+/// Digest of what is read from [`EVERY_RECORD`] with one byte damaged, at every [`DAMAGE_STRIDE`]th place in turn.
+const DAMAGED_BYTES_DIGEST: u64 = 0x123b_73da_4243_884a;
+
+/// To damage every byte in turn takes three seconds in a debug build.
+const DAMAGE_STRIDE: usize = 3;
+
+const LIMIT: u64 = 3 << 20;
+/// The time of the tests (Unix ms).
+const NOW: u64 = 1_800_000_000_000;
+/// Later than any run of the tests (Unix ms).
+const FAR_FUTURE: u64 = 4_000_000_000_000;
+
+fn write_file(folder: &Folder, text: &[u8]) {
+    fs::write(folder.0.join("journal"), text).expect("the folder can be written");
+}
+
+fn read_file(folder: &Folder) -> Vec<u8> {
+    fs::read(folder.0.join("journal")).expect("the journal is there")
+}
+
+/// A folder with a copy of this journal: opening one may shorten it.
+fn folder_with(text: &[u8]) -> Folder {
+    let folder = Folder::new();
+    write_file(&folder, text);
+    folder
+}
+
+fn open_in(folder: &Folder) -> (Journal, Vec<Open>) {
+    Journal::open(&folder.0, LIMIT, NOW).expect("the journal opens")
+}
+
+fn message(id: &str, tenant: Option<&str>, key: Option<&str>, body: impl Into<Bytes>) -> Taken {
+    Taken {
+        id: id.to_owned(),
+        class: "auth-notice".to_owned(),
+        tenant: tenant.map(str::to_owned),
+        dest: 7,
+        key: key.map(str::to_owned),
+        deadline: FAR_FUTURE,
+        body: body.into(),
+    }
+}
+
+fn plain_message() -> Taken {
+    message("plain", Some("tenant-a"), Some("key-1"), "hello")
+}
+
+fn bare_message() -> Taken {
+    Taken { class: "bulk".to_owned(), dest: u64::MAX, ..message("bare", None, None, "") }
+}
+
+fn binary_message() -> Taken {
+    let every_byte: Vec<u8> = (0..=u8::MAX).collect();
+    message("binary", None, Some("key \"2\" \u{e9}"), every_byte)
+}
+
+/// Its body would end the message `plain` if it were read as a record.
+fn message_with_a_frame_in_its_body() -> Taken {
+    let mut body = b"before".to_vec();
+    put(&over("plain", End::Failed, FAR_FUTURE), &mut body);
+    body.extend_from_slice(b"after");
+    message("frame-like", Some("tenant-b"), None, body)
+}
+
+fn message_taken_again() -> Taken {
+    message("retaken", None, Some("key-3"), "second time")
+}
+
+fn sent(id: &str, attempt: usize, at: u64, zone: &str) -> Record {
+    Record::Sent(id.to_owned(), attempt, at, zone.to_owned())
+}
+
+fn ended(id: &str, attempt: usize, may_have_run: bool) -> Record {
+    Record::Ended(id.to_owned(), attempt, may_have_run)
+}
+
+fn owed(id: &str, end: NoticeEnd, until: u64) -> Record {
+    Record::Owed(id.to_owned(), end, until)
+}
+
+fn over(id: &str, end: End, until: u64) -> Record {
+    Record::Over(id.to_owned(), end, until)
+}
+
+fn simple(id: &str) -> Record {
+    Record::Taken(message(id, None, None, id.to_owned()))
+}
+
+/// The records of the fixture, in its order.
+fn every_record() -> Vec<Record> {
+    [open_messages(), endpoints(), attempts(), taken_again(), owed_notices(), finished_messages()].concat()
+}
+
+fn open_messages() -> Vec<Record> {
+    [plain_message(), bare_message(), binary_message(), message_with_a_frame_in_its_body()]
+        .map(Record::Taken)
+        .to_vec()
+}
+
+fn endpoints() -> Vec<Record> {
+    let banned = ["endpoint-3", "endpoint-1", "endpoint-2"].map(|uid| Record::Banned(uid.to_owned()));
+    [banned.to_vec(), vec![Record::Allowed("endpoint-1".to_owned())]].concat()
+}
+
+fn attempts() -> Vec<Record> {
+    vec![
+        sent("plain", 0, NOW, "hall-a"),
+        ended("plain", 0, true),
+        sent("plain", 1, NOW + 1, "hall-b"),
+        ended("plain", 1, false),
+        sent("plain", 2, NOW + 2, "hall-a"),
+        // Attempts 0 and 1 were never noted, and attempt 1 comes too late.
+        sent("bare", 2, NOW + 3, "hall-c"),
+        sent("bare", 1, NOW + 4, "hall-d"),
+        ended("bare", 7, true),
+        // Of a message that the file does not hold.
+        sent("unknown", 0, NOW, "hall-a"),
+    ]
+}
+
+fn taken_again() -> Vec<Record> {
+    vec![
+        Record::Taken(message("retaken", None, Some("key-3"), "first time")),
+        sent("retaken", 0, NOW, "hall-a"),
+        over("retaken", End::Refused, FAR_FUTURE + 1),
+        Record::Taken(message_taken_again()),
+    ]
+}
+
+fn owed_notices() -> Vec<Record> {
+    let timed = NoticeEnd::HandedBack { retry_in_ms: Some(1500) };
+    let untimed = NoticeEnd::HandedBack { retry_in_ms: None };
+    vec![
+        simple("given-up"),
+        sent("given-up", 0, NOW + 5, "hall-a"),
+        owed("given-up", NoticeEnd::GivenUp, FAR_FUTURE + 2),
+        simple("handed-back"),
+        owed("handed-back", timed, FAR_FUTURE + 3),
+        simple("handed-back-untimed"),
+        owed("handed-back-untimed", untimed, FAR_FUTURE + 4),
+    ]
+}
+
+fn finished_messages() -> Vec<Record> {
+    vec![
+        simple("delivered"),
+        sent("delivered", 0, NOW + 6, "hall-a"),
+        ended("delivered", 0, true),
+        over("delivered", End::Delivered, FAR_FUTURE + 5),
+        simple("failed"),
+        over("failed", End::Failed, FAR_FUTURE + 6),
+        simple("refused"),
+        over("refused", End::Refused, FAR_FUTURE + 7),
+        simple("forgotten"),
+        over("forgotten", End::Delivered, NOW - 1),
+    ]
+}
+
+fn attempt(sent: u64, zone: &str, may_have_run: bool) -> Attempt {
+    Attempt { sent, zone: zone.to_owned(), may_have_run }
+}
+
+fn open(taken: Taken, attempts: Vec<Attempt>, owed: Option<NoticeEnd>) -> Open {
+    Open { taken, attempts, owed, in_doubt: false }
+}
+
+/// What the fixture tells of messages that are not over.
+fn expected_open_messages() -> Vec<Open> {
+    let simple = |id: &str| message(id, None, None, id.to_owned());
+    let timed = NoticeEnd::HandedBack { retry_in_ms: Some(1500) };
+    let untimed = NoticeEnd::HandedBack { retry_in_ms: None };
+    let plain_attempts = vec![
+        attempt(NOW, "hall-a", true),
+        attempt(NOW + 1, "hall-b", false),
+        attempt(NOW + 2, "hall-a", true),
+    ];
+    let bare_attempts = vec![
+        attempt(NOW + 3, "hall-c", false),
+        attempt(NOW + 3, "hall-c", false),
+        attempt(NOW + 3, "hall-c", true),
+    ];
+    vec![
+        open(plain_message(), plain_attempts, None),
+        open(bare_message(), bare_attempts, None),
+        open(binary_message(), vec![], None),
+        open(message_with_a_frame_in_its_body(), vec![], None),
+        open(message_taken_again(), vec![], None),
+        open(simple("given-up"), vec![attempt(NOW + 5, "hall-a", true)], Some(NoticeEnd::GivenUp)),
+        open(simple("handed-back"), vec![], Some(timed)),
+        open(simple("handed-back-untimed"), vec![], Some(untimed)),
+    ]
+}
+
+fn expected_ends() -> Vec<(&'static str, End, u64)> {
+    vec![
+        ("delivered", End::Delivered, FAR_FUTURE + 5),
+        ("failed", End::Failed, FAR_FUTURE + 6),
+        ("given-up", End::Failed, FAR_FUTURE + 2),
+        ("handed-back", End::Refused, FAR_FUTURE + 3),
+        ("handed-back-untimed", End::Refused, FAR_FUTURE + 4),
+        ("refused", End::Refused, FAR_FUTURE + 7),
+        ("retaken", End::Refused, FAR_FUTURE + 1),
+    ]
+}
+
+/// The ends that are remembered, by message.
+fn remembered_ends(journal: &Journal) -> Vec<(&str, End, u64)> {
+    let mut ends: Vec<_> =
+        journal.ends.iter().map(|(id, (end, until))| (id.as_str(), *end, *until)).collect();
+    ends.sort_by_key(|(id, ..)| *id);
+    ends
+}
+
+fn assert_reads_as_the_fixture(journal: &Journal, messages: &[Open]) {
+    assert_eq!(messages, expected_open_messages());
+    assert_eq!(remembered_ends(journal), expected_ends());
+    assert_eq!(journal.bans().iter().collect::<Vec<_>>(), ["endpoint-2", "endpoint-3"]);
+}
+
+/// A 64-bit FNV-1a hash over an encoding of its own, in which no name of a type or a field occurs.
+struct Digest(u64);
+
+impl Digest {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+    fn new() -> Self {
+        Digest(Self::OFFSET_BASIS)
+    }
+
+    fn bytes(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(Self::PRIME);
+        }
+    }
+
+    fn number(&mut self, number: u64) {
+        self.bytes(&number.to_le_bytes());
+    }
+
+    fn text(&mut self, text: impl AsRef<[u8]>) {
+        self.number(text.as_ref().len() as u64);
+        self.bytes(text.as_ref());
+    }
+
+    fn optional_text(&mut self, text: &Option<String>) {
+        self.number(text.is_some().into());
+        if let Some(text) = text {
+            self.text(text);
+        }
+    }
+
+    fn end(&mut self, end: End) {
+        self.number(match end {
+            End::Delivered => 1,
+            End::Failed => 2,
+            End::Refused => 3,
+        });
+    }
+
+    fn owed(&mut self, owed: Option<NoticeEnd>) {
+        let (kind, retry_in_ms) = match owed {
+            None => (0, 0),
+            Some(NoticeEnd::GivenUp) => (1, 0),
+            Some(NoticeEnd::HandedBack { retry_in_ms: None }) => (2, 0),
+            Some(NoticeEnd::HandedBack { retry_in_ms: Some(ms) }) => (3, ms),
+        };
+        self.number(kind);
+        self.number(retry_in_ms);
+    }
+
+    fn message(&mut self, taken: &Taken) {
+        self.text(&taken.id);
+        self.text(&taken.class);
+        self.optional_text(&taken.tenant);
+        self.number(taken.dest);
+        self.optional_text(&taken.key);
+        self.number(taken.deadline);
+        self.text(&taken.body);
+    }
+
+    fn open_message(&mut self, open: &Open) {
+        self.message(&open.taken);
+        self.number(open.attempts.len() as u64);
+        for attempt in &open.attempts {
+            self.number(attempt.sent);
+            self.text(&attempt.zone);
+            self.number(attempt.may_have_run.into());
+        }
+        self.owed(open.owed);
+        self.number(open.in_doubt.into());
+    }
+
+    fn journal(&mut self, journal: &Journal, messages: &[Open]) {
+        self.number(messages.len() as u64);
+        messages.iter().for_each(|open| self.open_message(open));
+        let ends = remembered_ends(journal);
+        self.number(ends.len() as u64);
+        for (id, end, until) in ends {
+            self.text(id);
+            self.end(end);
+            self.number(until);
+        }
+        self.number(journal.bans().len() as u64);
+        journal.bans().iter().for_each(|uid| self.text(uid));
+    }
+}
+
+/// The digest of what is read from each of these files, and of how long they are once they were opened.
+fn digest_of(variants: impl Iterator<Item = Vec<u8>>) -> u64 {
+    let folder = Folder::new();
+    let mut digest = Digest::new();
+    for text in variants {
+        write_file(&folder, &text);
+        let (journal, messages) = open_in(&folder);
+        digest.journal(&journal, &messages);
+        digest.number(read_file(&folder).len() as u64);
+    }
+    digest.0
+}
+
+#[test]
+fn the_stored_journal_reads_as_it_always_did() {
+    let folder = folder_with(EVERY_RECORD);
+    let (journal, messages) = open_in(&folder);
+    assert_reads_as_the_fixture(&journal, &messages);
+    assert_eq!(read_file(&folder), EVERY_RECORD, "opening must not change a whole file");
+}
+
+#[test]
+fn the_same_records_are_written_with_the_same_bytes() {
+    let folder = Folder::new();
+    let (mut journal, _) = open_in(&folder);
+    let records = every_record();
+    let (noted, committed) = records.split_at(10);
+    noted.iter().for_each(|record| journal.note(record, NOW));
+    for records in committed.chunks(4) {
+        journal.commit(records, NOW).expect("there is room");
+    }
+    assert!(read_file(&folder) == EVERY_RECORD, "the bytes of a record have changed");
+}
+
+#[test]
+fn compacting_gives_the_same_bytes() {
+    let folder = folder_with(EVERY_RECORD);
+    let (mut journal, _) = open_in(&folder);
+    journal.compact(NOW).expect("there is room");
+    assert!(read_file(&folder) == COMPACTED, "the bytes of a compacted journal have changed");
+}
+
+#[test]
+fn the_compacted_journal_reads_as_the_long_one() {
+    let folder = folder_with(COMPACTED);
+    let (journal, messages) = open_in(&folder);
+    assert_reads_as_the_fixture(&journal, &messages);
+}
+
+#[test]
+fn a_journal_torn_anywhere_reads_as_it_always_did() {
+    let torn = (0..=EVERY_RECORD.len()).map(|length| EVERY_RECORD[..length].to_vec());
+    assert_eq!(digest_of(torn), TORN_TAILS_DIGEST);
+}
+
+#[test]
+fn a_journal_damaged_anywhere_reads_as_it_always_did() {
+    let damaged = (0..EVERY_RECORD.len()).step_by(DAMAGE_STRIDE).map(|place| {
+        let mut text = EVERY_RECORD.to_vec();
+        text[place] ^= 1;
+        text
+    });
+    assert_eq!(digest_of(damaged), DAMAGED_BYTES_DIGEST);
+}
--- a/src/net/journal/tests.rs
+++ b/src/net/journal/tests.rs
@@ -3,10 +3,11 @@
 use std::env;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-struct Folder(PathBuf);
+/// A temporary folder, removed when dropped.
+pub(super) struct Folder(pub(super) PathBuf);
 
 impl Folder {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         static MADE: AtomicUsize = AtomicUsize::new(0);
         let name =
             format!("yarrowhill-journal-{}-{}", std::process::id(), MADE.fetch_add(1, Ordering::Relaxed));
--- a/src/net/notices.rs
+++ b/src/net/notices.rs
@@ -129,5 +129,7 @@
     }
 }
 
+#[cfg(test)]
+mod format_tests;
 #[cfg(test)]
 mod tests;
