Record seeded histories of decisions and of the simulator adapter as a net

A net under the coming renames: ten seeded histories of 4000 turns drive the decision module, and two of 2000 frames drive the simulator adapter, text in and text out. Each compares the number of actions (reply lines) and an FNV-1a digest, at checkpoints each 500 turns, with values recorded from the program as it stands. No digest rests on a Rust name; the decision histories name types of the package only in tests/support_history/translation.rs.

--- /dev/null
+++ b/tests/decision_history.rs
@@ -0,0 +1,405 @@
+//! Long seeded histories of the decision module, compared with digests recorded earlier: a change of any
+//! decision, however small, shows here. A refactoring must leave every number as it is.
+//!
+//! After an intended change of behaviour the panic message of each test shows the values to record.
+
+#[path = "support_history/calls.rs"]
+mod calls;
+#[path = "support_history/driver.rs"]
+mod driver;
+#[path = "support_history/scenario.rs"]
+mod scenario;
+mod support_history;
+#[path = "support_history/translation.rs"]
+mod translation;
+
+use driver::History;
+use scenario::*;
+use support_history::Expected;
+use translation::*;
+
+/// Numbers of the kinds of decision, as the recordings encode them.
+const SEND: usize = 1;
+const REFUSE: usize = 2;
+const FAIL: usize = 3;
+const CANCEL: usize = 4;
+const CLOSE: usize = 5;
+const WAKE: usize = 6;
+const SUBSCRIBE: usize = 7;
+const ADMIT: usize = 8;
+
+const ALL_CLASSES: &[usize] = &[SAFE, KEYED, KEYED_PER_ZONE, UNSAFE, SAFE_ORDERED, UNSAFE_ORDERED];
+const ALL_MOODS: &[Mood] = &[
+    Mood::Well,
+    Mood::Well,
+    Mood::Well,
+    Mood::Well,
+    Mood::Failing,
+    Mood::Limited,
+    Mood::Hanging,
+    Mood::Crowded,
+    Mood::Unreachable,
+];
+
+const PROFILE: Profile =
+    Profile { senders: 2, slots: 16, open_cap: 400, weights: 0, ask: false, cancel: false, halves: false };
+
+const RATES: Rates = Rates {
+    submit: 500,
+    burst: 4,
+    mood: 8,
+    list: 12,
+    list_broken: 0,
+    ban: 0,
+    ban_end: 0,
+    drain: 0,
+    client_left: 10,
+    started: 10,
+    past: 10,
+};
+
+const fn destination(id: u64, kind: usize, endpoints: u64) -> Destination {
+    Destination { id, kind, endpoints }
+}
+
+const BASIC: Scenario = Scenario {
+    name: "",
+    seed: 0,
+    turns: 4000,
+    profile: PROFILE,
+    destinations: &[],
+    classes: ALL_CLASSES,
+    moods: ALL_MOODS,
+    tenants: false,
+    rates: RATES,
+    take_over_every: 0,
+    must_occur: &[SEND, REFUSE, FAIL, WAKE],
+};
+
+const SHARED_ROUTES: Scenario = Scenario {
+    name: "shared routes",
+    seed: 11,
+    destinations: &[destination(1, SHARED, 3), destination(2, SHARED, 2), destination(3, SHARED, 1)],
+    ..BASIC
+};
+
+const SEPARATE_ROUTES: Scenario = Scenario {
+    name: "separate routes",
+    seed: 12,
+    destinations: &[destination(1, SEPARATE, 3), destination(2, SEPARATE, 2), destination(3, SHARED, 2)],
+    profile: Profile { weights: 1, ..PROFILE },
+    ..BASIC
+};
+
+const MANY_SENDERS: Scenario = Scenario {
+    name: "batches with many senders",
+    seed: 13,
+    destinations: &[destination(1, BATCHED, 2), destination(2, SHARED, 2), destination(3, SEPARATE, 2)],
+    profile: Profile { senders: 300, weights: 2, ask: true, ..PROFILE },
+    rates: Rates { burst: 12, list_broken: 5, ..RATES },
+    must_occur: &[SEND, REFUSE, FAIL, WAKE, CLOSE, SUBSCRIBE],
+    ..BASIC
+};
+
+const REPEAT_RULES: Scenario = Scenario {
+    name: "keyed and unsafe classes",
+    seed: 14,
+    destinations: &[destination(1, SHARED, 3), destination(2, SEPARATE, 3)],
+    classes: &[KEYED, KEYED_PER_ZONE, UNSAFE],
+    profile: Profile { halves: true, ..PROFILE },
+    rates: Rates { mood: 15, past: 40, ..RATES },
+    ..BASIC
+};
+
+const TENANTS_OVER_QUOTA: Scenario = Scenario {
+    name: "tenants over quota",
+    seed: 15,
+    destinations: &[destination(1, SHARED, 2), destination(2, SEPARATE, 2)],
+    profile: Profile { slots: 4, open_cap: 40, ..PROFILE },
+    tenants: true,
+    rates: Rates { submit: 700, burst: 6, ..RATES },
+    ..BASIC
+};
+
+const ORDERED_KEYS: Scenario = Scenario {
+    name: "ordered keys",
+    seed: 16,
+    destinations: &[destination(1, SHARED, 2), destination(2, BATCHED, 2)],
+    classes: &[SAFE_ORDERED, UNSAFE_ORDERED, SAFE],
+    ..BASIC
+};
+
+const SCARCE_SLOTS: Scenario = Scenario {
+    name: "scarce slots and hanging calls",
+    seed: 17,
+    destinations: &[destination(1, SHARED, 2), destination(2, SEPARATE, 3), destination(3, BATCHED, 1)],
+    moods: &[Mood::Well, Mood::Well, Mood::Hanging, Mood::Hanging, Mood::Failing],
+    profile: Profile { slots: 6, cancel: true, halves: true, ..PROFILE },
+    rates: Rates { mood: 12, ..RATES },
+    must_occur: &[SEND, REFUSE, FAIL, WAKE, CANCEL],
+    ..BASIC
+};
+
+const RESTARTS: Scenario = Scenario {
+    name: "restarts and hand-overs",
+    seed: 18,
+    destinations: &[destination(1, SHARED, 3), destination(2, SEPARATE, 2), destination(3, BATCHED, 2)],
+    profile: Profile { cancel: true, ask: true, weights: 1, ..PROFILE },
+    rates: Rates { past: 150, list_broken: 4, ban: 3, ban_end: 6, ..RATES },
+    take_over_every: 170,
+    must_occur: &[SEND, REFUSE, FAIL, WAKE, SUBSCRIBE],
+    ..BASIC
+};
+
+const BANS_AND_DRAINS: Scenario = Scenario {
+    name: "bans and drains",
+    seed: 19,
+    destinations: &[destination(1, SHARED, 2), destination(2, SEPARATE, 2), destination(3, SHARED, 1)],
+    profile: Profile { senders: 8, weights: 1, ..PROFILE },
+    rates: Rates { ban: 25, ban_end: 80, drain: 10, ..RATES },
+    must_occur: &[SEND, REFUSE, FAIL, WAKE, ADMIT],
+    ..BASIC
+};
+
+const MANY_SENDERS_RESTARTED: Scenario = Scenario {
+    name: "many senders, restarted, decay by halves",
+    seed: 20,
+    destinations: &[destination(1, SHARED, 4), destination(2, SEPARATE, 3), destination(3, BATCHED, 2)],
+    profile: Profile {
+        senders: 300,
+        slots: 24,
+        weights: 2,
+        ask: true,
+        cancel: true,
+        halves: true,
+        ..PROFILE
+    },
+    tenants: true,
+    rates: Rates { submit: 300, list_broken: 5, ban: 5, ban_end: 10, drain: 3, past: 30, ..RATES },
+    take_over_every: 450,
+    ..BASIC
+};
+
+const ALL: [&Scenario; 10] = [
+    &SHARED_ROUTES,
+    &SEPARATE_ROUTES,
+    &MANY_SENDERS,
+    &REPEAT_RULES,
+    &TENANTS_OVER_QUOTA,
+    &ORDERED_KEYS,
+    &SCARCE_SLOTS,
+    &RESTARTS,
+    &BANS_AND_DRAINS,
+    &MANY_SENDERS_RESTARTED,
+];
+
+fn check(scenario: &Scenario, expected: &Expected) {
+    History::new(scenario).run().assert_equals(expected);
+}
+
+#[test]
+fn every_kind_of_decision_is_demanded_of_some_history() {
+    for kind in SEND..=ADMIT {
+        assert!(ALL.iter().any(|scenario| scenario.must_occur.contains(&kind)), "decision {kind}");
+    }
+}
+
+#[test]
+fn shared_routes() {
+    check(
+        &SHARED_ROUTES,
+        &Expected {
+            count: 8832,
+            checkpoints: &[
+                0xd89c4a404f222a04,
+                0x4e8c04d4332df094,
+                0xf62e2b782c6e75cd,
+                0x8b6e3e5143a19c7d,
+                0x9678f6e108b87e26,
+                0x9e812ebf81a43930,
+                0xe98dcb7cb940d27b,
+                0xf59e40dc37c14a75,
+            ],
+        },
+    );
+}
+
+#[test]
+fn separate_routes() {
+    check(
+        &SEPARATE_ROUTES,
+        &Expected {
+            count: 8976,
+            checkpoints: &[
+                0x58af06ef9c3ddf73,
+                0xd5a7469a648210cb,
+                0x9b0efbe9ec81e72c,
+                0x6102a003f3ae6b03,
+                0x5d0e2e1c6bb479d9,
+                0xd24992ff6de398fa,
+                0xd0657008aeb603ed,
+                0x318d04c19fed724e,
+            ],
+        },
+    );
+}
+
+#[test]
+fn batches_with_many_senders() {
+    check(
+        &MANY_SENDERS,
+        &Expected {
+            count: 16567,
+            checkpoints: &[
+                0x46e09ce948311ae1,
+                0x372369993ef169d3,
+                0xe773ead1aeae9501,
+                0xdc44c9f511d3c3a7,
+                0x12d521f6a56a3636,
+                0x2ff6f47225ef7f82,
+                0x69b00cd5a090f918,
+                0x98f3c808bc59b2ff,
+            ],
+        },
+    );
+}
+
+#[test]
+fn keyed_and_unsafe_classes() {
+    check(
+        &REPEAT_RULES,
+        &Expected {
+            count: 8740,
+            checkpoints: &[
+                0x1b93ff8279df199a,
+                0xe9836363d8ed7abf,
+                0x9df5f38bc07bde9d,
+                0x34941e0167a6964c,
+                0x54ef885d7c968afb,
+                0x9d3df6d23f5e23bd,
+                0x3bb5d3448075f798,
+                0x0652ebdeb7389b2a,
+            ],
+        },
+    );
+}
+
+#[test]
+fn tenants_over_quota() {
+    check(
+        &TENANTS_OVER_QUOTA,
+        &Expected {
+            count: 12526,
+            checkpoints: &[
+                0xbce68b8e426bdd83,
+                0x28122f24d1de56ab,
+                0x22ead7398e0608ec,
+                0xfdcddd5961ea8160,
+                0xc00d59ee943bf1b2,
+                0x57c257c071271782,
+                0xe925a9ef89cbc607,
+                0xd3359d8d804d664c,
+            ],
+        },
+    );
+}
+
+#[test]
+fn ordered_keys() {
+    check(
+        &ORDERED_KEYS,
+        &Expected {
+            count: 8618,
+            checkpoints: &[
+                0x4076360b617fb4e1,
+                0x5d25a776091225b8,
+                0xda8c753fa7a5fe37,
+                0xd1200e262c69d216,
+                0x638e7f07ba4f80d5,
+                0x8aded2b1f9e23529,
+                0xb1249b0a74e387b3,
+                0xa99a1c5ddb94c983,
+            ],
+        },
+    );
+}
+
+#[test]
+fn scarce_slots_and_hanging_calls() {
+    check(
+        &SCARCE_SLOTS,
+        &Expected {
+            count: 9392,
+            checkpoints: &[
+                0xa8c331a3099322b0,
+                0x3a1b900e203f650e,
+                0x133fa6b08f336aca,
+                0xbf72667756474f81,
+                0x8c91e0d2b9e953ed,
+                0x5f9ccd5137f20f33,
+                0x82e978572d599b39,
+                0x99ebbc408a1fcc26,
+            ],
+        },
+    );
+}
+
+#[test]
+fn restarts_and_hand_overs() {
+    check(
+        &RESTARTS,
+        &Expected {
+            count: 8874,
+            checkpoints: &[
+                0x1e92ac7184f53dc9,
+                0x95439ab49e9b3188,
+                0x66612450683349ec,
+                0x396053e16e0e2817,
+                0xee1ddc93f33f0ec7,
+                0x130ebe49c7eea766,
+                0x899ec4d84744a939,
+                0xc33bd474d075ef45,
+            ],
+        },
+    );
+}
+
+#[test]
+fn bans_and_drains() {
+    check(
+        &BANS_AND_DRAINS,
+        &Expected {
+            count: 8661,
+            checkpoints: &[
+                0xd10df3eb21ad15c9,
+                0xa39eec6da6a5a61c,
+                0xfbc6bea6e9c2e073,
+                0x9c56027a0aa65d45,
+                0x70f5aad3fdd2e159,
+                0x1f233b0c7881faed,
+                0x13523c01153c1df3,
+                0x82213c4d73de8a46,
+            ],
+        },
+    );
+}
+
+#[test]
+fn many_senders_restarted() {
+    check(
+        &MANY_SENDERS_RESTARTED,
+        &Expected {
+            count: 6358,
+            checkpoints: &[
+                0x8581674d45afca7a,
+                0x4885f13920e3c0e7,
+                0x59db1009c979474f,
+                0x733ffa5098f5b29f,
+                0x691bcbfe39768da7,
+                0xa15798a32d2d6234,
+                0xa4cf0bdc9def2071,
+                0xbdcd2a47d9566399,
+            ],
+        },
+    );
+}
--- /dev/null
+++ b/tests/support_history/mod.rs
@@ -0,0 +1,102 @@
+//! Shared by the recorded histories: a seeded generator, a digest, and the comparison with recorded values.
+//!
+//! Nothing here names a type of the package, and nothing here depends on one.
+
+/// Turns (or frames) between two checkpoints of a digest.
+pub const CHECKPOINT_EVERY: usize = 500;
+
+/// A splitmix64 generator: the same seed gives the same numbers on every machine.
+pub struct Generator {
+    state: u64,
+}
+
+impl Generator {
+    pub fn new(seed: u64) -> Self {
+        Generator { state: seed }
+    }
+
+    pub fn next(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.state;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// A number below `bound`, which must not be 0.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.next() % bound
+    }
+
+    /// A number from `low` up to but not including `high`.
+    pub fn between(&mut self, low: i64, high: i64) -> i64 {
+        low + self.below((high - low) as u64) as i64
+    }
+
+    /// True in so many cases of a thousand.
+    pub fn per_mille(&mut self, share: u64) -> bool {
+        self.below(1000) < share
+    }
+
+    pub fn pick<T: Copy>(&mut self, from: &[T]) -> T {
+        from[self.below(from.len() as u64) as usize]
+    }
+}
+
+/// A 64-bit FNV-1a digest.
+pub struct Digest {
+    value: u64,
+}
+
+impl Digest {
+    pub fn new() -> Self {
+        Digest { value: 0xcbf2_9ce4_8422_2325 }
+    }
+
+    pub fn add_bytes(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.value = (self.value ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+
+    /// The digest of all bytes so far.
+    pub fn value(&self) -> u64 {
+        self.value
+    }
+}
+
+/// What a history is expected to come to.
+pub struct Expected {
+    /// How many actions (or reply lines) there are in all.
+    pub count: usize,
+    /// The digest at each checkpoint; the last is that of the whole history.
+    pub checkpoints: &'static [u64],
+}
+
+/// What a history came to.
+pub struct Recording {
+    pub name: &'static str,
+    pub count: usize,
+    pub checkpoints: Vec<u64>,
+}
+
+impl Recording {
+    /// Panics with the first checkpoint that differs, and with the values found in the form of the source.
+    pub fn assert_equals(&self, expected: &Expected) {
+        let pairs = self.checkpoints.iter().zip(expected.checkpoints);
+        let equal = pairs.take_while(|(found, recorded)| found == recorded).count();
+        let whole = equal == self.checkpoints.len() && equal == expected.checkpoints.len();
+        assert!(
+            whole && self.count == expected.count,
+            "history {:?} differs from its recording between turns {} and {}: expected count {} and {:#018x?}, \
+             found Expected {{ count: {}, checkpoints: &{:#018x?} }}",
+            self.name,
+            equal * CHECKPOINT_EVERY,
+            (equal + 1) * CHECKPOINT_EVERY,
+            expected.count,
+            expected.checkpoints,
+            self.count,
+            self.checkpoints,
+        );
+    }
+}
