--- a/src/bin/yarrowhill.rs
+++ b/src/bin/forwarder.rs
@@ -1,24 +1,24 @@
 //! Starts the forwarder.
 
-use plankwalk::net::{Config, inherited_listener, run};
+use message_forwarder::forwarder::{Config, inherited_listener, run};
 use std::error::Error;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     match start() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("yarrowhill: {e}");
+        Err(error) => {
+            eprintln!("forwarder: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
-    // Before anything is opened that could take its number.
+    // Adopted before any other descriptor is opened that could take its number.
     let listener = inherited_listener()?;
     let config = Config::from_env()?;
-    // There is one core: a second thread would only cost.
+    // A forwarder has one core: more threads would only add overhead.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(run(config, listener))?;
     Ok(())
--- a/src/net/admin.rs
+++ b/src/forwarder/admin/mod.rs
@@ -1,8 +1,8 @@
 //! Where operators call: a line in, a line out, on an address of its own. The node answers; this only reads and
 //! writes, and keeps callers that dawdle from being in anybody's way.
 
-use crate::net::node::Input;
-use serde::{Deserialize, Serialize};
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::messages::admin_command::{AdminCommand, AdminReply, AdminRequest, CommandError};
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,72 +23,8 @@
 /// What a caller that does not read may hold up.
 const WRITE: Duration = Duration::from_secs(1);
 
-/// What operators may ask.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Call {
-    /// Whether this process is ready to serve.
-    Ready,
-    /// Leave this endpoint out.
-    Disable(String),
-    /// Put it back.
-    Enable(String),
-    /// Send the clients away.
-    Drain,
-    /// Take them again.
-    Resume,
-}
-
-/// The answer: what was done, or why it was not.
-pub(crate) type Reply = Result<String, String>;
-
-/// A call, and where its answer goes.
-pub(crate) struct Asked {
-    pub(crate) call: Call,
-    pub(crate) answer: oneshot::Sender<Reply>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-enum Bad {
-    #[error("empty line")]
-    Empty,
-    #[error("unknown call")]
-    Unknown,
-    #[error("this call takes one id")]
-    NeedsId,
-    #[error("this call takes nothing")]
-    TakesNothing,
-    #[error("line too long")]
-    TooLong,
-    #[error("no whole line")]
-    Unfinished,
-    #[error("not text")]
-    NoText,
-}
-
-impl Call {
-    fn parse(line: &[u8]) -> Result<Call, Bad> {
-        let line = str::from_utf8(line).map_err(|_| Bad::NoText)?;
-        let mut words = line.split_ascii_whitespace();
-        let name = words.next().ok_or(Bad::Empty)?;
-        let (id, more) = (words.next(), words.next());
-        let one = |call: fn(String) -> Call| match (id, more) {
-            (Some(id), None) => Ok(call(id.to_owned())),
-            _ => Err(Bad::NeedsId),
-        };
-        let none = |call: Call| if id.is_none() { Ok(call) } else { Err(Bad::TakesNothing) };
-        match name {
-            "ready" => none(Call::Ready),
-            "disable-server" => one(Call::Disable),
-            "enable-server" => one(Call::Enable),
-            "drain" => none(Call::Drain),
-            "resume" => none(Call::Resume),
-            _ => Err(Bad::Unknown),
-        }
-    }
-}
-
 /// Serves operators for ever.
-pub(crate) async fn serve(listener: TcpListener, node: Sender<Input>) {
+pub(crate) async fn serve(listener: TcpListener, node: Sender<RuntimeEvent>) {
     let mut tasks = JoinSet::new();
     let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
@@ -113,8 +49,8 @@
     }
 }
 
-async fn caller(mut stream: TcpStream, node: Sender<Input>) {
-    let reply = match read(&mut stream).await.and_then(|line| Call::parse(&line)) {
+async fn caller(mut stream: TcpStream, node: Sender<RuntimeEvent>) {
+    let reply = match read(&mut stream).await.and_then(|line| AdminCommand::parse(&line)) {
         Ok(call) => ask(call, &node).await,
         Err(bad) => Err(bad.to_string()),
     };
@@ -130,27 +66,27 @@
 }
 
 /// One line. What ends without one is no call: the rest of an id may be missing.
-async fn read(stream: &mut TcpStream) -> Result<Vec<u8>, Bad> {
+async fn read(stream: &mut TcpStream) -> Result<Vec<u8>, CommandError> {
     let (mut line, by) = (Vec::new(), Instant::now() + READ);
     loop {
         let mut part = [0; LINE_MOST];
         match timeout_at(by, stream.read(&mut part)).await {
             Ok(Ok(n)) if n > 0 => line.extend_from_slice(&part[..n]),
-            _ => return Err(Bad::Unfinished),
+            _ => return Err(CommandError::Unfinished),
         }
         if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
             line.truncate(end);
         } else if line.len() <= LINE_MOST {
             continue;
         }
-        return if line.len() <= LINE_MOST { Ok(line) } else { Err(Bad::TooLong) };
+        return if line.len() <= LINE_MOST { Ok(line) } else { Err(CommandError::TooLong) };
     }
 }
 
-async fn ask(call: Call, node: &Sender<Input>) -> Reply {
+async fn ask(call: AdminCommand, node: &Sender<RuntimeEvent>) -> AdminReply {
     let (answer, answered) = oneshot::channel();
     let asked = async {
-        node.send(Input::Asked(Asked { call, answer })).await.ok()?;
+        node.send(RuntimeEvent::AdminRequest(AdminRequest { command: call, reply: answer })).await.ok()?;
         answered.await.ok()
     };
     match timeout(ANSWER, asked).await {
--- a/src/net/config.rs
+++ b/src/forwarder/configuration/mod.rs
@@ -1,8 +1,9 @@
 //! What the forwarder is told at its start: the environment and the configuration file.
 
-use crate::api::Settings;
-use crate::net::discovery::List;
-use crate::wire::{Names, WireError, settings_from};
+use crate::forwarder::messages::endpoint_list::EndpointList;
+use crate::interface::Settings;
+use crate::key_value::FieldError;
+use crate::settings_reader::{SettingNames, settings_from};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -29,12 +30,12 @@
     Seed(#[from] std::num::ParseIntError),
     /// A setting cannot be read.
     #[error("settings: {0}")]
-    Settings(WireError),
+    Settings(FieldError),
 }
 
 /// Bounds on what the process may hold.
 #[derive(Clone, Copy, Debug, Deserialize)]
-pub(crate) struct Limits {
+pub(crate) struct ResourceLimits {
     pub(crate) memory_mb: usize,
     pub(crate) sockets: usize,
     pub(crate) disk_mb: f64,
@@ -46,7 +47,7 @@
     discovery: SocketAddr,
     admin: Option<SocketAddr>,
     seed: String,
-    limits: Limits,
+    limits: ResourceLimits,
     #[serde(default)]
     known: Value,
     settings: Value,
@@ -60,11 +61,11 @@
     pub(crate) admin: Option<SocketAddr>,
     pub(crate) state: PathBuf,
     pub(crate) seed: u64,
-    pub(crate) limits: Limits,
+    pub(crate) limits: ResourceLimits,
     /// The list that this forwarder last had, where it had one.
-    pub(crate) known: Option<List>,
+    pub(crate) known: Option<EndpointList>,
     pub(crate) settings: Settings,
-    pub(crate) names: Names,
+    pub(crate) names: SettingNames,
 }
 
 impl Config {
@@ -83,7 +84,7 @@
         let text = fs::read(path).map_err(|e| ConfigError::Read(path.into(), e))?;
         let file: File = serde_json::from_slice(&text).map_err(|e| ConfigError::Form(path.into(), e))?;
         // An old list is better than none, but the forwarder can do without: discovery has the present one.
-        let known = List::deserialize(file.known);
+        let known = EndpointList::deserialize(file.known);
         let known = known.inspect_err(|e| eprintln!("configuration: no endpoints known: {e}")).ok();
         let mut pairs = Vec::new();
         flatten("", &file.settings, &mut pairs);
--- a/src/net/config/tests.rs
+++ b/src/forwarder/configuration/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::api::Effect;
+use crate::interface::Idempotency;
 
 #[test]
 fn nested_settings_are_read_as_the_wire_reads_them() {
@@ -16,8 +16,8 @@
     let mut pairs = Vec::new();
     flatten("", &settings, &mut pairs);
     let (read, names) = settings_from(&pairs).expect("it is well formed");
-    assert_eq!(read.classes[0].effect, Effect::Keyed { life: 15_000_000, per_zone: false });
-    assert_eq!((read.classes[0].aim, read.slots, read.zone), (3_000_000, 15, 1));
-    assert_eq!((read.kinds[0].batch, read.kinds[1].routes_apart, read.cancel), (20, true, true));
+    assert_eq!(read.classes[0].idempotency, Idempotency::Keyed { key_lifetime: 15_000_000, per_zone: false });
+    assert_eq!((read.classes[0].latency_objective, read.call_slots, read.zone), (3_000_000, 15, 1));
+    assert_eq!((read.kinds[0].batch, read.kinds[1].separate_routes, read.cancellation), (20, true, true));
     assert_eq!((names.classes, names.tenants), (vec!["auth-notice".into()], vec!["two_words".into()]));
 }
--- a/src/net/discovery.rs
+++ b/src/forwarder/discovery/mod.rs
@@ -1,15 +1,14 @@
 //! Keeps the list of targets: one watch after another, and the whole list after an error. Where many senders ask one
 //! service, by calls for the whole list instead, whose pace is found by additive increase and multiplicative decrease.
 
-use crate::api::Settings;
-use crate::net::http::{self, Connection};
-use crate::net::node::Input;
-use crate::parts::chance;
+use crate::estimators::random_unit;
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::http::{self, Connection};
+use crate::forwarder::messages::endpoint_list::EndpointList;
+use crate::interface::Settings;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -44,78 +43,14 @@
 /// Longest list that is read.
 const MOST: usize = 8 << 20;
 
-/// The list of targets, or what changed in it.
-#[derive(Debug, Default, Deserialize)]
-#[serde(from = "Answer")]
-pub(crate) struct List {
-    pub(crate) rev: u64,
-    pub(crate) all: bool,
-    pub(crate) targets: Vec<Line>,
-    /// Lines that could not be read. They are left out, and hide none of the others.
-    pub(crate) unreadable: usize,
-}
-
-/// The list as it comes.
-#[derive(Deserialize)]
-struct Answer {
-    rev: u64,
-    all: bool,
-    targets: Vec<Value>,
-}
-
-impl From<Answer> for List {
-    fn from(Answer { rev, all, targets }: Answer) -> Self {
-        let mut list = List { rev, all, ..List::default() };
-        for line in targets {
-            match serde_json::from_value(line) {
-                Ok(line) => list.targets.push(line),
-                Err(e) => {
-                    eprintln!("discovery: unreadable line: {e}");
-                    list.unreadable += 1;
-                }
-            }
-        }
-        list
-    }
-}
-
-/// What the list says of one target.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Line {
-    pub(crate) uid: String,
-    pub(crate) endpoint: SocketAddr,
-    pub(crate) az: String,
-    pub(crate) model: String,
-    pub(crate) pod_group: u64,
-    pub(crate) state: State,
-    #[serde(default = "one")]
-    pub(crate) capacity_hint: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// Where a target stands.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum State {
-    InService,
-    Terminating,
-    Terminated,
-    /// One that this version does not know: nothing new goes there.
-    #[serde(other)]
-    Other,
-}
-
 #[derive(Debug, thiserror::Error)]
-enum Failed {
+enum PollError {
     #[error("no connection: {0}")]
     Connect(#[from] std::io::Error),
     #[error("no answer")]
     Silent,
     #[error("the connection broke")]
-    Broken,
+    RequestError,
     #[error("answered {0}")]
     Status(StatusCode),
     #[error("unreadable list: {0}")]
@@ -135,7 +70,7 @@
 
     /// Exponential backoff with jitter.
     fn next(&mut self) -> Duration {
-        let pause = self.next.mul_f64(0.5 + chance(&mut self.seed));
+        let pause = self.next.mul_f64(0.5 + random_unit(&mut self.seed));
         self.next = (self.next * 2).min(BACKOFF.1);
         pause
     }
@@ -158,20 +93,20 @@
 impl Polls {
     /// None where few share the service, or each has an agent of its own.
     fn new(settings: &Settings, seed: u64) -> Option<Self> {
-        let within = Duration::from_micros(settings.ask_within.max(0) as u64);
-        let polls = settings.ask && settings.senders > FEW && !within.is_zero();
+        let within = Duration::from_micros(settings.max_list_age.max(0) as u64);
+        let polls = settings.poll_discovery && settings.sender_count > FEW && !within.is_zero();
         polls.then_some(Polls { within, rate: RATE, seed: seed | 1 })
     }
 
     /// From the start on, where a list is known by then.
     fn first(&mut self) -> Duration {
-        self.within.mul_f64(SPREAD * chance(&mut self.seed))
+        self.within.mul_f64(SPREAD * random_unit(&mut self.seed))
     }
 
     /// Each at a time of its own: in step they would all come at once.
     fn next(&mut self, most: f64) -> Duration {
-        let most = most * (0.8 + 0.2 * chance(&mut self.seed));
-        self.within.mul_f64(((0.5 + chance(&mut self.seed)) / self.rate).min(most))
+        let most = most * (0.8 + 0.2 * random_unit(&mut self.seed));
+        self.within.mul_f64(((0.5 + random_unit(&mut self.seed)) / self.rate).min(most))
     }
 
     fn answered(&mut self) -> Duration {
@@ -179,9 +114,9 @@
         self.next(NEXT)
     }
 
-    fn failed(&mut self, why: &Failed) -> Duration {
+    fn failed(&mut self, why: &PollError) -> Duration {
         self.rate = (self.rate * DECREASE).max(RATE_LEAST);
-        self.next(if matches!(why, Failed::Status(_)) { NEXT_REFUSED } else { NEXT_SILENT })
+        self.next(if matches!(why, PollError::Status(_)) { NEXT_REFUSED } else { NEXT_SILENT })
     }
 }
 
@@ -189,7 +124,7 @@
 pub(crate) async fn follow(
     at: watch::Receiver<SocketAddr>,
     rev: Option<u64>,
-    node: Sender<Input>,
+    node: Sender<RuntimeEvent>,
     settings: Settings,
     seed: u64,
 ) {
@@ -203,7 +138,12 @@
 ///
 /// No watch: each change would be answered to all at once, and what comes right behind an answer counts as told to a watch
 /// even if no further call can have its turn.
-async fn poll(mut at: watch::Receiver<SocketAddr>, known: bool, node: Sender<Input>, mut polls: Polls) {
+async fn poll(
+    mut at: watch::Receiver<SocketAddr>,
+    known: bool,
+    node: Sender<RuntimeEvent>,
+    mut polls: Polls,
+) {
     let mut connection = None;
     let mut from = *at.borrow();
     let mut pause = if known { polls.first() } else { Duration::ZERO };
@@ -220,8 +160,8 @@
         };
         pause = match told {
             Ok(list) => {
-                eprintln!("discovery: version {}, {} endpoints", list.rev, list.targets.len());
-                if node.send(Input::List(list)).await.is_err() {
+                eprintln!("discovery: version {}, {} endpoints", list.revision, list.endpoints.len());
+                if node.send(RuntimeEvent::EndpointList(list)).await.is_err() {
                     return;
                 }
                 polls.answered()
@@ -247,7 +187,7 @@
 async fn watch(
     mut at: watch::Receiver<SocketAddr>,
     rev: Option<u64>,
-    node: Sender<Input>,
+    node: Sender<RuntimeEvent>,
     mut backoff: Backoff,
 ) {
     let mut known = rev;
@@ -273,8 +213,8 @@
             Ok(list) => {
                 backoff.end();
                 // Of a change that can't be read the whole list may tell more.
-                known = Some(list.rev).filter(|_| list.all || list.unreadable == 0);
-                if node.send(Input::List(list)).await.is_err() {
+                known = Some(list.revision).filter(|_| list.complete || list.unreadable == 0);
+                if node.send(RuntimeEvent::EndpointList(list)).await.is_err() {
                     return;
                 }
             }
@@ -282,7 +222,7 @@
                 eprintln!("discovery: {e}");
                 connection = None;
                 // One that has no time now says nothing against what is known: the whole list would cost it more.
-                known = known.filter(|_| matches!(e, Failed::Status(_)));
+                known = known.filter(|_| matches!(e, PollError::Status(_)));
                 // A new address is tried at once.
                 let _ = timeout(backoff.next(), at.changed()).await;
             }
@@ -295,26 +235,24 @@
     path: &str,
     limit: Duration,
     connection: &mut Option<Connection>,
-) -> Result<List, Failed> {
+) -> Result<EndpointList, PollError> {
     if !connection.as_ref().is_some_and(Connection::is_open) {
         *connection = Some(Connection::open(at, CONNECT).await?);
     }
-    let open = connection.as_mut().ok_or(Failed::Broken)?;
+    let open = connection.as_mut().ok_or(PollError::RequestError)?;
     let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = path.parse().map_err(|_| Failed::Broken)?;
+    *request.uri_mut() = path.parse().map_err(|_| PollError::RequestError)?;
     http::set_host(&mut request, at);
     let exchange = async {
-        let answer = open.send(request).await.map_err(|_| Failed::Broken)?;
+        let answer = open.send(request).await.map_err(|_| PollError::RequestError)?;
         match answer.status() {
-            StatusCode::OK => http::body(answer.into_body(), MOST).await.ok_or(Failed::Broken),
-            status => Err(Failed::Status(status)),
+            StatusCode::OK => http::body(answer.into_body(), MOST).await.ok_or(PollError::RequestError),
+            status => Err(PollError::Status(status)),
         }
     };
-    let text = timeout(limit, exchange).await.map_err(|_| Failed::Silent)??;
+    let text = timeout(limit, exchange).await.map_err(|_| PollError::Silent)??;
     Ok(serde_json::from_slice(&text)?)
 }
 
-#[cfg(test)]
-mod format_tests;
 #[cfg(test)]
 mod tests;
--- a/src/net/discovery/tests.rs
+++ b/src/forwarder/discovery/tests.rs
@@ -1,22 +1,24 @@
 use super::*;
 
 fn polls(seed: u64) -> Polls {
-    let settings = Settings { ask: true, ask_within: 10_000_000, senders: 100, ..Settings::default() };
+    let settings =
+        Settings { poll_discovery: true, max_list_age: 10_000_000, sender_count: 100, ..Settings::default() };
     Polls::new(&settings, seed).expect("many share one service")
 }
 
-fn refused() -> Failed {
-    Failed::Status(StatusCode::SERVICE_UNAVAILABLE)
+fn refused() -> PollError {
+    PollError::Status(StatusCode::SERVICE_UNAVAILABLE)
 }
 
 #[test]
 fn only_where_many_ask_one_service_the_whole_list_is_polled() {
-    let settings = Settings { ask: true, ask_within: 10_000_000, senders: 5, ..Settings::default() };
+    let settings =
+        Settings { poll_discovery: true, max_list_age: 10_000_000, sender_count: 5, ..Settings::default() };
     assert!(Polls::new(&settings, 3).is_some());
     for few in [
-        Settings { senders: 4, ..settings.clone() },
-        Settings { ask: false, ..settings.clone() },
-        Settings { ask_within: 0, ..settings },
+        Settings { sender_count: 4, ..settings.clone() },
+        Settings { poll_discovery: false, ..settings.clone() },
+        Settings { max_list_age: 0, ..settings },
     ] {
         assert!(Polls::new(&few, 3).is_none());
     }
@@ -51,7 +53,7 @@
     polls.answered();
     assert!(polls.rate < RATE_MOST * 0.6);
     // Without any answer, what it would have brought counts as told soon.
-    assert!((0..20).all(|_| polls.failed(&Failed::Silent) <= within / 5));
+    assert!((0..20).all(|_| polls.failed(&PollError::Silent) <= within / 5));
 }
 
 #[test]
--- a/src/net/calls/format_tests.rs
+++ b/src/forwarder/endpoint_client/format_tests.rs
@@ -5,9 +5,9 @@
 
 const TARGET: &str = "10.0.0.1:8080";
 
-fn item(name: &str, key: Option<&str>, body: &'static [u8], wait_ms: u64) -> Item {
+fn item(name: &str, key: Option<&str>, body: &'static [u8], wait_ms: u64) -> CallItem {
     let until = Instant::now() + Duration::from_millis(wait_ms);
-    Item {
+    CallItem {
         id: 1,
         attempt: 0,
         name: name.to_owned(),
@@ -20,7 +20,7 @@
 }
 
 /// A request as text: its first line, its headers by name, and its body.
-async fn text_of(items: &[Item]) -> String {
+async fn text_of(items: &[CallItem]) -> String {
     let request = request(items, TARGET.parse().expect("an address")).expect("a request can be made");
     let (parts, body) = request.into_parts();
     let header = |(name, value): (&hyper::header::HeaderName, &HeaderValue)| {
--- a/src/net/keep.rs
+++ b/src/forwarder/endpoint_client/idle_age/mod.rs
@@ -2,8 +2,9 @@
 //! stands between may forget a connection much sooner and say so only to the next call written to it. That call
 //! may have run, and what must not run twice is lost by it: so the age at which this happens is learnt.
 
-use crate::api::Micros;
-use crate::parts::Fading;
+use crate::estimators::DecayingCounter;
+use crate::forwarder::messages::call_report::IdleReuse;
+use crate::interface::Micros;
 
 /// Ages are told apart by powers of two from this one on; the first class holds all younger ones.
 const FIRST: Micros = 4_000;
@@ -23,30 +24,21 @@
 /// with a part of a death imagined: what nobody has tried is not safe.
 const ONCE_DOUBT: f64 = 0.2;
 
-/// How an idle connection fared with the next call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Kept {
-    /// It brought an answer.
-    Alive,
-    /// It broke as soon as the call was written.
-    Dead,
-}
-
 /// What is known of idle connections, by their age.
 #[derive(Clone, Default)]
-pub(crate) struct Ages {
-    alive: [Fading; CLASSES],
-    dead: [Fading; CLASSES],
+pub(crate) struct IdleAgeStatistics {
+    alive: [DecayingCounter; CLASSES],
+    dead: [DecayingCounter; CLASSES],
 }
 
-impl Ages {
+impl IdleAgeStatistics {
     fn class(age: Micros) -> usize {
         let doublings = (age.max(0) / FIRST).checked_ilog2().map_or(0, |n| n as usize + 1);
         doublings.min(CLASSES - 1)
     }
 
-    pub(crate) fn add(&mut self, now: Micros, age: Micros, kept: Kept) {
-        let counts = if kept == Kept::Alive { &mut self.alive } else { &mut self.dead };
+    pub(crate) fn add(&mut self, now: Micros, age: Micros, kept: IdleReuse) {
+        let counts = if kept == IdleReuse::Alive { &mut self.alive } else { &mut self.dead };
         counts[Self::class(age)].add(now, SPAN);
     }
 
--- a/src/net/calls.rs
+++ b/src/forwarder/endpoint_client/mod.rs
@@ -1,11 +1,14 @@
-//! Calls to targets: one connection carries one call at a time, and each message in it gets its outcome.
-
-use crate::api::{MessageId, Micros, Outcome, Report, TargetId};
-use crate::net::http::{self, Broken, Connection};
-use crate::net::journal::{Record, Shared};
-use crate::net::keep::Kept;
-use crate::net::node::{Input, unix_now};
-use crate::wire::read_report;
+//! Calls to endpoints: one connection carries one call at a time, and each message in it gets its outcome.
+
+pub(crate) mod idle_age;
+
+use crate::forwarder::clock::unix_now;
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::http::{self, Connection, RequestError};
+use crate::forwarder::journal::{Record, SharedJournal};
+use crate::forwarder::messages::call_report::{AttemptResult, CallReport, ConnectionUsage, IdleReuse};
+use crate::interface::{EndpointId, LoadReport, MessageId, Micros, Outcome};
+use crate::settings_reader::read_report;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -33,7 +36,7 @@
 const WAIT_MOST: f64 = 60_000.0;
 
 /// One message in a call.
-pub(crate) struct Item {
+pub(crate) struct CallItem {
     pub(crate) id: MessageId,
     pub(crate) attempt: usize,
     pub(crate) name: String,
@@ -48,72 +51,37 @@
 }
 
 /// A call to make.
-pub(crate) struct Call {
-    pub(crate) target: TargetId,
+pub(crate) struct OutboundCall {
+    pub(crate) endpoint: EndpointId,
     pub(crate) to: SocketAddr,
-    pub(crate) items: Vec<Item>,
+    pub(crate) items: Vec<CallItem>,
     pub(crate) idle: Option<Connection>,
     pub(crate) connect_timeout: Duration,
     /// What the node says to the call while it is out.
-    pub(crate) orders: Receiver<Order>,
-    pub(crate) gate: Arc<Gate>,
-    pub(crate) node: Sender<Input>,
+    pub(crate) orders: Receiver<CallCommand>,
+    pub(crate) gate: Arc<WriteGuard>,
+    pub(crate) node: Sender<RuntimeEvent>,
 }
 
 /// What the node may still say to a call.
-pub(crate) enum Order {
+pub(crate) enum CallCommand {
     /// This attempt is called off.
-    CallOff(MessageId, usize),
+    Cancel(MessageId, usize),
     /// A message of the call was given up, and its client hears so: the call is given up with it. On the wire no
     /// message can be taken out of a call, and what was given up must not be delivered after all.
-    GiveUp,
+    Abandon,
     /// The destination told a wait: nothing may be written from now on.
-    Hold,
-}
-
-/// How an attempt ended.
-pub(crate) struct Ended {
-    pub(crate) id: MessageId,
-    pub(crate) attempt: usize,
-    pub(crate) outcome: Outcome,
-    /// Nothing more is owed for the message.
-    pub(crate) finished: bool,
-    pub(crate) report: Option<Report>,
-    /// A wait that was told, whatever the outcome.
-    pub(crate) wait: Option<Micros>,
-    /// Nothing of it was written.
-    pub(crate) unsent: bool,
-}
-
-/// News of a call: attempts that ended, and its connection if it can be used again.
-pub(crate) struct CallNews {
-    pub(crate) target: TargetId,
-    /// Where the call went: the target may have moved since.
-    pub(crate) to: SocketAddr,
-    pub(crate) ended: Vec<Ended>,
-    pub(crate) connection: Option<Connection>,
-    pub(crate) dialled: Dialled,
-}
-
-/// What a call did to get a connection.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Dialled {
-    /// Connections that came up.
-    pub(crate) opened: usize,
-    /// Why one did not.
-    pub(crate) failed: Option<io::ErrorKind>,
-    /// How the idle connection fared, where one carried the call.
-    pub(crate) kept: Option<Kept>,
+    WithholdWrite,
 }
 
 /// Makes the call and tells the node of its outcomes.
-pub(crate) async fn make(mut call: Call) {
+pub(crate) async fn perform(mut call: OutboundCall) {
     let mut connection = call.idle.take();
     let mut waiting = std::mem::take(&mut call.items);
     let Some(request) = request(&waiting, call.to) else {
         // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
         let ended = waiting.iter().map(|item| end(item, Outcome::NotSent)).collect();
-        return tell(&call, ended, connection, Dialled::default()).await;
+        return tell(&call, ended, connection, ConnectionUsage::default()).await;
     };
     let mut given_up = Vec::new();
     let gate = call.gate.clone();
@@ -139,14 +107,14 @@
                     hold(&gate, &mut waiting, &mut given_up);
                 }
                 Some(order) = call.orders.recv() => match order {
-                    Order::CallOff(id, attempt) => {
-                        let named = |i: &Item| (i.id, i.attempt) == (id, attempt);
+                    CallCommand::Cancel(id, attempt) => {
+                        let named = |i: &CallItem| (i.id, i.attempt) == (id, attempt);
                         part(&mut waiting, &mut given_up, Outcome::Cancelled, named);
                     }
-                    Order::GiveUp => part(&mut waiting, &mut given_up, Outcome::TimedOut, |_| true),
+                    CallCommand::Abandon => part(&mut waiting, &mut given_up, Outcome::TimedOut, |_| true),
                     // Guards the rule on waits: a connection may take its whole time to come up, and what was
                     // decided before the wait would then be written in the midst of it.
-                    Order::Hold => hold(&gate, &mut waiting, &mut given_up),
+                    CallCommand::WithholdWrite => hold(&gate, &mut waiting, &mut given_up),
                 },
             }
             // They are told of only once the call is over: until then each holds its copy out, and another
@@ -174,15 +142,26 @@
     tell(&call, given_up, connection, progress.take()).await;
 }
 
-async fn tell(call: &Call, ended: Vec<Ended>, connection: Option<Connection>, dialled: Dialled) {
-    let news = CallNews { target: call.target, to: call.to, ended, connection, dialled };
+async fn tell(
+    call: &OutboundCall,
+    ended: Vec<AttemptResult>,
+    connection: Option<Connection>,
+    connection_usage: ConnectionUsage,
+) {
+    let news = CallReport {
+        endpoint: call.endpoint,
+        address: call.to,
+        results: ended,
+        connection,
+        connection_usage,
+    };
     // The node is gone only when the process ends.
-    let _ = call.node.send(Input::Call(news)).await;
+    let _ = call.node.send(RuntimeEvent::CallEnded(news)).await;
 }
 
-fn end(item: &Item, outcome: Outcome) -> Ended {
+fn end(item: &CallItem, outcome: Outcome) -> AttemptResult {
     let (id, attempt, unsent) = (item.id, item.attempt, is_unsent(outcome));
-    Ended { id, attempt, outcome, finished: false, report: None, wait: None, unsent }
+    AttemptResult { id, attempt, outcome, finished: false, report: None, retry_after: None, unsent }
 }
 
 /// Whether nothing was written, where no answer says that the target has seen it.
@@ -191,7 +170,7 @@
 }
 
 /// Nothing may be written from now on.
-fn hold(gate: &Gate, waiting: &mut Vec<Item>, ended: &mut Vec<Ended>) {
+fn hold(gate: &WriteGuard, waiting: &mut Vec<CallItem>, ended: &mut Vec<AttemptResult>) {
     // Written already, it goes on; should that fail before a byte went, it is not tried anew.
     gate.hold();
     if !gate.begun() {
@@ -200,7 +179,12 @@
 }
 
 /// Moves those that meet the condition to the ended ones.
-fn part(waiting: &mut Vec<Item>, ended: &mut Vec<Ended>, outcome: Outcome, gone: impl Fn(&Item) -> bool) {
+fn part(
+    waiting: &mut Vec<CallItem>,
+    ended: &mut Vec<AttemptResult>,
+    outcome: Outcome,
+    gone: impl Fn(&CallItem) -> bool,
+) {
     waiting.retain(|item| {
         if gone(item) {
             ended.push(end(item, outcome));
@@ -218,7 +202,7 @@
 }
 
 /// The request for one message or for several.
-fn request(items: &[Item], to: SocketAddr) -> Option<Request<Full<Bytes>>> {
+fn request(items: &[CallItem], to: SocketAddr) -> Option<Request<Full<Bytes>>> {
     let mut request = match items {
         [] => return None,
         [one] => single(one)?,
@@ -232,7 +216,7 @@
     Some(request)
 }
 
-fn single(item: &Item) -> Option<Request<Full<Bytes>>> {
+fn single(item: &CallItem) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(item.body.clone()));
     *request.uri_mut() = Uri::from_static("/hook");
     request.headers_mut().insert("req-id", HeaderValue::from_str(&item.name).ok()?);
@@ -242,7 +226,7 @@
     Some(request)
 }
 
-fn batch(items: &[Item]) -> Option<Request<Full<Bytes>>> {
+fn batch(items: &[CallItem]) -> Option<Request<Full<Bytes>>> {
     let list: Vec<BatchItem> = items
         .iter()
         .map(|i| BatchItem { id: &i.name, key: i.key.as_deref(), body: STANDARD.encode(&i.body) })
@@ -259,7 +243,7 @@
     status: StatusCode,
     wait: Option<Micros>,
     no_slot: bool,
-    report: Option<Report>,
+    report: Option<LoadReport>,
     /// The end of each message of a batch.
     states: Option<Vec<ItemState>>,
     /// It came to its end, so that the connection can be used again.
@@ -275,21 +259,21 @@
 
 /// Without an answer that can be read: whether the call may have run.
 #[derive(Clone, Copy)]
-enum Silence {
-    NeverRan,
+enum NoResponse {
+    NotConnected,
     /// It was held back before anything was written.
-    Held,
-    MayHaveRun,
+    Withheld,
+    Interrupted,
     /// It may have, and the target has answered.
-    Spoilt,
+    Invalid,
     /// It may have, but the connection had stood idle and was dead already.
-    Dead,
+    StaleConnection,
 }
 
 /// The last look before a call is written. Its attempts are noted in the journal then and not before: what a
 /// process leaves behind that never left it must not look tried to the next one.
-pub(crate) struct Gate {
-    journal: Shared,
+pub(crate) struct WriteGuard {
+    journal: SharedJournal,
     /// What is to be noted.
     attempts: Vec<(String, usize)>,
     /// It must not be written after this.
@@ -301,15 +285,15 @@
     held: AtomicBool,
 }
 
-impl Gate {
+impl WriteGuard {
     pub(crate) fn new(
-        journal: Shared,
+        journal: SharedJournal,
         attempts: Vec<(String, usize)>,
         latest: Instant,
         zone: String,
     ) -> Self {
         let (begun, held) = (AtomicBool::new(false), AtomicBool::new(false));
-        Gate { journal, attempts, latest, zone, begun, held }
+        WriteGuard { journal, attempts, latest, zone, begun, held }
     }
 
     /// Nothing more is to be written, from now on.
@@ -330,7 +314,9 @@
         }
         if !self.begun() {
             let unix = unix_now();
-            let sent = |(name, n): &(String, usize)| Record::Sent(name.clone(), *n, unix, self.zone.clone());
+            let sent = |(name, n): &(String, usize)| {
+                Record::AttemptStarted(name.clone(), *n, unix, self.zone.clone())
+            };
             let records: Vec<Record> = self.attempts.iter().map(sent).collect();
             if let Err(e) = self.journal.get().commit(&records, unix) {
                 eprintln!("journal: a call is held back: {e}");
@@ -344,29 +330,29 @@
 
 /// How far an exchange has come, seen from beside it.
 struct Progress<'a> {
-    gate: &'a Gate,
-    dialled: Mutex<Dialled>,
+    gate: &'a WriteGuard,
+    connection_usage: Mutex<ConnectionUsage>,
 }
 
 impl<'a> Progress<'a> {
-    fn new(gate: &'a Gate) -> Self {
-        Progress { gate, dialled: Mutex::default() }
+    fn new(gate: &'a WriteGuard) -> Self {
+        Progress { gate, connection_usage: Mutex::default() }
     }
 
-    fn dialled(&self, failed: Option<&io::Error>) {
-        let mut dialled = self.dialled.lock().unwrap_or_else(PoisonError::into_inner);
+    fn connection_usage(&self, failed: Option<&io::Error>) {
+        let mut connection_usage = self.connection_usage.lock().unwrap_or_else(PoisonError::into_inner);
         match failed {
-            Some(e) => dialled.failed = Some(e.kind()),
-            None => dialled.opened += 1,
+            Some(e) => connection_usage.failed = Some(e.kind()),
+            None => connection_usage.opened += 1,
         }
     }
 
-    fn kept(&self, kept: Kept) {
-        self.dialled.lock().unwrap_or_else(PoisonError::into_inner).kept = Some(kept);
+    fn kept(&self, kept: IdleReuse) {
+        self.connection_usage.lock().unwrap_or_else(PoisonError::into_inner).reuse = Some(kept);
     }
 
-    fn take(&self) -> Dialled {
-        std::mem::take(&mut self.dialled.lock().unwrap_or_else(PoisonError::into_inner))
+    fn take(&self) -> ConnectionUsage {
+        std::mem::take(&mut self.connection_usage.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
@@ -376,7 +362,7 @@
     connect_timeout: Duration,
     request: Request<Full<Bytes>>,
     progress: &Progress<'_>,
-) -> Result<Answer, Silence> {
+) -> Result<Answer, NoResponse> {
     let several = request.uri().path() == "/hook/batch";
     let mut request = Box::new(request);
     loop {
@@ -386,47 +372,47 @@
         };
         if !reused {
             let opened = Connection::open(to, connect_timeout).await;
-            progress.dialled(opened.as_ref().err());
-            *connection = Some(opened.map_err(|_| Silence::NeverRan)?);
+            progress.connection_usage(opened.as_ref().err());
+            *connection = Some(opened.map_err(|_| NoResponse::NotConnected)?);
         }
-        let Some(open) = connection else { return Err(Silence::NeverRan) };
+        let Some(open) = connection else { return Err(NoResponse::NotConnected) };
         if !progress.gate.pass() {
-            return Err(Silence::Held);
+            return Err(NoResponse::Withheld);
         }
         let written = Instant::now();
         match open.send(*request).await {
             Ok(response) => {
                 if reused {
-                    progress.kept(Kept::Alive);
+                    progress.kept(IdleReuse::Alive);
                 }
                 return read(response, several).await;
             }
             // Guards what is delivered: the first line says so, whatever became of the rest. Not on a connection
             // that has carried another call: that call's answer may have had a second copy, which came late, and
             // to take a message for delivered that is not would lose it. In doubt it may have run.
-            Err(Broken::Spoilt | Broken::InDoubt)
+            Err(RequestError::InvalidResponse | RequestError::Interrupted)
                 if !several && !reused && open.status() == Some(StatusCode::OK) =>
             {
                 return Ok(Answer::bare(StatusCode::OK));
             }
-            Err(Broken::Spoilt) => return Err(Silence::Spoilt),
+            Err(RequestError::InvalidResponse) => return Err(NoResponse::Invalid),
             // The idle connection had been closed before a byte was written: the call opens another one.
-            Err(Broken::Unsent(unsent)) if reused => {
+            Err(RequestError::NotWritten(unsent)) if reused => {
                 (request, *connection) = (unsent, None);
             }
-            Err(Broken::Unsent(_)) => return Err(Silence::NeverRan),
-            Err(Broken::InDoubt) if reused && written.elapsed() < DEAD_WITHIN => {
-                progress.kept(Kept::Dead);
-                return Err(Silence::Dead);
+            Err(RequestError::NotWritten(_)) => return Err(NoResponse::NotConnected),
+            Err(RequestError::Interrupted) if reused && written.elapsed() < DEAD_WITHIN => {
+                progress.kept(IdleReuse::Dead);
+                return Err(NoResponse::StaleConnection);
             }
-            Err(Broken::InDoubt) => return Err(Silence::MayHaveRun),
+            Err(RequestError::Interrupted) => return Err(NoResponse::Interrupted),
         }
     }
 }
 
 /// Reads the answer to its end. One that does not come to it is spoilt: whatever its status says, the call may
 /// have run. Only a 200 for one message is true as soon as its first line is there.
-async fn read(response: Response<Incoming>, several: bool) -> Result<Answer, Silence> {
+async fn read(response: Response<Incoming>, several: bool) -> Result<Answer, NoResponse> {
     let headers = response.headers();
     let mut answer = Answer {
         wait: text(headers, "wait-ms").and_then(wait),
@@ -437,9 +423,9 @@
     let body = http::body(response.into_body(), ANSWER_MOST).await;
     answer.whole = body.is_some();
     if several && answer.status == StatusCode::OK {
-        answer.states = Some(body.as_deref().and_then(states).ok_or(Silence::Spoilt)?);
+        answer.states = Some(body.as_deref().and_then(states).ok_or(NoResponse::Invalid)?);
     } else if !answer.whole && answer.status != StatusCode::OK {
-        return Err(Silence::Spoilt);
+        return Err(NoResponse::Invalid);
     }
     Ok(answer)
 }
@@ -459,7 +445,7 @@
 }
 
 /// What can be read of a load report: one value that can't does not hide the others.
-fn report(values: &str) -> Option<Report> {
+fn report(values: &str) -> Option<LoadReport> {
     let pairs = values.split(',').filter_map(|pair| pair.trim().split_once('='));
     read_report(pairs.filter(|(_, value)| value.parse().is_ok_and(f64::is_finite)))
 }
@@ -471,29 +457,41 @@
 }
 
 /// The outcome of each message that is still waited for.
-fn outcomes(waiting: &[Item], answer: &Result<Answer, Silence>) -> Vec<Ended> {
+fn outcomes(waiting: &[CallItem], answer: &Result<Answer, NoResponse>) -> Vec<AttemptResult> {
     let answer = match answer {
         Ok(answer) => answer,
-        Err(Silence::NeverRan) => return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect(),
-        Err(Silence::Held) => return waiting.iter().map(|i| end(i, Outcome::NotSent)).collect(),
-        Err(Silence::MayHaveRun) => return waiting.iter().map(|i| end(i, Outcome::Reset)).collect(),
-        Err(Silence::Spoilt) => return waiting.iter().map(|i| end(i, Outcome::Spoilt)).collect(),
-        Err(Silence::Dead) => return waiting.iter().map(|i| end(i, Outcome::Dead)).collect(),
+        Err(NoResponse::NotConnected) => {
+            return waiting.iter().map(|i| end(i, Outcome::ConnectFailed)).collect();
+        }
+        Err(NoResponse::Withheld) => return waiting.iter().map(|i| end(i, Outcome::NotSent)).collect(),
+        Err(NoResponse::Interrupted) => return waiting.iter().map(|i| end(i, Outcome::Reset)).collect(),
+        Err(NoResponse::Invalid) => {
+            return waiting.iter().map(|i| end(i, Outcome::InvalidResponse)).collect();
+        }
+        Err(NoResponse::StaleConnection) => {
+            return waiting.iter().map(|i| end(i, Outcome::StaleConnection)).collect();
+        }
     };
     let ended = waiting.iter().map(|item| {
         let mut states = answer.states.iter().flatten();
         let state = states.find(|s| s.id == item.name).map(|s| s.state.as_str());
         let (outcome, finished) = outcome(answer, state);
         // A wait binds beside every outcome: it may come with messages that were all accepted.
-        Ended { finished, report: answer.report, wait: answer.wait, unsent: false, ..end(item, outcome) }
+        AttemptResult {
+            finished,
+            report: answer.report,
+            retry_after: answer.wait,
+            unsent: false,
+            ..end(item, outcome)
+        }
     });
-    let mut ended: Vec<Ended> = ended.collect();
+    let mut ended: Vec<AttemptResult> = ended.collect();
     // The module judges a call by the last end that it hears of it: a few accepted messages must not hide
     // that the rest were turned away or failed.
     ended.sort_by_key(|e| match e.outcome {
         Outcome::Delivered => 0,
         Outcome::NotSent => 1,
-        Outcome::Full { .. } => 2,
+        Outcome::Rejected { .. } => 2,
         _ => 3,
     });
     ended
@@ -501,7 +499,7 @@
 
 /// The outcome, and whether the message is over.
 fn outcome(answer: &Answer, state: Option<&str>) -> (Outcome, bool) {
-    let full = Outcome::Full { wait: answer.wait };
+    let full = Outcome::Rejected { retry_after: answer.wait };
     match answer.status {
         StatusCode::OK if answer.states.is_some() => match state {
             Some("accepted") => (Outcome::Delivered, true),
--- a/src/net/calls/tests.rs
+++ b/src/forwarder/endpoint_client/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::net::journal::Journal;
+use crate::forwarder::journal::Journal;
 use std::{env, fs, process};
 
 #[test]
@@ -7,8 +7,8 @@
     let folder = env::temp_dir().join(format!("gate-test-{}", process::id()));
     fs::create_dir_all(&folder).expect("a temporary folder");
     let (journal, _) = Journal::open(&folder, 1 << 20, unix_now()).expect("it opens");
-    let journal = Shared::new(journal);
-    let gate = |latest| Gate::new(journal.clone(), vec![("m".to_owned(), 0)], latest, "a".to_owned());
+    let journal = SharedJournal::new(journal);
+    let gate = |latest| WriteGuard::new(journal.clone(), vec![("m".to_owned(), 0)], latest, "a".to_owned());
     let now = Instant::now();
     // No timer has told it so.
     let late = gate(now);
--- /dev/null
+++ b/src/forwarder/event.rs
@@ -0,0 +1,40 @@
+//! The events that the [`super::runtime`] handles, in the order in which they arrive.
+
+use super::messages::admin_command::AdminRequest;
+use super::messages::call_report::CallReport;
+use super::messages::client_request::ClientRequest;
+use super::messages::endpoint_list::EndpointList;
+use super::messages::notice::Notice;
+use super::upgrade::{PeerChannel, PeerEvent};
+
+/// Something that the runtime has to handle.
+pub(crate) enum RuntimeEvent {
+    /// A client submitted a message.
+    ClientRequest(ClientRequest),
+    /// A call to an endpoint ended.
+    CallEnded(CallReport),
+    /// Discovery sent the endpoint list, or changes to it.
+    EndpointList(EndpointList),
+    /// The platform acknowledged these notices.
+    NoticesAcknowledged(Vec<Notice>),
+    /// An operator sent a command.
+    AdminRequest(AdminRequest),
+    /// A new version of the program asks to take over.
+    TakeOverRequested(PeerChannel),
+    /// Another process of this forwarder sent a frame, or is gone.
+    Peer(PeerEvent),
+    /// The process is to terminate.
+    Terminate,
+}
+
+impl From<PeerEvent> for RuntimeEvent {
+    fn from(event: PeerEvent) -> Self {
+        RuntimeEvent::Peer(event)
+    }
+}
+
+impl From<PeerChannel> for RuntimeEvent {
+    fn from(channel: PeerChannel) -> Self {
+        RuntimeEvent::TakeOverRequested(channel)
+    }
+}
--- a/src/net/http.rs
+++ b/src/forwarder/http/mod.rs
@@ -28,13 +28,13 @@
 
 /// Why a request brought no answer.
 #[derive(Debug)]
-pub(crate) enum Broken {
+pub(crate) enum RequestError {
     /// No byte of it was written; here it is again.
-    Unsent(Box<Request<Full<Bytes>>>),
+    NotWritten(Box<Request<Full<Bytes>>>),
     /// It may have arrived.
-    InDoubt,
+    Interrupted,
     /// An answer came that can't be read.
-    Spoilt,
+    InvalidResponse,
 }
 
 /// An open connection. Dropped, it closes.
@@ -86,21 +86,26 @@
 
     /// Sends one request and waits for the head of its answer, but not for one that has begun and does not end:
     /// it would hold its slot until the call's time-out.
-    pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Broken> {
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, RequestError> {
         if self.sender.ready().await.is_err() {
-            return Err(Broken::Unsent(Box::new(request)));
+            return Err(RequestError::NotWritten(Box::new(request)));
         }
         self.seen.send_replace(Seen::Nothing);
         let mut seen = self.seen.subscribe();
         let answer = tokio::select! {
             biased;
             answer = self.sender.try_send_request(request) => answer,
-            () = overdue(&mut seen) => return Err(Broken::Spoilt),
+            () = overdue(&mut seen) => return Err(RequestError::InvalidResponse),
         };
         answer.map_err(|mut e| match e.take_message() {
-            Some(request) => Broken::Unsent(Box::new(request)),
-            None if e.error().is_parse() || *self.seen.borrow() != Seen::Nothing => Broken::Spoilt,
-            None => Broken::InDoubt,
+            Some(request) => RequestError::NotWritten(Box::new(request)),
+            None if e.error().is_parse() || *self.seen.borrow() != Seen::Nothing => {
+                RequestError::InvalidResponse
+            }
+            None => RequestError::Interrupted,
         })
     }
 
--- a/src/net/journal/format_tests.rs
+++ b/src/forwarder/journal/format_tests.rs
@@ -37,65 +37,65 @@
     folder
 }
 
-fn open_in(folder: &Folder) -> (Journal, Vec<Open>) {
+fn open_in(folder: &Folder) -> (Journal, Vec<RecoveredMessage>) {
     Journal::open(&folder.0, LIMIT, NOW).expect("the journal opens")
 }
 
-fn message(id: &str, tenant: Option<&str>, key: Option<&str>, body: impl Into<Bytes>) -> Taken {
-    Taken {
+fn message(id: &str, tenant: Option<&str>, key: Option<&str>, body: impl Into<Bytes>) -> AcceptedMessage {
+    AcceptedMessage {
         id: id.to_owned(),
         class: "auth-notice".to_owned(),
         tenant: tenant.map(str::to_owned),
-        dest: 7,
+        destination: 7,
         key: key.map(str::to_owned),
         deadline: FAR_FUTURE,
         body: body.into(),
     }
 }
 
-fn plain_message() -> Taken {
+fn plain_message() -> AcceptedMessage {
     message("plain", Some("tenant-a"), Some("key-1"), "hello")
 }
 
-fn bare_message() -> Taken {
-    Taken { class: "bulk".to_owned(), dest: u64::MAX, ..message("bare", None, None, "") }
+fn bare_message() -> AcceptedMessage {
+    AcceptedMessage { class: "bulk".to_owned(), destination: u64::MAX, ..message("bare", None, None, "") }
 }
 
-fn binary_message() -> Taken {
+fn binary_message() -> AcceptedMessage {
     let every_byte: Vec<u8> = (0..=u8::MAX).collect();
     message("binary", None, Some("key \"2\" \u{e9}"), every_byte)
 }
 
 /// Its body would end the message `plain` if it were read as a record.
-fn message_with_a_frame_in_its_body() -> Taken {
+fn message_with_a_frame_in_its_body() -> AcceptedMessage {
     let mut body = b"before".to_vec();
-    put(&over("plain", End::Failed, FAR_FUTURE), &mut body);
+    put(&over("plain", FinalOutcome::Failed, FAR_FUTURE), &mut body);
     body.extend_from_slice(b"after");
     message("frame-like", Some("tenant-b"), None, body)
 }
 
-fn message_taken_again() -> Taken {
+fn message_taken_again() -> AcceptedMessage {
     message("retaken", None, Some("key-3"), "second time")
 }
 
 fn sent(id: &str, attempt: usize, at: u64, zone: &str) -> Record {
-    Record::Sent(id.to_owned(), attempt, at, zone.to_owned())
+    Record::AttemptStarted(id.to_owned(), attempt, at, zone.to_owned())
 }
 
 fn ended(id: &str, attempt: usize, may_have_run: bool) -> Record {
-    Record::Ended(id.to_owned(), attempt, may_have_run)
+    Record::AttemptEnded(id.to_owned(), attempt, may_have_run)
 }
 
-fn owed(id: &str, end: NoticeEnd, until: u64) -> Record {
-    Record::Owed(id.to_owned(), end, until)
+fn owed(id: &str, end: NoticeOutcome, until: u64) -> Record {
+    Record::NoticePending(id.to_owned(), end, until)
 }
 
-fn over(id: &str, end: End, until: u64) -> Record {
-    Record::Over(id.to_owned(), end, until)
+fn over(id: &str, end: FinalOutcome, until: u64) -> Record {
+    Record::Completed(id.to_owned(), end, until)
 }
 
 fn simple(id: &str) -> Record {
-    Record::Taken(message(id, None, None, id.to_owned()))
+    Record::Accepted(message(id, None, None, id.to_owned()))
 }
 
 /// The records of the fixture, in its order.
@@ -105,13 +105,13 @@
 
 fn open_messages() -> Vec<Record> {
     [plain_message(), bare_message(), binary_message(), message_with_a_frame_in_its_body()]
-        .map(Record::Taken)
+        .map(Record::Accepted)
         .to_vec()
 }
 
 fn endpoints() -> Vec<Record> {
-    let banned = ["endpoint-3", "endpoint-1", "endpoint-2"].map(|uid| Record::Banned(uid.to_owned()));
-    [banned.to_vec(), vec![Record::Allowed("endpoint-1".to_owned())]].concat()
+    let banned = ["endpoint-3", "endpoint-1", "endpoint-2"].map(|uid| Record::EndpointBanned(uid.to_owned()));
+    [banned.to_vec(), vec![Record::EndpointAllowed("endpoint-1".to_owned())]].concat()
 }
 
 fn attempts() -> Vec<Record> {
@@ -132,20 +132,20 @@
 
 fn taken_again() -> Vec<Record> {
     vec![
-        Record::Taken(message("retaken", None, Some("key-3"), "first time")),
+        Record::Accepted(message("retaken", None, Some("key-3"), "first time")),
         sent("retaken", 0, NOW, "hall-a"),
-        over("retaken", End::Refused, FAR_FUTURE + 1),
-        Record::Taken(message_taken_again()),
+        over("retaken", FinalOutcome::Rejected, FAR_FUTURE + 1),
+        Record::Accepted(message_taken_again()),
     ]
 }
 
 fn owed_notices() -> Vec<Record> {
-    let timed = NoticeEnd::HandedBack { retry_in_ms: Some(1500) };
-    let untimed = NoticeEnd::HandedBack { retry_in_ms: None };
+    let timed = NoticeOutcome::Rejected { retry_in_ms: Some(1500) };
+    let untimed = NoticeOutcome::Rejected { retry_in_ms: None };
     vec![
         simple("given-up"),
         sent("given-up", 0, NOW + 5, "hall-a"),
-        owed("given-up", NoticeEnd::GivenUp, FAR_FUTURE + 2),
+        owed("given-up", NoticeOutcome::Failed, FAR_FUTURE + 2),
         simple("handed-back"),
         owed("handed-back", timed, FAR_FUTURE + 3),
         simple("handed-back-untimed"),
@@ -158,29 +158,33 @@
         simple("delivered"),
         sent("delivered", 0, NOW + 6, "hall-a"),
         ended("delivered", 0, true),
-        over("delivered", End::Delivered, FAR_FUTURE + 5),
+        over("delivered", FinalOutcome::Delivered, FAR_FUTURE + 5),
         simple("failed"),
-        over("failed", End::Failed, FAR_FUTURE + 6),
+        over("failed", FinalOutcome::Failed, FAR_FUTURE + 6),
         simple("refused"),
-        over("refused", End::Refused, FAR_FUTURE + 7),
+        over("refused", FinalOutcome::Rejected, FAR_FUTURE + 7),
         simple("forgotten"),
-        over("forgotten", End::Delivered, NOW - 1),
+        over("forgotten", FinalOutcome::Delivered, NOW - 1),
     ]
 }
 
-fn attempt(sent: u64, zone: &str, may_have_run: bool) -> Attempt {
-    Attempt { sent, zone: zone.to_owned(), may_have_run }
+fn attempt(sent: u64, zone: &str, may_have_run: bool) -> RecoveredAttempt {
+    RecoveredAttempt { sent, zone: zone.to_owned(), may_have_run }
 }
 
-fn open(taken: Taken, attempts: Vec<Attempt>, owed: Option<NoticeEnd>) -> Open {
-    Open { taken, attempts, owed, in_doubt: false }
+fn open(
+    taken: AcceptedMessage,
+    attempts: Vec<RecoveredAttempt>,
+    owed: Option<NoticeOutcome>,
+) -> RecoveredMessage {
+    RecoveredMessage { taken, attempts, owed, in_doubt: false }
 }
 
 /// What the fixture tells of messages that are not over.
-fn expected_open_messages() -> Vec<Open> {
+fn expected_open_messages() -> Vec<RecoveredMessage> {
     let simple = |id: &str| message(id, None, None, id.to_owned());
-    let timed = NoticeEnd::HandedBack { retry_in_ms: Some(1500) };
-    let untimed = NoticeEnd::HandedBack { retry_in_ms: None };
+    let timed = NoticeOutcome::Rejected { retry_in_ms: Some(1500) };
+    let untimed = NoticeOutcome::Rejected { retry_in_ms: None };
     let plain_attempts = vec![
         attempt(NOW, "hall-a", true),
         attempt(NOW + 1, "hall-b", false),
@@ -197,33 +201,33 @@
         open(binary_message(), vec![], None),
         open(message_with_a_frame_in_its_body(), vec![], None),
         open(message_taken_again(), vec![], None),
-        open(simple("given-up"), vec![attempt(NOW + 5, "hall-a", true)], Some(NoticeEnd::GivenUp)),
+        open(simple("given-up"), vec![attempt(NOW + 5, "hall-a", true)], Some(NoticeOutcome::Failed)),
         open(simple("handed-back"), vec![], Some(timed)),
         open(simple("handed-back-untimed"), vec![], Some(untimed)),
     ]
 }
 
-fn expected_ends() -> Vec<(&'static str, End, u64)> {
+fn expected_ends() -> Vec<(&'static str, FinalOutcome, u64)> {
     vec![
-        ("delivered", End::Delivered, FAR_FUTURE + 5),
-        ("failed", End::Failed, FAR_FUTURE + 6),
-        ("given-up", End::Failed, FAR_FUTURE + 2),
-        ("handed-back", End::Refused, FAR_FUTURE + 3),
-        ("handed-back-untimed", End::Refused, FAR_FUTURE + 4),
-        ("refused", End::Refused, FAR_FUTURE + 7),
-        ("retaken", End::Refused, FAR_FUTURE + 1),
+        ("delivered", FinalOutcome::Delivered, FAR_FUTURE + 5),
+        ("failed", FinalOutcome::Failed, FAR_FUTURE + 6),
+        ("given-up", FinalOutcome::Failed, FAR_FUTURE + 2),
+        ("handed-back", FinalOutcome::Rejected, FAR_FUTURE + 3),
+        ("handed-back-untimed", FinalOutcome::Rejected, FAR_FUTURE + 4),
+        ("refused", FinalOutcome::Rejected, FAR_FUTURE + 7),
+        ("retaken", FinalOutcome::Rejected, FAR_FUTURE + 1),
     ]
 }
 
 /// The ends that are remembered, by message.
-fn remembered_ends(journal: &Journal) -> Vec<(&str, End, u64)> {
+fn remembered_ends(journal: &Journal) -> Vec<(&str, FinalOutcome, u64)> {
     let mut ends: Vec<_> =
         journal.ends.iter().map(|(id, (end, until))| (id.as_str(), *end, *until)).collect();
     ends.sort_by_key(|(id, ..)| *id);
     ends
 }
 
-fn assert_reads_as_the_fixture(journal: &Journal, messages: &[Open]) {
+fn assert_reads_as_the_fixture(journal: &Journal, messages: &[RecoveredMessage]) {
     assert_eq!(messages, expected_open_messages());
     assert_eq!(remembered_ends(journal), expected_ends());
     assert_eq!(journal.bans().iter().collect::<Vec<_>>(), ["endpoint-2", "endpoint-3"]);
@@ -262,36 +266,36 @@
         }
     }
 
-    fn end(&mut self, end: End) {
+    fn end(&mut self, end: FinalOutcome) {
         self.number(match end {
-            End::Delivered => 1,
-            End::Failed => 2,
-            End::Refused => 3,
+            FinalOutcome::Delivered => 1,
+            FinalOutcome::Failed => 2,
+            FinalOutcome::Rejected => 3,
         });
     }
 
-    fn owed(&mut self, owed: Option<NoticeEnd>) {
+    fn owed(&mut self, owed: Option<NoticeOutcome>) {
         let (kind, retry_in_ms) = match owed {
             None => (0, 0),
-            Some(NoticeEnd::GivenUp) => (1, 0),
-            Some(NoticeEnd::HandedBack { retry_in_ms: None }) => (2, 0),
-            Some(NoticeEnd::HandedBack { retry_in_ms: Some(ms) }) => (3, ms),
+            Some(NoticeOutcome::Failed) => (1, 0),
+            Some(NoticeOutcome::Rejected { retry_in_ms: None }) => (2, 0),
+            Some(NoticeOutcome::Rejected { retry_in_ms: Some(ms) }) => (3, ms),
         };
         self.number(kind);
         self.number(retry_in_ms);
     }
 
-    fn message(&mut self, taken: &Taken) {
+    fn message(&mut self, taken: &AcceptedMessage) {
         self.text(&taken.id);
         self.text(&taken.class);
         self.optional_text(&taken.tenant);
-        self.number(taken.dest);
+        self.number(taken.destination);
         self.optional_text(&taken.key);
         self.number(taken.deadline);
         self.text(&taken.body);
     }
 
-    fn open_message(&mut self, open: &Open) {
+    fn open_message(&mut self, open: &RecoveredMessage) {
         self.message(&open.taken);
         self.number(open.attempts.len() as u64);
         for attempt in &open.attempts {
@@ -303,7 +307,7 @@
         self.number(open.in_doubt.into());
     }
 
-    fn journal(&mut self, journal: &Journal, messages: &[Open]) {
+    fn journal(&mut self, journal: &Journal, messages: &[RecoveredMessage]) {
         self.number(messages.len() as u64);
         messages.iter().for_each(|open| self.open_message(open));
         let ends = remembered_ends(journal);
--- a/src/net/journal.rs
+++ b/src/forwarder/journal/mod.rs
@@ -3,7 +3,7 @@
 //! One append-only file of frames (length, checksum, payload). Each turn of the node is one write, made
 //! before anything of that turn is answered or sent. No sync is needed: what was written outlasts the process.
 
-use crate::net::notices::NoticeEnd;
+use crate::forwarder::messages::notice::NoticeOutcome;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap};
@@ -34,11 +34,12 @@
 
 /// A message as it was taken on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Taken {
+pub(crate) struct AcceptedMessage {
     pub(crate) id: String,
     pub(crate) class: String,
     pub(crate) tenant: Option<String>,
-    pub(crate) dest: u64,
+    #[serde(rename = "dest")]
+    pub(crate) destination: u64,
     pub(crate) key: Option<String>,
     /// Unix time, in milliseconds.
     pub(crate) deadline: u64,
@@ -50,55 +51,63 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Record {
     /// Taken on.
-    Taken(Taken),
+    #[serde(rename = "Taken")]
+    Accepted(AcceptedMessage),
     /// An attempt goes out: message, attempt, Unix time (ms) and zone of the endpoint.
-    Sent(String, usize, u64, String),
+    #[serde(rename = "Sent")]
+    AttemptStarted(String, usize, u64, String),
     /// It ended: message, attempt and whether it may have run.
-    Ended(String, usize, bool),
+    #[serde(rename = "Ended")]
+    AttemptEnded(String, usize, bool),
     /// The module gave the message up and a notice is owed; until when (Unix ms) that is worth remembering.
-    Owed(String, NoticeEnd, u64),
+    #[serde(rename = "Owed")]
+    NoticePending(String, NoticeOutcome, u64),
     /// Nothing more is owed: message, its end, and until when (Unix ms) that is worth remembering.
-    Over(String, End, u64),
+    #[serde(rename = "Over")]
+    Completed(String, FinalOutcome, u64),
     /// Operators have taken this endpoint out;
-    Banned(String),
+    #[serde(rename = "Banned")]
+    EndpointBanned(String),
     /// and put it back.
-    Allowed(String),
+    #[serde(rename = "Allowed")]
+    EndpointAllowed(String),
 }
 
 impl Record {
     /// The message, or the endpoint.
     fn id(&self) -> &str {
         match self {
-            Record::Banned(uid) | Record::Allowed(uid) => uid,
-            Record::Taken(Taken { id, .. })
-            | Record::Sent(id, ..)
-            | Record::Ended(id, ..)
-            | Record::Owed(id, ..)
-            | Record::Over(id, ..) => id,
+            Record::EndpointBanned(uid) | Record::EndpointAllowed(uid) => uid,
+            Record::Accepted(AcceptedMessage { id, .. })
+            | Record::AttemptStarted(id, ..)
+            | Record::AttemptEnded(id, ..)
+            | Record::NoticePending(id, ..)
+            | Record::Completed(id, ..) => id,
         }
     }
 }
 
 /// How a message ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum End {
+pub(crate) enum FinalOutcome {
     Delivered,
     Failed,
-    Refused,
+    #[serde(rename = "Refused")]
+    Rejected,
 }
 
-impl From<NoticeEnd> for End {
-    fn from(end: NoticeEnd) -> Self {
+impl From<NoticeOutcome> for FinalOutcome {
+    fn from(end: NoticeOutcome) -> Self {
         match end {
-            NoticeEnd::GivenUp => End::Failed,
-            NoticeEnd::HandedBack { .. } => End::Refused,
+            NoticeOutcome::Failed => FinalOutcome::Failed,
+            NoticeOutcome::Rejected { .. } => FinalOutcome::Rejected,
         }
     }
 }
 
 /// An attempt found in the journal.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Attempt {
+pub(crate) struct RecoveredAttempt {
     pub(crate) sent: u64,
     pub(crate) zone: String,
     /// False only where it is known that it never ran.
@@ -107,10 +116,10 @@
 
 /// An open message found in the journal.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Open {
-    pub(crate) taken: Taken,
-    pub(crate) attempts: Vec<Attempt>,
-    pub(crate) owed: Option<NoticeEnd>,
+pub(crate) struct RecoveredMessage {
+    pub(crate) taken: AcceptedMessage,
+    pub(crate) attempts: Vec<RecoveredAttempt>,
+    pub(crate) owed: Option<NoticeOutcome>,
     /// A record that can't be read any more may have told of an attempt or of its end.
     pub(crate) in_doubt: bool,
 }
@@ -144,7 +153,7 @@
     live_bytes: u64,
     reserved: u64,
     /// Ends still remembered, and until when (Unix ms).
-    ends: HashMap<String, (End, u64)>,
+    ends: HashMap<String, (FinalOutcome, u64)>,
     /// Endpoints that operators have taken out.
     bans: BTreeSet<String>,
     /// When ends that are past were last dropped (Unix ms).
@@ -155,11 +164,11 @@
 
 /// The journal as the node and its calls share it.
 #[derive(Clone)]
-pub(crate) struct Shared(Arc<Mutex<Journal>>);
+pub(crate) struct SharedJournal(Arc<Mutex<Journal>>);
 
-impl Shared {
+impl SharedJournal {
     pub(crate) fn new(journal: Journal) -> Self {
-        Shared(Arc::new(Mutex::new(journal)))
+        SharedJournal(Arc::new(Mutex::new(journal)))
     }
 
     /// To be held for one statement, and never across a wait.
@@ -171,7 +180,11 @@
 impl Journal {
     /// Opens the journal of the folder, cuts off a torn tail, passes over what is damaged, and replays the rest: the
     /// open messages, in the order taken.
-    pub(crate) fn open(folder: &Path, limit: u64, now: u64) -> Result<(Self, Vec<Open>), JournalError> {
+    pub(crate) fn open(
+        folder: &Path,
+        limit: u64,
+        now: u64,
+    ) -> Result<(Self, Vec<RecoveredMessage>), JournalError> {
         let path = folder.join("journal");
         // Left by a process that ended while it compacted; the old file still holds all.
         match fs::remove_file(folder.join("journal.new")) {
@@ -228,7 +241,7 @@
     }
 
     /// How a message ended, if it did not long ago, and until when (Unix ms) that is worth remembering.
-    pub(crate) fn end_of(&self, id: &str) -> Option<(End, u64)> {
+    pub(crate) fn final_outcome(&self, id: &str) -> Option<(FinalOutcome, u64)> {
         self.ends.get(id).copied()
     }
 
@@ -238,12 +251,12 @@
     }
 
     /// Whether all that was noted stands in the file.
-    pub(crate) fn is_settled(&self) -> bool {
+    pub(crate) fn is_flushed(&self) -> bool {
         self.backlog.is_empty()
     }
 
     /// Whether messages of this many bytes in all could still be taken on.
-    pub(crate) fn has_room(&mut self, messages: usize, bytes: usize, now: u64) -> bool {
+    pub(crate) fn has_capacity(&mut self, messages: usize, bytes: usize, now: u64) -> bool {
         // Records are short but for the body; names and keys are bounded where messages come in.
         let (bytes, reserve) = (bytes as u64 + messages as u64 * TAKEN_MOST, messages as u64 * RESERVE);
         if self.fits(self.len, bytes, reserve) {
@@ -329,36 +342,36 @@
     /// Keeps count of what a compacted file would hold.
     fn book(&mut self, record: &Record, size: u64, now: u64) {
         match record {
-            Record::Over(id, end, until) => {
+            Record::Completed(id, end, until) => {
                 let live = self.live.remove(id).unwrap_or_default();
                 self.live_bytes -= live.bytes;
                 self.reserved -= live.reserved;
                 self.remember(id, *end, *until, now);
                 return;
             }
-            Record::Banned(uid) => {
+            Record::EndpointBanned(uid) => {
                 self.bans.insert(uid.clone());
                 return;
             }
-            Record::Allowed(uid) => {
+            Record::EndpointAllowed(uid) => {
                 self.bans.remove(uid);
                 return;
             }
-            Record::Owed(id, end, until) => self.remember(id, (*end).into(), *until, now),
+            Record::NoticePending(id, end, until) => self.remember(id, (*end).into(), *until, now),
             _ => {}
         }
         let live = self.live.entry(record.id().to_owned()).or_default();
         live.bytes += size;
         self.live_bytes += size;
         let reserved = match record {
-            Record::Taken(_) => RESERVE,
+            Record::Accepted(_) => RESERVE,
             _ => live.reserved.saturating_sub(size),
         };
         self.reserved = self.reserved - live.reserved + reserved;
         live.reserved = reserved;
     }
 
-    fn remember(&mut self, id: &str, end: End, until: u64, now: u64) {
+    fn remember(&mut self, id: &str, end: FinalOutcome, until: u64, now: u64) {
         // What is past would make the memory, and the file with it, grow up to the bound.
         if now >= self.swept + SWEEP || self.ends.len() >= ENDS_MOST {
             self.ends.retain(|_, (_, until)| *until > now);
@@ -375,11 +388,11 @@
         let text = fs::read(&self.path)?;
         let mut kept = Vec::with_capacity(self.compacted_len() as usize);
         // Once each, however often they were begun and ended.
-        self.bans.iter().for_each(|uid| put(&Record::Banned(uid.clone()), &mut kept));
+        self.bans.iter().for_each(|uid| put(&Record::EndpointBanned(uid.clone()), &mut kept));
         for Frame { record, start, end } in Frames::of(&text[..text.len().min(self.len as usize)]) {
             let keep = match &record {
-                Record::Over(id, ..) => self.ends.contains_key(id),
-                Record::Banned(_) | Record::Allowed(_) => false,
+                Record::Completed(id, ..) => self.ends.contains_key(id),
+                Record::EndpointBanned(_) | Record::EndpointAllowed(_) => false,
                 other => self.live.contains_key(other.id()),
             };
             if keep {
@@ -406,7 +419,7 @@
     out.extend_from_slice(&[0; FRAME_HEAD + 4]);
     serde_json::to_writer(&mut *out, record).expect("a record has no map and writing to memory cannot fail");
     let head = (out.len() - start - FRAME_HEAD - 4) as u32;
-    if let Record::Taken(taken) = record {
+    if let Record::Accepted(taken) = record {
         out.extend_from_slice(&taken.body);
     }
     let payload = start + FRAME_HEAD;
@@ -450,7 +463,7 @@
         return None;
     }
     let mut record = serde_json::from_slice(head).ok()?;
-    if let Record::Taken(taken) = &mut record {
+    if let Record::Accepted(taken) = &mut record {
         taken.body = Bytes::copy_from_slice(body);
     }
     Some(Frame { record, start, end })
@@ -485,39 +498,42 @@
 #[derive(Default)]
 struct Replay {
     order: Vec<String>,
-    open: HashMap<String, Open>,
+    open: HashMap<String, RecoveredMessage>,
 }
 
 impl Replay {
     fn apply(&mut self, record: Record) {
         match record {
-            Record::Taken(taken) => {
+            Record::Accepted(taken) => {
                 self.order.push(taken.id.clone());
                 let id = taken.id.clone();
-                self.open.insert(id, Open { taken, attempts: Vec::new(), owed: None, in_doubt: false });
+                self.open.insert(
+                    id,
+                    RecoveredMessage { taken, attempts: Vec::new(), owed: None, in_doubt: false },
+                );
             }
             // Without an end it may have run: the process ended while it was out.
-            Record::Sent(id, attempt, sent, zone) => {
+            Record::AttemptStarted(id, attempt, sent, zone) => {
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.attempts.len() <= attempt) {
                     // Those between were never written, and so not noted.
-                    let unsent = Attempt { sent, zone: zone.clone(), may_have_run: false };
+                    let unsent = RecoveredAttempt { sent, zone: zone.clone(), may_have_run: false };
                     open.attempts.resize(attempt, unsent);
-                    open.attempts.push(Attempt { sent, zone, may_have_run: true });
+                    open.attempts.push(RecoveredAttempt { sent, zone, may_have_run: true });
                 }
             }
-            Record::Ended(id, attempt, may_have_run) => {
+            Record::AttemptEnded(id, attempt, may_have_run) => {
                 if let Some(a) = self.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt)) {
                     a.may_have_run = may_have_run;
                 }
             }
-            Record::Owed(id, end, _) => {
+            Record::NoticePending(id, end, _) => {
                 if let Some(open) = self.open.get_mut(&id) {
                     open.owed = Some(end);
                 }
             }
-            Record::Over(id, ..) => drop(self.open.remove(&id)),
+            Record::Completed(id, ..) => drop(self.open.remove(&id)),
             // The journal keeps them.
-            Record::Banned(_) | Record::Allowed(_) => {}
+            Record::EndpointBanned(_) | Record::EndpointAllowed(_) => {}
         }
     }
 
@@ -527,7 +543,7 @@
         self.open.len()
     }
 
-    fn open(mut self) -> Vec<Open> {
+    fn open(mut self) -> Vec<RecoveredMessage> {
         self.order.iter().filter_map(|id| self.open.remove(id)).collect()
     }
 }
--- a/src/net/journal/tests.rs
+++ b/src/forwarder/journal/tests.rs
@@ -9,8 +9,7 @@
 impl Folder {
     pub(super) fn new() -> Self {
         static MADE: AtomicUsize = AtomicUsize::new(0);
-        let name =
-            format!("yarrowhill-journal-{}-{}", std::process::id(), MADE.fetch_add(1, Ordering::Relaxed));
+        let name = format!("journal-test-{}-{}", std::process::id(), MADE.fetch_add(1, Ordering::Relaxed));
         let path = env::temp_dir().join(name);
         fs::create_dir_all(&path).expect("a temporary folder");
         Folder(path)
@@ -25,8 +24,9 @@
 
 #[test]
 fn an_attempt_that_was_never_noted_hides_none_after_it() {
-    let sent = |n| Record::Sent("a".into(), n, NOW, "hall-a".into());
-    let open = open_of(&[taken("a", Vec::new()), sent(0), Record::Ended("a".into(), 0, false), sent(2)]);
+    let sent = |n| Record::AttemptStarted("a".into(), n, NOW, "hall-a".into());
+    let open =
+        open_of(&[taken("a", Vec::new()), sent(0), Record::AttemptEnded("a".into(), 0, false), sent(2)]);
     let ran: Vec<bool> = open[0].attempts.iter().map(|a| a.may_have_run).collect();
     assert_eq!(ran, [false, false, true]);
 }
@@ -35,11 +35,11 @@
 const NOW: u64 = 1_800_000_000_000;
 
 fn taken(id: &str, body: Vec<u8>) -> Record {
-    Record::Taken(Taken {
+    Record::Accepted(AcceptedMessage {
         id: id.into(),
         class: "auth-notice".into(),
         tenant: None,
-        dest: 7,
+        destination: 7,
         key: Some("k".into()),
         deadline: NOW + 1000,
         body: body.into(),
@@ -50,14 +50,23 @@
     let id = "[a-c]";
     prop_oneof![
         (id, proptest::collection::vec(any::<u8>(), 0..40)).prop_map(|(id, body)| taken(&id, body)),
-        (id, 0..3usize, any::<u32>()).prop_map(|(id, n, at)| Record::Sent(id, n, at.into(), "hall-a".into())),
-        (id, 0..3usize, any::<bool>()).prop_map(|(id, n, ran)| Record::Ended(id, n, ran)),
-        id.prop_map(|id| Record::Owed(id, NoticeEnd::HandedBack { retry_in_ms: Some(5) }, NOW + 1000)),
-        id.prop_map(|id| Record::Over(id, End::Delivered, NOW + 1000)),
+        (id, 0..3usize, any::<u32>()).prop_map(|(id, n, at)| Record::AttemptStarted(
+            id,
+            n,
+            at.into(),
+            "hall-a".into()
+        )),
+        (id, 0..3usize, any::<bool>()).prop_map(|(id, n, ran)| Record::AttemptEnded(id, n, ran)),
+        id.prop_map(|id| Record::NoticePending(
+            id,
+            NoticeOutcome::Rejected { retry_in_ms: Some(5) },
+            NOW + 1000
+        )),
+        id.prop_map(|id| Record::Completed(id, FinalOutcome::Delivered, NOW + 1000)),
     ]
 }
 
-fn open_of(records: &[Record]) -> Vec<Open> {
+fn open_of(records: &[Record]) -> Vec<RecoveredMessage> {
     let mut replay = Replay::default();
     records.iter().for_each(|r| replay.apply(r.clone()));
     replay.open()
@@ -123,7 +132,7 @@
     for n in 0..2000u64 {
         let id = format!("m{n}");
         journal.commit(&[taken(&id, vec![0; 400])], NOW + n).expect("there is room");
-        journal.note(&Record::Over(id, End::Delivered, NOW + n + 10), NOW + n);
+        journal.note(&Record::Completed(id, FinalOutcome::Delivered, NOW + n + 10), NOW + n);
         assert!(journal.len <= COMPACT_FROM + 1024);
     }
     journal.commit(&[], NOW).expect("there is room");
@@ -131,7 +140,7 @@
     assert_eq!(size, journal.len);
     let (again, replayed) = Journal::open(&folder.0, LIMIT, NOW + 2005).expect("it opens");
     assert_eq!(replayed.iter().map(|o| o.taken.id.as_str()).collect::<Vec<_>>(), ["kept"]);
-    assert!(again.end_of("m1999").is_some() && again.end_of("m1000").is_none());
+    assert!(again.final_outcome("m1999").is_some() && again.final_outcome("m1000").is_none());
 }
 
 #[test]
@@ -139,7 +148,7 @@
     let folder = Folder::new();
     let (mut journal, _) = Journal::open(&folder.0, 40_000, NOW).expect("it opens");
     let mut held = Vec::new();
-    while journal.has_room(1, 500, NOW) {
+    while journal.has_capacity(1, 500, NOW) {
         let id = format!("m{}", held.len());
         journal.commit(&[taken(&id, vec![0; 500])], NOW).expect("it said that there is room");
         held.push(id);
@@ -148,14 +157,14 @@
     for id in held {
         for attempt in 0..3 {
             journal
-                .commit(&[Record::Sent(id.clone(), attempt, NOW, "hall-a".into())], NOW)
+                .commit(&[Record::AttemptStarted(id.clone(), attempt, NOW, "hall-a".into())], NOW)
                 .expect("kept room");
-            journal.note(&Record::Ended(id.clone(), attempt, false), NOW);
+            journal.note(&Record::AttemptEnded(id.clone(), attempt, false), NOW);
         }
-        journal.note(&Record::Over(id, End::Failed, 0), NOW);
+        journal.note(&Record::Completed(id, FinalOutcome::Failed, 0), NOW);
         journal.commit(&[], NOW).expect("kept room");
     }
-    assert!(journal.has_room(1, 500, NOW));
+    assert!(journal.has_capacity(1, 500, NOW));
 }
 
 /// As many as a sender may hold on its busiest day (`openCap` near 950), each with an attempt, beside the
@@ -167,12 +176,12 @@
     let id = |n: usize| format!("{n:016x}");
     let held = 950;
     for n in 0..3 * held {
-        assert!(journal.has_room(1, 900, NOW), "message {n}, {} bytes in the file", journal.len);
+        assert!(journal.has_capacity(1, 900, NOW), "message {n}, {} bytes in the file", journal.len);
         journal.commit(&[taken(&id(n), vec![0; 900])], NOW).expect("it said that there is room");
-        journal.commit(&[Record::Sent(id(n), 0, NOW, "magazzino".into())], NOW).expect("kept room");
-        journal.note(&Record::Ended(id(n), 0, true), NOW);
+        journal.commit(&[Record::AttemptStarted(id(n), 0, NOW, "magazzino".into())], NOW).expect("kept room");
+        journal.note(&Record::AttemptEnded(id(n), 0, true), NOW);
         if n >= held {
-            journal.note(&Record::Over(id(n - held), End::Delivered, NOW + 1000), NOW);
+            journal.note(&Record::Completed(id(n - held), FinalOutcome::Delivered, NOW + 1000), NOW);
         }
         journal.commit(&[], NOW).expect("kept room");
     }
@@ -186,12 +195,12 @@
     let (mut compacted, mut refused) = (0, 0);
     for n in 0..2000 {
         let (id, len) = (format!("m{n}"), journal.len);
-        if journal.has_room(1, 500, NOW) {
+        if journal.has_capacity(1, 500, NOW) {
             journal.commit(&[taken(&id, vec![0; 500])], NOW).expect("it said that there is room");
         } else {
             refused += 1;
             // One ends for each that is refused: there is always a little to free.
-            journal.note(&Record::Over(format!("m{refused}"), End::Failed, 0), NOW);
+            journal.note(&Record::Completed(format!("m{refused}"), FinalOutcome::Failed, 0), NOW);
             journal.commit(&[], NOW).expect("kept room");
         }
         compacted += usize::from(journal.len < len);
@@ -205,14 +214,14 @@
     let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
     journal.commit(&[taken("a", vec![])], NOW).expect("there is room");
     journal.limit = journal.len;
-    journal.note(&Record::Over("a".into(), End::Delivered, NOW + 1), NOW);
+    journal.note(&Record::Completed("a".into(), FinalOutcome::Delivered, NOW + 1), NOW);
     assert!(journal.commit(&[taken("b", vec![])], NOW).is_err());
-    assert!(!journal.is_settled());
+    assert!(!journal.is_flushed());
     journal.limit = LIMIT;
     journal.commit(&[], NOW).expect("there is room again");
-    assert!(journal.is_settled());
+    assert!(journal.is_flushed());
     let (again, replayed) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
-    assert!(replayed.is_empty() && again.end_of("a").is_some());
+    assert!(replayed.is_empty() && again.final_outcome("a").is_some());
 }
 
 #[test]
@@ -221,14 +230,14 @@
     let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
     // What looks like a record in a damaged one is none.
     let mut body = b"front ".to_vec();
-    put(&Record::Over("a".into(), End::Delivered, NOW + 1000), &mut body);
+    put(&Record::Completed("a".into(), FinalOutcome::Delivered, NOW + 1000), &mut body);
     journal.commit(&[taken("a", Vec::new()), taken("b", body)], NOW).expect("there is room");
     journal.commit(&[taken("c", Vec::new())], NOW).expect("there is room");
     let mut text = fs::read(&journal.path).expect("it is there");
     let at = text.windows(5).position(|part| part == b"front").expect("it is there");
     text[at] ^= 1;
     fs::write(&journal.path, &text).expect("it is writable");
-    let doubts = |open: Vec<Open>| -> Vec<(String, bool)> {
+    let doubts = |open: Vec<RecoveredMessage>| -> Vec<(String, bool)> {
         open.into_iter().map(|open| (open.taken.id, open.in_doubt)).collect()
     };
     let (mut journal, open) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
--- /dev/null
+++ b/src/forwarder/messages/client_request.rs
@@ -0,0 +1,41 @@
+//! A message submitted by a client, and the reply that the client gets.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// A message submitted by a client.
+pub(crate) struct ClientRequest {
+    /// The id that the client gave to the message.
+    pub(crate) id: String,
+    /// Index of its class.
+    pub(crate) class: usize,
+    /// Index of its tenant.
+    pub(crate) tenant: Option<usize>,
+    /// The destination.
+    pub(crate) destination: u64,
+    /// The idempotency key.
+    pub(crate) key: Option<String>,
+    /// The payload, passed to the endpoint as it is.
+    pub(crate) body: Bytes,
+    /// The client stops waiting at this time.
+    pub(crate) deadline: Instant,
+    /// Where the reply goes. Closed once the client has disconnected.
+    pub(crate) reply: oneshot::Sender<ClientReply>,
+}
+
+/// The reply to a client. It is passed between processes during an upgrade: the serialized names stay as they
+/// are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum ClientReply {
+    /// The message is stored in the journal and will be delivered, or its end notified.
+    Accepted,
+    /// The message was delivered.
+    Delivered,
+    /// The message was not delivered, and submitting it again does no harm; after this time, if one is given.
+    #[serde(rename = "Refused")]
+    Rejected(Option<Duration>),
+    /// The message was given up; it may have been executed.
+    Failed,
+}
--- /dev/null
+++ b/src/forwarder/messages/endpoint_list.rs
@@ -0,0 +1,91 @@
+//! The endpoint list as discovery sends it.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// The endpoint list, or the changes to it.
+#[derive(Debug, Default, Deserialize)]
+#[serde(from = "ListDocument")]
+pub(crate) struct EndpointList {
+    /// The revision of the list.
+    pub(crate) revision: u64,
+    /// The list is complete: endpoints that it lacks are gone. Otherwise it holds changed records only.
+    pub(crate) complete: bool,
+    /// The records that could be parsed.
+    pub(crate) endpoints: Vec<EndpointRecord>,
+    /// The number of records that could not be parsed. They are skipped and do not affect the others.
+    pub(crate) unreadable: usize,
+}
+
+/// The form of the list on the wire.
+#[derive(Deserialize)]
+struct ListDocument {
+    rev: u64,
+    all: bool,
+    targets: Vec<Value>,
+}
+
+impl From<ListDocument> for EndpointList {
+    fn from(document: ListDocument) -> Self {
+        let mut list =
+            EndpointList { revision: document.rev, complete: document.all, ..EndpointList::default() };
+        for record in document.targets {
+            match serde_json::from_value(record) {
+                Ok(record) => list.endpoints.push(record),
+                Err(error) => {
+                    eprintln!("discovery: unreadable record: {error}");
+                    list.unreadable += 1;
+                }
+            }
+        }
+        list
+    }
+}
+
+/// One record of the endpoint list. It is passed between processes during an upgrade: the serialized names stay
+/// as they are.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct EndpointRecord {
+    /// The id that discovery gave to the endpoint.
+    pub(crate) uid: String,
+    /// Where calls are sent.
+    #[serde(rename = "endpoint")]
+    pub(crate) address: SocketAddr,
+    /// The name of its zone.
+    #[serde(rename = "az")]
+    pub(crate) zone: String,
+    /// The name of the kind of its destination.
+    #[serde(rename = "model")]
+    pub(crate) kind: String,
+    /// The destination that it belongs to.
+    #[serde(rename = "pod_group")]
+    pub(crate) destination: u64,
+    /// Whether it is in service.
+    pub(crate) state: LifecycleState,
+    /// See [`crate::interface::EndpointWeights`].
+    #[serde(rename = "capacity_hint", default = "default_weight")]
+    pub(crate) weight: f64,
+}
+
+fn default_weight() -> f64 {
+    1.0
+}
+
+/// The state of an endpoint in the list.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum LifecycleState {
+    /// New calls may be sent to it.
+    InService,
+    /// It is draining: no new call may be sent to it.
+    Terminating,
+    /// It is gone.
+    Terminated,
+    /// A state that this version does not know; treated as draining.
+    #[serde(other)]
+    Other,
+}
+
+#[cfg(test)]
+mod format_tests;
--- /dev/null
+++ b/src/forwarder/messages/endpoint_list/format_tests.rs
@@ -0,0 +1,59 @@
+//! Holds how the list of targets is read, also where lines of it are odd.
+
+use super::*;
+
+/// A list with lines of every state, lines that lack something, and lines that can't be read.
+const LIST: &str = include_str!("../../../../tests/fixtures/discovery/list.json");
+
+fn endpoint(uid: &str, address: &str, state: LifecycleState) -> EndpointRecord {
+    EndpointRecord {
+        uid: uid.to_owned(),
+        address: address.parse().expect("an address"),
+        zone: "hall-a".to_owned(),
+        kind: "small".to_owned(),
+        destination: 7,
+        state,
+        weight: 1.0,
+    }
+}
+
+fn expected_records() -> Vec<EndpointRecord> {
+    vec![
+        EndpointRecord { weight: 2.5, ..endpoint("in-service", "10.0.0.1:8080", LifecycleState::InService) },
+        EndpointRecord {
+            zone: "hall-b".to_owned(),
+            kind: "large".to_owned(),
+            destination: u64::MAX,
+            ..endpoint("terminating", "[fd00::2]:8080", LifecycleState::Terminating)
+        },
+        EndpointRecord {
+            zone: String::new(),
+            destination: 0,
+            weight: 0.0,
+            ..endpoint("terminated", "10.0.0.3:1", LifecycleState::Terminated)
+        },
+        endpoint("unknown-state", "10.0.0.4:8080", LifecycleState::Other),
+        endpoint("named-other", "10.0.0.5:8080", LifecycleState::Other),
+    ]
+}
+
+fn json(endpoints: &[EndpointRecord]) -> Value {
+    serde_json::to_value(endpoints).expect("a line can be written")
+}
+
+#[test]
+fn a_list_with_odd_lines_reads_as_it_always_did() {
+    let list: EndpointList = serde_json::from_str(LIST).expect("the list as a whole can be read");
+    assert_eq!((list.revision, list.complete, list.unreadable), (42, true, 8));
+    assert_eq!(json(&list.endpoints), json(&expected_records()));
+    assert!(
+        list.endpoints.iter().map(|line| line.state).eq(expected_records().iter().map(|line| line.state))
+    );
+}
+
+#[test]
+fn a_list_that_lacks_a_field_cannot_be_read() {
+    for text in [r#"{"all":true,"targets":[]}"#, r#"{"rev":1,"targets":[]}"#, r#"{"rev":1,"all":false}"#] {
+        assert!(serde_json::from_str::<EndpointList>(text).is_err(), "{text}");
+    }
+}
--- /dev/null
+++ b/src/forwarder/messages/notice.rs
@@ -0,0 +1,30 @@
+//! Notices: how accepted messages ended that were not delivered.
+
+use serde::{Deserialize, Serialize};
+
+/// How an accepted message ended that was not delivered. It is stored in the journal and sent to the platform:
+/// the serialized names stay as they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome")]
+pub(crate) enum NoticeOutcome {
+    /// Given up; it may have been executed.
+    #[serde(rename = "given_up")]
+    Failed,
+    /// Not executed; submitting it again does no harm.
+    #[serde(rename = "handed_back")]
+    Rejected {
+        /// When the client should submit it again, in milliseconds from now.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        retry_in_ms: Option<u64>,
+    },
+}
+
+/// The notice for one message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct Notice {
+    /// The id that the client gave to the message.
+    pub(crate) message: String,
+    /// How it ended.
+    #[serde(flatten)]
+    pub(crate) outcome: NoticeOutcome,
+}
--- a/src/net/tally.rs
+++ b/src/forwarder/metrics/mod.rs
@@ -1,7 +1,7 @@
 //! Counts what happens between two log lines: enough to see from the log alone what a bad day is made of.
 
-use crate::api::Outcome;
-use crate::net::calls::Dialled;
+use crate::forwarder::messages::call_report::ConnectionUsage;
+use crate::interface::Outcome;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -15,19 +15,19 @@
 
 /// Why a message was not taken on or was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Loss {
+pub(crate) enum DropReason {
     /// The forwarder holds all that it may.
-    HeldMost,
+    TooManyOpenMessages,
     /// The journal has no room.
     JournalFull,
     /// The client left before it heard.
-    ClientLeft,
+    ClientDisconnected,
     /// The module refused it.
-    Refused,
+    Rejected,
     /// The module gave it up.
     Failed,
     /// One of these two, found untried at the start and never tried since.
-    NeverTried,
+    NeverAttempted,
 }
 
 #[derive(Debug, Default)]
@@ -41,10 +41,10 @@
 
 /// What happened since the last line.
 #[derive(Debug)]
-pub(crate) struct Tally {
+pub(crate) struct IntervalMetrics {
     since: Instant,
-    taken_on: usize,
-    losses: BTreeMap<Loss, usize>,
+    accepted: usize,
+    losses: BTreeMap<DropReason, usize>,
     outcomes: BTreeMap<&'static str, usize>,
     /// For how long calls took slots, by the last end heard of each.
     slot_time: BTreeMap<&'static str, Duration>,
@@ -53,11 +53,11 @@
     endpoints: BTreeMap<SocketAddr, Endpoint>,
 }
 
-impl Tally {
+impl IntervalMetrics {
     pub(crate) fn new() -> Self {
-        Tally {
+        IntervalMetrics {
             since: Instant::now(),
-            taken_on: 0,
+            accepted: 0,
             losses: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             slot_time: BTreeMap::new(),
@@ -67,19 +67,19 @@
         }
     }
 
-    pub(crate) fn taken_on(&mut self) {
-        self.taken_on += 1;
+    pub(crate) fn accepted(&mut self) {
+        self.accepted += 1;
     }
 
-    pub(crate) fn lost(&mut self, loss: Loss) {
+    pub(crate) fn lost(&mut self, loss: DropReason) {
         *self.losses.entry(loss).or_default() += 1;
     }
 
-    pub(crate) fn dialled(&mut self, to: SocketAddr, dialled: Dialled) {
+    pub(crate) fn connection_usage(&mut self, to: SocketAddr, connection_usage: ConnectionUsage) {
         let endpoint = self.endpoints.entry(to).or_default();
-        endpoint.opened += dialled.opened;
-        self.opened += dialled.opened;
-        if let Some(kind) = dialled.failed {
+        endpoint.opened += connection_usage.opened;
+        self.opened += connection_usage.opened;
+        if let Some(kind) = connection_usage.failed {
             endpoint.unconnected += 1;
             *self.unconnected.entry(kind.to_string()).or_default() += 1;
         }
@@ -90,13 +90,13 @@
         let (name, failed) = match outcome {
             Outcome::Delivered => ("delivered", false),
             Outcome::Error => ("error", true),
-            Outcome::Full { wait: Some(_) } => ("full with a wait", false),
-            Outcome::Full { wait: None } => ("full", false),
+            Outcome::Rejected { retry_after: Some(_) } => ("full with a wait", false),
+            Outcome::Rejected { retry_after: None } => ("full", false),
             Outcome::TimedOut => ("timed out", true),
             Outcome::ConnectFailed => ("not connected", true),
             Outcome::Reset => ("reset", true),
-            Outcome::Spoilt => ("spoilt", true),
-            Outcome::Dead => ("on a dead connection", true),
+            Outcome::InvalidResponse => ("spoilt", true),
+            Outcome::StaleConnection => ("on a dead connection", true),
             Outcome::Cancelled => ("called off", true),
             Outcome::NotSent => ("not sent", false),
         };
@@ -111,19 +111,19 @@
     }
 
     /// The counts, if it is time for a line and anything has happened, and a new start.
-    pub(crate) fn due(&mut self) -> Option<Tally> {
+    pub(crate) fn due(&mut self) -> Option<IntervalMetrics> {
         if self.since.elapsed() < EVERY {
             return None;
         }
-        let counts = std::mem::replace(self, Tally::new());
-        let idle = counts.taken_on == 0 && counts.losses.is_empty() && counts.outcomes.is_empty();
+        let counts = std::mem::replace(self, IntervalMetrics::new());
+        let idle = counts.accepted == 0 && counts.losses.is_empty() && counts.outcomes.is_empty();
         Some(counts).filter(|_| !idle)
     }
 }
 
-impl fmt::Display for Tally {
+impl fmt::Display for IntervalMetrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "taken on {}, lost {:?}; attempts {:?}", self.taken_on, self.losses, self.outcomes)?;
+        write!(f, "taken on {}, lost {:?}; attempts {:?}", self.accepted, self.losses, self.outcomes)?;
         let slot_time: BTreeMap<_, _> = self.slot_time.iter().map(|(k, v)| (k, v.as_millis())).collect();
         write!(f, "; slots taken for ms {slot_time:?}")?;
         write!(f, "; connections opened {}, not opened {:?}", self.opened, self.unconnected)?;
--- a/src/net/mod.rs
+++ b/src/forwarder/mod.rs
@@ -1,25 +1,27 @@
 //! The real forwarder: the decision module on sockets.
 
 mod admin;
-mod calls;
-mod config;
+mod clock;
+mod configuration;
 mod discovery;
-mod handover;
-mod heads;
+mod endpoint_client;
+mod event;
 mod http;
-mod inherit;
-mod intake;
+mod inherited_listener;
 mod journal;
-mod keep;
-mod node;
+mod messages;
+mod metrics;
 mod notices;
-mod tally;
+mod runtime;
+mod server;
+mod upgrade;
 
-pub use config::{Config, ConfigError};
-pub use inherit::{InheritError, listener as inherited_listener};
+pub use configuration::{Config, ConfigError};
+pub use inherited_listener::{InheritError, listener as inherited_listener};
 
-use intake::{Intake, Phase, Places};
-use node::{Input, Node, Outside};
+use event::RuntimeEvent;
+use runtime::{Runtime, RuntimeChannels};
+use server::{ConnectionCounts, LifecyclePhase, RequestHandler};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,10 +46,10 @@
 }
 
 impl Sockets {
-    fn share(config: &Config) -> Self {
-        let operators = if config.admin.is_some() { admin::CALLERS + 1 } else { 0 };
-        let own = OWN.saturating_add(operators).saturating_add(config.settings.slots);
-        let free = config.limits.sockets.saturating_sub(own);
+    fn share(configuration: &Config) -> Self {
+        let operators = if configuration.admin.is_some() { admin::CALLERS + 1 } else { 0 };
+        let own = OWN.saturating_add(operators).saturating_add(configuration.settings.call_slots);
+        let free = configuration.limits.sockets.saturating_sub(own);
         Sockets { clients: (free * 2 / 3).max(1), idle: (free / 3).max(1) }
     }
 }
@@ -68,10 +70,10 @@
 async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
         match Config::from_env() {
-            Ok(config) => {
+            Ok(configuration) => {
                 discovery.send_if_modified(|at| {
-                    let old = std::mem::replace(at, config.discovery);
-                    old != config.discovery
+                    let old = std::mem::replace(at, configuration.discovery);
+                    old != configuration.discovery
                 });
             }
             Err(e) => eprintln!("configuration: not read again: {e}"),
@@ -81,54 +83,55 @@
 
 /// Runs until SIGTERM, or until a new version has taken over and all is done. Clients come to the inherited listener;
 /// without one, the address is bound.
-pub async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
+pub async fn run(configuration: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
     // Before anybody can see that it is ready: SIGHUP without a handler would end the process.
     let hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
-    let Sockets { clients, idle } = Sockets::share(&config);
+    let Sockets { clients, idle } = Sockets::share(&configuration);
     let (inputs, mut received) = mpsc::channel(INPUTS);
-    if let Some(at) = config.admin {
+    if let Some(at) = configuration.admin {
         tokio::spawn(admin::serve(TcpListener::bind(at).await?, inputs.clone()));
     }
     // Before anything is taken over: a process that can't serve leaves the other one alone.
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener)?,
-        None => TcpListener::bind(config.listen).await?,
+        None => TcpListener::bind(configuration.listen).await?,
     };
     let begin = tokio::select! {
-        begin = handover::begin(&config.state, &mut received) => begin?,
+        begin = upgrade::acquire_ownership(&configuration.state, &mut received) => begin?,
         _ = terminate.recv() => return Ok(()),
     };
     let (notices, batches) = mpsc::channel(1);
-    let (told, at) = watch::channel(config.discovery);
-    let places = Arc::new(Places::default());
-    let to = Outside { idle_most: idle, notices, inputs: inputs.clone(), places: places.clone() };
-    let mut node = Node::start(&config, to, begin).await.map_err(|e| RunError::Journal(e.to_string()))?;
-    handover::listen(&config.state, inputs.clone()).unwrap_or_else(|e| {
+    let (told, at) = watch::channel(configuration.discovery);
+    let places = Arc::new(ConnectionCounts::default());
+    let to = RuntimeChannels { idle_most: idle, notices, inputs: inputs.clone(), places: places.clone() };
+    let mut runtime =
+        Runtime::start(&configuration, to, begin).await.map_err(|e| RunError::Journal(e.to_string()))?;
+    upgrade::listen_for_successors(&configuration.state, inputs.clone()).unwrap_or_else(|e| {
         // It serves all the same; a new version waits until it has ended.
         eprintln!("handover: no new version can take over: {e}");
     });
-    let settings = config.settings.clone();
-    let follow = discovery::follow(at.clone(), node.rev(), inputs.clone(), settings, config.seed);
-    node.ends_with_it(tokio::spawn(follow).abort_handle());
-    node.ends_with_it(tokio::spawn(notices::send_all(at, batches, inputs.clone())).abort_handle());
+    let settings = configuration.settings.clone();
+    let follow = discovery::follow(at.clone(), runtime.rev(), inputs.clone(), settings, configuration.seed);
+    runtime.ends_with_it(tokio::spawn(follow).abort_handle());
+    runtime.ends_with_it(tokio::spawn(notices::send_all(at, batches, inputs.clone())).abort_handle());
     tokio::spawn(reload(hangup, told));
     let told = inputs.clone();
     tokio::spawn(async move {
         terminate.recv().await;
         // The node is gone only when the process ends.
-        let _ = told.send(Input::Close).await;
+        let _ = told.send(RuntimeEvent::Terminate).await;
     });
-    let (phase, closing) = watch::channel(Phase::Open);
-    let intake = Intake {
-        names: config.names,
-        settings: config.settings,
-        node: inputs,
+    let (phase, closing) = watch::channel(LifecyclePhase::Serving);
+    let server = RequestHandler {
+        names: configuration.names,
+        settings: configuration.settings,
+        runtime: inputs,
         phase: closing,
         places,
-        bodies: Semaphore::new(config.limits.memory_mb.max(1) * 1024 / BODIES),
+        bodies: Semaphore::new(configuration.limits.memory_mb.max(1) * 1024 / BODIES),
     };
-    let intake = tokio::spawn(intake::serve(listener, clients, Arc::new(intake)));
-    node.run(received, phase, intake).await;
+    let server = tokio::spawn(server::serve(listener, clients, Arc::new(server)));
+    runtime.run(received, phase, server).await;
     Ok(())
 }
--- a/src/net/notices.rs
+++ b/src/forwarder/notices/mod.rs
@@ -1,13 +1,13 @@
 //! Tells the platform how messages ended that were taken on and not delivered: a batch at a time, each until it
 //! is acknowledged. A notice that comes twice does no harm; one that never comes loses its message.
 
-use crate::net::http::{self, Connection};
-use crate::net::node::Input;
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::http::{self, Connection};
+use crate::forwarder::messages::notice::Notice;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
@@ -21,36 +21,14 @@
 /// A failed call is followed by the next after the first of these, doubled up to the second.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(200));
 
-/// How a message ended that was taken on and not delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "outcome", rename_all = "snake_case")]
-pub(crate) enum NoticeEnd {
-    /// With no promise about its effect.
-    GivenUp,
-    /// To hand it in again does no harm.
-    HandedBack {
-        /// When the client should do so.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        retry_in_ms: Option<u64>,
-    },
-}
-
-/// What the platform is told of one message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub(crate) struct Notice {
-    pub(crate) message: String,
-    #[serde(flatten)]
-    pub(crate) end: NoticeEnd,
-}
-
 #[derive(Debug, thiserror::Error)]
-enum Failed {
+enum NoticeError {
     #[error("no connection: {0}")]
     Connect(#[from] std::io::Error),
     #[error("no answer")]
     Silent,
     #[error("the connection broke")]
-    Broken,
+    RequestError,
     #[error("answered {0}")]
     Status(StatusCode),
 }
@@ -60,7 +38,7 @@
 pub(crate) async fn send_all(
     mut at: watch::Receiver<SocketAddr>,
     mut batches: Receiver<Vec<Notice>>,
-    node: Sender<Input>,
+    node: Sender<RuntimeEvent>,
 ) {
     let mut connection = None;
     while let Some(batch) = batches.recv().await {
@@ -85,7 +63,7 @@
                 Ok(()) = wait_for_change(&at) => pause = BACKOFF.0,
             }
         }
-        if node.send(Input::Noticed(batch)).await.is_err() {
+        if node.send(RuntimeEvent::NoticesAcknowledged(batch)).await.is_err() {
             return;
         }
     }
@@ -108,7 +86,7 @@
     text.into()
 }
 
-async fn call(at: SocketAddr, text: Bytes, connection: &mut Option<Connection>) -> Result<(), Failed> {
+async fn call(at: SocketAddr, text: Bytes, connection: &mut Option<Connection>) -> Result<(), NoticeError> {
     let clean = match connection {
         Some(open) => open.is_clean().await,
         None => false,
@@ -116,16 +94,16 @@
     if !clean {
         *connection = Some(Connection::open(at, CONNECT).await?);
     }
-    let open = connection.as_mut().ok_or(Failed::Broken)?;
+    let open = connection.as_mut().ok_or(NoticeError::RequestError)?;
     let mut request = Request::new(Full::new(text));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static("/v1/notices");
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
     http::set_host(&mut request, at);
-    let answer = timeout(ANSWER, open.send(request)).await.map_err(|_| Failed::Silent)?;
-    match answer.map_err(|_| Failed::Broken)?.status() {
+    let answer = timeout(ANSWER, open.send(request)).await.map_err(|_| NoticeError::Silent)?;
+    match answer.map_err(|_| NoticeError::RequestError)?.status() {
         status if status.is_success() => Ok(()),
-        status => Err(Failed::Status(status)),
+        status => Err(NoticeError::Status(status)),
     }
 }
 
--- a/src/net/notices/tests.rs
+++ b/src/forwarder/notices/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::forwarder::messages::notice::NoticeOutcome;
 use std::io;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -52,7 +53,7 @@
 struct World {
     told: watch::Sender<SocketAddr>,
     batches: Sender<Vec<Notice>>,
-    node: Receiver<Input>,
+    node: Receiver<RuntimeEvent>,
 }
 
 fn start(at: SocketAddr) -> World {
@@ -66,14 +67,14 @@
 impl World {
     async fn acknowledged(&mut self) -> Vec<Notice> {
         match timeout(SOON, self.node.recv()).await.expect("the node hears") {
-            Some(Input::Noticed(batch)) => batch,
+            Some(RuntimeEvent::NoticesAcknowledged(batch)) => batch,
             _ => panic!("only acknowledgements come from here"),
         }
     }
 }
 
 fn batch(names: &[&str]) -> Vec<Notice> {
-    names.iter().map(|n| Notice { message: (*n).to_owned(), end: NoticeEnd::GivenUp }).collect()
+    names.iter().map(|n| Notice { message: (*n).to_owned(), outcome: NoticeOutcome::Failed }).collect()
 }
 
 #[tokio::test]
@@ -81,14 +82,14 @@
     let (platform, at) = Platform::start().await;
     let mut w = start(at);
     let ends = [
-        NoticeEnd::GivenUp,
-        NoticeEnd::HandedBack { retry_in_ms: Some(500) },
-        NoticeEnd::HandedBack { retry_in_ms: None },
+        NoticeOutcome::Failed,
+        NoticeOutcome::Rejected { retry_in_ms: Some(500) },
+        NoticeOutcome::Rejected { retry_in_ms: None },
     ];
     let sent: Vec<Notice> = ["a", "b\"", "c"]
         .iter()
         .zip(ends)
-        .map(|(name, end)| Notice { message: (*name).to_owned(), end })
+        .map(|(name, end)| Notice { message: (*name).to_owned(), outcome: end })
         .collect();
     w.batches.send(sent.clone()).await.expect("it is taken");
     let mut stream = platform.accept().await;
--- a/src/net/heads.rs
+++ b/src/forwarder/server/framing/mod.rs
@@ -6,7 +6,7 @@
 
 /// Where in the stream of requests the next byte belongs.
 #[derive(Debug, Default)]
-pub(crate) struct Heads {
+pub(crate) struct FramingScanner {
     line: Vec<u8>,
     lengths: u32,
     length: u64,
@@ -19,7 +19,7 @@
     lost: bool,
 }
 
-impl Heads {
+impl FramingScanner {
     /// Takes the next bytes; true if they end a head with more than one length, or with a length and a
     /// transfer coding.
     pub(crate) fn read(&mut self, mut bytes: &[u8]) -> bool {
@@ -61,7 +61,8 @@
             return false;
         }
         let ambiguous = self.lengths > 1 || (self.lengths > 0 && self.coded);
-        *self = Heads { body: self.length, lost: ambiguous || self.coded, ..Heads::default() };
+        *self =
+            FramingScanner { body: self.length, lost: ambiguous || self.coded, ..FramingScanner::default() };
         ambiguous
     }
 
--- a/src/net/heads/tests.rs
+++ b/src/forwarder/server/framing/tests.rs
@@ -2,8 +2,8 @@
 
 /// The same, however the bytes are cut.
 fn ambiguous(text: &str) -> bool {
-    let whole = Heads::default().read(text.as_bytes());
-    let mut heads = Heads::default();
+    let whole = FramingScanner::default().read(text.as_bytes());
+    let mut heads = FramingScanner::default();
     let bytewise = text.as_bytes().chunks(1).filter(|byte| heads.read(byte)).count();
     assert_eq!(whole, bytewise > 0, "{text:?}");
     whole
--- a/src/net/intake.rs
+++ b/src/forwarder/server/mod.rs
@@ -1,10 +1,13 @@
 //! Takes messages from clients: reads requests, hands them to the node, and gives its answers.
 
-use crate::api::{Effect, Settings};
-use crate::net::heads::Heads;
-use crate::net::node::Input;
-use crate::wire::{Names, index};
+mod framing;
+
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
+use crate::interface::{Idempotency, Settings};
+use crate::settings_reader::{SettingNames, index};
 use bytes::Bytes;
+use framing::FramingScanner;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
@@ -12,7 +15,6 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use serde::{Deserialize, Serialize};
 use std::convert::Infallible;
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
@@ -64,82 +66,59 @@
 const NO_ROOM: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// A message that a client hands in.
-pub(crate) struct HandedIn {
-    pub(crate) id: String,
-    pub(crate) class: usize,
-    pub(crate) tenant: Option<usize>,
-    pub(crate) dest: u64,
-    pub(crate) key: Option<String>,
-    pub(crate) body: Bytes,
-    /// The client gives it up then.
-    pub(crate) deadline: Instant,
-    /// Closed once the client has left.
-    pub(crate) answer: oneshot::Sender<Answer>,
-}
-
-/// What a client is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Answer {
-    Accepted,
-    Delivered,
-    Refused(Option<Duration>),
-    Failed,
-}
-
 /// How far the process is on its way to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Phase {
-    Open,
+pub(crate) enum LifecyclePhase {
+    Serving,
     /// Clients are sent away, and not ready is said; those that come all the same are served.
     Draining,
     /// Each answer is the last on its connection.
     Closing,
     /// A new version takes over: nobody is accepted here, and idle connections are closed.
-    Handing,
+    HandingOver,
     /// Nothing new is read.
-    Shut,
+    Stopped,
 }
 
-impl Phase {
+impl LifecyclePhase {
     /// After what time connections without an open request are closed, if they are.
     fn leaving(self) -> Option<Duration> {
         match self {
-            Phase::Open | Phase::Closing => None,
-            Phase::Draining => Some(LEAVE),
-            Phase::Handing | Phase::Shut => Some(Duration::ZERO),
+            LifecyclePhase::Serving | LifecyclePhase::Closing => None,
+            LifecyclePhase::Draining => Some(LEAVE),
+            LifecyclePhase::HandingOver | LifecyclePhase::Stopped => Some(Duration::ZERO),
         }
     }
 }
 
 /// Clients' connections: they count together while two processes share the descriptors of one.
 #[derive(Default)]
-pub(crate) struct Places {
+pub(crate) struct ConnectionCounts {
     /// At this process.
     pub(crate) here: AtomicUsize,
     /// At the old process.
-    pub(crate) older: AtomicUsize,
+    pub(crate) predecessor: AtomicUsize,
 }
 
 /// What all connections share.
-pub(crate) struct Intake {
-    pub(crate) names: Names,
+pub(crate) struct RequestHandler {
+    pub(crate) names: SettingNames,
     pub(crate) settings: Settings,
-    pub(crate) node: Sender<Input>,
-    pub(crate) phase: watch::Receiver<Phase>,
-    pub(crate) places: Arc<Places>,
+    pub(crate) runtime: Sender<RuntimeEvent>,
+    pub(crate) phase: watch::Receiver<LifecyclePhase>,
+    pub(crate) places: Arc<ConnectionCounts>,
     /// KiB that bodies may take until the node has them.
     pub(crate) bodies: Semaphore,
 }
 
 /// Serves clients, at most `most` connections at a time, until all is shut and the last has its answer.
-pub(crate) async fn serve(listener: TcpListener, most: usize, intake: Arc<Intake>) {
+pub(crate) async fn serve(listener: TcpListener, most: usize, intake: Arc<RequestHandler>) {
     let mut phase = intake.phase.clone();
     let places = intake.places.clone();
     let mut clients = Clients { most, open: Vec::new(), tasks: JoinSet::new(), places };
     tokio::select! {
         () = clients.accept(listener, intake) => {}
-        _ = phase.wait_for(|p| *p == Phase::Shut) => {}
+        _ = phase.wait_for(|p| *p == LifecyclePhase::Stopped) => {}
     }
     while !clients.tasks.is_empty() {
         clients.shrink();
@@ -154,7 +133,7 @@
     most: usize,
     open: Vec<Client>,
     tasks: JoinSet<()>,
-    places: Arc<Places>,
+    places: Arc<ConnectionCounts>,
 }
 
 struct Client {
@@ -233,22 +212,22 @@
 }
 
 impl Clients {
-    async fn accept(&mut self, listener: TcpListener, intake: Arc<Intake>) {
+    async fn accept(&mut self, listener: TcpListener, intake: Arc<RequestHandler>) {
         let mut phase = intake.phase.clone();
         loop {
             let accepted = tokio::select! {
                 biased;
                 // Another process accepts on the same socket: what this one does not take is taken there.
-                _ = phase.wait_for(|p| *p == Phase::Handing) => None,
+                _ = phase.wait_for(|p| *p == LifecyclePhase::HandingOver) => None,
                 accepted = listener.accept() => Some(accepted),
             };
             let Some(accepted) = accepted else {
-                let _ = phase.wait_for(|p| *p != Phase::Handing).await;
+                let _ = phase.wait_for(|p| *p != LifecyclePhase::HandingOver).await;
                 continue;
             };
             match accepted {
                 Ok((stream, _)) => {
-                    let most = self.most.saturating_sub(intake.places.older.load(Relaxed));
+                    let most = self.most.saturating_sub(intake.places.predecessor.load(Relaxed));
                     let most = most.max(self.most / LEAST_PART).max(1);
                     self.take(stream, intake.clone(), most);
                     // A connection that gives way is closed by its task: without a turn for that, a wave of new
@@ -268,7 +247,7 @@
 
     /// Serves a new connection, in place of an idle one where there is no room. Guards good clients against
     /// silent ones: nobody waits for room, so connections that say nothing shut nobody out.
-    fn take(&mut self, stream: TcpStream, intake: Arc<Intake>, most: usize) {
+    fn take(&mut self, stream: TcpStream, intake: Arc<RequestHandler>, most: usize) {
         self.count();
         if self.open.len() >= most && !self.make_room() {
             return turn_away(stream);
@@ -327,10 +306,10 @@
     let _ = stream.shutdown(Shutdown::Write);
 }
 
-async fn client(stream: TcpStream, intake: Arc<Intake>, using: Arc<Use>) {
+async fn client(stream: TcpStream, intake: Arc<RequestHandler>, using: Arc<Use>) {
     let _ = stream.set_nodelay(true);
     let mut phase = intake.phase.clone();
-    let stream = Guarded { stream, heads: Heads::default(), using: using.clone(), linger: None };
+    let stream = Guarded { stream, heads: FramingScanner::default(), using: using.clone(), linger: None };
     let at = using.clone();
     let service = service_fn(move |request| {
         let (intake, using) = (intake.clone(), at.clone());
@@ -362,7 +341,7 @@
 
 /// Ends when the connection is to close: without an open request, at once where all is shut or handed over, and after
 /// a while where clients are sent away. A request of which anything has come is awaited and answered.
-async fn leaves(phase: &mut watch::Receiver<Phase>, using: &Use) {
+async fn leaves(phase: &mut watch::Receiver<LifecyclePhase>, using: &Use) {
     loop {
         // The node is gone only when the process ends.
         let _ = phase.wait_for(|p| p.leaving().is_some()).await;
@@ -392,7 +371,7 @@
 /// stands behind `Transfer-Encoding` or is repeated.
 struct Guarded {
     stream: TcpStream,
-    heads: Heads,
+    heads: FramingScanner,
     using: Arc<Use>,
     linger: Option<Linger>,
 }
@@ -460,31 +439,31 @@
     reply
 }
 
-impl Intake {
+impl RequestHandler {
     async fn answer(&self, request: Request<Incoming>, ambiguous: bool, left: Duration) -> Reply {
         let mut reply = match (request.method(), request.uri().path()) {
             _ if ambiguous => status(StatusCode::BAD_REQUEST),
             // Messages come with their length; without chunks, where a body ends is never in doubt.
             _ if request.headers().contains_key(TRANSFER_ENCODING) => status(StatusCode::LENGTH_REQUIRED),
             (&Method::GET, "/-/ready") => status(match *self.phase.borrow() {
-                Phase::Draining => StatusCode::SERVICE_UNAVAILABLE,
+                LifecyclePhase::Draining => StatusCode::SERVICE_UNAVAILABLE,
                 _ => StatusCode::OK,
             }),
-            (&Method::POST, path) if path.len() > 1 => match self.hand_in(request, left).await {
+            (&Method::POST, path) if path.len() > 1 => match self.submit(request, left).await {
                 Ok(answer) => reply(answer),
                 Err(code) => status(code),
             },
             _ => status(StatusCode::NOT_FOUND),
         };
         // Nothing behind a request that was not understood is read as another.
-        if reply.status().is_client_error() || *self.phase.borrow() >= Phase::Draining {
+        if reply.status().is_client_error() || *self.phase.borrow() >= LifecyclePhase::Draining {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
     }
 
     /// `left`: how long its body may still take.
-    async fn hand_in(&self, request: Request<Incoming>, left: Duration) -> Result<Answer, StatusCode> {
+    async fn submit(&self, request: Request<Incoming>, left: Duration) -> Result<ClientReply, StatusCode> {
         let (parts, body) = request.into_parts();
         // The path's first part is the class; there is nothing below it.
         let class = parts.uri.path().trim_start_matches('/');
@@ -498,25 +477,25 @@
         };
         // Bounds the memory that many bodies at once may take.
         let Ok(_room) = self.bodies.try_acquire_many(length.div_ceil(1024) as u32) else {
-            return Ok(Answer::Refused(Some(AGAIN)));
+            return Ok(ClientReply::Rejected(Some(AGAIN)));
         };
         let body = read_body(body, left).await?;
         let (answer, answered) = oneshot::channel();
-        let message = HandedIn {
+        let message = ClientRequest {
             id: head.id,
             class,
             tenant: head.tenant,
-            dest: head.dest,
+            destination: head.destination,
             key: head.key,
             body,
             deadline: Instant::now() + head.remaining,
-            answer,
+            reply: answer,
         };
         // A full queue means that the node is far behind: another try does no harm.
-        if self.node.try_send(Input::HandedIn(message)).is_err() {
-            return Ok(Answer::Refused(Some(AGAIN)));
+        if self.runtime.try_send(RuntimeEvent::ClientRequest(message)).is_err() {
+            return Ok(ClientReply::Rejected(Some(AGAIN)));
         }
-        Ok(answered.await.unwrap_or(Answer::Refused(None)))
+        Ok(answered.await.unwrap_or(ClientReply::Rejected(None)))
     }
 
     fn read_head(&self, class: usize, headers: &HeaderMap) -> Option<Head> {
@@ -533,14 +512,14 @@
             owner => Some(index(&self.names.tenants, owner)?),
         };
         let key = Some(name("idempotency-key")?.to_owned()).filter(|k| !k.is_empty());
-        if key.is_none() && matches!(self.settings.classes[class].effect, Effect::Keyed { .. }) {
+        if key.is_none() && matches!(self.settings.classes[class].idempotency, Idempotency::Keyed { .. }) {
             return None;
         }
         let remaining = text("req-deadline-ms")?.parse().ok().filter(|ms| *ms <= DEADLINE_MOST)?;
         Some(Head {
             id: Some(name("req-id")?.to_owned()).filter(|id| !id.is_empty())?,
             tenant,
-            dest: text("envelope")?
+            destination: text("envelope")?
                 .split(',')
                 .filter_map(|pair| pair.trim().split_once('='))
                 .find_map(|(name, value)| (name == "dest").then(|| value.parse().ok())?)?,
@@ -554,7 +533,7 @@
 struct Head {
     id: String,
     tenant: Option<usize>,
-    dest: u64,
+    destination: u64,
     key: Option<String>,
     remaining: Duration,
 }
@@ -567,12 +546,12 @@
     }
 }
 
-fn reply(answer: Answer) -> Reply {
+fn reply(answer: ClientReply) -> Reply {
     match answer {
-        Answer::Accepted => status(StatusCode::ACCEPTED),
-        Answer::Delivered => status(StatusCode::OK),
-        Answer::Failed => status(StatusCode::INTERNAL_SERVER_ERROR),
-        Answer::Refused(wait) => {
+        ClientReply::Accepted => status(StatusCode::ACCEPTED),
+        ClientReply::Delivered => status(StatusCode::OK),
+        ClientReply::Failed => status(StatusCode::INTERNAL_SERVER_ERROR),
+        ClientReply::Rejected(wait) => {
             let mut reply = status(StatusCode::SERVICE_UNAVAILABLE);
             let seconds = wait.map(|w| format!("{:.3}", w.as_secs_f64()));
             if let Some(Ok(value)) = seconds.map(|s| HeaderValue::from_str(&s)) {
--- /dev/null
+++ b/src/forwarder/upgrade/format_tests.rs
@@ -0,0 +1,206 @@
+//! Holds the bytes of the hand-over: two versions of the program speak to each other, so no frame may change
+//! unnoticed.
+
+use super::*;
+use crate::forwarder::messages::endpoint_list::LifecycleState;
+use crate::interface::HealthState;
+
+/// Each frame as version 0.1.0 wrote it, one a line, in the order of [`every_frame`].
+const FRAMES: &str = include_str!("../../../tests/fixtures/handover/frames.jsonl");
+
+fn endpoint(uid: &str, address: &str, state: LifecycleState) -> EndpointRecord {
+    EndpointRecord {
+        uid: uid.to_owned(),
+        address: address.parse().expect("an address"),
+        zone: "hall-a".to_owned(),
+        kind: "small".to_owned(),
+        destination: 7,
+        state,
+        weight: 1.5,
+    }
+}
+
+fn endpoints() -> Vec<EndpointRecord> {
+    vec![
+        endpoint("endpoint-1", "10.0.0.1:8080", LifecycleState::InService),
+        endpoint("endpoint-2", "10.0.0.2:8080", LifecycleState::Terminating),
+        endpoint("endpoint-3", "10.0.0.3:8080", LifecycleState::Terminated),
+        endpoint("endpoint-4", "[fd00::4]:8080", LifecycleState::Other),
+    ]
+}
+
+fn learned(endpoint: Option<u64>, health: HealthState, limits: Option<(f64, f64)>) -> LearnedState {
+    LearnedState {
+        destination: 7,
+        endpoint,
+        retry_after: 1_500_000,
+        next_call_in: -20,
+        health,
+        healthy_rate: 12.5,
+        age: 60_000_000,
+        calls_sent: 0.1,
+        outcome_counts: [3.0, 0.25, 1e-9],
+        usual_latency: 40_000.0,
+        recent_latency: 41_000.5,
+        rate_limit: limits.map(|(limit, _)| limit),
+        reported_limit: limits.map(|(_, ceiling)| ceiling),
+    }
+}
+
+fn rest() -> Frame {
+    let cold = HealthState::WarmingUp { since: 2_000_000 };
+    Frame::Handoff(Box::new(HandoffState {
+        rev: 42,
+        endpoints: endpoints(),
+        calls: vec![
+            InFlightCall {
+                endpoint: "endpoint-1".to_owned(),
+                age: 1234,
+                attempts: vec![("m-1".to_owned(), 0), ("m-2".to_owned(), 3)],
+            },
+            InFlightCall { endpoint: "endpoint-2".to_owned(), age: 0, attempts: vec![] },
+        ],
+        clients: 5,
+        learned: vec![
+            (None, learned(None, HealthState::Healthy, None)),
+            (Some("endpoint-1".to_owned()), learned(Some(3), cold, Some((10.0, 80.5)))),
+            (None, learned(None, HealthState::Down { next_probe: 500_000 }, Some((0.25, 1.0)))),
+        ],
+    }))
+}
+
+fn empty_rest() -> Frame {
+    Frame::Handoff(Box::new(HandoffState {
+        rev: 0,
+        endpoints: vec![],
+        calls: vec![],
+        clients: 0,
+        learned: vec![],
+    }))
+}
+
+fn ended(outcome: Outcome) -> EndedAttempt {
+    EndedAttempt {
+        message: "m-1".to_owned(),
+        attempt: 2,
+        outcome,
+        finished: false,
+        report: None,
+        wait: None,
+        unsent: false,
+    }
+}
+
+fn every_outcome() -> Frame {
+    Frame::AttemptsEnded(vec![
+        EndedAttempt { finished: true, ..ended(Outcome::Delivered) },
+        EndedAttempt { report: Some(LoadReport { limit: None }), ..ended(Outcome::Error) },
+        EndedAttempt {
+            report: Some(LoadReport { limit: Some(12.5) }),
+            ..ended(Outcome::Rejected { retry_after: None })
+        },
+        EndedAttempt { wait: Some(1_500_000), ..ended(Outcome::Rejected { retry_after: Some(1_500_000) }) },
+        ended(Outcome::TimedOut),
+        EndedAttempt { unsent: true, ..ended(Outcome::ConnectFailed) },
+        ended(Outcome::Reset),
+        ended(Outcome::InvalidResponse),
+        ended(Outcome::StaleConnection),
+        ended(Outcome::Cancelled),
+        EndedAttempt { finished: true, unsent: true, ..ended(Outcome::NotSent) },
+    ])
+}
+
+fn handed_in(tenant: Option<&str>, key: Option<&str>) -> ForwardedRequest {
+    ForwardedRequest {
+        id: "m-9".to_owned(),
+        class: "auth-notice".to_owned(),
+        tenant: tenant.map(str::to_owned),
+        destination: u64::MAX,
+        key: key.map(str::to_owned),
+        body: "aGVsbG8=".to_owned(),
+        left: 2500,
+    }
+}
+
+fn answers() -> Vec<Frame> {
+    let refused =
+        [None, Some(Duration::from_millis(1500)), Some(Duration::new(2, 7))].map(ClientReply::Rejected);
+    [ClientReply::Accepted, ClientReply::Delivered, ClientReply::Failed]
+        .into_iter()
+        .chain(refused)
+        .map(|answer| Frame::ClientReply(11, answer))
+        .collect()
+}
+
+fn operators_calls() -> Vec<Frame> {
+    let endpoint = || "endpoint-1".to_owned();
+    [
+        AdminCommand::Ready,
+        AdminCommand::Disable(endpoint()),
+        AdminCommand::Enable(endpoint()),
+        AdminCommand::Drain,
+        AdminCommand::Resume,
+    ]
+    .map(|call| Frame::AdminCommand(12, call))
+    .into()
+}
+
+/// The frames of the fixture, in its order.
+fn every_frame() -> Vec<Frame> {
+    let mut frames = vec![
+        Frame::TakeOver,
+        rest(),
+        empty_rest(),
+        Frame::Owned,
+        Frame::ClientConnections(3),
+        every_outcome(),
+        Frame::AttemptsEnded(vec![]),
+        Frame::CancelAttempt("m-1".to_owned(), 2),
+        Frame::AbandonMessage("m-1".to_owned(), 0),
+        Frame::ClientRequest(u64::MAX, handed_in(Some("tenant-a"), Some("key \"1\" \u{e9}"))),
+        Frame::ClientRequest(10, handed_in(None, None)),
+    ];
+    frames.extend(answers());
+    frames.extend(operators_calls());
+    frames.push(Frame::AdminReply(13, Ok("ready".to_owned())));
+    frames.push(Frame::AdminReply(14, Err("no such endpoint".to_owned())));
+    frames
+}
+
+fn write(frame: &Frame) -> String {
+    serde_json::to_string(frame).expect("a frame can be written")
+}
+
+fn read(line: &str) -> Frame {
+    serde_json::from_str(line).unwrap_or_else(|e| panic!("{e}: {line}"))
+}
+
+#[test]
+fn each_frame_is_written_as_it_always_was() {
+    let written: Vec<String> = every_frame().iter().map(write).collect();
+    assert_eq!(written, FRAMES.lines().collect::<Vec<_>>());
+}
+
+#[test]
+fn each_frame_of_an_earlier_version_is_read_whole() {
+    for line in FRAMES.lines() {
+        assert_eq!(write(&read(line)), line);
+    }
+}
+
+#[test]
+fn the_end_of_an_attempt_without_unsent_is_read() {
+    let whole = write(&Frame::AttemptsEnded(vec![ended(Outcome::Reset)]));
+    let predecessor = whole.replace(",\"unsent\":false", "");
+    assert_ne!(predecessor, whole);
+    assert_eq!(write(&read(&predecessor)), whole);
+}
+
+#[test]
+fn a_target_without_a_capacity_hint_is_read() {
+    let whole = write(&rest());
+    let predecessor = whole.replace(",\"capacity_hint\":1.5", "");
+    assert_ne!(predecessor, whole);
+    let with_defaults = whole.replace("\"capacity_hint\":1.5", "\"capacity_hint\":1.0");
+    assert_eq!(write(&read(&predecessor)), with_defaults);
+}
--- a/src/net/handover.rs
+++ b/src/forwarder/upgrade/mod.rs
@@ -1,11 +1,11 @@
 //! From one version to the next under load: a lock that only one process holds, and a channel between the process
 //! that has the journal and the one that takes over. What is said there is in [`Frame`]; who acts on it is the node.
 
-use crate::api::{Learnt, Outcome, Report};
-use crate::net::admin;
-use crate::net::discovery::Line;
-use crate::net::intake::Answer;
-use crate::net::node::Input;
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::messages::admin_command::{AdminCommand, AdminReply};
+use crate::forwarder::messages::client_request::ClientReply;
+use crate::forwarder::messages::endpoint_list::EndpointRecord;
+use crate::interface::{LearnedState, LoadReport, Outcome};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, TryLockError};
 use std::io;
@@ -37,44 +37,56 @@
     /// The successor asks for all.
     TakeOver,
     /// The owner hands over what the journal does not hold, and frees the lock.
-    Rest(Box<Rest>),
+    #[serde(rename = "Rest")]
+    Handoff(Box<HandoffState>),
     /// The successor has the lock and has read the journal; it has written nothing yet.
     Owned,
     /// Connections of clients that the old process still has.
-    Clients(usize),
+    #[serde(rename = "Clients")]
+    ClientConnections(usize),
     /// These attempts, still out with the old process, have ended.
-    Ended(Vec<Ended>),
+    #[serde(rename = "Ended")]
+    AttemptsEnded(Vec<EndedAttempt>),
     /// The successor calls an attempt off.
-    CallOff(String, usize),
+    #[serde(rename = "CallOff")]
+    CancelAttempt(String, usize),
     /// The successor has given up the message of an attempt.
-    GiveUp(String, usize),
+    #[serde(rename = "GiveUp")]
+    AbandonMessage(String, usize),
     /// A client of the old process hands in a message.
-    HandedIn(u64, HandedIn),
+    #[serde(rename = "HandedIn")]
+    ClientRequest(u64, ForwardedRequest),
     /// Its answer.
-    Answered(u64, Answer),
+    #[serde(rename = "Answered")]
+    ClientReply(u64, ClientReply),
     /// An operator calls the old process.
-    Asked(u64, admin::Call),
+    #[serde(rename = "Asked")]
+    AdminCommand(u64, AdminCommand),
     /// The answer.
-    Replied(u64, admin::Reply),
+    #[serde(rename = "Replied")]
+    AdminReply(u64, AdminReply),
 }
 
 /// What the journal does not hold.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Rest {
+pub(crate) struct HandoffState {
     /// The list, with those that are gone and still have a call out.
     pub(crate) rev: u64,
-    pub(crate) targets: Vec<Line>,
-    pub(crate) calls: Vec<Out>,
+    #[serde(rename = "targets")]
+    pub(crate) endpoints: Vec<EndpointRecord>,
+    pub(crate) calls: Vec<InFlightCall>,
     /// Connections of clients that the old process still has.
     pub(crate) clients: usize,
     /// By the endpoint's id, where routes are apart.
-    pub(crate) learnt: Vec<(Option<String>, Learnt)>,
+    #[serde(rename = "learnt")]
+    pub(crate) learned: Vec<(Option<String>, LearnedState)>,
 }
 
 /// A call that is out.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Out {
-    pub(crate) target: String,
+pub(crate) struct InFlightCall {
+    #[serde(rename = "target")]
+    pub(crate) endpoint: String,
     /// Microseconds since it was sent.
     pub(crate) age: i64,
     /// Messages and attempts that travel in it.
@@ -83,12 +95,12 @@
 
 /// How an attempt ended.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Ended {
+pub(crate) struct EndedAttempt {
     pub(crate) message: String,
     pub(crate) attempt: usize,
     pub(crate) outcome: Outcome,
     pub(crate) finished: bool,
-    pub(crate) report: Option<Report>,
+    pub(crate) report: Option<LoadReport>,
     pub(crate) wait: Option<i64>,
     #[serde(default)]
     pub(crate) unsent: bool,
@@ -96,11 +108,12 @@
 
 /// A message on its way in.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct HandedIn {
+pub(crate) struct ForwardedRequest {
     pub(crate) id: String,
     pub(crate) class: String,
     pub(crate) tenant: Option<String>,
-    pub(crate) dest: u64,
+    #[serde(rename = "dest")]
+    pub(crate) destination: u64,
     pub(crate) key: Option<String>,
     /// Base64.
     pub(crate) body: String,
@@ -110,7 +123,7 @@
 
 /// What prevents a take-over.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum HandoverError {
+pub(crate) enum UpgradeError {
     #[error("{0}")]
     Io(#[from] io::Error),
     #[error("cannot read what the other process says: {0}")]
@@ -118,7 +131,7 @@
     #[error("the other process closed the channel")]
     Closed,
     #[error("the other process says something else than it should")]
-    Odd,
+    UnexpectedFrame,
     #[error("no word in time")]
     Silent,
     #[error("the lock is not freed")]
@@ -126,11 +139,11 @@
 }
 
 /// Says who owns the journal and may send. The kernel frees it with the process.
-pub(crate) struct Lock(File);
+pub(crate) struct StateLock(File);
 
-impl Lock {
+impl StateLock {
     pub(crate) fn open(folder: &Path) -> io::Result<Self> {
-        File::options().write(true).create(true).truncate(false).open(folder.join("lock")).map(Lock)
+        File::options().write(true).create(true).truncate(false).open(folder.join("lock")).map(StateLock)
     }
 
     /// Whether it is this process's now.
@@ -149,34 +162,34 @@
 
 /// Which end of a channel the other process is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Side {
+pub(crate) enum PeerRole {
     /// It has handed over to this one.
-    Older,
+    Predecessor,
     /// It takes over from this one.
-    Newer,
+    Successor,
 }
 
 /// News from another process: a frame, or that it has gone.
 #[derive(Debug)]
-pub(crate) struct News {
-    pub(crate) side: Side,
+pub(crate) struct PeerEvent {
+    pub(crate) side: PeerRole,
     /// Which channel: one that was given up may still bring some.
     pub(crate) link: u64,
     pub(crate) frame: Option<Frame>,
 }
 
 /// A channel to another process. Dropped, it closes once all is written.
-pub(crate) struct Link {
+pub(crate) struct PeerChannel {
     pub(crate) id: u64,
     frames: UnboundedSender<Frame>,
     writer: JoinHandle<()>,
     reader: JoinHandle<()>,
 }
 
-impl Link {
-    fn start(id: u64, side: Side, wire: Wire, node: Sender<Input>) -> Self {
+impl PeerChannel {
+    fn start(id: u64, side: PeerRole, wire: FramedStream, node: Sender<RuntimeEvent>) -> Self {
         let (frames, mut queue) = unbounded_channel::<Frame>();
-        let Wire { mut read, mut write } = wire;
+        let FramedStream { mut read, mut write } = wire;
         let writer = tokio::spawn(async move {
             while let Some(frame) = queue.recv().await {
                 if say(&mut write, &frame).await.is_err() {
@@ -188,7 +201,7 @@
             loop {
                 let frame = match hear(&mut read).await {
                     Ok(frame) => Some(frame),
-                    Err(HandoverError::Closed) => None,
+                    Err(UpgradeError::Closed) => None,
                     Err(e) => {
                         eprintln!("handover: {e}");
                         None
@@ -198,12 +211,12 @@
                 if over {
                     sleep(LAST_CLOSES).await;
                 }
-                if node.send(Input::Process(News { side, link: id, frame })).await.is_err() || over {
+                if node.send(RuntimeEvent::Peer(PeerEvent { side, link: id, frame })).await.is_err() || over {
                     return;
                 }
             }
         });
-        Link { id, frames, writer, reader }
+        PeerChannel { id, frames, writer, reader }
     }
 
     pub(crate) fn say(&self, frame: Frame) {
@@ -223,37 +236,37 @@
     }
 }
 
-impl Drop for Link {
+impl Drop for PeerChannel {
     fn drop(&mut self) {
         self.reader.abort();
     }
 }
 
 /// Both halves of a socket.
-struct Wire {
+struct FramedStream {
     read: BufReader<OwnedReadHalf>,
     write: OwnedWriteHalf,
 }
 
-impl Wire {
+impl FramedStream {
     fn new(stream: UnixStream) -> Self {
         let (read, write) = stream.into_split();
-        Wire { read: BufReader::new(read), write }
+        FramedStream { read: BufReader::new(read), write }
     }
 }
 
-async fn say(write: &mut OwnedWriteHalf, frame: &Frame) -> Result<(), HandoverError> {
+async fn say(write: &mut OwnedWriteHalf, frame: &Frame) -> Result<(), UpgradeError> {
     let mut text = serde_json::to_vec(frame)?;
     text.push(b'\n');
     Ok(write.write_all(&text).await?)
 }
 
-async fn hear(read: &mut BufReader<OwnedReadHalf>) -> Result<Frame, HandoverError> {
+async fn hear(read: &mut BufReader<OwnedReadHalf>) -> Result<Frame, UpgradeError> {
     let mut text = Vec::new();
     read.take(FRAME_MOST).read_until(b'\n', &mut text).await?;
     // Torn by the end of the other process, or of no end at all.
     if text.pop() != Some(b'\n') {
-        return Err(HandoverError::Closed);
+        return Err(UpgradeError::Closed);
     }
     Ok(serde_json::from_slice(&text)?)
 }
@@ -263,7 +276,7 @@
 }
 
 /// Waits for processes that want to take over, for as long as this one lives.
-pub(crate) fn listen(folder: &Path, node: Sender<Input>) -> io::Result<()> {
+pub(crate) fn listen_for_successors(folder: &Path, node: Sender<RuntimeEvent>) -> io::Result<()> {
     let path = socket(folder);
     match fs::remove_file(&path) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
@@ -277,7 +290,7 @@
                 Ok((stream, _)) => {
                     next += 1;
                     // Nobody waits behind one that says nothing.
-                    tokio::spawn(greet(next, Wire::new(stream), node.clone()));
+                    tokio::spawn(greet(next, FramedStream::new(stream), node.clone()));
                 }
                 Err(e) => {
                     eprintln!("handover: {e}");
@@ -289,54 +302,60 @@
     Ok(())
 }
 
-async fn greet(id: u64, mut wire: Wire, node: Sender<Input>) {
+async fn greet(id: u64, mut wire: FramedStream, node: Sender<RuntimeEvent>) {
     match timeout(HELLO, hear(&mut wire.read)).await {
         Ok(Ok(Frame::TakeOver)) => {
-            let link = Link::start(id, Side::Newer, wire, node.clone());
+            let link = PeerChannel::start(id, PeerRole::Successor, wire, node.clone());
             // The node is gone only when the process ends.
-            let _ = node.send(Input::TakeOver(link)).await;
+            let _ = node.send(RuntimeEvent::TakeOverRequested(link)).await;
         }
-        Ok(Ok(_)) => eprintln!("handover: {}", HandoverError::Odd),
+        Ok(Ok(_)) => eprintln!("handover: {}", UpgradeError::UnexpectedFrame),
         Ok(Err(e)) => eprintln!("handover: {e}"),
-        Err(_) => eprintln!("handover: {}", HandoverError::Silent),
+        Err(_) => eprintln!("handover: {}", UpgradeError::Silent),
     }
 }
 
 /// What a process begins with: the lock, and what the one before it has handed over, if it lives.
-pub(crate) struct Begin {
-    pub(crate) lock: Lock,
-    pub(crate) older: Option<Older>,
+pub(crate) struct Ownership {
+    pub(crate) lock: StateLock,
+    pub(crate) predecessor: Option<Predecessor>,
 }
 
 /// The process that has handed over.
-pub(crate) struct Older {
-    pub(crate) rest: Rest,
-    wire: Wire,
+pub(crate) struct Predecessor {
+    pub(crate) rest: HandoffState,
+    wire: FramedStream,
 }
 
-impl Older {
+impl Predecessor {
     /// Says that all is owned now. Until this is written nothing may be written to the journal: the old process
     /// goes on from what it knows if it does not hear it.
-    pub(crate) async fn owned(mut self, node: Sender<Input>) -> Result<(Rest, Link), HandoverError> {
+    pub(crate) async fn owned(
+        mut self,
+        node: Sender<RuntimeEvent>,
+    ) -> Result<(HandoffState, PeerChannel), UpgradeError> {
         say(&mut self.wire.write, &Frame::Owned).await?;
-        Ok((self.rest, Link::start(0, Side::Older, self.wire, node)))
+        Ok((self.rest, PeerChannel::start(0, PeerRole::Predecessor, self.wire, node)))
     }
 }
 
 /// Waits for the lock, or takes over from the process that has it. Operators hear meanwhile that this process is
 /// not ready.
-pub(crate) async fn begin(folder: &Path, inputs: &mut Receiver<Input>) -> io::Result<Begin> {
-    let lock = Lock::open(folder)?;
+pub(crate) async fn acquire_ownership(
+    folder: &Path,
+    inputs: &mut Receiver<RuntimeEvent>,
+) -> io::Result<Ownership> {
+    let lock = StateLock::open(folder)?;
     loop {
         if lock.take()? {
-            return Ok(Begin { lock, older: None });
+            return Ok(Ownership { lock, predecessor: None });
         }
-        let older = tokio::select! {
-            older = take_over(folder, &lock) => older,
+        let predecessor = tokio::select! {
+            predecessor = take_over(folder, &lock) => predecessor,
             () = not_yet(inputs) => continue,
         };
-        match older {
-            Ok(older) => return Ok(Begin { lock, older: Some(older) }),
+        match predecessor {
+            Ok(predecessor) => return Ok(Ownership { lock, predecessor: Some(predecessor) }),
             Err(e) => {
                 eprintln!("handover: not yet: {e}");
                 tokio::select! { () = sleep(4 * STEP) => {}, () = not_yet(inputs) => {} }
@@ -346,28 +365,28 @@
 }
 
 /// Answers whoever calls before there is anything to serve. Never ends.
-async fn not_yet(inputs: &mut Receiver<Input>) {
+async fn not_yet(inputs: &mut Receiver<RuntimeEvent>) {
     while let Some(input) = inputs.recv().await {
-        if let Input::Asked(asked) = input {
-            let _ = asked.answer.send(Err("not ready: another process still serves".to_owned()));
+        if let RuntimeEvent::AdminRequest(asked) = input {
+            let _ = asked.reply.send(Err("not ready: another process still serves".to_owned()));
         }
     }
     std::future::pending().await
 }
 
-async fn take_over(folder: &Path, lock: &Lock) -> Result<Older, HandoverError> {
-    let mut wire = Wire::new(UnixStream::connect(socket(folder)).await?);
+async fn take_over(folder: &Path, lock: &StateLock) -> Result<Predecessor, UpgradeError> {
+    let mut wire = FramedStream::new(UnixStream::connect(socket(folder)).await?);
     say(&mut wire.write, &Frame::TakeOver).await?;
-    let heard = timeout(REST, hear(&mut wire.read)).await.map_err(|_| HandoverError::Silent)??;
-    let Frame::Rest(rest) = heard else { return Err(HandoverError::Odd) };
+    let heard = timeout(REST, hear(&mut wire.read)).await.map_err(|_| UpgradeError::Silent)??;
+    let Frame::Handoff(rest) = heard else { return Err(UpgradeError::UnexpectedFrame) };
     let since = Instant::now();
     while !lock.take()? {
         if since.elapsed() > LOCK {
-            return Err(HandoverError::Locked);
+            return Err(UpgradeError::Locked);
         }
         sleep(STEP).await;
     }
-    Ok(Older { rest: *rest, wire })
+    Ok(Predecessor { rest: *rest, wire })
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/interface/attempt.rs
@@ -0,0 +1,74 @@
+//! How attempts end.
+
+use super::{MessageId, Micros};
+use serde::{Deserialize, Serialize};
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Delivered.
+    Delivered,
+    /// Answered with an error; it may have been executed.
+    Error,
+    /// Rejected without execution.
+    #[serde(rename = "Full")]
+    Rejected {
+        /// No further call may be sent for this long, if the destination said so.
+        #[serde(rename = "wait")]
+        retry_after: Option<Micros>,
+    },
+    /// No response in time; it may have been executed, or may still be.
+    TimedOut,
+    /// No connection was established; it was never executed.
+    ConnectFailed,
+    /// The connection broke; it may have been executed.
+    Reset,
+    /// The response cannot be parsed; it may have been executed. This says nothing about the health of the
+    /// destination, which has responded: the response was damaged on its way.
+    #[serde(rename = "Spoilt")]
+    InvalidResponse,
+    /// The connection had been idle and broke as soon as the call was written to it; it may have been executed.
+    /// This says nothing about the health of the destination: the connection was already dead.
+    #[serde(rename = "Dead")]
+    StaleConnection,
+    /// Cancelled by the sender; it may have been executed.
+    Cancelled,
+    /// Never sent by the host, for want of a slot or for another reason of its own.
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether the attempt is known never to have been executed.
+    pub fn never_executed(self) -> bool {
+        matches!(self, Outcome::Rejected { .. } | Outcome::ConnectFailed | Outcome::NotSent)
+    }
+}
+
+/// What a destination reports about its rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Calls per second that the limit allows; `None` if there is no limit.
+    pub limit: Option<f64>,
+}
+
+/// The end of an attempt. The attempts of a message are numbered from 0 in the order in which they were sent.
+#[derive(Clone, Debug)]
+pub struct AttemptEnded {
+    /// The message.
+    pub id: MessageId,
+    /// Number of the attempt.
+    pub attempt: usize,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since it was sent.
+    pub elapsed: Micros,
+    /// The message is complete and needs no further answer.
+    pub finished: bool,
+    /// What the destination reported about its limit.
+    pub report: Option<LoadReport>,
+    /// Nothing of it was written: it does not count towards [`super::Settings::max_attempts`].
+    pub unsent: bool,
+    /// No further call may be sent for this long, where the destination said so beside another outcome than
+    /// [`Outcome::Rejected`], which carries its own.
+    pub retry_after: Option<Micros>,
+}
--- /dev/null
+++ b/src/interface/event.rs
@@ -0,0 +1,57 @@
+//! Events: what the host tells the decision module.
+
+use super::{AttemptEnded, EndpointEntry, EndpointId, InheritedCall, LearnedState, MessageId, Submission};
+
+/// Something that happened at the host.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A message was submitted; it needs exactly one final answer.
+    Submit(Submission),
+    /// An attempt ended.
+    AttemptEnded(AttemptEnded),
+    /// A streamed response has begun; the attempt belongs to the client from now on.
+    ResponseStarted {
+        /// The message.
+        id: MessageId,
+    },
+    /// The client disconnected; the message needs no further answer.
+    ClientDisconnected {
+        /// The message.
+        id: MessageId,
+    },
+    /// The complete endpoint list; endpoints that it lacks are gone.
+    ListSnapshot(Vec<EndpointEntry>),
+    /// Changed entries of the endpoint list.
+    ListUpdate(Vec<EndpointEntry>),
+    /// Operators disabled an endpoint: no new call goes there, whatever the list says, until the ban ends.
+    BanStarted {
+        /// The endpoint, which need not be listed.
+        endpoint: EndpointId,
+    },
+    /// Operators enabled an endpoint again. It may have been restarted.
+    BanEnded {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// What an earlier process had learned about a listed destination.
+    Learned(LearnedState),
+    /// An attempt of an earlier process is still in flight, although its message is complete.
+    InheritedAttempt {
+        /// A number that no message has.
+        id: MessageId,
+        /// Number of the attempt.
+        attempt: usize,
+        /// The call that it travels in.
+        call: InheritedCall,
+    },
+    /// Operators drain this process: clients are sent away, accepted messages are still delivered.
+    Drain,
+    /// Operators end the drain.
+    Resume,
+    /// A subscription to the endpoint list failed; the last list stays in force.
+    WatchFailed,
+    /// A time requested with [`super::Action::Wake`] has come.
+    Wake,
+    /// The host has no further event for now. Calls are only decided here.
+    TurnEnd,
+}
--- /dev/null
+++ b/src/interface/mod.rs
@@ -0,0 +1,36 @@
+//! The vocabulary of the decision module: settings, events and actions.
+//!
+//! No decision is made here. Hosts (the forwarder and the simulator adapter) translate their own world into
+//! [`Event`]s and carry out the [`Action`]s that [`crate::Balancer`] returns.
+//!
+//! Time is counted in whole microseconds on a clock of the host. Only differences between times matter.
+
+mod action;
+mod attempt;
+mod backlog;
+mod endpoint_list;
+mod event;
+mod learned_state;
+mod message;
+mod settings;
+
+pub use action::Action;
+pub use attempt::{AttemptEnded, LoadReport, Outcome};
+pub use backlog::DestinationBacklog;
+pub use endpoint_list::{EndpointEntry, EndpointState};
+pub use event::Event;
+pub use learned_state::{HealthState, LearnedState};
+pub use message::{InheritedCall, MessageHistory, PossibleExecution, Submission};
+pub use settings::{Class, DestinationKind, EndpointWeights, Idempotency, Settings, Tenant, WeightDecay};
+
+/// A point in time or a duration, in microseconds.
+pub type Micros = i64;
+
+/// Identifies a message. Assigned by the host and never reused during the lifetime of a [`crate::Balancer`].
+pub type MessageId = u64;
+
+/// Identifies an endpoint, as numbered by the host from the endpoint list.
+pub type EndpointId = u64;
+
+/// Identifies a destination: an external receiver with one or more endpoints.
+pub type DestinationId = u64;
--- /dev/null
+++ b/src/interface/settings.rs
@@ -0,0 +1,159 @@
+//! What a sender is configured with when it starts.
+
+use super::Micros;
+
+/// Whether a message may be attempted again after an attempt that may have been executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Idempotency {
+    /// A repeated execution does no harm.
+    Idempotent,
+    /// Messages carry an idempotency key. The destination drops repeats for `key_lifetime`, counted from the
+    /// first attempt that may have been executed.
+    Keyed {
+        /// How long the destination remembers the key.
+        key_lifetime: Micros,
+        /// Only endpoints of the same zone share their memory of keys.
+        per_zone: bool,
+    },
+    /// The message must never be executed twice.
+    NotIdempotent,
+}
+
+/// A class of messages.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Whether its messages may be attempted again.
+    pub idempotency: Idempotency,
+    /// A message delivered within this time has its full weight; 0 if the class has no objective.
+    pub latency_objective: Micros,
+    /// How long after its submission a message may be delivered.
+    pub deadline: Micros,
+    /// Weight of one message relative to those of other classes.
+    pub priority_weight: f64,
+    /// Fraction of the weight that is left at the deadline, from 0 to 1.
+    pub late_weight_fraction: f64,
+    /// Messages with the same ordering key are sent one at a time, in the order of their submission.
+    pub ordered: bool,
+}
+
+/// A kind of destination.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DestinationKind {
+    /// The endpoints of a destination are separate routes, each with its own limits and outages.
+    pub separate_routes: bool,
+    /// Messages that may travel in one call.
+    pub batch: usize,
+}
+
+/// A tenant with a quota of the service.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenant {
+    /// Messages per second, over all senders, that have their full weight.
+    pub quota: f64,
+}
+
+/// How the weight of a message falls once its latency objective has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WeightDecay {
+    /// Linearly, down to [`Class::late_weight_fraction`] at the deadline.
+    Linear,
+    /// By half with each further latency objective, but not below [`Class::late_weight_fraction`].
+    HalfLife,
+}
+
+/// The meaning of [`super::EndpointEntry::weight`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointWeights {
+    /// Weights carry no information.
+    Off,
+    /// Calls per second that the destination accepts from all senders together.
+    Nominal,
+    /// The same, with an error of up to one half in either direction.
+    Approximate,
+}
+
+/// The configuration of one sender.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Classes of messages; events refer to them by index.
+    pub classes: Vec<Class>,
+    /// Kinds of destinations; endpoint entries refer to them by index.
+    pub kinds: Vec<DestinationKind>,
+    /// Tenants; events refer to them by index.
+    pub tenants: Vec<Tenant>,
+    /// Weight of a message beyond its tenant's quota, as a fraction of its usual weight.
+    pub over_quota_weight: f64,
+    /// How weight falls after the latency objective.
+    pub weight_decay: WeightDecay,
+    /// Index of the zone of this sender.
+    pub zone: usize,
+    /// Number of senders in the fleet, this one included.
+    pub sender_count: usize,
+    /// Calls that this sender may have in flight at once.
+    pub call_slots: usize,
+    /// Messages that may be open at once, whether they are in flight or not.
+    pub max_open_messages: usize,
+    /// Attempts that a message may have.
+    pub max_attempts: usize,
+    /// Attempts may be cancelled.
+    pub cancellation: bool,
+    /// Clients are told how long to wait after a rejection.
+    pub retry_after: bool,
+    /// The longest wait that clients respect.
+    pub max_retry_after: Micros,
+    /// Discovery is polled by this sender; otherwise updates are pushed to it.
+    pub poll_discovery: bool,
+    /// Where discovery is polled, a sender without a watch is held to know every change that is older than this
+    /// at its last poll.
+    pub max_list_age: Micros,
+    /// The meaning of the weights in the endpoint list.
+    pub endpoint_weights: EndpointWeights,
+    /// Idle connections are closed after this time.
+    pub idle_timeout: Micros,
+    /// A connection that is not established within this time has failed.
+    pub connect_timeout: Micros,
+    /// Minimum time between two turns of the host.
+    pub min_turn_interval: Micros,
+    /// A recovering destination fails again if it receives more than this multiple of its present capacity
+    pub overload_factor: f64,
+    /// for this long.
+    pub overload_window: Micros,
+    /// Fraction of its capacity that a destination has right after an outage, from 0 to 1.
+    pub initial_capacity: f64,
+    /// Time after an outage until a destination has its full capacity again.
+    pub warm_up_time: Micros,
+    /// Pause of an ordering key after an attempt that may still be executed.
+    pub ordering_gap: Micros,
+}
+
+impl Default for Settings {
+    /// The neutral value of every setting: no optional feature is enabled and nothing is limited.
+    fn default() -> Self {
+        Settings {
+            classes: Vec::new(),
+            kinds: Vec::new(),
+            tenants: Vec::new(),
+            over_quota_weight: 1.0,
+            weight_decay: WeightDecay::Linear,
+            zone: 0,
+            sender_count: 1,
+            call_slots: usize::MAX,
+            max_open_messages: usize::MAX,
+            max_attempts: usize::MAX,
+            cancellation: false,
+            retry_after: false,
+            max_retry_after: 0,
+            poll_discovery: false,
+            max_list_age: 0,
+            endpoint_weights: EndpointWeights::Off,
+            idle_timeout: 0,
+            connect_timeout: 0,
+            min_turn_interval: 0,
+            overload_factor: 1.0,
+            overload_window: 0,
+            initial_capacity: 0.0,
+            warm_up_time: 0,
+            ordering_gap: 0,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,11 @@
 #![doc = include_str!("../README.md")]
 
-pub mod api;
-mod logic;
-pub mod net;
-mod parts;
-pub mod wire;
+mod decision;
+mod estimators;
+pub mod forwarder;
+pub mod interface;
+mod key_value;
+mod settings_reader;
+pub mod simulator;
 
-pub use logic::Balancer;
+pub use decision::Balancer;
--- a/tests/forwarder.rs
+++ b/tests/forwarder.rs
@@ -9,7 +9,7 @@
 use std::fs::{self, OpenOptions};
 use std::io::Write;
 use std::time::{Duration, Instant};
-use support::{Discovery, Forwarder, Raw, RawCall, Stub, jammed, request, target};
+use support::{Discovery, Forwarder, Raw, RawCall, Stub, endpoint, jammed, request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -18,16 +18,16 @@
 
 struct World {
     discovery: Discovery,
-    target: Stub,
+    endpoint: Stub,
     forwarder: Forwarder,
 }
 
 /// One destination, 7, with one target.
 async fn world(model: &str, change: impl FnOnce(&mut Value)) -> World {
     let (discovery, stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, model, "in_service")];
+    let known = [endpoint("t", stub.addr, 7, model, "in_service")];
     let forwarder = Forwarder::start(&discovery, &known, change).await;
-    World { discovery, target: stub, forwarder }
+    World { discovery, endpoint: stub, forwarder }
 }
 
 async fn plain() -> World {
@@ -38,7 +38,7 @@
 async fn a_message_is_delivered_once_and_known_as_delivered() {
     let mut w = plain().await;
     assert_eq!(w.forwarder.hand_in("keyed", "m", 9000).await.status(), 202);
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     assert_eq!((call.path.as_str(), call.header("req-id")), ("/hook", "m"));
     assert_eq!(call.header("idempotency-key"), "key-m");
     assert_eq!(&call.body[..], b"\0body of m");
@@ -51,7 +51,7 @@
     w.forwarder.kill();
     w.forwarder.restart().await;
     assert_eq!(w.forwarder.hand_in("keyed", "m", 9000).await.status(), 200);
-    assert!(w.target.is_quiet(QUIET).await);
+    assert!(w.endpoint.is_quiet(QUIET).await);
     assert!(w.discovery.is_quiet(QUIET).await);
 }
 
@@ -60,10 +60,10 @@
     let mut w = plain().await;
     for id in ["a", "b", "c"] {
         w.forwarder.hand_in("keyed", id, 9000).await;
-        w.target.next().await.answer_with(200, &[], "means nothing");
+        w.endpoint.next().await.answer_with(200, &[], "means nothing");
         w.forwarder.until_delivered("keyed", id).await;
     }
-    assert_eq!(w.target.connections(), 1);
+    assert_eq!(w.endpoint.connections(), 1);
 }
 
 #[tokio::test]
@@ -71,7 +71,7 @@
     // Long turns, so that all but the first message fall into one.
     let mut w = world("several", |c| c["settings"]["round"] = json!(400.0)).await;
     w.forwarder.hand_in("unsafe", "first", 9000).await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     let f = &w.forwarder;
     tokio::join!(
         f.hand_in("unsafe", "taken", 9000),
@@ -79,7 +79,7 @@
         f.hand_in("unsafe", "later", 9000),
         f.hand_in("unsafe", "missing", 9000),
     );
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     assert_eq!(call.path, "/hook/batch");
     let items: Vec<Value> = serde_json::from_slice(&call.body).expect("an array");
     assert_eq!(items.len(), 4);
@@ -92,7 +92,7 @@
                         {"id": "later", "state": "deferred"}, {"nonsense": 1}]);
     call.answer_with(200, &[], &states.to_string());
     // The faulty one and the one without a state may have run: no more of them. The deferred one never ran.
-    let again = w.target.next().await;
+    let again = w.endpoint.next().await;
     assert_eq!((again.path.as_str(), again.header("req-id")), ("/hook", "later"));
     again.answer(200);
     let mut given_up = w.discovery.notices().await;
@@ -112,16 +112,16 @@
     })
     .await;
     w.forwarder.hand_in("unsafe", "first", 9000).await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     tokio::join!(w.forwarder.hand_in("keyed", "keyed", 20_000), w.forwarder.hand_in("unsafe", "slow", 6500));
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
     // While the call is open, its copy of the keyed message may still run: another beside it would be a second.
     tokio::select! {
         () = call.closed() => {}
-        second = w.target.next() => panic!("a second copy beside the first: {}", second.header("req-id")),
+        second = w.endpoint.next() => panic!("a second copy beside the first: {}", second.header("req-id")),
     }
-    let again = w.target.next().await;
+    let again = w.endpoint.next().await;
     assert_eq!((again.path.as_str(), again.header("req-id")), ("/hook", "keyed"));
     again.answer(200);
     assert_eq!(w.discovery.notice().await, json!({"message": "slow", "outcome": "given_up"}));
@@ -131,9 +131,9 @@
 async fn with_a_message_that_is_given_up_its_call_ends() {
     let mut w = world("several", |c| c["settings"]["round"] = json!(400.0)).await;
     w.forwarder.hand_in("unsafe", "first", 9000).await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     tokio::join!(w.forwarder.hand_in("unsafe", "short", 2000), w.forwarder.hand_in("unsafe", "long", 60_000));
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
     // Told that it is given up, its client may pay another way: it must not be delivered after that. The other one
     // may have run, and is given up too.
@@ -151,7 +151,7 @@
     let mut w = plain().await;
     for (id, status) in [("error", Some(500)), ("odd", Some(302)), ("reset", None)] {
         assert_eq!(w.forwarder.hand_in("unsafe", id, 9000).await.status(), 202);
-        let call = w.target.next().await;
+        let call = w.endpoint.next().await;
         assert_eq!(call.header("req-id"), id);
         match status {
             Some(status) => call.answer(status),
@@ -159,15 +159,15 @@
         }
         assert_eq!(w.discovery.notice().await, json!({"message": id, "outcome": "given_up"}));
     }
-    assert!(w.target.is_quiet(QUIET).await);
+    assert!(w.endpoint.is_quiet(QUIET).await);
 }
 
 #[tokio::test]
 async fn a_keyed_message_that_may_have_run_is_repeated() {
     let mut w = plain().await;
     w.forwarder.hand_in("keyed", "m", 9000).await;
-    w.target.next().await.hang_up();
-    let again = w.target.next().await;
+    w.endpoint.next().await.hang_up();
+    let again = w.endpoint.next().await;
     assert_eq!((again.header("req-id"), again.header("idempotency-key")), ("m", "key-m"));
     again.answer(200);
     w.forwarder.until_delivered("keyed", "m").await;
@@ -178,8 +178,8 @@
     for (status, headers) in [(503, vec![]), (503, vec![("Slots-Taken", "1")]), (504, vec![])] {
         let mut w = plain().await;
         w.forwarder.hand_in("unsafe", "m", 9000).await;
-        w.target.next().await.answer_with(status, &headers, "");
-        w.target.next().await.answer(200);
+        w.endpoint.next().await.answer_with(status, &headers, "");
+        w.endpoint.next().await.answer(200);
         w.forwarder.until_delivered("unsafe", "m").await;
     }
 }
@@ -188,8 +188,8 @@
 async fn nothing_is_owed_for_a_message_that_the_target_calls_over() {
     let mut w = plain().await;
     w.forwarder.hand_in("unsafe", "m", 9000).await;
-    w.target.next().await.answer(410);
-    assert!(w.discovery.is_quiet(QUIET).await && w.target.is_quiet(QUIET).await);
+    w.endpoint.next().await.answer(410);
+    assert!(w.discovery.is_quiet(QUIET).await && w.endpoint.is_quiet(QUIET).await);
     assert_eq!(w.forwarder.hand_in("unsafe", "m", 9000).await.status(), 500);
 }
 
@@ -197,12 +197,12 @@
 async fn a_refused_connection_never_ran() {
     let mut w = plain().await;
     let gone = Stub::start().await.closed().await;
-    w.discovery.push(2, vec![target("t", gone, 7, "plain", "in_service")]);
+    w.discovery.push(2, vec![endpoint("t", gone, 7, "plain", "in_service")]);
     // Until the list is heard, messages meet the old address.
     for n in 0.. {
         w.forwarder.hand_in("unsafe", &format!("m{n}"), 300).await;
         tokio::select! {
-            call = w.target.next() => call.answer(200),
+            call = w.endpoint.next() => call.answer(200),
             // Handed back, not given up: every attempt is known never to have run.
             notice = w.discovery.notice() => {
                 assert_eq!((&notice["message"], &notice["outcome"]), (&json!(format!("m{n}")), &json!("handed_back")));
@@ -217,13 +217,13 @@
     // With one slot the other message can't leave before the wait is heard.
     let mut w = world("plain", |c| c["settings"]["familyInfo"]["slots"] = json!(1)).await;
     w.forwarder.hand_in("unsafe", "a", 9000).await;
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     w.forwarder.hand_in("keyed", "b", 9000).await;
     let told = Instant::now();
     call.answer_with(429, &[("Wait-Ms", "700")], "");
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     assert!(told.elapsed() >= Duration::from_millis(700), "{:?}", told.elapsed());
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
 }
 
 #[tokio::test]
@@ -233,9 +233,9 @@
         [("keyed", "a", 1), ("keyed", "b", 1), ("unsafe", "c", 2), ("keyed", "d", 2)]
     {
         w.forwarder.hand_in(class, id, 9000).await;
-        w.target.next().await.answer(200);
+        w.endpoint.next().await.answer(200);
         w.forwarder.until_delivered(class, id).await;
-        assert_eq!(w.target.connections(), connections, "{id}");
+        assert_eq!(w.endpoint.connections(), connections, "{id}");
     }
 }
 
@@ -245,7 +245,7 @@
         (Discovery::start().await, Stub::start().await, jammed().await);
     let jammed = listener.local_addr().expect("it is bound");
     let known =
-        [target("t", stub.addr, 7, "plain", "in_service"), target("u", jammed, 7, "plain", "in_service")];
+        [endpoint("t", stub.addr, 7, "plain", "in_service"), endpoint("u", jammed, 7, "plain", "in_service")];
     let f = Forwarder::start(&discovery, &known, |c| c["settings"]["limits"]["connectTimeout"] = json!(9000))
         .await;
     f.hand_in("keyed", "a", 20_000).await;
@@ -282,7 +282,7 @@
         (Discovery::start().await, Stub::start().await, jammed().await);
     let jammed = listener.local_addr().expect("it is bound");
     let known =
-        [target("t", stub.addr, 7, "plain", "in_service"), target("u", jammed, 7, "plain", "in_service")];
+        [endpoint("t", stub.addr, 7, "plain", "in_service"), endpoint("u", jammed, 7, "plain", "in_service")];
     let f = Forwarder::start(&discovery, &known, |c| {
         for class in [0, 1] {
             // The repeat does not time out meanwhile.
@@ -320,16 +320,16 @@
 async fn a_wait_beside_accepted_messages_binds_too() {
     let mut w = world("several", |c| c["settings"]["round"] = json!(400.0)).await;
     w.forwarder.hand_in("unsafe", "first", 9000).await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     tokio::join!(w.forwarder.hand_in("unsafe", "a", 9000), w.forwarder.hand_in("unsafe", "b", 9000));
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     assert_eq!(call.path, "/hook/batch");
     let told = Instant::now();
     let states = json!([{"id": "a", "state": "accepted"}, {"id": "b", "state": "accepted"}]);
     call.answer_with(200, &[("Wait-Ms", "900")], &states.to_string());
     w.forwarder.until_delivered("unsafe", "a").await;
     w.forwarder.hand_in("keyed", "c", 9000).await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     assert!(told.elapsed() >= Duration::from_millis(900), "{:?}", told.elapsed());
 }
 
@@ -337,29 +337,29 @@
 async fn a_request_sent_once_more_before_its_answer_is_one_message() {
     let mut w = world("plain", |c| c["settings"]["round"] = json!(300.0)).await;
     w.forwarder.hand_in("keyed", "first", 9000).await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     let f = &w.forwarder;
     // Both hear the module's answer: for a message without time that it is refused.
     let (a, b) = tokio::join!(f.hand_in("unsafe", "late", 0), f.hand_in("unsafe", "late", 0));
     assert_eq!((a.status().as_u16(), b.status().as_u16()), (503, 503));
     let (a, b) = tokio::join!(f.hand_in("unsafe", "m", 9000), f.hand_in("unsafe", "m", 9000));
     assert_eq!((a.status().as_u16(), b.status().as_u16()), (202, 202));
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     w.forwarder.until_delivered("unsafe", "m").await;
-    assert!(w.target.is_quiet(QUIET).await);
+    assert!(w.endpoint.is_quiet(QUIET).await);
 }
 
 #[tokio::test]
 async fn a_draining_target_gets_nothing_new() {
     let mut w = plain().await;
     w.forwarder.hand_in("keyed", "before", 9000).await;
-    let out = w.target.next().await;
+    let out = w.endpoint.next().await;
     let mut next = Stub::start().await;
     w.discovery.push(
         2,
         vec![
-            target("t", w.target.addr, 7, "plain", "terminating"),
-            target("u", next.addr, 7, "plain", "in_service"),
+            endpoint("t", w.endpoint.addr, 7, "plain", "terminating"),
+            endpoint("u", next.addr, 7, "plain", "in_service"),
         ],
     );
     // The list is heard in no time, but not at once: messages show when it has been.
@@ -367,7 +367,7 @@
         w.forwarder.hand_in("keyed", &format!("probe-{n}"), 9000).await;
         let moved = tokio::select! {
             call = next.next() => { call.answer(200); true }
-            call = w.target.next() => { call.answer(200); false }
+            call = w.endpoint.next() => { call.answer(200); false }
         };
         if moved {
             break;
@@ -380,7 +380,7 @@
     // What was out may finish.
     out.answer(200);
     w.forwarder.until_delivered("keyed", "before").await;
-    assert!(w.target.is_quiet(QUIET).await);
+    assert!(w.endpoint.is_quiet(QUIET).await);
 }
 
 #[tokio::test]
@@ -388,7 +388,7 @@
     let mut w = plain().await;
     let start = Instant::now();
     w.forwarder.hand_in("unsafe", "m", 500).await;
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     assert_eq!(w.discovery.notice().await, json!({"message": "m", "outcome": "given_up"}));
     assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
     call.closed().await;
@@ -398,23 +398,23 @@
 async fn sigkill_loses_and_repeats_nothing() {
     let mut w = plain().await;
     w.forwarder.hand_in("keyed", "keyed", 20_000).await;
-    let keyed = w.target.next().await;
+    let keyed = w.endpoint.next().await;
     w.forwarder.hand_in("unsafe", "unsafe", 20_000).await;
-    let unsafe_ = w.target.next().await;
-    w.discovery.push(2, vec![target("t", w.target.addr, 7, "plain", "in_service")]);
+    let unsafe_ = w.endpoint.next().await;
+    w.discovery.push(2, vec![endpoint("t", w.endpoint.addr, 7, "plain", "in_service")]);
     w.forwarder.kill();
     keyed.closed().await;
     unsafe_.closed().await;
     w.forwarder.restart().await;
     // Both may have run: the keyed one is sent again, the unsafe one must not be.
     assert_eq!(w.discovery.notice().await, json!({"message": "unsafe", "outcome": "given_up"}));
-    let again = w.target.next().await;
+    let again = w.endpoint.next().await;
     assert_eq!(again.header("req-id"), "keyed");
     again.answer(200);
     w.forwarder.until_delivered("keyed", "keyed").await;
     w.forwarder.kill();
     w.forwarder.restart().await;
-    assert!(w.target.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
+    assert!(w.endpoint.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
 }
 
 #[tokio::test]
@@ -431,7 +431,7 @@
         }
         while delivered.union(&given_up).count() <= n {
             tokio::select! {
-                call = w.target.next() => {
+                call = w.endpoint.next() => {
                     // A second copy of an unsafe message must never come.
                     assert!(delivered.insert(call.header("req-id").to_owned()), "{}", call.header("req-id"));
                     call.answer(200);
@@ -450,7 +450,7 @@
 async fn a_message_whose_time_ran_out_between_two_processes_ends_at_once() {
     let mut w = plain().await;
     w.forwarder.hand_in("unsafe", "m", 700).await;
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     w.forwarder.kill();
     call.closed().await;
     tokio::time::sleep(Duration::from_millis(700)).await;
@@ -464,7 +464,7 @@
 async fn sigterm_lets_calls_finish_and_keeps_the_rest() {
     let mut w = plain().await;
     w.forwarder.hand_in("unsafe", "out", 20_000).await;
-    let out = w.target.next().await;
+    let out = w.endpoint.next().await;
     let start = Instant::now();
     w.forwarder.terminate();
     // New clients are still served, each by its last answer.
@@ -478,13 +478,13 @@
     };
     timeout(support::SOON, last).await.expect("it has heard the signal");
     assert_eq!(w.forwarder.hand_in("keyed", "late", 20_000).await.status(), 202);
-    let late = w.target.next().await;
+    let late = w.endpoint.next().await;
     out.answer(200);
     late.answer_with(503, &[("Wait-Ms", "3000")], "");
     assert!(w.forwarder.exited().await.success());
     assert!(start.elapsed() < Duration::from_millis(3700), "{:?}", start.elapsed());
     w.forwarder.restart().await;
-    let again = w.target.next().await;
+    let again = w.endpoint.next().await;
     assert_eq!(again.header("req-id"), "late");
     again.answer(200);
     w.forwarder.until_delivered("keyed", "late").await;
@@ -496,12 +496,12 @@
 async fn a_torn_journal_is_cut_off() {
     let mut w = plain().await;
     w.forwarder.hand_in("keyed", "m", 20_000).await;
-    w.target.next().await.closed_after(|| w.forwarder.kill()).await;
+    w.endpoint.next().await.closed_after(|| w.forwarder.kill()).await;
     let whole = fs::metadata(w.forwarder.journal()).expect("a journal").len();
     let mut file = OpenOptions::new().append(true).open(w.forwarder.journal()).expect("a journal");
     file.write_all(b"\x40\0\0\0torn").expect("it is writable");
     w.forwarder.restart().await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     w.forwarder.until_delivered("keyed", "m").await;
     let text = fs::read(w.forwarder.journal()).expect("a journal");
     assert!(text.len() as u64 > whole && !text.windows(4).any(|part| part == b"torn"));
@@ -520,14 +520,14 @@
     let size = fs::metadata(w.forwarder.journal()).expect("a journal").len();
     assert!(size <= 20_000, "{size}");
     // What was taken on still goes out and ends.
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
 }
 
 #[tokio::test]
 async fn a_message_handed_in_anew_outlives_the_late_end_of_its_earlier_notice() {
     let mut w = plain().await;
     assert_eq!(w.forwarder.hand_in("keyed", "m", 500).await.status(), 202);
-    w.target.next().await.answer_with(429, &[("Wait-Ms", "20000")], "");
+    w.endpoint.next().await.answer_with(429, &[("Wait-Ms", "20000")], "");
     let notice = w.discovery.next_notice().await;
     assert!(String::from_utf8_lossy(&notice.body).contains("handed_back"));
     // The client comes again before the notice is acknowledged.
@@ -548,7 +548,7 @@
     w.forwarder.kill();
     w.forwarder.restart().await;
     loop {
-        let call = w.target.next().await;
+        let call = w.endpoint.next().await;
         if call.header("req-id") == "m" {
             return;
         }
@@ -560,7 +560,7 @@
 async fn a_notice_is_owed_until_it_is_acknowledged() {
     let mut w = plain().await;
     w.forwarder.hand_in("unsafe", "m", 9000).await;
-    w.target.next().await.answer(500);
+    w.endpoint.next().await.answer(500);
     let first = w.discovery.next_notice().await.body_then(|c| c.answer(500));
     let second = w.discovery.next_notice().await.body_then(|c| c.hang_up());
     assert_eq!(first, second);
@@ -568,7 +568,7 @@
     w.discovery.next_notice().await.closed_after(|| w.forwarder.kill()).await;
     w.forwarder.restart().await;
     assert_eq!(w.discovery.notice().await, json!({"message": "m", "outcome": "given_up"}));
-    assert!(w.discovery.is_quiet(QUIET).await && w.target.is_quiet(QUIET).await);
+    assert!(w.discovery.is_quiet(QUIET).await && w.endpoint.is_quiet(QUIET).await);
 }
 
 #[tokio::test]
@@ -624,7 +624,7 @@
         slow.push(client);
     }
     assert_eq!(w.forwarder.hand_in("keyed", "m", 9000).await.status(), 202);
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     // In the end it hears that it is too slow, or loses its connection.
     for mut client in slow {
         let mut text = Vec::new();
@@ -655,7 +655,7 @@
         while !rest.ends_with(b"\r\n\r\n") {
             client.0.read_buf(&mut rest).await.expect("it is open");
         }
-        w.target.next().await.answer(200);
+        w.endpoint.next().await.answer(200);
     }
 }
 
@@ -663,14 +663,14 @@
 async fn sighup_moves_to_another_discovery_and_an_unreadable_file_changes_nothing() {
     let mut w = plain().await;
     w.forwarder.hand_in("keyed", "before", 9000).await;
-    let out = w.target.next().await;
+    let out = w.endpoint.next().await;
     // A file that is no configuration: the old one holds, and the process lives.
     w.forwarder.reload(|c| *c = json!({"name": c["name"], "kept": *c}));
     let mut second = Stub::start().await;
-    w.discovery.push(2, vec![target("u", second.addr, 8, "plain", "in_service")]);
+    w.discovery.push(2, vec![endpoint("u", second.addr, 8, "plain", "in_service")]);
     // A notice that the old address leaves unanswered goes to the new one, as does the watch.
     w.forwarder.hand_in("unsafe", "owed", 9000).await;
-    w.target.next().await.answer(500);
+    w.endpoint.next().await.answer(500);
     let unanswered = w.discovery.next_notice().await;
     let mut new = Stub::start().await;
     w.forwarder.reload(|c| {
@@ -685,8 +685,8 @@
             noticed = true;
         } else if call.path == "/api/targets" {
             let list = json!({"rev": 9, "all": true, "targets": [
-                target("t", w.target.addr, 7, "plain", "terminating"),
-                target("v", second.addr, 7, "plain", "in_service"),
+                endpoint("t", w.endpoint.addr, 7, "plain", "terminating"),
+                endpoint("v", second.addr, 7, "plain", "in_service"),
             ]});
             call.answer_with(200, &[], &list.to_string());
             watched = true;
@@ -747,7 +747,8 @@
     assert_eq!(call.path, "/api/targets");
     // Others are served before this one.
     sleep(Duration::from_millis(700)).await;
-    let list = json!({"rev": 9, "all": true, "targets": [target("t", stub.addr, 7, "plain", "in_service")]});
+    let list =
+        json!({"rev": 9, "all": true, "targets": [endpoint("t", stub.addr, 7, "plain", "in_service")]});
     let begun = Instant::now();
     call.answer_with(200, &[], &list.to_string());
     let call = told.next().await;
@@ -774,8 +775,8 @@
     let discovery = Discovery::start().await;
     let known = [
         json!({"uid": 5}),
-        target("t", one.addr, 7, "plain", "in_service"),
-        target("u", other.addr, 7, "plain", "asleep"),
+        endpoint("t", one.addr, 7, "plain", "in_service"),
+        endpoint("u", other.addr, 7, "plain", "asleep"),
     ];
     let f = Forwarder::start(&discovery, &known, |c| c["discovery"] = json!(told.addr.to_string())).await;
     // Nothing goes where the state is not known.
@@ -785,7 +786,7 @@
     }
     let watch = told.next().await;
     assert!(watch.path.starts_with("/api/targets?"));
-    let changes = json!([target("v", other.addr, 8, "plain", "in_service"), {"uid": "t", "state": []}]);
+    let changes = json!([endpoint("v", other.addr, 8, "plain", "in_service"), {"uid": "t", "state": []}]);
     let list = json!({"rev": 2, "all": false, "targets": changes});
     watch.answer_with(200, &[], &format!("{list:#}"));
     // The line that was left out may be a drain: the whole list is asked for.
@@ -812,7 +813,7 @@
         let call = told.next().await;
         assert_eq!(call.path, "/api/targets");
         let list =
-            json!({"rev": 9, "all": true, "targets": [target("t", stub.addr, 7, "plain", "in_service")]});
+            json!({"rev": 9, "all": true, "targets": [endpoint("t", stub.addr, 7, "plain", "in_service")]});
         call.answer_with(200, &[], &list.to_string());
         assert!(told.next().await.path.starts_with("/api/targets?index=9"));
         f.hand_in("keyed", "m", 9000).await;
@@ -822,7 +823,7 @@
 
 async fn raw_world(model: &str, change: impl FnOnce(&mut Value)) -> (Discovery, Raw, Forwarder) {
     let (discovery, raw) = (Discovery::start().await, Raw::start().await);
-    let known = [target("t", raw.addr, 7, model, "in_service")];
+    let known = [endpoint("t", raw.addr, 7, model, "in_service")];
     let forwarder = Forwarder::start(&discovery, &known, change).await;
     (discovery, raw, forwarder)
 }
@@ -921,7 +922,7 @@
             "{more:?}: {answer:?}"
         );
     }
-    assert!(w.target.is_quiet(QUIET).await);
+    assert!(w.endpoint.is_quiet(QUIET).await);
 }
 
 #[tokio::test]
@@ -935,7 +936,7 @@
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(w.forwarder.hand_in("keyed", "m", 9000).await.status(), 202);
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     for client in &mut silent {
         client.rest().await;
     }
@@ -961,18 +962,18 @@
 async fn a_new_target_at_an_old_address_inherits_no_connection() {
     let mut w = plain().await;
     w.forwarder.hand_in("keyed", "before", 9000).await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     w.forwarder.until_delivered("keyed", "before").await;
-    assert_eq!(w.target.connections(), 1);
+    assert_eq!(w.endpoint.connections(), 1);
     // A whole list that omits the old id says that it is gone.
-    w.discovery.push_whole(2, vec![target("u", w.target.addr, 7, "plain", "in_service")]);
+    w.discovery.push_whole(2, vec![endpoint("u", w.endpoint.addr, 7, "plain", "in_service")]);
     let moved = async {
         for n in 0.. {
             let id = format!("m{n}");
             w.forwarder.hand_in("keyed", &id, 9000).await;
-            w.target.next().await.answer(200);
+            w.endpoint.next().await.answer(200);
             w.forwarder.until_delivered("keyed", &id).await;
-            if w.target.connections() == 2 {
+            if w.endpoint.connections() == 2 {
                 return;
             }
         }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use std::time::Duration;
-use support::{Discovery, Forwarder, RawCall, SOON, Stub, request, target};
+use support::{Discovery, Forwarder, RawCall, SOON, Stub, endpoint, request};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -22,8 +22,8 @@
 async fn world() -> World {
     let (discovery, one, other) = (Discovery::start().await, Stub::start().await, Stub::start().await);
     let known = [
-        target("one", one.addr, 7, "plain", "in_service"),
-        target("other", other.addr, 7, "plain", "in_service"),
+        endpoint("one", one.addr, 7, "plain", "in_service"),
+        endpoint("other", other.addr, 7, "plain", "in_service"),
     ];
     let forwarder = Forwarder::start(&discovery, &known, |_| {}).await;
     World { discovery, one, other, forwarder }
@@ -71,8 +71,8 @@
     assert_eq!(w.forwarder.call("disable-server one").await, "ACK one left out\n");
     let lines = |w: &World| {
         vec![
-            target("one", w.one.addr, 7, "plain", "in_service"),
-            target("other", w.other.addr, 7, "plain", "in_service"),
+            endpoint("one", w.one.addr, 7, "plain", "in_service"),
+            endpoint("other", w.other.addr, 7, "plain", "in_service"),
         ]
     };
     w.discovery.push(2, lines(&w));
@@ -145,7 +145,7 @@
 #[tokio::test]
 async fn without_an_address_for_operators_nobody_listens_there() {
     let (discovery, stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let forwarder = Forwarder::start(&discovery, &known, |c| c["admin"] = json!(null)).await;
     assert!(TcpStream::connect(forwarder.admin).await.is_err());
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use plankwalk::Balancer;
-use plankwalk::api::*;
+use message_forwarder::Balancer;
+use message_forwarder::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,12 +14,12 @@
 #[derive(Default)]
 struct Msg {
     class: usize,
-    dest: DestId,
+    destination: DestinationId,
     key: Option<String>,
-    give_up_at: Micros,
-    sent: Vec<(TargetId, Micros)>,
+    expires_at: Micros,
+    sent: Vec<(EndpointId, Micros)>,
     out: BTreeSet<usize>,
-    risk: Option<Micros>,
+    possible_execution: Option<Micros>,
     rest_until: Micros,
     over: bool,
 }
@@ -29,19 +29,19 @@
     sender: Balancer,
     now: Micros,
     messages: BTreeMap<MessageId, Msg>,
-    serving: BTreeSet<TargetId>,
+    serving: BTreeSet<EndpointId>,
     waits: BTreeMap<u64, Micros>,
     calls: usize,
 }
 
 /// Destinations 1 (plain), 2 (routes apart) with endpoints 10, 11 and 20, 21.
-fn dest_of(target: TargetId) -> DestId {
-    target / 10
+fn dest_of(endpoint: EndpointId) -> DestinationId {
+    endpoint / 10
 }
 
 /// Where a wait binds: the destination, or the route.
-fn scope_of(target: TargetId) -> u64 {
-    if dest_of(target) == 2 { target } else { dest_of(target) }
+fn scope_of(endpoint: EndpointId) -> u64 {
+    if dest_of(endpoint) == 2 { endpoint } else { dest_of(endpoint) }
 }
 
 impl Referee {
@@ -52,12 +52,15 @@
         self.sender.on_event(self.now, Event::TurnEnd, &mut actions);
         for action in actions {
             match action {
-                Action::Send { id, target, .. } => self.send(id, target, &told)?,
-                Action::Refuse { id, .. } => {
+                Action::Send { id, endpoint, .. } => self.send(id, endpoint, &told)?,
+                Action::Reject { id, .. } => {
                     let m = self.messages.get_mut(&id).unwrap();
                     prop_assert!(!m.over, "second answer");
-                    let safe = self.s.classes[m.class].effect == Effect::Safe;
-                    prop_assert!(safe || (m.risk.is_none() && m.out.is_empty()), "refused what may have run");
+                    let safe = self.s.classes[m.class].idempotency == Idempotency::Idempotent;
+                    prop_assert!(
+                        safe || (m.possible_execution.is_none() && m.out.is_empty()),
+                        "refused what may have run"
+                    );
                     m.over = true;
                 }
                 Action::Fail { id } => {
@@ -69,7 +72,7 @@
             }
         }
         for m in self.messages.values() {
-            prop_assert!(m.over || self.now <= m.give_up_at + 20 * MS, "no answer in time");
+            prop_assert!(m.over || self.now <= m.expires_at + 20 * MS, "no answer in time");
         }
         Ok(())
     }
@@ -77,7 +80,7 @@
     fn send(
         &mut self,
         id: MessageId,
-        target: TargetId,
+        endpoint: EndpointId,
         told: &BTreeMap<u64, Micros>,
     ) -> Result<(), TestCaseError> {
         let mut earlier = self.messages.range(..id);
@@ -87,23 +90,28 @@
             prop_assert!(!earlier.any(|(_, e)| e.key == m.key && open(e)), "out of its turn");
         }
         prop_assert!(!m.over, "sent after its end");
-        prop_assert_eq!(dest_of(target), m.dest);
-        prop_assert!(self.serving.contains(&target), "sent to a draining endpoint");
+        prop_assert_eq!(dest_of(endpoint), m.destination);
+        prop_assert!(self.serving.contains(&endpoint), "sent to a draining endpoint");
         prop_assert!(m.out.is_empty() && m.sent.len() < self.s.max_attempts);
-        prop_assert!(self.now >= told.get(&scope_of(target)).copied().unwrap_or(0), "wait not heeded");
-        match self.s.classes[m.class].effect {
-            Effect::Unsafe => prop_assert!(m.risk.is_none(), "unsafe, and it may have run"),
-            Effect::Keyed { life, .. } => {
-                prop_assert!(m.risk.is_none_or(|first| self.now <= first + life), "key forgotten")
+        prop_assert!(self.now >= told.get(&scope_of(endpoint)).copied().unwrap_or(0), "wait not heeded");
+        match self.s.classes[m.class].idempotency {
+            Idempotency::NotIdempotent => {
+                prop_assert!(m.possible_execution.is_none(), "unsafe, and it may have run")
             }
-            Effect::Safe => {}
+            Idempotency::Keyed { key_lifetime, .. } => {
+                prop_assert!(
+                    m.possible_execution.is_none_or(|first| self.now <= first + key_lifetime),
+                    "key forgotten"
+                )
+            }
+            Idempotency::Idempotent => {}
         }
         self.calls += 1;
-        prop_assert!(self.calls <= self.s.slots, "more calls than slots");
+        prop_assert!(self.calls <= self.s.call_slots, "more calls than slots");
         let now = self.now;
         let m = self.messages.get_mut(&id).unwrap();
         m.out.insert(m.sent.len());
-        m.sent.push((target, now));
+        m.sent.push((endpoint, now));
         Ok(())
     }
 
@@ -117,18 +125,19 @@
         match what % 8 {
             0..3 => {
                 let id = self.messages.len() as MessageId;
-                let (class, dest) = (usize::from(which) % 4, u64::from(how) % 2 + 1);
+                let (class, destination) = (usize::from(which) % 4, u64::from(how) % 2 + 1);
                 let key = (class == 3).then(|| format!("k{}", how % 3));
-                let give_up_at = self.now + 16 * SEC;
-                self.messages.insert(id, Msg { class, dest, key: key.clone(), give_up_at, ..Msg::default() });
-                self.turn(Event::Submit(Submit {
+                let expires_at = self.now + 16 * SEC;
+                self.messages
+                    .insert(id, Msg { class, destination, key: key.clone(), expires_at, ..Msg::default() });
+                self.turn(Event::Submit(Submission {
                     id,
                     class,
                     tenant: None,
                     key,
-                    give_up_at,
-                    dest,
-                    past: Past::default(),
+                    expires_at,
+                    destination,
+                    history: MessageHistory::default(),
                 }))
             }
             3..7 => {
@@ -141,14 +150,18 @@
                 self.end(id, attempt, how)
             }
             _ => {
-                let target = [10, 11, 20, 21][usize::from(which) % 4];
-                let listing = [Listing::Serving, Listing::Draining, Listing::Deleted][usize::from(how) % 3];
-                match listing {
-                    Listing::Serving => self.serving.insert(target),
-                    _ => self.serving.remove(&target),
+                let endpoint = [10, 11, 20, 21][usize::from(which) % 4];
+                let state = [EndpointState::Serving, EndpointState::Draining, EndpointState::Deleted]
+                    [usize::from(how) % 3];
+                match state {
+                    EndpointState::Serving => self.serving.insert(endpoint),
+                    _ => self.serving.remove(&endpoint),
                 };
-                let kind = usize::from(dest_of(target) == 2);
-                self.turn(Event::ListChanges(vec![Entry { listing, ..entry(target, dest_of(target), kind) }]))
+                let kind = usize::from(dest_of(endpoint) == 2);
+                self.turn(Event::ListUpdate(vec![EndpointEntry {
+                    state,
+                    ..entry(endpoint, dest_of(endpoint), kind)
+                }]))
             }
         }
     }
@@ -157,8 +170,8 @@
         let outcome = match how % 8 {
             0 | 1 => Outcome::Delivered,
             2 => Outcome::Error,
-            3 => Outcome::Full { wait: None },
-            4 => Outcome::Full { wait: Some(Micros::from(how) * 10 * MS) },
+            3 => Outcome::Rejected { retry_after: None },
+            4 => Outcome::Rejected { retry_after: Some(Micros::from(how) * 10 * MS) },
             5 => Outcome::TimedOut,
             6 => Outcome::ConnectFailed,
             _ => Outcome::Reset,
@@ -167,27 +180,27 @@
         let m = self.messages.get_mut(&id).unwrap();
         m.out.remove(&attempt);
         self.calls -= 1;
-        let (target, sent) = m.sent[attempt];
+        let (endpoint, sent) = m.sent[attempt];
         m.over |= outcome == Outcome::Delivered;
-        if !outcome.never_ran() {
-            m.risk = m.risk.or(Some(sent));
+        if !outcome.never_executed() {
+            m.possible_execution = m.possible_execution.or(Some(sent));
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset) {
-            m.rest_until = now + self.s.turn_gap;
+            m.rest_until = now + self.s.ordering_gap;
         }
-        if let Outcome::Full { wait: Some(wait) } = outcome {
-            let until = self.waits.entry(scope_of(target)).or_insert(0);
+        if let Outcome::Rejected { retry_after: Some(wait) } = outcome {
+            let until = self.waits.entry(scope_of(endpoint)).or_insert(0);
             *until = (*until).max(now + wait);
         }
         let finished = m.over;
-        self.turn(Event::Ended(Ended {
+        self.turn(Event::AttemptEnded(AttemptEnded {
             id,
             attempt,
             outcome,
             elapsed: now - sent,
             finished,
             report: None,
-            wait: None,
+            retry_after: None,
             unsent: false,
         }))
     }
@@ -200,7 +213,7 @@
     let steps = prop::collection::vec((0u16..400, any::<u8>(), any::<u8>(), any::<u8>()), 1..150);
     TestRunner::new_with_rng(config, rng)
         .run(&steps, |steps| {
-            let s = Settings { slots: 4, ..settings() };
+            let s = Settings { call_slots: 4, ..settings() };
             let serving = BTreeSet::from([10, 11, 20, 21]);
             let mut referee = Referee {
                 sender: Balancer::new(s.clone(), 5),
@@ -212,7 +225,7 @@
                 calls: 0,
             };
             let list = vec![entry(10, 1, 0), entry(11, 1, 0), entry(20, 2, 1), entry(21, 2, 1)];
-            referee.turn(Event::ListWhole(list))?;
+            referee.turn(Event::ListSnapshot(list))?;
             for step in steps {
                 referee.step(step)?;
             }
