--- a/tests/races.rs
+++ b/tests/races.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
-use support::{Discovery, Forwarder, Raw, RawCall, SOON, Stub, jammed, request, target};
+use support::{Discovery, Forwarder, Raw, RawCall, SOON, Stub, endpoint, jammed, request};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -38,7 +38,7 @@
 async fn what_a_restart_finds_untried_is_tried_once_its_destination_is_listed() {
     for terminate in [false, true] {
         let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-        let known = [target("t", stub.addr, 7, "plain", "in_service")];
+        let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
         let mut f = Forwarder::start(&discovery, &known, one_slot).await;
         leaves_many(&mut f, &mut stub, 28_000, terminate).await;
         f.configure(|c| c["known"]["targets"] = json!([]));
@@ -60,7 +60,7 @@
 #[tokio::test]
 async fn what_a_restart_can_not_try_in_its_time_gets_its_notice() {
     let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let mut f = Forwarder::start(&discovery, &known, one_slot).await;
     let begun = Instant::now();
     leaves_many(&mut f, &mut stub, 3000, false).await;
@@ -82,7 +82,7 @@
 #[tokio::test]
 async fn what_a_restart_finds_untried_does_not_make_room_for_what_is_new() {
     let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let small = |c: &mut Value| {
         one_slot(c);
         c["settings"]["limits"]["openCap"] = json!(64);
@@ -104,7 +104,7 @@
 async fn connections_that_are_refused_are_none_of_a_messages_attempts() {
     let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
     let closed = Stub::start().await.closed().await;
-    let known = [target("t", closed, 7, "plain", "in_service")];
+    let known = [endpoint("t", closed, 7, "plain", "in_service")];
     let f = Forwarder::start(&discovery, &known, |c| {
         c["settings"]["limits"]["maxAttempts"] = json!(2);
         c["settings"]["classes"][0]["goalTime"] = json!(200.0);
@@ -114,7 +114,7 @@
     assert_eq!(f.hand_in("unsafe", "m", 28_000).await.status(), 202);
     // Time for many more than two.
     assert!(discovery.is_quiet(Duration::from_secs(3)).await);
-    discovery.push(2, vec![target("u", stub.addr, 7, "plain", "in_service")]);
+    discovery.push(2, vec![endpoint("u", stub.addr, 7, "plain", "in_service")]);
     let call = stub.next().await;
     assert_eq!(call.header("req-id"), "m");
     call.answer(200);
@@ -126,12 +126,12 @@
     let (mut discovery, mut stub, (listener, _queued)) =
         (Discovery::start().await, Stub::start().await, jammed().await);
     let addr = listener.local_addr().expect("it is bound");
-    let known = [target("t", addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", addr, 7, "plain", "in_service")];
     let mut f = Forwarder::start(&discovery, &known, |_| {}).await;
     // Its call is decided in the turn that takes it on.
     assert_eq!(f.hand_in("unsafe", "m", 28_000).await.status(), 202);
     f.kill();
-    f.configure(|c| c["known"]["targets"] = json!([target("t", stub.addr, 7, "plain", "in_service")]));
+    f.configure(|c| c["known"]["targets"] = json!([endpoint("t", stub.addr, 7, "plain", "in_service")]));
     f.restart().await;
     tokio::select! {
         call = stub.next() => {
@@ -149,9 +149,9 @@
     let ((one, _queued), (other, _too)) = (jammed().await, jammed().await);
     let addr = |l: &tokio::net::TcpListener| l.local_addr().expect("it is bound");
     let known = [
-        target("t", addr(&one), 7, "plain", "in_service"),
-        target("u", addr(&other), 8, "plain", "in_service"),
-        target("v", stub.addr, 9, "plain", "in_service"),
+        endpoint("t", addr(&one), 7, "plain", "in_service"),
+        endpoint("u", addr(&other), 8, "plain", "in_service"),
+        endpoint("v", stub.addr, 9, "plain", "in_service"),
     ];
     let f = Forwarder::start(&discovery, &known, |c| {
         c["settings"]["familyInfo"]["slots"] = json!(2);
@@ -184,7 +184,7 @@
         (Discovery::start().await, Stub::start().await, jammed().await);
     let addr = listener.local_addr().expect("it is bound");
     let known =
-        [target("t", stub.addr, 7, "plain", "in_service"), target("u", addr, 7, "plain", "in_service")];
+        [endpoint("t", stub.addr, 7, "plain", "in_service"), endpoint("u", addr, 7, "plain", "in_service")];
     let f = Forwarder::start(&discovery, &known, |c| {
         c["settings"]["classes"][0]["goalTime"] = json!(16_000);
         c["settings"]["classes"][1]["goalTime"] = json!(16_000);
@@ -259,7 +259,7 @@
 #[tokio::test]
 async fn who_hands_in_at_the_old_version_when_the_new_one_has_died_is_told() {
     let (discovery, stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let mut f = Forwarder::start_inheriting(&discovery, &known, |_| {}).await;
     let mut clients = Vec::new();
     for id in ["a", "b"] {
@@ -286,7 +286,7 @@
 #[tokio::test]
 async fn after_sigterm_too_a_call_ends_with_the_first_of_its_messages() {
     let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "several", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "several", "in_service")];
     let f = Forwarder::start(&discovery, &known, |c| c["settings"]["round"] = json!(400.0)).await;
     f.hand_in("unsafe", "first", 9000).await;
     stub.next().await.answer(200);
@@ -321,7 +321,7 @@
 #[tokio::test]
 async fn who_finds_no_room_hears_so() {
     let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let f = Forwarder::start(&discovery, &known, |_| {}).await;
     // Each place is taken by a request that has begun.
     let mut begun = Vec::new();
@@ -362,7 +362,7 @@
 #[tokio::test]
 async fn a_close_over_unread_bytes_cuts_no_answer_short() {
     let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let f = Forwarder::start(&discovery, &known, |_| {}).await;
     assert!(f.call("drain").await.starts_with("ACK"));
     let mut client = client_of(&f).await;
@@ -394,7 +394,7 @@
 #[tokio::test]
 async fn what_comes_after_the_close_at_sigterm_is_not_taken_on() {
     let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let mut f = Forwarder::start(&discovery, &known, |_| {}).await;
     let mut clients = Vec::new();
     for n in 0..4 {
@@ -428,7 +428,7 @@
 #[tokio::test]
 async fn a_request_that_begins_on_a_resting_connection_has_its_whole_time() {
     let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let f = Forwarder::start(&discovery, &known, |_| {}).await;
     let mut client = client_of(&f).await;
     client.write(&message("first", 0).0).await;
@@ -453,7 +453,7 @@
 #[tokio::test]
 async fn pipelined_requests_are_answered_one_by_one_and_a_flood_harms_nobody_else() {
     let (discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "several", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "several", "in_service")];
     let f = Forwarder::start(&discovery, &known, |c| {
         c["settings"]["limits"]["openCap"] = json!(10_000);
         c["settings"]["familyInfo"]["slots"] = json!(1);
@@ -500,7 +500,7 @@
 #[tokio::test]
 async fn a_journal_damaged_in_its_midst_loses_and_repeats_nothing() {
     let (mut discovery, mut stub) = (Discovery::start().await, Stub::start().await);
-    let known = [target("t", stub.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", stub.addr, 7, "plain", "in_service")];
     let mut f = Forwarder::start(&discovery, &known, one_slot).await;
     assert_eq!(f.hand_in("unsafe", "ran", 28_000).await.status(), 202);
     let out = stub.next().await;
@@ -525,18 +525,18 @@
 async fn with_a_full_journal_and_silent_peers_a_restart_is_soon_ready_and_ends_what_it_holds() {
     // Discovery holds its watches, and the endpoint takes connections and says nothing.
     let (mut discovery, silent) = (Discovery::start().await, Raw::start().await);
-    let known = [target("t", silent.addr, 7, "plain", "in_service")];
+    let known = [endpoint("t", silent.addr, 7, "plain", "in_service")];
     let mut f = Forwarder::start(&discovery, &known, |c| {
         one_slot(c);
         c["settings"]["limits"]["openCap"] = json!(10_000);
     })
     .await;
     let body = vec![b'x'; 20_000];
-    let (mut taken_on, mut refused) = (BTreeSet::new(), 0);
+    let (mut accepted, mut refused) = (BTreeSet::new(), 0);
     let begun = Instant::now();
     while refused == 0 {
-        let id = format!("m{}", taken_on.len());
-        let class = if taken_on.len() % 2 == 0 { "/unsafe" } else { "/keyed" };
+        let id = format!("m{}", accepted.len());
+        let class = if accepted.len() % 2 == 0 { "/unsafe" } else { "/keyed" };
         let headers = [
             ("Req-Id", id.as_str()),
             ("Req-Owner", "acme"),
@@ -545,18 +545,18 @@
             ("Envelope", "dest=7"),
         ];
         match request(f.addr, "POST", class, &headers, &body).await.expect("an answer").status().as_u16() {
-            202 => drop(taken_on.insert(id)),
+            202 => drop(accepted.insert(id)),
             _ => refused += 1,
         }
     }
-    assert!(taken_on.len() > 50, "{}", taken_on.len());
+    assert!(accepted.len() > 50, "{}", accepted.len());
     f.kill();
     let down = Instant::now();
     f.restart().await;
     assert!(down.elapsed() < Duration::from_secs(6), "{:?}", down.elapsed());
     // Each message gets its end, once, when its time is up and not before what is untried could still be tried.
     let mut ended = BTreeSet::new();
-    while ended.len() < taken_on.len() {
+    while ended.len() < accepted.len() {
         for notice in discovery.notices().await {
             let id = notice["message"].as_str().expect("a name").to_owned();
             // The first one's attempt was out when the process was killed.
@@ -564,6 +564,6 @@
             assert!(ended.insert(id.clone()), "{id} again");
         }
     }
-    assert_eq!(ended, taken_on);
+    assert_eq!(ended, accepted);
     assert!(begun.elapsed() < Duration::from_millis(12_000), "{:?}", begun.elapsed());
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use plankwalk::api::*;
+use message_forwarder::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[test]
@@ -29,13 +29,13 @@
 
 #[test]
 fn excess_is_refused_before_its_deadline_and_what_may_have_run_is_failed() {
-    let draining = Entry { listing: Listing::Draining, ..entry(10, 1, 0) };
+    let draining = EndpointEntry { state: EndpointState::Draining, ..entry(10, 1, 0) };
     let mut rig = Rig::new(settings(), vec![draining]);
     rig.submit(1, 2, 1);
     let all = rig.pass(20 * SEC);
-    let [(at, Action::Refuse { id: 1, .. })] = all[..] else { panic!("{all:?}") };
+    let [(at, Action::Reject { id: 1, .. })] = all[..] else { panic!("{all:?}") };
     assert!(at < 116 * SEC);
-    assert!(matches!(rig.submit(2, 2, 99)[..], [Action::Refuse { id: 2, .. }]), "nobody has named it");
+    assert!(matches!(rig.submit(2, 2, 99)[..], [Action::Reject { id: 2, .. }]), "nobody has named it");
 
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
     assert_eq!(sends(&rig.submit(1, 2, 1)).len(), 1);
@@ -63,7 +63,7 @@
     let again = rig.pass(SEC);
     assert_eq!(timed_sends(&again).len(), 1, "{again:?} inside the key's life it goes again");
     rig.now += 500 * MS;
-    assert_eq!(rig.ended(1, 1, Outcome::Full { wait: Some(900 * MS) }, 10 * MS), vec![]);
+    assert_eq!(rig.ended(1, 1, Outcome::Rejected { retry_after: Some(900 * MS) }, 10 * MS), vec![]);
     let rest = rig.pass(20 * SEC);
     assert!(timed_sends(&rest).iter().all(|(at, ..)| *at <= first + 5 * SEC), "{rest:?}");
     assert_eq!(rest.iter().filter(|(_, a)| matches!(a, Action::Fail { id: 1 })).count(), 1);
@@ -72,12 +72,12 @@
 #[test]
 fn nothing_goes_to_a_draining_or_missing_endpoint() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 0), entry(11, 1, 0)]);
-    let drained = Entry { listing: Listing::Draining, ..entry(10, 1, 0) };
-    rig.turn(vec![Event::ListChanges(vec![drained])]);
+    let drained = EndpointEntry { state: EndpointState::Draining, ..entry(10, 1, 0) };
+    rig.turn(vec![Event::ListUpdate(vec![drained])]);
     assert_eq!(sends(&rig.submit(1, 0, 1)), vec![(1, 11)]);
-    rig.turn(vec![Event::ListWhole(vec![entry(12, 1, 0)])]);
+    rig.turn(vec![Event::ListSnapshot(vec![entry(12, 1, 0)])]);
     assert_eq!(sends(&rig.submit(2, 0, 1)), vec![(2, 12)]);
-    rig.turn(vec![Event::ListWhole(vec![])]);
+    rig.turn(vec![Event::ListSnapshot(vec![])]);
     assert_eq!(sends(&rig.submit(3, 0, 1)), vec![]);
 }
 
@@ -85,7 +85,7 @@
 fn a_told_wait_binds_every_message_there() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 0), entry(11, 1, 0)]);
     rig.submit(1, 0, 1);
-    rig.ended(1, 0, Outcome::Full { wait: Some(2 * SEC) }, 10 * MS);
+    rig.ended(1, 0, Outcome::Rejected { retry_after: Some(2 * SEC) }, 10 * MS);
     let over = rig.now + 2 * SEC;
     assert_eq!(sends(&rig.submit(2, 0, 1)), vec![]);
     let all = rig.pass(4 * SEC);
@@ -97,7 +97,7 @@
 fn where_routes_are_apart_a_wait_binds_its_route_only() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 1), entry(11, 1, 1)]);
     let (_, told) = sends(&rig.submit(1, 0, 1))[0];
-    let again = sends(&rig.ended(1, 0, Outcome::Full { wait: Some(2 * SEC) }, 10 * MS));
+    let again = sends(&rig.ended(1, 0, Outcome::Rejected { retry_after: Some(2 * SEC) }, 10 * MS));
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].1, told);
 }
@@ -106,21 +106,21 @@
 #[test]
 fn a_wait_told_to_one_message_of_a_batch_binds_at_once() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 2)]);
-    let give_up_at = rig.now + 16 * SEC;
+    let expires_at = rig.now + 16 * SEC;
     let submit = |id| {
-        Event::Submit(Submit {
+        Event::Submit(Submission {
             id,
             class: 0,
             tenant: None,
             key: None,
-            give_up_at,
-            dest: 1,
-            past: Past::default(),
+            expires_at,
+            destination: 1,
+            history: MessageHistory::default(),
         })
     };
     assert_eq!(sends(&rig.turn(vec![submit(1), submit(2)])).len(), 2);
-    rig.ended(1, 0, Outcome::Full { wait: Some(2 * SEC) }, 10 * MS);
-    rig.ended(2, 0, Outcome::Full { wait: None }, 10 * MS);
+    rig.ended(1, 0, Outcome::Rejected { retry_after: Some(2 * SEC) }, 10 * MS);
+    rig.ended(2, 0, Outcome::Rejected { retry_after: None }, 10 * MS);
     let over = rig.now + 2 * SEC;
     let all = timed_sends(&rig.pass(4 * SEC));
     assert!(!all.is_empty() && all[0].0 >= over, "{all:?}");
@@ -142,7 +142,7 @@
             while let Some((m, _)) = next.pop() {
                 sent += 1;
                 let attempt = tried.entry(m).or_insert(0);
-                let outcome = if good { Outcome::Delivered } else { Outcome::Full { wait: None } };
+                let outcome = if good { Outcome::Delivered } else { Outcome::Rejected { retry_after: None } };
                 next.extend(sends(&rig.ended(m, *attempt, outcome, 10 * MS)));
                 *attempt += 1;
             }
@@ -167,7 +167,7 @@
     assert_eq!(sends(&rig.keyed(3, "b", 1)), vec![(3, 10)]);
     assert_eq!(sends(&rig.ended(1, 0, Outcome::Delivered, 10 * MS)), vec![(2, 10)]);
     rig.keyed(4, "a", 1);
-    let leaves = rig.turn(vec![Event::ClientLeft { id: 2 }]);
+    let leaves = rig.turn(vec![Event::ClientDisconnected { id: 2 }]);
     assert_eq!(sends(&leaves), vec![], "the attempt of the one before is still out");
     rig.ended(2, 0, Outcome::TimedOut, 10 * MS);
     let rested = rig.now + SEC;
@@ -178,16 +178,17 @@
 
 #[test]
 fn odd_settings_do_not_panic() {
-    for slots in [0, 1] {
+    for call_slots in [0, 1] {
         let bare = Settings {
-            slots,
-            classes: vec![Class { aim: 0, deadline: 0, ..class(Effect::Safe) }],
+            call_slots,
+            classes: vec![Class { latency_objective: 0, deadline: 0, ..class(Idempotency::Idempotent) }],
             ..settings()
         };
-        let huge = Entry { weight: f64::MAX, ..entry(10, 1, 9) };
-        let mut rig = Rig::new(Settings { weights: Weights::Rough, ..bare }, vec![huge]);
-        assert_eq!(sends(&rig.submit(1, 0, 1)).len(), slots);
-        rig.ended(1, 0, Outcome::Full { wait: Some(1 << 54) }, 0);
+        let huge = EndpointEntry { weight: f64::MAX, ..entry(10, 1, 9) };
+        let mut rig =
+            Rig::new(Settings { endpoint_weights: EndpointWeights::Approximate, ..bare }, vec![huge]);
+        assert_eq!(sends(&rig.submit(1, 0, 1)).len(), call_slots);
+        rig.ended(1, 0, Outcome::Rejected { retry_after: Some(1 << 54) }, 0);
         let all = rig.pass(20 * SEC);
         assert_eq!(all.len(), 1, "{all:?}");
     }
@@ -197,18 +198,18 @@
 #[test]
 fn a_refusal_after_a_lull_cuts_the_limit_not_the_rate_lately_sent() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
-    let report = Some(Report { limit: Some(20.0) });
-    let full = Outcome::Full { wait: None };
+    let report = Some(LoadReport { limit: Some(20.0) });
+    let full = Outcome::Rejected { retry_after: None };
     rig.submit(1, 0, 1);
     let (id, attempt, elapsed) = (1, 0, 10 * MS);
-    rig.turn(vec![Event::Ended(Ended {
+    rig.turn(vec![Event::AttemptEnded(AttemptEnded {
         id,
         attempt,
         outcome: full,
         elapsed,
         finished: false,
         report,
-        wait: None,
+        retry_after: None,
         unsent: false,
     })]);
     let (mut sent, end) = (0, rig.now + 4 * SEC);
@@ -230,8 +231,9 @@
 /// Seen in a search for bad days: eager half-empty calls used up a limit on calls, and one sender got nothing.
 #[test]
 fn where_calls_gather_messages_the_pace_starts_at_the_even_part_and_does_not_grow_for_half_empty_calls() {
-    let weighed = Entry { weight: 4.0, ..entry(10, 1, 2) };
-    let mut rig = Rig::new(Settings { weights: Weights::Rough, ..settings() }, vec![weighed]);
+    let weighed = EndpointEntry { weight: 4.0, ..entry(10, 1, 2) };
+    let mut rig =
+        Rig::new(Settings { endpoint_weights: EndpointWeights::Approximate, ..settings() }, vec![weighed]);
     let (mut calls, mut last, end) = (0, 0, rig.now + 10 * SEC);
     let mut id = 0;
     while rig.now < end {
@@ -255,7 +257,7 @@
 #[test]
 fn with_every_slot_taken_calls_long_overdue_are_called_off_but_for_a_few() {
     let hosts = vec![entry(10, 1, 0), entry(20, 2, 0), entry(30, 3, 0)];
-    let mut rig = Rig::new(Settings { cancel: true, ..settings() }, hosts);
+    let mut rig = Rig::new(Settings { cancellation: true, ..settings() }, hosts);
     for id in 0..8 {
         assert_eq!(sends(&rig.submit(id, 2, 1 + id % 2)).len(), 1);
     }
@@ -275,7 +277,7 @@
 fn with_every_slot_taken_a_call_is_called_off_when_it_takes_far_longer_than_usual() {
     let first_off = |deliveries: u64, waits: bool| {
         let hosts = vec![entry(10, 1, 0), entry(20, 2, 0), entry(30, 3, 0)];
-        let mut rig = Rig::new(Settings { cancel: true, ..settings() }, hosts);
+        let mut rig = Rig::new(Settings { cancellation: true, ..settings() }, hosts);
         for id in 0..deliveries {
             rig.submit(id, 0, 1 + id % 2);
             rig.now += 100 * MS;
@@ -322,13 +324,13 @@
 
 #[test]
 fn a_sender_subscribes_at_its_start_and_again_after_a_break() {
-    let mut rig = Rig::new(Settings { ask: true, ..settings() }, vec![entry(10, 1, 0)]);
-    assert_eq!(rig.turn(vec![Event::ListBroken]), vec![], "not at once: the list is under load");
+    let mut rig = Rig::new(Settings { poll_discovery: true, ..settings() }, vec![entry(10, 1, 0)]);
+    assert_eq!(rig.turn(vec![Event::WatchFailed]), vec![], "not at once: the list is under load");
     let again = rig.pass(3 * SEC);
     assert_eq!(again.iter().filter(|(_, a)| *a == Action::Subscribe).count(), 1);
     assert_eq!(sends(&rig.submit(1, 0, 1)), vec![(1, 10)], "the old list stays");
 
-    let mut fresh = plankwalk::Balancer::new(Settings { ask: true, ..settings() }, 1);
+    let mut fresh = message_forwarder::Balancer::new(Settings { poll_discovery: true, ..settings() }, 1);
     let mut actions = Vec::new();
     fresh.on_event(0, Event::TurnEnd, &mut actions);
     assert_eq!(actions[0], Action::Subscribe);
@@ -336,12 +338,15 @@
 
 #[test]
 fn a_key_known_in_one_zone_only_is_not_tried_in_another() {
-    let keyed = class(Effect::Keyed { life: 10 * SEC, per_zone: true });
-    let far = Entry { zone: 1, ..entry(11, 1, 0) };
+    let keyed = class(Idempotency::Keyed { key_lifetime: 10 * SEC, per_zone: true });
+    let far = EndpointEntry { zone: 1, ..entry(11, 1, 0) };
     let mut rig = Rig::new(Settings { classes: vec![keyed], ..settings() }, vec![entry(10, 1, 0), far]);
     let (_, first) = sends(&rig.submit(1, 0, 1))[0];
     rig.ended(1, 0, Outcome::Error, 10 * MS);
-    rig.turn(vec![Event::ListChanges(vec![Entry { listing: Listing::Draining, ..entry(first, 1, 0) }])]);
+    rig.turn(vec![Event::ListUpdate(vec![EndpointEntry {
+        state: EndpointState::Draining,
+        ..entry(first, 1, 0)
+    }])]);
     let all = rig.pass(20 * SEC);
     assert_eq!(timed_sends(&all), vec![]);
     assert!(all.iter().any(|(_, a)| *a == Action::Fail { id: 1 }));
@@ -352,22 +357,22 @@
     for limit in [1e-300, 1e300] {
         let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
         rig.submit(1, 0, 1);
-        let report = Some(Report { limit: Some(limit) });
+        let report = Some(LoadReport { limit: Some(limit) });
         let (outcome, elapsed) = (Outcome::Delivered, 10 * MS);
-        rig.turn(vec![Event::Ended(Ended {
+        rig.turn(vec![Event::AttemptEnded(AttemptEnded {
             id: 1,
             attempt: 0,
             outcome,
             elapsed,
             finished: true,
             report,
-            wait: None,
+            retry_after: None,
             unsent: false,
         })]);
         let sent: usize = (2..5).map(|id| sends(&rig.submit(id, 0, 1)).len()).sum();
         assert_eq!(sent, 3, "a tiny limit holds nothing back");
         // After a huge one a refusal still cuts the pace to what was sent.
-        rig.ended(2, 0, Outcome::Full { wait: None }, 10 * MS);
+        rig.ended(2, 0, Outcome::Rejected { retry_after: None }, 10 * MS);
         rig.now += 4 * SEC;
         let sent: usize = (5..15).map(|id| sends(&rig.submit(id, 0, 1)).len()).sum();
         assert!(sent < 5, "{limit}: {sent}");
@@ -376,7 +381,7 @@
 
 #[test]
 fn where_slots_are_short_a_call_that_carries_many_goes_before_one_that_carries_one() {
-    let mut rig = Rig::new(Settings { slots: 1, ..settings() }, vec![entry(10, 1, 0), entry(20, 2, 2)]);
+    let mut rig = Rig::new(Settings { call_slots: 1, ..settings() }, vec![entry(10, 1, 0), entry(20, 2, 2)]);
     rig.submit(1, 0, 1);
     (2..5).for_each(|id| assert_eq!(sends(&rig.submit(id, 0, 1)), []));
     (5..15).for_each(|id| assert_eq!(sends(&rig.submit(id, 0, 2)), []));
@@ -385,11 +390,11 @@
 }
 
 fn many() -> Settings {
-    Settings { senders: 50, connect_timeout: SEC, ..settings() }
+    Settings { sender_count: 50, connect_timeout: SEC, ..settings() }
 }
 
 fn closed(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Close { .. }))
+    actions.iter().any(|a| matches!(a, Action::CloseIdleConnections { .. }))
 }
 
 /// Seen at a recorded incident: idle connections of hundreds of senders filled the tables of receivers.
@@ -444,25 +449,25 @@
 #[test]
 fn a_refusal_cuts_what_this_sender_sends_and_not_what_is_told_for_all() {
     let mut rig = Rig::new(many(), vec![entry(10, 1, 0)]);
-    let report = Some(Report { limit: Some(6.0) });
+    let report = Some(LoadReport { limit: Some(6.0) });
     for id in 0..20 {
         rig.now += SEC;
         rig.submit(id, 0, 1);
         let (outcome, elapsed) = (Outcome::Delivered, 10 * MS);
-        rig.turn(vec![Event::Ended(Ended {
+        rig.turn(vec![Event::AttemptEnded(AttemptEnded {
             id,
             attempt: 0,
             outcome,
             elapsed,
             finished: true,
             report,
-            wait: None,
+            retry_after: None,
             unsent: false,
         })]);
     }
     rig.now += SEC;
     rig.submit(30, 0, 1);
-    rig.ended(30, 0, Outcome::Full { wait: None }, 10 * MS);
+    rig.ended(30, 0, Outcome::Rejected { retry_after: None }, 10 * MS);
     for id in 31..60 {
         rig.submit(id, 0, 1);
     }
@@ -475,7 +480,7 @@
 fn a_rare_caller_recovers_from_a_refusal_with_time() {
     let mut rig = Rig::new(many(), vec![entry(10, 1, 0)]);
     rig.submit(1, 0, 1);
-    rig.ended(1, 0, Outcome::Full { wait: None }, 10 * MS);
+    rig.ended(1, 0, Outcome::Rejected { retry_after: None }, 10 * MS);
     let mut next = 1;
     for round in 0..4 {
         let sent = timed_sends(&rig.pass(15 * SEC));
@@ -493,10 +498,10 @@
     let mut back = Vec::new();
     for seed in 1..20 {
         let mut rig = Rig::new(many(), vec![entry(10, 1, 0)]);
-        rig.sender = plankwalk::Balancer::new(many(), seed * 7919);
-        rig.turn(vec![Event::ListWhole(vec![entry(10, 1, 0)])]);
+        rig.sender = message_forwarder::Balancer::new(many(), seed * 7919);
+        rig.turn(vec![Event::ListSnapshot(vec![entry(10, 1, 0)])]);
         rig.submit(1, 0, 1);
-        rig.ended(1, 0, Outcome::Full { wait: Some(5 * SEC) }, 10 * MS);
+        rig.ended(1, 0, Outcome::Rejected { retry_after: Some(5 * SEC) }, 10 * MS);
         let end = rig.now + 5 * SEC;
         let sent = timed_sends(&rig.pass(15 * SEC));
         back.extend(sent.first().map(|(at, ..)| at - end));
@@ -510,13 +515,16 @@
 #[test]
 fn first_tries_of_many_senders_that_begin_together_stay_within_the_listed_rate() {
     for kind in [0, 1, 2] {
-        let listed = Entry { weight: 20.0, ..entry(10, 1, kind) };
+        let listed = EndpointEntry { weight: 20.0, ..entry(10, 1, kind) };
         let (mut seconds, mut all) = ([0; 20], 0);
         for seed in 1..=50 {
-            let mut rig = Rig::new(Settings { weights: Weights::Rough, ..many() }, vec![]);
-            rig.sender =
-                plankwalk::Balancer::new(Settings { weights: Weights::Rough, ..many() }, seed * 7919);
-            rig.turn(vec![Event::ListWhole(vec![listed])]);
+            let mut rig =
+                Rig::new(Settings { endpoint_weights: EndpointWeights::Approximate, ..many() }, vec![]);
+            rig.sender = message_forwarder::Balancer::new(
+                Settings { endpoint_weights: EndpointWeights::Approximate, ..many() },
+                seed * 7919,
+            );
+            rig.turn(vec![Event::ListSnapshot(vec![listed])]);
             let (begun, mut sent) = (rig.now, Vec::new());
             for id in 0..5 {
                 sent.extend(sends(&rig.submit(id, 0, 1)).into_iter().map(|(id, _)| (rig.now, id, 10)));
@@ -537,12 +545,12 @@
 /// memory, went on with 20 a second in all, and since refused calls used up the limit none was delivered.
 #[test]
 fn rare_callers_that_are_refused_together_fall_below_what_is_listed_for_all() {
-    let settings = Settings { weights: Weights::Rough, senders: 300, ..many() };
+    let settings = Settings { endpoint_weights: EndpointWeights::Approximate, sender_count: 300, ..many() };
     let mut tries = [0; 40];
     for seed in 1..=30 {
         let mut rig = Rig::new(settings.clone(), vec![]);
-        rig.sender = plankwalk::Balancer::new(settings.clone(), seed * 7919);
-        rig.turn(vec![Event::ListWhole(vec![Entry { weight: 15.0, ..entry(10, 1, 1) }])]);
+        rig.sender = message_forwarder::Balancer::new(settings.clone(), seed * 7919);
+        rig.turn(vec![Event::ListSnapshot(vec![EndpointEntry { weight: 15.0, ..entry(10, 1, 1) }])]);
         let mut attempts = BTreeMap::new();
         for (second, id) in tries.iter_mut().zip(0..) {
             let mut sent: Vec<_> = sends(&rig.submit(id, 0, 1)).into_iter().map(|(id, _)| id).collect();
@@ -550,7 +558,7 @@
             *second += sent.len();
             for id in sent {
                 let attempt: &mut usize = attempts.entry(id).or_default();
-                rig.ended(id, *attempt, Outcome::Full { wait: None }, 100 * MS);
+                rig.ended(id, *attempt, Outcome::Rejected { retry_after: None }, 100 * MS);
                 *attempt += 1;
             }
         }
@@ -565,11 +573,11 @@
 /// to 18 s, with thousands of messages and half of the limit unused.
 #[test]
 fn where_each_may_call_often_no_wait_after_refusals_is_long() {
-    let settings = Settings { weights: Weights::Rough, senders: 300, ..many() };
+    let settings = Settings { endpoint_weights: EndpointWeights::Approximate, sender_count: 300, ..many() };
     for seed in 1..=10 {
         let mut rig = Rig::new(settings.clone(), vec![]);
-        rig.sender = plankwalk::Balancer::new(settings.clone(), seed * 7919);
-        rig.turn(vec![Event::ListWhole(vec![Entry { weight: 300.0, ..entry(10, 1, 0) }])]);
+        rig.sender = message_forwarder::Balancer::new(settings.clone(), seed * 7919);
+        rig.turn(vec![Event::ListSnapshot(vec![EndpointEntry { weight: 300.0, ..entry(10, 1, 0) }])]);
         let (mut last, mut tries, mut attempts) = (rig.now, 0, BTreeMap::new());
         for id in 0..40 {
             let mut sent: Vec<_> = sends(&rig.submit(id, 0, 1)).into_iter().map(|s| (rig.now, s.0)).collect();
@@ -578,7 +586,7 @@
                 assert!(at - last <= 7 * SEC, "{} ms between two tries, seed {seed}", (at - last) / MS);
                 (last, tries) = (at, tries + 1);
                 let attempt: &mut usize = attempts.entry(id).or_default();
-                rig.ended(id, *attempt, Outcome::Full { wait: Some(200 * MS) }, 100 * MS);
+                rig.ended(id, *attempt, Outcome::Rejected { retry_after: Some(200 * MS) }, 100 * MS);
                 *attempt += 1;
             }
         }
@@ -590,14 +598,14 @@
 /// call of each message, and a limit on calls refused what full calls would have carried.
 #[test]
 fn where_many_share_a_limit_on_calls_messages_gather_inside_their_aim() {
-    let settings = Settings { weights: Weights::Rough, ..many() };
-    let batches = Entry { weight: 1000.0, ..entry(10, 1, 2) };
+    let settings = Settings { endpoint_weights: EndpointWeights::Approximate, ..many() };
+    let batches = EndpointEntry { weight: 1000.0, ..entry(10, 1, 2) };
     let mut rig = Rig::new(settings.clone(), vec![batches]);
     rig.now += SEC;
     let begun = rig.now;
     let mut sent = Vec::new();
     for id in 1..=4 {
-        sent.extend(sends(&rig.submit(id, 0, 1)).into_iter().map(|(id, target)| (rig.now, id, target)));
+        sent.extend(sends(&rig.submit(id, 0, 1)).into_iter().map(|(id, endpoint)| (rig.now, id, endpoint)));
         sent.extend(timed_sends(&rig.pass(200 * MS)));
     }
     sent.extend(timed_sends(&rig.pass(3 * SEC)));
@@ -608,7 +616,7 @@
     rig.ended(1, 0, Outcome::Delivered, 50 * MS);
     let full: Vec<_> = (10..30).flat_map(|id| sends(&rig.submit(id, 0, 1))).collect();
     assert_eq!(full.len(), 20);
-    let mut rig = Rig::new(settings, vec![Entry { weight: 1000.0, ..entry(10, 1, 0) }]);
+    let mut rig = Rig::new(settings, vec![EndpointEntry { weight: 1000.0, ..entry(10, 1, 0) }]);
     rig.now += SEC;
     assert_eq!(sends(&rig.submit(1, 0, 1)).len(), 1);
 }
@@ -617,7 +625,7 @@
 #[test]
 fn a_message_of_an_unknown_class_is_refused_at_once_and_a_known_id_is_passed_over() {
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
-    assert_eq!(rig.submit(1, 99, 1), vec![Action::Refuse { id: 1, wait: 0 }]);
+    assert_eq!(rig.submit(1, 99, 1), vec![Action::Reject { id: 1, retry_after: 0 }]);
     assert_eq!(sends(&rig.submit(2, 0, 1)).len(), 1);
     assert_eq!(rig.submit(2, 0, 1), vec![], "its first self is still out");
     rig.ended(2, 0, Outcome::Delivered, 10 * MS);
@@ -628,24 +636,24 @@
 #[test]
 fn a_sender_moves_between_threads() {
     fn send<T: Send>() {}
-    send::<plankwalk::Balancer>();
+    send::<message_forwarder::Balancer>();
 }
 
 /// Clients may come with little time left and leave: theirs is as good as any until then.
 #[test]
 fn a_client_with_less_patience_than_the_aim_is_on_time_until_it_leaves() {
-    let mut rig = Rig::new(Settings { slots: 1, ..settings() }, vec![entry(10, 1, 0), entry(20, 2, 0)]);
+    let mut rig = Rig::new(Settings { call_slots: 1, ..settings() }, vec![entry(10, 1, 0), entry(20, 2, 0)]);
     rig.submit(1, 0, 1);
-    let late = Submit {
+    let late = Submission {
         id: 2,
         class: 0,
         tenant: None,
         key: None,
-        give_up_at: rig.now + 12 * SEC,
-        dest: 1,
-        past: Past::default(),
+        expires_at: rig.now + 12 * SEC,
+        destination: 1,
+        history: MessageHistory::default(),
     };
-    let brief = Submit { id: 3, give_up_at: rig.now + 2 * SEC, dest: 2, ..late.clone() };
+    let brief = Submission { id: 3, expires_at: rig.now + 2 * SEC, destination: 2, ..late.clone() };
     rig.turn(vec![Event::Submit(late), Event::Submit(brief)]);
     assert_eq!(sends(&rig.ended(1, 0, Outcome::Delivered, 100 * MS)), vec![(3, 20)]);
 }
@@ -656,25 +664,25 @@
     let mut trials = 0;
     for seed in 1..=50 {
         let mut rig = Rig::new(many(), vec![entry(10, 1, 0)]);
-        rig.sender = plankwalk::Balancer::new(many(), seed * 104_729);
-        rig.turn(vec![Event::ListWhole(vec![entry(10, 1, 0)])]);
-        let report = Some(Report { limit: Some(50.0) });
-        let (outcome, elapsed) = (Outcome::Full { wait: Some(4 * SEC) }, 10 * MS);
+        rig.sender = message_forwarder::Balancer::new(many(), seed * 104_729);
+        rig.turn(vec![Event::ListSnapshot(vec![entry(10, 1, 0)])]);
+        let report = Some(LoadReport { limit: Some(50.0) });
+        let (outcome, elapsed) = (Outcome::Rejected { retry_after: Some(4 * SEC) }, 10 * MS);
         rig.submit(1, 0, 1);
-        rig.turn(vec![Event::Ended(Ended {
+        rig.turn(vec![Event::AttemptEnded(AttemptEnded {
             id: 1,
             attempt: 0,
             outcome,
             elapsed,
             finished: false,
             report,
-            wait: None,
+            retry_after: None,
             unsent: false,
         })]);
         rig.now += 4 * SEC;
         for id in 2..20 {
             let mut sent = sends(&rig.submit(id, 0, 1));
-            sent.extend(timed_sends(&rig.pass(SEC)).iter().map(|(_, id, target)| (*id, *target)));
+            sent.extend(timed_sends(&rig.pass(SEC)).iter().map(|(_, id, endpoint)| (*id, *endpoint)));
             trials += sent.len();
             for (id, _) in sent {
                 let attempt = usize::from(id == 1);
@@ -687,28 +695,40 @@
 }
 
 /// A message of an earlier process comes back with what is known of it.
-fn resumed(class: usize, past: Past) -> Vec<Action> {
+fn resumed(class: usize, history: MessageHistory) -> Vec<Action> {
     let mut rig = Rig::new(settings(), vec![entry(1, 1, 0)]);
-    let past = Past { risk: past.risk.map(|(ago, zone)| (rig.now - ago, zone)), ..past };
-    let give_up_at = rig.now + 9 * SEC;
-    rig.turn(vec![Event::Submit(Submit { id: 1, class, tenant: None, key: None, give_up_at, dest: 1, past })])
+    let sent_ago = |first: PossibleExecution| PossibleExecution { sent_at: rig.now - first.sent_at, ..first };
+    let history = MessageHistory { possible_execution: history.possible_execution.map(sent_ago), ..history };
+    let expires_at = rig.now + 9 * SEC;
+    rig.turn(vec![Event::Submit(Submission {
+        id: 1,
+        class,
+        tenant: None,
+        key: None,
+        expires_at,
+        destination: 1,
+        history,
+    })])
 }
 
 #[test]
 fn a_resumed_message_keeps_its_attempts_and_its_risk() {
-    let past =
-        |attempts, ago: Option<Micros>| Past { attempts, risk: ago.map(|ago| (ago, 0)), ..Past::default() };
+    let history = |attempts, ago: Option<Micros>| MessageHistory {
+        attempts,
+        possible_execution: ago.map(|sent_at| PossibleExecution { sent_at, zone: 0 }),
+        ..MessageHistory::default()
+    };
     let goes = |actions: &[Action]| !sends(actions).is_empty();
     let fails = |actions: &[Action]| actions.contains(&Action::Fail { id: 1 });
     // Never ran: it goes on, while it has attempts left; then it is handed back.
-    assert!(goes(&resumed(2, past(3, None))));
-    let spent = resumed(2, past(6, None));
-    assert!(!goes(&spent) && spent.iter().any(|a| matches!(a, Action::Refuse { id: 1, .. })));
+    assert!(goes(&resumed(2, history(3, None))));
+    let spent = resumed(2, history(6, None));
+    assert!(!goes(&spent) && spent.iter().any(|a| matches!(a, Action::Reject { id: 1, .. })));
     // May have run: never again if unsafe, within its window if keyed, freely if safe.
-    assert!(fails(&resumed(2, past(1, Some(SEC)))));
-    assert!(goes(&resumed(1, past(1, Some(SEC)))));
-    assert!(fails(&resumed(1, past(1, Some(6 * SEC)))));
-    assert!(goes(&resumed(0, past(1, Some(6 * SEC)))));
+    assert!(fails(&resumed(2, history(1, Some(SEC)))));
+    assert!(goes(&resumed(1, history(1, Some(SEC)))));
+    assert!(fails(&resumed(1, history(1, Some(6 * SEC)))));
+    assert!(goes(&resumed(0, history(1, Some(6 * SEC)))));
 }
 
 #[test]
@@ -746,20 +766,21 @@
     let mut rig = Rig::new(settings(), vec![entry(10, 1, 0)]);
     for id in 0..6 {
         assert_eq!(sends(&rig.submit(id, 1, 1)), [(id, 10)]);
-        assert_eq!(sends(&rig.ended(id, 0, Outcome::Dead, 10 * MS)), [(id, 10)], "at once");
+        assert_eq!(sends(&rig.ended(id, 0, Outcome::StaleConnection, 10 * MS)), [(id, 10)], "at once");
         assert!(rig.ended(id, 1, Outcome::Delivered, 10 * MS).is_empty());
     }
     // What must not run twice may have: it is given up, and that at once.
     assert_eq!(sends(&rig.submit(9, 2, 1)), [(9, 10)]);
-    assert_eq!(rig.ended(9, 0, Outcome::Dead, 10 * MS), [Action::Fail { id: 9 }]);
+    assert_eq!(rig.ended(9, 0, Outcome::StaleConnection, 10 * MS), [Action::Fail { id: 9 }]);
 }
 
 #[test]
 fn refusals_of_one_wave_cut_the_pace_once_whatever_is_delivered_between_them() {
-    let full = Outcome::Full { wait: Some(100 * MS) };
+    let full = Outcome::Rejected { retry_after: Some(100 * MS) };
     let sent_after = |ends: [Outcome; 3]| {
-        let listed = Entry { weight: 20.0, ..entry(10, 1, 0) };
-        let mut rig = Rig::new(Settings { weights: Weights::Nominal, ..settings() }, vec![listed]);
+        let listed = EndpointEntry { weight: 20.0, ..entry(10, 1, 0) };
+        let mut rig =
+            Rig::new(Settings { endpoint_weights: EndpointWeights::Nominal, ..settings() }, vec![listed]);
         for id in 0..3 {
             assert_eq!(sends(&rig.submit(id, 0, 1)).len(), 1, "message {id} goes unspaced");
         }
@@ -784,12 +805,13 @@
 
 #[test]
 fn a_refusal_leaves_a_rare_caller_its_even_part_of_the_listed_rate() {
-    let listed = Entry { weight: 20.0, ..entry(10, 1, 0) };
-    let mut rig = Rig::new(Settings { weights: Weights::Rough, ..settings() }, vec![listed]);
+    let listed = EndpointEntry { weight: 20.0, ..entry(10, 1, 0) };
+    let mut rig =
+        Rig::new(Settings { endpoint_weights: EndpointWeights::Approximate, ..settings() }, vec![listed]);
     // It has sent next to nothing when it meets a limit that others use up.
     assert_eq!(sends(&rig.submit(1, 0, 1)).len(), 1);
     rig.pass(50 * MS);
-    rig.ended(1, 0, Outcome::Full { wait: None }, 50 * MS);
+    rig.ended(1, 0, Outcome::Rejected { retry_after: None }, 50 * MS);
     (10..40).for_each(|id| drop(rig.submit(id, 0, 1)));
     let mut sent = 0;
     for _ in 0..200 {
@@ -804,7 +826,7 @@
 
 #[test]
 fn calls_lost_by_an_endpoint_that_answers_again_do_not_keep_their_places_under_the_cap() {
-    let mut rig = Rig::new(Settings { cancel: true, ..settings() }, vec![entry(10, 1, 0)]);
+    let mut rig = Rig::new(Settings { cancellation: true, ..settings() }, vec![entry(10, 1, 0)]);
     for id in 100..140 {
         assert_eq!(sends(&rig.submit(id, 2, 1)), [(id, 10)]);
         rig.pass(100 * MS);
@@ -835,24 +857,24 @@
 fn a_banned_endpoint_is_left_out_whatever_the_list_says_and_comes_back_cold() {
     for kind in [0, 1] {
         let mut rig = Rig::new(settings(), vec![entry(1, 10, kind), entry(2, 10, kind)]);
-        rig.turn(vec![Event::Ban { target: 1 }]);
-        rig.turn(vec![Event::ListWhole(vec![entry(1, 10, kind), entry(2, 10, kind)])]);
+        rig.turn(vec![Event::BanStarted { endpoint: 1 }]);
+        rig.turn(vec![Event::ListSnapshot(vec![entry(1, 10, kind), entry(2, 10, kind)])]);
         for id in 0..20 {
             let sent = sends(&rig.submit(id, 0, 10));
-            assert!(sent.iter().all(|(_, target)| *target == 2), "{sent:?}");
+            assert!(sent.iter().all(|(_, endpoint)| *endpoint == 2), "{sent:?}");
             for (id, _) in sent {
                 rig.ended(id, 0, Outcome::Delivered, 50 * MS);
             }
             rig.pass(SEC / 10);
         }
         // With the other one out, what comes back is met with a trickle.
-        rig.turn(vec![Event::Ban { target: 2 }, Event::BanEnded { target: 1 }]);
+        rig.turn(vec![Event::BanStarted { endpoint: 2 }, Event::BanEnded { endpoint: 1 }]);
         let mut sent = 0;
         for id in 100..300 {
             let mut out = sends(&rig.submit(id, 0, 10));
-            out.extend(timed_sends(&rig.pass(5 * MS)).into_iter().map(|(_, id, target)| (id, target)));
-            for (id, target) in out {
-                assert_eq!(target, 1);
+            out.extend(timed_sends(&rig.pass(5 * MS)).into_iter().map(|(_, id, endpoint)| (id, endpoint)));
+            for (id, endpoint) in out {
+                assert_eq!(endpoint, 1);
                 sent += 1;
                 rig.ended(id, 0, Outcome::Delivered, 0);
             }
@@ -865,17 +887,17 @@
 #[test]
 fn a_drain_only_turns_clients_away() {
     let mut rig = Rig::new(settings(), vec![entry(1, 10, 0)]);
-    assert_eq!(rig.turn(vec![Event::Drain]), [Action::Admit(false)]);
+    assert_eq!(rig.turn(vec![Event::Drain]), [Action::AcceptClients(false)]);
     assert_eq!(sends(&rig.submit(1, 0, 10)), [(1, 1)]);
-    assert_eq!(rig.turn(vec![Event::Resume]), [Action::Admit(true)]);
+    assert_eq!(rig.turn(vec![Event::Resume]), [Action::AcceptClients(true)]);
 }
 
 #[test]
 fn near_the_bound_the_new_message_gives_way_to_one_that_was_taken_on() {
-    let mut rig = Rig::new(Settings { open_cap: 64, ..settings() }, vec![entry(10, 1, 0)]);
+    let mut rig = Rig::new(Settings { max_open_messages: 64, ..settings() }, vec![entry(10, 1, 0)]);
     // Nothing can go: a long wait.
     rig.submit(0, 0, 1);
-    rig.ended(0, 0, Outcome::Full { wait: Some(10 * SEC) }, 10 * MS);
+    rig.ended(0, 0, Outcome::Rejected { retry_after: Some(10 * SEC) }, 10 * MS);
     for id in 1..62 {
         assert_eq!(rig.submit(id, 0, 1), vec![]);
     }
@@ -883,7 +905,7 @@
         rig.pass(5 * MS);
         let given_back = rig.submit(id, 0, 1);
         assert!(
-            matches!(given_back[..], [Action::Refuse { id: given, .. }] if given == id),
+            matches!(given_back[..], [Action::Reject { id: given, .. }] if given == id),
             "{given_back:?}"
         );
     }
@@ -892,9 +914,9 @@
 #[test]
 fn a_class_that_was_crowded_out_goes_before_one_of_more_worth_that_was_not() {
     let mut s = settings();
-    s.classes[0].worth = 3.0;
-    s.classes[2].worth = 1.0;
-    s.slots = 1;
+    s.classes[0].priority_weight = 3.0;
+    s.classes[2].priority_weight = 1.0;
+    s.call_slots = 1;
     let mut rig = Rig::new(s, vec![entry(10, 1, 0), entry(20, 2, 0)]);
     let first = |rig: &mut Rig, id: MessageId| {
         rig.submit(id, 0, 2);
@@ -908,8 +930,10 @@
     assert_eq!(first(&mut rig, 100), 102, "worth decides");
     // Five of the other class end for want of an endpoint.
     for id in 0..5 {
-        let (give_up_at, past) = (rig.now + 20 * MS, Past { taken_on: true, ..Past::default() });
-        let submit = Submit { id, class: 2, tenant: None, key: None, give_up_at, dest: 9, past };
+        let (expires_at, history) =
+            (rig.now + 20 * MS, MessageHistory { accepted: true, ..MessageHistory::default() });
+        let submit =
+            Submission { id, class: 2, tenant: None, key: None, expires_at, destination: 9, history };
         rig.turn(vec![Event::Submit(submit)]);
     }
     assert_eq!(rig.pass(50 * MS).len(), 5);
@@ -918,28 +942,28 @@
 
 #[test]
 fn a_tenants_share_is_shared_by_all_senders() {
-    let first = |senders| {
+    let first = |sender_count| {
         let s = Settings {
             tenants: vec![Tenant { quota: 40.0 }],
-            senders,
-            over_share_worth: 0.1,
-            slots: 1,
+            sender_count,
+            over_quota_weight: 0.1,
+            call_slots: 1,
             ..settings()
         };
         let mut rig = Rig::new(s, vec![entry(10, 1, 0)]);
         rig.submit(0, 0, 1);
         // Twenty in one moment: far under the whole share, and far over a hundredth of it.
         for id in 1..=21 {
-            let (give_up_at, tenant) = (rig.now + 16 * SEC, (id <= 20).then_some(0));
-            let past = Past::default();
-            rig.turn(vec![Event::Submit(Submit {
+            let (expires_at, tenant) = (rig.now + 16 * SEC, (id <= 20).then_some(0));
+            let history = MessageHistory::default();
+            rig.turn(vec![Event::Submit(Submission {
                 id,
                 class: 0,
                 tenant,
                 key: None,
-                give_up_at,
-                dest: 1,
-                past,
+                expires_at,
+                destination: 1,
+                history,
             })]);
         }
         let mut order = Vec::new();
@@ -955,22 +979,22 @@
 
 #[test]
 fn what_a_restart_found_untried_goes_before_what_is_new() {
-    let mut rig = Rig::new(Settings { slots: 1, ..settings() }, vec![entry(10, 1, 0)]);
+    let mut rig = Rig::new(Settings { call_slots: 1, ..settings() }, vec![entry(10, 1, 0)]);
     rig.submit(0, 0, 1);
     rig.submit(1, 0, 1);
     // Both are late: by its worth each would come after the new one.
     for (id, attempts) in [(2, 0), (3, 1)] {
-        let past = Past { taken_on: true, attempts, ..Past::default() };
-        let give_up_at = rig.now + 2 * SEC;
+        let history = MessageHistory { accepted: true, attempts, ..MessageHistory::default() };
+        let expires_at = rig.now + 2 * SEC;
         rig.now += 5 * MS;
-        rig.turn(vec![Event::Submit(Submit {
+        rig.turn(vec![Event::Submit(Submission {
             id,
             class: 0,
             tenant: None,
             key: None,
-            give_up_at,
-            dest: 1,
-            past,
+            expires_at,
+            destination: 1,
+            history,
         })]);
     }
     let next = sends(&rig.ended(0, 0, Outcome::Delivered, 10 * MS));
@@ -980,28 +1004,34 @@
 #[test]
 fn a_call_that_never_got_there_leaves_its_place_in_the_pace_to_the_next() {
     // A listed rate of 10 a second, and 100 senders: a call each ten seconds, or at first each five.
-    let many = Settings { senders: 100, weights: Weights::Nominal, connect_timeout: SEC, ..settings() };
-    let entries = || [1, 2].map(|target| Entry { weight: 10.0, ..entry(target, 7, 0) }).to_vec();
+    let many = Settings {
+        sender_count: 100,
+        endpoint_weights: EndpointWeights::Nominal,
+        connect_timeout: SEC,
+        ..settings()
+    };
+    let entries = || [1, 2].map(|endpoint| EndpointEntry { weight: 10.0, ..entry(endpoint, 7, 0) }).to_vec();
     for got_there in [false, true] {
         let mut rig = Rig::new(many.clone(), entries());
         rig.submit(0, 0, 7);
-        let (_, first, target) = timed_sends(&rig.pass(6 * SEC))[0];
+        let (_, first, endpoint) = timed_sends(&rig.pass(6 * SEC))[0];
         rig.submit(1, 0, 7);
-        let outcome = if got_there { Outcome::Full { wait: None } } else { Outcome::ConnectFailed };
-        let mut actions = rig.turn(vec![Event::Ended(Ended {
+        let outcome =
+            if got_there { Outcome::Rejected { retry_after: None } } else { Outcome::ConnectFailed };
+        let mut actions = rig.turn(vec![Event::AttemptEnded(AttemptEnded {
             id: first,
             attempt: 0,
             outcome,
             elapsed: MS,
             finished: false,
             report: None,
-            wait: None,
+            retry_after: None,
             unsent: !got_there,
         })]);
         actions.extend(rig.pass(50 * MS).into_iter().map(|(_, action)| action));
         // On the other endpoint, and once: the next one waits for its turn.
         let sent = sends(&actions);
         assert_eq!(sent.len(), usize::from(!got_there), "{sent:?}");
-        assert!(sent.iter().all(|(_, to)| *to != target));
+        assert!(sent.iter().all(|(_, to)| *to != endpoint));
     }
 }
--- a/tests/simulator_adapter_history.rs
+++ b/tests/simulator_adapter_history.rs
@@ -6,7 +6,7 @@
 
 mod support_history;
 
-use plankwalk::wire::serve;
+use message_forwarder::simulator::serve;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -167,12 +167,12 @@
         Discovery { addr, lists, notices }
     }
 
-    pub fn push(&self, rev: u64, targets: Vec<Value>) {
-        let _ = self.lists.send(json!({"rev": rev, "all": false, "targets": targets}));
+    pub fn push(&self, rev: u64, endpoints: Vec<Value>) {
+        let _ = self.lists.send(json!({"rev": rev, "all": false, "targets": endpoints}));
     }
 
-    pub fn push_whole(&self, rev: u64, targets: Vec<Value>) {
-        let _ = self.lists.send(json!({"rev": rev, "all": true, "targets": targets}));
+    pub fn push_whole(&self, rev: u64, endpoints: Vec<Value>) {
+        let _ = self.lists.send(json!({"rev": rev, "all": true, "targets": endpoints}));
     }
 
     pub async fn next_notice(&mut self) -> Call {
@@ -200,8 +200,8 @@
     }
 }
 
-pub fn target(uid: &str, at: SocketAddr, dest: u64, model: &str, state: &str) -> Value {
-    json!({"uid": uid, "endpoint": at.to_string(), "az": "a", "model": model, "pod_group": dest,
+pub fn endpoint(uid: &str, at: SocketAddr, destination: u64, model: &str, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": at.to_string(), "az": "a", "model": model, "pod_group": destination,
            "state": state, "capacity_hint": 50.0, "boot_ms": 0})
 }
 
@@ -263,7 +263,7 @@
     ) -> Self {
         static STARTED: AtomicUsize = AtomicUsize::new(0);
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
-        let folder = env::temp_dir().join(format!("yarrowhill-test-{}-{number}", process::id()));
+        let folder = env::temp_dir().join(format!("forwarder-test-{}-{number}", process::id()));
         fs::create_dir_all(folder.join("state")).expect("a temporary folder");
         // An address of its own: nobody else takes the port between its choice and the start.
         let pid = process::id();
@@ -382,14 +382,20 @@
     }
 
     /// The same for another destination.
-    pub async fn hand_in_for(&self, dest: u64, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
+    pub async fn hand_in_for(
+        &self,
+        destination: u64,
+        class: &str,
+        id: &str,
+        deadline_ms: u64,
+    ) -> Response<Bytes> {
         let deadline = deadline_ms.to_string();
         let headers = [
             ("Req-Id", id),
             ("Req-Owner", "acme"),
             ("Req-Deadline-Ms", &deadline),
             ("Idempotency-Key", &format!("key-{id}")),
-            ("Envelope", &format!("dest={dest}")),
+            ("Envelope", &format!("dest={destination}")),
         ];
         let body = format!("\0body of {id}");
         let path = format!("/{class}");
@@ -466,7 +472,7 @@
 }
 
 fn spawn(folder: &Path, listener: Option<&std::net::TcpListener>, admin: Option<SocketAddr>) -> Child {
-    let program = env!("CARGO_BIN_EXE_yarrowhill");
+    let program = env!("CARGO_BIN_EXE_forwarder");
     let mut command = Command::new(program);
     if let Some(listener) = listener {
         let listener = listener.try_clone().expect("a descriptor");
--- a/tests/support_history/translation.rs
+++ b/tests/support_history/translation.rs
@@ -1,11 +1,11 @@
 //! The only place where the recorded histories of decisions name types of the package.
 //!
-//! The numbers in [`encode_decision`], [`encode_backlog`] and [`encode_learnt`] are part of the recording: a
+//! The numbers in [`encode_decision`], [`encode_backlog`] and [`encode_learned`] are part of the recording: a
 //! rename in the package changes the left sides here and nothing else.
 
 use super::support_history::Digest;
-use plankwalk::Balancer;
-use plankwalk::api::*;
+use message_forwarder::Balancer;
+use message_forwarder::interface::*;
 
 pub const MILLISECOND: i64 = 1_000;
 pub const SECOND: i64 = 1_000_000;
@@ -40,55 +40,55 @@
 }
 
 pub fn settings(profile: &Profile) -> Settings {
-    let class = |effect, worth, ordered| Class {
-        effect,
-        aim: 2 * SECOND,
+    let class = |idempotency, priority_weight, ordered| Class {
+        idempotency,
+        latency_objective: 2 * SECOND,
         deadline: 12 * SECOND,
-        worth,
-        late_share: 0.3,
+        priority_weight,
+        late_weight_fraction: 0.3,
         ordered,
     };
-    let keyed = |per_zone| Effect::Keyed { life: 5 * SECOND, per_zone };
+    let keyed = |per_zone| Idempotency::Keyed { key_lifetime: 5 * SECOND, per_zone };
     Settings {
         classes: vec![
-            class(Effect::Safe, 1.0, false),
+            class(Idempotency::Idempotent, 1.0, false),
             class(keyed(false), 3.0, false),
             class(keyed(true), 2.0, false),
-            class(Effect::Unsafe, 5.0, false),
-            class(Effect::Safe, 1.0, true),
-            Class { aim: 3 * SECOND, ..class(Effect::Unsafe, 4.0, true) },
+            class(Idempotency::NotIdempotent, 5.0, false),
+            class(Idempotency::Idempotent, 1.0, true),
+            Class { latency_objective: 3 * SECOND, ..class(Idempotency::NotIdempotent, 4.0, true) },
         ],
         kinds: vec![
-            Kind { routes_apart: false, batch: 1 },
-            Kind { routes_apart: true, batch: 1 },
-            Kind { routes_apart: false, batch: BATCH },
+            DestinationKind { separate_routes: false, batch: 1 },
+            DestinationKind { separate_routes: true, batch: 1 },
+            DestinationKind { separate_routes: false, batch: BATCH },
         ],
         tenants: vec![Tenant { quota: 1.0 }, Tenant { quota: 5.0 }, Tenant { quota: 1e9 }],
-        over_share_worth: 0.25,
-        decay: if profile.halves { Decay::Halves } else { Decay::Line },
+        over_quota_weight: 0.25,
+        weight_decay: if profile.halves { WeightDecay::HalfLife } else { WeightDecay::Linear },
         zone: 0,
-        senders: profile.senders,
-        slots: profile.slots,
-        open_cap: profile.open_cap,
+        sender_count: profile.senders,
+        call_slots: profile.slots,
+        max_open_messages: profile.open_cap,
         max_attempts: 5,
-        cancel: profile.cancel,
+        cancellation: profile.cancel,
         retry_after: true,
         max_retry_after: 3 * SECOND,
-        ask: profile.ask,
-        ask_within: SECOND,
-        weights: match profile.weights {
-            0 => Weights::Off,
-            1 => Weights::Nominal,
-            _ => Weights::Rough,
+        poll_discovery: profile.ask,
+        max_list_age: SECOND,
+        endpoint_weights: match profile.weights {
+            0 => EndpointWeights::Off,
+            1 => EndpointWeights::Nominal,
+            _ => EndpointWeights::Approximate,
         },
-        idle_close: 4 * SECOND,
+        idle_timeout: 4 * SECOND,
         connect_timeout: SECOND,
-        round: 5 * MILLISECOND,
-        fall_multiple: 2.0,
-        overload_for: 3 * SECOND,
-        start_capacity: 0.2,
-        warm_after: 8 * SECOND,
-        turn_gap: SECOND,
+        min_turn_interval: 5 * MILLISECOND,
+        overload_factor: 2.0,
+        overload_window: 3 * SECOND,
+        initial_capacity: 0.2,
+        warm_up_time: 8 * SECOND,
+        ordering_gap: SECOND,
     }
 }
 
@@ -111,12 +111,12 @@
     match ending {
         Ending::Delivered => Outcome::Delivered,
         Ending::Error => Outcome::Error,
-        Ending::Full(wait) => Outcome::Full { wait },
+        Ending::Full(wait) => Outcome::Rejected { retry_after: wait },
         Ending::TimedOut => Outcome::TimedOut,
         Ending::ConnectFailed => Outcome::ConnectFailed,
         Ending::Reset => Outcome::Reset,
-        Ending::Spoilt => Outcome::Spoilt,
-        Ending::Dead => Outcome::Dead,
+        Ending::Spoilt => Outcome::InvalidResponse,
+        Ending::Dead => Outcome::StaleConnection,
         Ending::Cancelled => Outcome::Cancelled,
         Ending::NotSent => Outcome::NotSent,
     }
@@ -141,16 +141,16 @@
     pub listed: Listed,
 }
 
-fn entry(endpoint: &Endpoint) -> Entry {
-    Entry {
-        target: endpoint.id,
-        dest: endpoint.destination,
+fn entry(endpoint: &Endpoint) -> EndpointEntry {
+    EndpointEntry {
+        endpoint: endpoint.id,
+        destination: endpoint.destination,
         zone: endpoint.zone,
         kind: endpoint.kind,
-        listing: match endpoint.listed {
-            Listed::Serving => Listing::Serving,
-            Listed::Draining => Listing::Draining,
-            Listed::Deleted => Listing::Deleted,
+        state: match endpoint.listed {
+            Listed::Serving => EndpointState::Serving,
+            Listed::Draining => EndpointState::Draining,
+            Listed::Deleted => EndpointState::Deleted,
         },
         weight: endpoint.weight,
     }
@@ -159,8 +159,8 @@
 /// A call of an earlier process: its number, its endpoint and when it was sent.
 pub type OpenCall = (u64, u64, i64);
 
-fn still_out((call, target, sent): OpenCall) -> StillOut {
-    StillOut { call, target, sent }
+fn inherited_call((call, endpoint, sent_at): OpenCall) -> InheritedCall {
+    InheritedCall { call, endpoint, sent_at }
 }
 
 /// What the histories hand in; see the events of the package.
@@ -216,23 +216,39 @@
             risk,
             open_call,
         } => {
-            let past = Past { taken_on, attempts, risk, out: open_call.map(still_out) };
-            Event::Submit(Submit { id, class, tenant, key, give_up_at, dest: destination, past })
+            let history = MessageHistory {
+                accepted: taken_on,
+                attempts,
+                possible_execution: risk.map(|(sent_at, zone)| PossibleExecution { sent_at, zone }),
+                in_flight: open_call.map(inherited_call),
+            };
+            Event::Submit(Submission { id, class, tenant, key, expires_at: give_up_at, destination, history })
         }
         Input::Ended { id, attempt, ending, elapsed, finished, report, unsent, wait } => {
-            let (outcome, report) = (outcome(ending), report.map(|limit| Report { limit }));
-            Event::Ended(Ended { id, attempt, outcome, elapsed, finished, report, unsent, wait })
+            let (outcome, report) = (outcome(ending), report.map(|limit| LoadReport { limit }));
+            Event::AttemptEnded(AttemptEnded {
+                id,
+                attempt,
+                outcome,
+                elapsed,
+                finished,
+                report,
+                unsent,
+                retry_after: wait,
+            })
+        }
+        Input::Started(id) => Event::ResponseStarted { id },
+        Input::ClientLeft(id) => Event::ClientDisconnected { id },
+        Input::WholeList(endpoints) => Event::ListSnapshot(endpoints.iter().map(entry).collect()),
+        Input::ListChanges(endpoints) => Event::ListUpdate(endpoints.iter().map(entry).collect()),
+        Input::Ban(endpoint) => Event::BanStarted { endpoint },
+        Input::BanEnded(endpoint) => Event::BanEnded { endpoint },
+        Input::StillOut(id, attempt, call) => {
+            Event::InheritedAttempt { id, attempt, call: inherited_call(call) }
         }
-        Input::Started(id) => Event::Started { id },
-        Input::ClientLeft(id) => Event::ClientLeft { id },
-        Input::WholeList(endpoints) => Event::ListWhole(endpoints.iter().map(entry).collect()),
-        Input::ListChanges(endpoints) => Event::ListChanges(endpoints.iter().map(entry).collect()),
-        Input::Ban(target) => Event::Ban { target },
-        Input::BanEnded(target) => Event::BanEnded { target },
-        Input::StillOut(id, attempt, call) => Event::StillOut { id, attempt, out: still_out(call) },
         Input::Drain => Event::Drain,
         Input::Resume => Event::Resume,
-        Input::ListBroken => Event::ListBroken,
+        Input::ListBroken => Event::WatchFailed,
         Input::Wake => Event::Wake,
         Input::TurnEnd => Event::TurnEnd,
     }
@@ -253,16 +269,16 @@
 
 fn decision(action: &Action) -> Decision {
     match *action {
-        Action::Send { id, target, timeout, latest } => {
-            Decision::Send { id, endpoint: target, timeout, latest }
+        Action::Send { id, endpoint, timeout, send_before } => {
+            Decision::Send { id, endpoint, timeout, latest: send_before }
         }
-        Action::Refuse { id, wait } => Decision::Refuse { id, wait },
+        Action::Reject { id, retry_after: wait } => Decision::Refuse { id, wait },
         Action::Fail { id } => Decision::Fail { id },
         Action::Cancel { id, attempt } => Decision::Cancel { id, attempt },
-        Action::Close { target } => Decision::Close { endpoint: target },
+        Action::CloseIdleConnections { endpoint } => Decision::Close { endpoint },
         Action::Wake { at } => Decision::Wake { at },
         Action::Subscribe => Decision::Subscribe,
-        Action::Admit(open) => Decision::Admit(open),
+        Action::AcceptClients(open) => Decision::Admit(open),
     }
 }
 
@@ -282,17 +298,17 @@
         actions.iter().map(decision).collect()
     }
 
-    /// Gives all that `earlier` has learnt to this one.
+    /// Gives all that `earlier` has learned to this one.
     pub fn learn_from(&mut self, earlier: &Subject, now: i64) {
-        for learnt in earlier.balancer.learnt(now) {
-            self.balancer.on_event(now, Event::Learnt(learnt), &mut Vec::new());
+        for learned in earlier.balancer.learned(now) {
+            self.balancer.on_event(now, Event::Learned(learned), &mut Vec::new());
         }
     }
 
     /// Adds what the module tells of itself to the digest.
     pub fn encode_state(&self, now: i64, digest: &mut Digest) {
         self.balancer.backlog(now).iter().for_each(|backlog| encode_backlog(backlog, digest));
-        self.balancer.learnt(now).iter().for_each(|learnt| encode_learnt(learnt, digest));
+        self.balancer.learned(now).iter().for_each(|learned| encode_learned(learned, digest));
     }
 }
 
@@ -338,25 +354,38 @@
     }
 }
 
-fn encode_backlog(backlog: &Backlog, digest: &mut Digest) {
-    let Backlog { dest, messages, endpoints, calls, degraded, outage, rate, ready_in, waits_for } = *backlog;
-    add(digest, &[100, dest as i64, messages as i64, endpoints as i64, calls as i64]);
-    add(digest, &[i64::from(degraded), i64::from(outage), ready_in, waits_for]);
+fn encode_backlog(backlog: &DestinationBacklog, digest: &mut Digest) {
+    let DestinationBacklog {
+        destination,
+        messages,
+        endpoints,
+        calls,
+        degraded,
+        outage,
+        rate,
+        ready_in,
+        retry_after,
+    } = *backlog;
+    add(digest, &[100, destination as i64, messages as i64, endpoints as i64, calls as i64]);
+    add(digest, &[i64::from(degraded), i64::from(outage), ready_in, retry_after]);
     add(digest, &optional_bits(rate));
 }
 
-fn encode_learnt(learnt: &Learnt, digest: &mut Digest) {
-    let state = match learnt.state {
-        Condition::Well => [0, 0],
-        Condition::Down { next_try } => [1, next_try],
-        Condition::Cold { since } => [2, since],
+fn encode_learned(learned: &LearnedState, digest: &mut Digest) {
+    let state = match learned.health {
+        HealthState::Healthy => [0, 0],
+        HealthState::Down { next_probe } => [1, next_probe],
+        HealthState::WarmingUp { since } => [2, since],
     };
-    add(digest, &[200, learnt.dest as i64]);
-    add(digest, &learnt.target.map_or([0, 0], |target| [1, target as i64]));
-    add(digest, &[learnt.wait_for, learnt.due_in, learnt.age]);
+    add(digest, &[200, learned.destination as i64]);
+    add(digest, &learned.endpoint.map_or([0, 0], |target| [1, target as i64]));
+    add(digest, &[learned.retry_after, learned.next_call_in, learned.age]);
     add(digest, &state);
-    add(digest, &[learnt.base, learnt.sent, learnt.usual, learnt.pace].map(bits));
-    add(digest, &learnt.health.map(bits));
-    add(digest, &optional_bits(learnt.limit));
-    add(digest, &optional_bits(learnt.ceiling));
+    add(
+        digest,
+        &[learned.healthy_rate, learned.calls_sent, learned.usual_latency, learned.recent_latency].map(bits),
+    );
+    add(digest, &learned.outcome_counts.map(bits));
+    add(digest, &optional_bits(learned.rate_limit));
+    add(digest, &optional_bits(learned.reported_limit));
 }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
-use support::{Discovery, Forwarder, RawCall, SOON, Stub, request, target};
+use support::{Discovery, Forwarder, RawCall, SOON, Stub, endpoint, request};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpStream, UnixStream};
 use tokio::time::{sleep, timeout};
@@ -13,7 +13,7 @@
 
 struct World {
     discovery: Discovery,
-    target: Stub,
+    endpoint: Stub,
     forwarder: Forwarder,
 }
 
@@ -23,35 +23,37 @@
 
 async fn world_with(change: impl FnOnce(&mut Value)) -> World {
     let (discovery, stub) = (Discovery::start().await, Stub::start().await);
-    let known =
-        [target("t", stub.addr, 7, "plain", "in_service"), target("u", stub.addr, 8, "plain", "in_service")];
+    let known = [
+        endpoint("t", stub.addr, 7, "plain", "in_service"),
+        endpoint("u", stub.addr, 8, "plain", "in_service"),
+    ];
     let forwarder = Forwarder::start_inheriting(&discovery, &known, change).await;
-    World { discovery, target: stub, forwarder }
+    World { discovery, endpoint: stub, forwarder }
 }
 
 #[tokio::test]
 async fn a_call_that_is_out_goes_on_and_its_end_reaches_the_new_version() {
     let mut w = world().await;
     w.forwarder.hand_in("unsafe", "out", 20_000).await;
-    let out = w.target.next().await;
+    let out = w.endpoint.next().await;
     w.forwarder.hand_in("keyed", "failing", 20_000).await;
-    let failing = w.target.next().await;
+    let failing = w.endpoint.next().await;
     let mut old = w.forwarder.upgrade().await;
     // Nothing is sent twice, and the new version serves.
     w.forwarder.hand_in("keyed", "new", 20_000).await;
-    let new = w.target.next().await;
+    let new = w.endpoint.next().await;
     assert_eq!(new.header("req-id"), "new");
     new.answer(200);
     out.answer(200);
     w.forwarder.until_delivered("unsafe", "out").await;
     failing.answer(500);
-    let again = w.target.next().await;
+    let again = w.endpoint.next().await;
     assert_eq!(again.header("req-id"), "failing");
     again.answer(200);
     w.forwarder.until_delivered("keyed", "failing").await;
     old.terminate();
     assert!(old.exited().await.success());
-    assert!(w.target.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
+    assert!(w.endpoint.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
 }
 
 #[tokio::test]
@@ -59,9 +61,9 @@
     for kill in [true, false] {
         let mut w = world().await;
         w.forwarder.hand_in("unsafe", "unsafe", 20_000).await;
-        let one = w.target.next().await;
+        let one = w.endpoint.next().await;
         w.forwarder.hand_in("keyed", "keyed", 20_000).await;
-        let other = w.target.next().await;
+        let other = w.endpoint.next().await;
         let mut old = w.forwarder.upgrade().await;
         if kill {
             old.kill();
@@ -72,14 +74,14 @@
         one.closed().await;
         other.closed().await;
         assert_eq!(w.discovery.notice().await, json!({"message": "unsafe", "outcome": "given_up"}));
-        let again = w.target.next().await;
+        let again = w.endpoint.next().await;
         assert_eq!(again.header("req-id"), "keyed");
         again.answer(200);
         w.forwarder.until_delivered("keyed", "keyed").await;
         if !kill {
             assert!(old.exited().await.success());
         }
-        assert!(w.target.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
+        assert!(w.endpoint.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
     }
 }
 
@@ -88,7 +90,7 @@
     let mut w = world().await;
     assert_eq!(w.forwarder.call("disable-server u").await, "ACK u left out\n");
     w.forwarder.hand_in("unsafe", "m", 20_000).await;
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     let told = Instant::now();
     call.answer_with(200, &[("Wait-Ms", "1500")], "");
     // The old version has heard of the wait once it knows the message delivered.
@@ -96,7 +98,7 @@
     w.forwarder.hand_in("keyed", "n", 20_000).await;
     assert_eq!(w.forwarder.call("drain").await, "ACK draining\n");
     let _old = w.forwarder.upgrade().await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     assert!(told.elapsed() >= Duration::from_millis(1500), "{:?}", told.elapsed());
     assert_eq!(w.forwarder.call("enable-server u").await, "ACK u put back\n");
 }
@@ -114,7 +116,7 @@
     client.write("Envelope: dest=7\r\nContent-Length: 2\r\n\r\nhi").await;
     let answer = client.rest().await;
     assert!(answer.contains("HTTP/1.1 202") && answer.contains("connection: close"), "{answer}");
-    let call = w.target.next().await;
+    let call = w.endpoint.next().await;
     assert_eq!((call.header("req-id"), &call.body[..]), ("half", &b"hi"[..]));
     call.answer(200);
     w.forwarder.until_delivered("keyed", "half").await;
@@ -166,24 +168,24 @@
 async fn a_new_version_that_dies_before_it_owns_all_changes_nothing() {
     let mut w = world().await;
     w.forwarder.hand_in("keyed", "out", 20_000).await;
-    let out = w.target.next().await;
+    let out = w.endpoint.next().await;
     // One that dies, one that falls silent, and then a real one.
     let (heir, rest) = asks(&w).await;
     assert!(rest.contains("\"out\""), "{rest}");
     drop(heir);
     assert_eq!(w.forwarder.hand_in("keyed", "next", 20_000).await.status(), 202);
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     let (_silent, _) = asks(&w).await;
     out.answer(200);
     let late = w.forwarder.hand_in("keyed", "late", 20_000).await;
     assert_eq!(late.status(), 202);
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     w.forwarder.until_delivered("keyed", "out").await;
     let mut old = w.forwarder.upgrade().await;
     old.terminate();
     assert!(old.exited().await.success());
     w.forwarder.until_delivered("keyed", "late").await;
-    assert!(w.target.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
+    assert!(w.endpoint.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
 }
 
 #[tokio::test]
@@ -197,7 +199,7 @@
     let (mut heir, _) = asks(&w).await;
     heir.write_all(b"{\"Owned\n").await.expect("it is open");
     w.forwarder.hand_in("keyed", "m", 20_000).await;
-    w.target.next().await.answer(200);
+    w.endpoint.next().await.answer(200);
     w.forwarder.until_delivered("keyed", "m").await;
     assert_eq!(w.forwarder.call("ready").await, "ACK ready\n");
 }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter, with scripted frames.
 
-use plankwalk::wire::{ServeError, serve};
+use message_forwarder::simulator::{ServeError, serve};
 
 const BOOT: &str = "BOOT forwarder=3 nonce64=51 classes.count=2 classes.0.name=note classes.0.idempotency=pure \
     classes.0.goalTime=3000.0 classes.0.deadline=16000.0 classes.0.worth=1.0 classes.0.lateShare=0.5 \
@@ -127,7 +127,7 @@
 fn the_program_exits_with_an_error_on_a_malformed_line() {
     use std::io::Write;
     use std::process::{Command, Stdio};
-    let mut child = Command::new(env!("CARGO_BIN_EXE_plankwalk-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
