--- a/src/forwarder/endpoint_client/format_tests.rs
+++ b/src/forwarder/endpoint_client/format_tests.rs
@@ -10,12 +10,12 @@
     CallItem {
         id: 1,
         attempt: 0,
-        name: name.to_owned(),
+        message: name.to_owned(),
         key: key.map(str::to_owned),
         body: Bytes::from_static(body),
-        until,
-        deadline: until,
-        latest: until,
+        times_out_at: until,
+        expires_at: until,
+        send_before: until,
     }
 }
 
--- a/src/forwarder/endpoint_client/idle_age/mod.rs
+++ b/src/forwarder/endpoint_client/idle_age/mod.rs
@@ -37,13 +37,13 @@
         doublings.min(CLASSES - 1)
     }
 
-    pub(crate) fn add(&mut self, now: Micros, age: Micros, kept: IdleReuse) {
+    pub(crate) fn record(&mut self, now: Micros, age: Micros, kept: IdleReuse) {
         let counts = if kept == IdleReuse::Alive { &mut self.alive } else { &mut self.dead };
         counts[Self::class(age)].add(now, SPAN);
     }
 
     /// The age up to which idle connections are known to live: one that lived longer speaks for all younger ones.
-    pub(crate) fn proven(&self, now: Micros) -> Micros {
+    pub(crate) fn proven_age(&self, now: Micros) -> Micros {
         let mut alive: f64 = self.alive.iter().map(|a| a.get(now, SPAN)).sum();
         let mut dead = 0.0;
         for n in 0..CLASSES {
@@ -62,7 +62,7 @@
     }
 
     /// The age from which connections are not to be used, if there is one.
-    pub(crate) fn limit(&self, now: Micros) -> Option<Micros> {
+    pub(crate) fn max_usable_age(&self, now: Micros) -> Option<Micros> {
         let dead = |n: &usize| {
             let (dead, alive) = (self.dead[*n].get(now, SPAN), self.alive[*n].get(now, SPAN));
             dead >= DEAD_LEAST && dead > DEAD_SHARE * (dead + alive + PRIOR_ALIVE)
--- a/src/forwarder/endpoint_client/mod.rs
+++ b/src/forwarder/endpoint_client/mod.rs
@@ -39,28 +39,28 @@
 pub(crate) struct CallItem {
     pub(crate) id: MessageId,
     pub(crate) attempt: usize,
-    pub(crate) name: String,
+    pub(crate) message: String,
     pub(crate) key: Option<String>,
     pub(crate) body: Bytes,
     /// The wait for it ends then.
-    pub(crate) until: Instant,
+    pub(crate) times_out_at: Instant,
     /// Its time is up then: the call ends with it.
-    pub(crate) deadline: Instant,
+    pub(crate) expires_at: Instant,
     /// It must not be written after this: its key may be forgotten by then.
-    pub(crate) latest: Instant,
+    pub(crate) send_before: Instant,
 }
 
 /// A call to make.
 pub(crate) struct OutboundCall {
     pub(crate) endpoint: EndpointId,
-    pub(crate) to: SocketAddr,
+    pub(crate) address: SocketAddr,
     pub(crate) items: Vec<CallItem>,
-    pub(crate) idle: Option<Connection>,
+    pub(crate) reused: Option<Connection>,
     pub(crate) connect_timeout: Duration,
     /// What the node says to the call while it is out.
-    pub(crate) orders: Receiver<CallCommand>,
-    pub(crate) gate: Arc<WriteGuard>,
-    pub(crate) node: Sender<RuntimeEvent>,
+    pub(crate) commands: Receiver<CallCommand>,
+    pub(crate) guard: Arc<WriteGuard>,
+    pub(crate) events: Sender<RuntimeEvent>,
 }
 
 /// What the node may still say to a call.
@@ -76,37 +76,38 @@
 
 /// Makes the call and tells the node of its outcomes.
 pub(crate) async fn perform(mut call: OutboundCall) {
-    let mut connection = call.idle.take();
+    let mut connection = call.reused.take();
     let mut waiting = std::mem::take(&mut call.items);
-    let Some(request) = request(&waiting, call.to) else {
+    let Some(request) = request(&waiting, call.address) else {
         // Whatever happens, the module hears of each attempt: one that never ends holds its slot for ever.
         let ended = waiting.iter().map(|item| end(item, Outcome::NotSent)).collect();
         return tell(&call, ended, connection, ConnectionUsage::default()).await;
     };
     let mut given_up = Vec::new();
-    let gate = call.gate.clone();
-    let progress = Progress::new(&gate);
-    let mut latest = waiting.iter().map(|i| i.latest).min();
+    let guard = call.guard.clone();
+    let progress = Progress::new(&guard);
+    let mut latest = waiting.iter().map(|i| i.send_before).min();
     let answer = {
-        let mut exchange = pin!(exchange(&mut connection, call.to, call.connect_timeout, request, &progress));
+        let mut exchange =
+            pin!(exchange(&mut connection, call.address, call.connect_timeout, request, &progress));
         loop {
-            let Some(until) = waiting.iter().map(|i| i.until).min() else { break None };
+            let Some(until) = waiting.iter().map(|i| i.times_out_at).min() else { break None };
             tokio::select! {
                 answer = &mut exchange => break Some(answer),
                 () = sleep_until(until) => {
                     let now = Instant::now();
                     // As with a message that is given up. After SIGTERM nobody else ends the call: the module
                     // decides nothing any more.
-                    let over = waiting.iter().any(|i| i.deadline <= now);
-                    part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| over || i.until <= now);
+                    let over = waiting.iter().any(|i| i.expires_at <= now);
+                    part(&mut waiting, &mut given_up, Outcome::TimedOut, |i| over || i.times_out_at <= now);
                 }
                 // Guards against a repeat that is decided in time and written too late, since its connection took
                 // a second to come up. The whole call: on the wire no message can be taken out of it.
                 () = sleep_until(latest.unwrap_or(until)), if latest.is_some() => {
                     latest = None;
-                    hold(&gate, &mut waiting, &mut given_up);
+                    hold(&guard, &mut waiting, &mut given_up);
                 }
-                Some(order) = call.orders.recv() => match order {
+                Some(order) = call.commands.recv() => match order {
                     CallCommand::Cancel(id, attempt) => {
                         let named = |i: &CallItem| (i.id, i.attempt) == (id, attempt);
                         part(&mut waiting, &mut given_up, Outcome::Cancelled, named);
@@ -114,14 +115,14 @@
                     CallCommand::Abandon => part(&mut waiting, &mut given_up, Outcome::TimedOut, |_| true),
                     // Guards the rule on waits: a connection may take its whole time to come up, and what was
                     // decided before the wait would then be written in the midst of it.
-                    CallCommand::WithholdWrite => hold(&gate, &mut waiting, &mut given_up),
+                    CallCommand::WithholdWrite => hold(&guard, &mut waiting, &mut given_up),
                 },
             }
             // They are told of only once the call is over: until then each holds its copy out, and another
             // attempt would be a second one.
         }
     };
-    if !gate.begun() {
+    if !guard.is_begun() {
         // Called off or out of time before its connection was up: it never left, and must not look as if it had.
         for ended in given_up.iter_mut().filter(|ended| ended.outcome != Outcome::NotSent) {
             (ended.outcome, ended.unsent) = (Outcome::ConnectFailed, true);
@@ -150,13 +151,13 @@
 ) {
     let news = CallReport {
         endpoint: call.endpoint,
-        address: call.to,
+        address: call.address,
         results: ended,
         connection,
         connection_usage,
     };
     // The node is gone only when the process ends.
-    let _ = call.node.send(RuntimeEvent::CallEnded(news)).await;
+    let _ = call.events.send(RuntimeEvent::CallEnded(news)).await;
 }
 
 fn end(item: &CallItem, outcome: Outcome) -> AttemptResult {
@@ -170,10 +171,10 @@
 }
 
 /// Nothing may be written from now on.
-fn hold(gate: &WriteGuard, waiting: &mut Vec<CallItem>, ended: &mut Vec<AttemptResult>) {
+fn hold(guard: &WriteGuard, waiting: &mut Vec<CallItem>, ended: &mut Vec<AttemptResult>) {
     // Written already, it goes on; should that fail before a byte went, it is not tried anew.
-    gate.hold();
-    if !gate.begun() {
+    guard.withhold();
+    if !guard.is_begun() {
         part(waiting, ended, Outcome::NotSent, |_| true);
     }
 }
@@ -209,7 +210,7 @@
         several => batch(several)?,
     };
     *request.method_mut() = Method::POST;
-    let wait = items.iter().map(|i| i.until).max()?.saturating_duration_since(Instant::now());
+    let wait = items.iter().map(|i| i.times_out_at).max()?.saturating_duration_since(Instant::now());
     let wait = HeaderValue::from(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
     request.headers_mut().insert("req-deadline-ms", wait);
     http::set_host(&mut request, to);
@@ -219,7 +220,7 @@
 fn single(item: &CallItem) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::new(Full::new(item.body.clone()));
     *request.uri_mut() = Uri::from_static("/hook");
-    request.headers_mut().insert("req-id", HeaderValue::from_str(&item.name).ok()?);
+    request.headers_mut().insert("req-id", HeaderValue::from_str(&item.message).ok()?);
     if let Some(key) = &item.key {
         request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key).ok()?);
     }
@@ -229,7 +230,7 @@
 fn batch(items: &[CallItem]) -> Option<Request<Full<Bytes>>> {
     let list: Vec<BatchItem> = items
         .iter()
-        .map(|i| BatchItem { id: &i.name, key: i.key.as_deref(), body: STANDARD.encode(&i.body) })
+        .map(|i| BatchItem { id: &i.message, key: i.key.as_deref(), body: STANDARD.encode(&i.body) })
         .collect();
     let text = serde_json::to_vec(&list).ok()?;
     let mut request = Request::new(Full::new(Bytes::from(text)));
@@ -297,28 +298,28 @@
     }
 
     /// Nothing more is to be written, from now on.
-    pub(crate) fn hold(&self) {
+    pub(crate) fn withhold(&self) {
         self.held.store(true, Ordering::Relaxed);
     }
 
     /// Whether something may have been written.
-    pub(crate) fn begun(&self) -> bool {
+    pub(crate) fn is_begun(&self) -> bool {
         self.begun.load(Ordering::Relaxed)
     }
 
     /// True if the call may be written now. Between this and the first byte nothing is awaited.
-    fn pass(&self) -> bool {
+    fn try_begin(&self) -> bool {
         // By the clock and not by a timer: both may be due in one turn, and the connection may be looked at first.
         if self.held.load(Ordering::Relaxed) || Instant::now() >= self.latest {
             return false;
         }
-        if !self.begun() {
+        if !self.is_begun() {
             let unix = unix_now();
             let sent = |(name, n): &(String, usize)| {
-                Record::AttemptStarted(name.clone(), *n, unix, self.zone.clone())
+                Record::attempt_started(name.clone(), *n, unix, self.zone.clone())
             };
             let records: Vec<Record> = self.attempts.iter().map(sent).collect();
-            if let Err(e) = self.journal.get().commit(&records, unix) {
+            if let Err(e) = self.journal.lock().commit(&records, unix) {
                 eprintln!("journal: a call is held back: {e}");
                 return false;
             }
@@ -330,13 +331,13 @@
 
 /// How far an exchange has come, seen from beside it.
 struct Progress<'a> {
-    gate: &'a WriteGuard,
+    guard: &'a WriteGuard,
     connection_usage: Mutex<ConnectionUsage>,
 }
 
 impl<'a> Progress<'a> {
-    fn new(gate: &'a WriteGuard) -> Self {
-        Progress { gate, connection_usage: Mutex::default() }
+    fn new(guard: &'a WriteGuard) -> Self {
+        Progress { guard, connection_usage: Mutex::default() }
     }
 
     fn connection_usage(&self, failed: Option<&io::Error>) {
@@ -367,7 +368,7 @@
     let mut request = Box::new(request);
     loop {
         let reused = match connection {
-            Some(open) => open.is_clean().await,
+            Some(open) => open.is_reusable().await,
             None => false,
         };
         if !reused {
@@ -376,7 +377,7 @@
             *connection = Some(opened.map_err(|_| NoResponse::NotConnected)?);
         }
         let Some(open) = connection else { return Err(NoResponse::NotConnected) };
-        if !progress.gate.pass() {
+        if !progress.guard.try_begin() {
             return Err(NoResponse::Withheld);
         }
         let written = Instant::now();
@@ -474,7 +475,7 @@
     };
     let ended = waiting.iter().map(|item| {
         let mut states = answer.states.iter().flatten();
-        let state = states.find(|s| s.id == item.name).map(|s| s.state.as_str());
+        let state = states.find(|s| s.id == item.message).map(|s| s.state.as_str());
         let (outcome, finished) = outcome(answer, state);
         // A wait binds beside every outcome: it may come with messages that were all accepted.
         AttemptResult {
--- a/src/forwarder/endpoint_client/tests.rs
+++ b/src/forwarder/endpoint_client/tests.rs
@@ -4,21 +4,21 @@
 
 #[test]
 fn nothing_is_written_or_noted_once_it_is_too_late() {
-    let folder = env::temp_dir().join(format!("gate-test-{}", process::id()));
+    let folder = env::temp_dir().join(format!("guard-test-{}", process::id()));
     fs::create_dir_all(&folder).expect("a temporary folder");
     let (journal, _) = Journal::open(&folder, 1 << 20, unix_now()).expect("it opens");
     let journal = SharedJournal::new(journal);
-    let gate = |latest| WriteGuard::new(journal.clone(), vec![("m".to_owned(), 0)], latest, "a".to_owned());
+    let guard = |latest| WriteGuard::new(journal.clone(), vec![("m".to_owned(), 0)], latest, "a".to_owned());
     let now = Instant::now();
     // No timer has told it so.
-    let late = gate(now);
-    assert!(!late.pass() && !late.begun());
+    let late = guard(now);
+    assert!(!late.try_begin() && !late.is_begun());
     let length = || fs::metadata(folder.join("journal")).map_or(0, |file| file.len());
     assert_eq!(length(), 0, "noted");
-    let early = gate(now + Duration::from_secs(60));
-    assert!(early.pass() && early.begun() && length() > 0);
+    let early = guard(now + Duration::from_secs(60));
+    assert!(early.try_begin() && early.is_begun() && length() > 0);
     // Written or not, nothing more goes once it is held.
-    early.hold();
-    assert!(!early.pass());
+    early.withhold();
+    assert!(!early.try_begin());
     fs::remove_dir_all(&folder).expect("it was there");
 }
--- a/src/forwarder/http/mod.rs
+++ b/src/forwarder/http/mod.rs
@@ -71,7 +71,7 @@
     /// Whether it may carry another request. Guards a call against a connection that brought more than one
     /// answer's bytes: written to it, the call would be lost, or would read the rest as its own answer. The
     /// driver reads an idle connection and ends it at the first byte, but only when it has had its turn.
-    pub(crate) async fn is_clean(&self) -> bool {
+    pub(crate) async fn is_reusable(&self) -> bool {
         yield_now().await;
         self.is_open()
     }
--- a/src/forwarder/journal/format_tests.rs
+++ b/src/forwarder/journal/format_tests.rs
@@ -230,7 +230,7 @@
 fn assert_reads_as_the_fixture(journal: &Journal, messages: &[RecoveredMessage]) {
     assert_eq!(messages, expected_open_messages());
     assert_eq!(remembered_ends(journal), expected_ends());
-    assert_eq!(journal.bans().iter().collect::<Vec<_>>(), ["endpoint-2", "endpoint-3"]);
+    assert_eq!(journal.banned_endpoints().iter().collect::<Vec<_>>(), ["endpoint-2", "endpoint-3"]);
 }
 
 /// A 64-bit FNV-1a hash over an encoding of its own, in which no name of a type or a field occurs.
@@ -317,8 +317,8 @@
             self.end(end);
             self.number(until);
         }
-        self.number(journal.bans().len() as u64);
-        journal.bans().iter().for_each(|uid| self.text(uid));
+        self.number(journal.banned_endpoints().len() as u64);
+        journal.banned_endpoints().iter().for_each(|uid| self.text(uid));
     }
 }
 
@@ -349,7 +349,7 @@
     let (mut journal, _) = open_in(&folder);
     let records = every_record();
     let (noted, committed) = records.split_at(10);
-    noted.iter().for_each(|record| journal.note(record, NOW));
+    noted.iter().for_each(|record| journal.enqueue(record, NOW));
     for records in committed.chunks(4) {
         journal.commit(records, NOW).expect("there is room");
     }
--- a/src/forwarder/journal/mod.rs
+++ b/src/forwarder/journal/mod.rs
@@ -74,6 +74,26 @@
 }
 
 impl Record {
+    /// An attempt was sent at this Unix time (ms) to an endpoint of this zone.
+    pub(crate) fn attempt_started(message: String, attempt: usize, sent_at: u64, zone: String) -> Self {
+        Record::AttemptStarted(message, attempt, sent_at, zone)
+    }
+
+    /// An attempt ended; whether it may have been executed.
+    pub(crate) fn attempt_ended(message: String, attempt: usize, may_have_executed: bool) -> Self {
+        Record::AttemptEnded(message, attempt, may_have_executed)
+    }
+
+    /// A notice has to be sent; its outcome is worth remembering until this Unix time (ms).
+    pub(crate) fn notice_pending(message: String, outcome: NoticeOutcome, remember_until: u64) -> Self {
+        Record::NoticePending(message, outcome, remember_until)
+    }
+
+    /// The message is complete; its outcome is worth remembering until this Unix time (ms).
+    pub(crate) fn completed(message: String, outcome: FinalOutcome, remember_until: u64) -> Self {
+        Record::Completed(message, outcome, remember_until)
+    }
+
     /// The message, or the endpoint.
     fn id(&self) -> &str {
         match self {
@@ -172,7 +192,7 @@
     }
 
     /// To be held for one statement, and never across a wait.
-    pub(crate) fn get(&self) -> MutexGuard<'_, Journal> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Journal> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -233,7 +253,7 @@
     }
 
     /// Notes what must be written with the next turn, or whenever writing succeeds again.
-    pub(crate) fn note(&mut self, record: &Record, now: u64) {
+    pub(crate) fn enqueue(&mut self, record: &Record, now: u64) {
         let start = self.backlog.len();
         put(record, &mut self.backlog);
         let size = (self.backlog.len() - start) as u64;
@@ -246,7 +266,7 @@
     }
 
     /// Endpoints that operators have taken out.
-    pub(crate) fn bans(&self) -> &BTreeSet<String> {
+    pub(crate) fn banned_endpoints(&self) -> &BTreeSet<String> {
         &self.bans
     }
 
--- a/src/forwarder/journal/tests.rs
+++ b/src/forwarder/journal/tests.rs
@@ -132,7 +132,7 @@
     for n in 0..2000u64 {
         let id = format!("m{n}");
         journal.commit(&[taken(&id, vec![0; 400])], NOW + n).expect("there is room");
-        journal.note(&Record::Completed(id, FinalOutcome::Delivered, NOW + n + 10), NOW + n);
+        journal.enqueue(&Record::Completed(id, FinalOutcome::Delivered, NOW + n + 10), NOW + n);
         assert!(journal.len <= COMPACT_FROM + 1024);
     }
     journal.commit(&[], NOW).expect("there is room");
@@ -159,9 +159,9 @@
             journal
                 .commit(&[Record::AttemptStarted(id.clone(), attempt, NOW, "hall-a".into())], NOW)
                 .expect("kept room");
-            journal.note(&Record::AttemptEnded(id.clone(), attempt, false), NOW);
+            journal.enqueue(&Record::AttemptEnded(id.clone(), attempt, false), NOW);
         }
-        journal.note(&Record::Completed(id, FinalOutcome::Failed, 0), NOW);
+        journal.enqueue(&Record::Completed(id, FinalOutcome::Failed, 0), NOW);
         journal.commit(&[], NOW).expect("kept room");
     }
     assert!(journal.has_capacity(1, 500, NOW));
@@ -179,9 +179,9 @@
         assert!(journal.has_capacity(1, 900, NOW), "message {n}, {} bytes in the file", journal.len);
         journal.commit(&[taken(&id(n), vec![0; 900])], NOW).expect("it said that there is room");
         journal.commit(&[Record::AttemptStarted(id(n), 0, NOW, "magazzino".into())], NOW).expect("kept room");
-        journal.note(&Record::AttemptEnded(id(n), 0, true), NOW);
+        journal.enqueue(&Record::AttemptEnded(id(n), 0, true), NOW);
         if n >= held {
-            journal.note(&Record::Completed(id(n - held), FinalOutcome::Delivered, NOW + 1000), NOW);
+            journal.enqueue(&Record::Completed(id(n - held), FinalOutcome::Delivered, NOW + 1000), NOW);
         }
         journal.commit(&[], NOW).expect("kept room");
     }
@@ -200,7 +200,7 @@
         } else {
             refused += 1;
             // One ends for each that is refused: there is always a little to free.
-            journal.note(&Record::Completed(format!("m{refused}"), FinalOutcome::Failed, 0), NOW);
+            journal.enqueue(&Record::Completed(format!("m{refused}"), FinalOutcome::Failed, 0), NOW);
             journal.commit(&[], NOW).expect("kept room");
         }
         compacted += usize::from(journal.len < len);
@@ -214,7 +214,7 @@
     let (mut journal, _) = Journal::open(&folder.0, LIMIT, NOW).expect("it opens");
     journal.commit(&[taken("a", vec![])], NOW).expect("there is room");
     journal.limit = journal.len;
-    journal.note(&Record::Completed("a".into(), FinalOutcome::Delivered, NOW + 1), NOW);
+    journal.enqueue(&Record::Completed("a".into(), FinalOutcome::Delivered, NOW + 1), NOW);
     assert!(journal.commit(&[taken("b", vec![])], NOW).is_err());
     assert!(!journal.is_flushed());
     journal.limit = LIMIT;
--- a/src/forwarder/metrics/mod.rs
+++ b/src/forwarder/metrics/mod.rs
@@ -67,15 +67,15 @@
         }
     }
 
-    pub(crate) fn accepted(&mut self) {
+    pub(crate) fn record_accepted(&mut self) {
         self.accepted += 1;
     }
 
-    pub(crate) fn lost(&mut self, loss: DropReason) {
+    pub(crate) fn record_dropped(&mut self, loss: DropReason) {
         *self.losses.entry(loss).or_default() += 1;
     }
 
-    pub(crate) fn connection_usage(&mut self, to: SocketAddr, connection_usage: ConnectionUsage) {
+    pub(crate) fn record_connections(&mut self, to: SocketAddr, connection_usage: ConnectionUsage) {
         let endpoint = self.endpoints.entry(to).or_default();
         endpoint.opened += connection_usage.opened;
         self.opened += connection_usage.opened;
@@ -86,7 +86,7 @@
     }
 
     /// An attempt ended; `last` is whether its call is over with it.
-    pub(crate) fn ended(&mut self, to: SocketAddr, outcome: Outcome, took: Duration, last: bool) {
+    pub(crate) fn record_attempt(&mut self, to: SocketAddr, outcome: Outcome, took: Duration, last: bool) {
         let (name, failed) = match outcome {
             Outcome::Delivered => ("delivered", false),
             Outcome::Error => ("error", true),
@@ -111,7 +111,7 @@
     }
 
     /// The counts, if it is time for a line and anything has happened, and a new start.
-    pub(crate) fn due(&mut self) -> Option<IntervalMetrics> {
+    pub(crate) fn take_if_due(&mut self) -> Option<IntervalMetrics> {
         if self.since.elapsed() < EVERY {
             return None;
         }
--- a/src/forwarder/notices/mod.rs
+++ b/src/forwarder/notices/mod.rs
@@ -88,7 +88,7 @@
 
 async fn call(at: SocketAddr, text: Bytes, connection: &mut Option<Connection>) -> Result<(), NoticeError> {
     let clean = match connection {
-        Some(open) => open.is_clean().await,
+        Some(open) => open.is_reusable().await,
         None => false,
     };
     if !clean {
--- a/src/forwarder/runtime/hand_over.rs
+++ b/src/forwarder/runtime/hand_over.rs
@@ -58,7 +58,7 @@
     /// Once the turn is over and stands in the journal, a new version that has asked is told the rest.
     pub(super) fn hand_over(&mut self) {
         if !matches!(self.successor, Successor::Requested(_))
-            || !self.journal.get().is_flushed()
+            || !self.journal.lock().is_flushed()
             || !self.events.is_empty()
         {
             return;
@@ -68,8 +68,8 @@
         };
         // What is not written yet is the new version's to send: it finds it untried in the journal.
         hold(&mut self.calls, |_| true);
-        link.say(Frame::Handoff(Box::new(self.rest(self.clock.now()))));
-        if let Err(e) = self.lock.free() {
+        link.send(Frame::Handoff(Box::new(self.rest(self.clock.now()))));
+        if let Err(e) = self.lock.release() {
             return eprintln!("handover: the lock is kept: {e}");
         }
         self.endpoints.values_mut().for_each(|t| t.idle.clear());
@@ -100,7 +100,7 @@
             rev: self.rev.unwrap_or(0),
             endpoints: self.endpoints.iter().map(line).collect(),
             calls: calls.into_values().collect(),
-            clients: self.places.here.load(Relaxed),
+            clients: self.places.own.load(Relaxed),
             learned: self.balancer.learned(now).into_iter().map(learned).collect(),
         }
     }
@@ -169,7 +169,7 @@
                 let reply = self.asked(now, call);
                 self.predecessor
                     .iter()
-                    .for_each(|predecessor| predecessor.say(Frame::AdminReply(word, reply.clone())));
+                    .for_each(|predecessor| predecessor.send(Frame::AdminReply(word, reply.clone())));
             }
             (PeerRole::Predecessor, None) => {
                 let ends = self.lost_with_older();
@@ -281,7 +281,7 @@
         if close {
             self.closing = self.closing.or(Some(Instant::now()));
         }
-        let free = !owned && gone && self.lock.take().unwrap_or(false);
+        let free = !owned && gone && self.lock.try_acquire().unwrap_or(false);
         if !owned && !free {
             return;
         }
@@ -307,7 +307,7 @@
             out.into_iter().for_each(|(id, attempt)| self.cancel(id, attempt));
         }
         // Told with each turn: the new version waits for their places.
-        let mut frames = vec![Frame::ClientConnections(self.places.here.load(Relaxed))];
+        let mut frames = vec![Frame::ClientConnections(self.places.own.load(Relaxed))];
         for input in batch {
             match input {
                 // Nobody is left to pass it on to, and nothing was done with it.
@@ -348,7 +348,7 @@
             }
         }
         if let Successor::Owner { link, .. } = &self.successor {
-            frames.into_iter().for_each(|frame| link.say(frame));
+            frames.into_iter().for_each(|frame| link.send(frame));
         }
     }
 
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -143,20 +143,20 @@
     /// Whether something of it may have been written.
     fn is_written(&self) -> bool {
         match &self.owner {
-            CallOwner::ThisProcess(_, gate) => gate.begun(),
+            CallOwner::ThisProcess(_, guard) => guard.is_begun(),
             CallOwner::Predecessor => true,
         }
     }
 
     /// Says something to a call that is made here.
     fn order(&self, order: CallCommand) {
-        if let CallOwner::ThisProcess(orders, gate) = &self.owner {
+        if let CallOwner::ThisProcess(commands, guard) = &self.owner {
             if !matches!(order, CallCommand::Cancel(..)) {
                 // At once: its connection may come up before it hears of this.
-                gate.hold();
+                guard.withhold();
             }
             // Closed: its outcome is on its way.
-            let _ = orders.try_send(order);
+            let _ = commands.try_send(order);
         }
     }
 }
@@ -189,7 +189,7 @@
 
 /// The time for which a connection may stand idle, no longer than these ages tell.
 fn bounded(limit: Duration, idle_ages: &IdleAgeStatistics, now: Micros) -> Duration {
-    idle_ages.limit(now).map_or(limit, |age| limit.min(Duration::from_micros(age.unsigned_abs())))
+    idle_ages.max_usable_age(now).map_or(limit, |age| limit.min(Duration::from_micros(age.unsigned_abs())))
 }
 
 /// Everything the forwarder knows.
@@ -256,7 +256,7 @@
         let limit = (config.limits.disk_mb * 0.95e6) as u64;
         let (journal, open) = Journal::open(&config.state, limit, unix_now())?;
         let predecessor = match begin.predecessor {
-            Some(predecessor) => predecessor.owned(inputs.clone()).await,
+            Some(predecessor) => predecessor.confirm_ownership(inputs.clone()).await,
             None => Err(upgrade::UpgradeError::Closed),
         };
         // It died when it had handed over: its calls ended with it, and the journal knows of them.
@@ -349,7 +349,7 @@
                 let nothing = intake && self.calls.is_empty() && self.waiting.is_empty();
                 nothing && (self.closing.is_some() || since.elapsed() > LINGER)
             }
-            _ => self.closing.is_some() && intake && self.journal.get().is_flushed(),
+            _ => self.closing.is_some() && intake && self.journal.lock().is_flushed(),
         };
         late || done
     }
@@ -468,7 +468,7 @@
         }
         self.commit(now, fresh, sends);
         self.pass_on_notices();
-        if let Some(counts) = self.metrics.due() {
+        if let Some(counts) = self.metrics.take_if_due() {
             let (held, out, idle) = (self.messages.len(), self.calls.len(), self.idle);
             eprintln!("node: {held} held, {out} calls out, {idle} connections idle; {counts}");
             for b in self.balancer.backlog(now) {
@@ -518,7 +518,7 @@
             }
             return None;
         }
-        let end = self.journal.get().final_outcome(&name);
+        let end = self.journal.lock().final_outcome(&name);
         let known = match end {
             Some((FinalOutcome::Delivered, _)) => Some(ClientReply::Delivered),
             Some((FinalOutcome::Failed, _)) => Some(ClientReply::Failed),
@@ -531,7 +531,7 @@
         };
         if let Some(known) = known {
             if matches!(known, ClientReply::Rejected(_)) {
-                self.metrics.lost(DropReason::TooManyOpenMessages);
+                self.metrics.record_dropped(DropReason::TooManyOpenMessages);
             }
             // A client that has left needs no answer.
             let _ = answer.send(known);
@@ -647,13 +647,13 @@
         if let Some(last) = message.attempts.checked_sub(1) {
             self.order(id, last, || CallCommand::Abandon, Frame::AbandonMessage);
         }
-        self.metrics.lost(if end == FinalOutcome::Rejected {
+        self.metrics.record_dropped(if end == FinalOutcome::Rejected {
             DropReason::Rejected
         } else {
             DropReason::Failed
         });
         if message.untried && message.attempts == 0 {
-            self.metrics.lost(DropReason::NeverAttempted);
+            self.metrics.record_dropped(DropReason::NeverAttempted);
         }
         self.ids.remove(&message.taken.id);
         let wait = wait.and_then(|w| u64::try_from(w).ok());
@@ -671,8 +671,8 @@
         };
         let name = message.taken.id;
         self.journal
-            .get()
-            .note(&Record::NoticePending(name.clone(), notice, message.taken.deadline), unix_now());
+            .lock()
+            .enqueue(&Record::notice_pending(name.clone(), notice, message.taken.deadline), unix_now());
         self.owed.push(Notice { message: name, outcome: notice });
     }
 
@@ -687,7 +687,7 @@
             let Some(message) = self.messages.get(&id) else { continue };
             let more = bytes + message.taken.body.len();
             if message.clients.iter().all(|client| client.is_closed())
-                || !self.journal.get().has_capacity(taken.len() + 1, more, unix)
+                || !self.journal.lock().has_capacity(taken.len() + 1, more, unix)
             {
                 self.turn_away(id);
                 continue;
@@ -696,7 +696,7 @@
             records.push(Record::Accepted(message.taken.clone()));
             taken.push(id);
         }
-        let written = self.journal.get().commit(&records, unix);
+        let written = self.journal.lock().commit(&records, unix);
         if let Err(e) = written {
             eprintln!("node: {e}");
             taken.into_iter().for_each(|id| self.turn_away(id));
@@ -705,7 +705,7 @@
         for id in taken {
             if let Some(message) = self.messages.get_mut(&id) {
                 message.accepted = true;
-                self.metrics.accepted();
+                self.metrics.record_accepted();
                 if !message.answer(ClientReply::Accepted) {
                     self.client_left(id);
                 }
@@ -718,7 +718,11 @@
     fn turn_away(&mut self, id: MessageId) {
         if let Some(mut message) = self.messages.remove(&id) {
             let left = message.clients.iter().all(|client| client.is_closed());
-            self.metrics.lost(if left { DropReason::ClientDisconnected } else { DropReason::JournalFull });
+            self.metrics.record_dropped(if left {
+                DropReason::ClientDisconnected
+            } else {
+                DropReason::JournalFull
+            });
             self.ids.remove(&message.taken.id);
             message.answer(ClientReply::Rejected(None));
             self.events.push(Event::ClientDisconnected { id });
@@ -728,11 +732,11 @@
     /// The client left before it heard that the message was taken on.
     fn client_left(&mut self, id: MessageId) {
         if let Some(message) = self.messages.remove(&id) {
-            self.metrics.lost(DropReason::ClientDisconnected);
+            self.metrics.record_dropped(DropReason::ClientDisconnected);
             self.ids.remove(&message.taken.id);
             self.journal
-                .get()
-                .note(&Record::Completed(message.taken.id, FinalOutcome::Rejected, 0), unix_now());
+                .lock()
+                .enqueue(&Record::completed(message.taken.id, FinalOutcome::Rejected, 0), unix_now());
             self.events.push(Event::ClientDisconnected { id });
         }
     }
@@ -797,19 +801,19 @@
             items.push(CallItem {
                 id: send.id,
                 attempt: send.attempt,
-                name: message.taken.id.clone(),
+                message: message.taken.id.clone(),
                 key: message.taken.key.clone(),
                 body: message.taken.body.clone(),
-                until: self.clock.instant(send.until),
-                deadline: self.clock.instant(message.expires_at),
-                latest: self.clock.instant(send.latest),
+                times_out_at: self.clock.instant(send.until),
+                expires_at: self.clock.instant(message.expires_at),
+                send_before: self.clock.instant(send.latest),
             });
         }
         let limit = self.idle_limit(now);
         let Some(t) = self.endpoints.get_mut(&endpoint).filter(|_| !items.is_empty()) else { return };
         // The youngest; where that is too old, so are all. What must not run twice goes on none that may be dead.
         let limit = bounded(limit, &t.idle_ages, now);
-        let proven = if once { self.idle_ages.proven(now) } else { Micros::MAX };
+        let proven = if once { self.idle_ages.proven_age(now) } else { Micros::MAX };
         let limit = limit.min(Duration::from_micros(proven.unsigned_abs()));
         let idle = t.idle.pop_if(|(since, _)| since.elapsed() < limit);
         if idle.is_none() && !t.idle.is_empty() {
@@ -819,11 +823,11 @@
         let idle = idle.map(|(since, connection)| (since.elapsed(), connection));
         let idle_for = idle.as_ref().map_or(0, |(age, _)| Micros::try_from(age.as_micros()).unwrap_or(0));
         // Each attempt is called off or given up once at most; one more place is for a wait.
-        let (sender, orders) = channel(2 * items.len() + 1);
-        let attempts = items.iter().map(|item| (item.name.clone(), item.attempt)).collect();
-        let latest = items.iter().map(|i| i.latest).min().unwrap_or_else(Instant::now);
-        let gate = Arc::new(WriteGuard::new(self.journal.clone(), attempts, latest, t.zone.clone()));
-        let owner = CallOwner::ThisProcess(sender, gate.clone());
+        let (sender, commands) = channel(2 * items.len() + 1);
+        let attempts = items.iter().map(|item| (item.message.clone(), item.attempt)).collect();
+        let latest = items.iter().map(|i| i.send_before).min().unwrap_or_else(Instant::now);
+        let guard = Arc::new(WriteGuard::new(self.journal.clone(), attempts, latest, t.zone.clone()));
+        let owner = CallOwner::ThisProcess(sender, guard.clone());
         let out = CallInFlight { endpoint, left: items.len(), idle_for, held: false, owner };
         self.calls.insert(self.next_call, out);
         self.next_call += 1;
@@ -831,13 +835,13 @@
         let connect_timeout = Duration::from_micros(self.settings.connect_timeout.max(1000) as u64);
         let call = OutboundCall {
             endpoint,
-            to: t.to,
+            address: t.to,
             items,
-            idle: idle.map(|(_, connection)| connection),
+            reused: idle.map(|(_, connection)| connection),
             connect_timeout,
-            orders,
-            gate,
-            node: self.inputs.clone(),
+            commands,
+            guard,
+            events: self.inputs.clone(),
         };
         tokio::spawn(endpoint_client::perform(call));
     }
@@ -857,7 +861,7 @@
         let Some(out) = self.out.get(&(id, attempt)) else { return };
         match (self.calls.get(&out.call), &self.predecessor) {
             (Some(CallInFlight { owner: CallOwner::Predecessor, .. }), Some(process)) => {
-                process.say(predecessor(out.name.clone(), attempt));
+                process.send(predecessor(out.name.clone(), attempt));
             }
             (Some(call), _) => call.order(here()),
             (None, _) => {}
@@ -883,22 +887,22 @@
         if let Some(connection) = news.connection
             && let Some(endpoint) = self.endpoints.get_mut(&news.endpoint).filter(|t| t.to == news.address)
             && !self.gone.contains_key(&news.endpoint)
-            && !self.journal.get().bans().contains(&endpoint.uid)
+            && !self.journal.lock().banned_endpoints().contains(&endpoint.uid)
             && self.idle < idle_most
         {
             endpoint.idle.push((Instant::now(), connection));
             self.idle += 1;
         }
-        self.metrics.connection_usage(news.address, news.connection_usage);
+        self.metrics.record_connections(news.address, news.connection_usage);
         let call = news.results.first().and_then(|e| self.out.get(&(e.id, e.attempt)));
         if let Some(kept) = news.connection_usage.reuse
             && let Some(call) = call.and_then(|out| self.calls.get(&out.call))
         {
-            self.idle_ages.add(now, call.idle_for, kept);
+            self.idle_ages.record(now, call.idle_for, kept);
             self.endpoints
                 .get_mut(&news.endpoint)
                 .into_iter()
-                .for_each(|t| t.idle_ages.add(now, call.idle_for, kept));
+                .for_each(|t| t.idle_ages.record(now, call.idle_for, kept));
         }
         if news.results.iter().any(|e| e.retry_after.is_some()) {
             self.hold(news.endpoint);
@@ -926,17 +930,17 @@
         let AttemptResult { id, attempt, outcome, finished, report, retry_after: wait, unsent } = ended;
         let Some(out) = self.call_over(id, attempt) else { return };
         let took = Duration::from_micros(u64::try_from(now - out.sent).unwrap_or(0));
-        self.metrics.ended(to, outcome, took, !self.calls.contains_key(&out.call));
+        self.metrics.record_attempt(to, outcome, took, !self.calls.contains_key(&out.call));
         let unix = unix_now();
         if finished && let Some(message) = self.messages.remove(&id) {
             let AcceptedMessage { id: name, deadline, .. } = message.taken;
             self.ids.remove(&name);
             let end =
                 if outcome == Outcome::Delivered { FinalOutcome::Delivered } else { FinalOutcome::Failed };
-            self.journal.get().note(&Record::Completed(name, end, deadline), unix);
+            self.journal.lock().enqueue(&Record::completed(name, end, deadline), unix);
         } else if let Some(message) = self.messages.get(&id) {
-            let record = Record::AttemptEnded(message.taken.id.clone(), attempt, !outcome.never_executed());
-            self.journal.get().note(&record, unix);
+            let record = Record::attempt_ended(message.taken.id.clone(), attempt, !outcome.never_executed());
+            self.journal.lock().enqueue(&record, unix);
         }
         let finished = !self.messages.contains_key(&id);
         let ended = AttemptEnded {
@@ -957,7 +961,7 @@
     /// One batch at a time, and only what stands in the journal: a client that was told to come again must
     /// never meet the same message sent by the next process.
     fn pass_on_notices(&mut self) {
-        if self.owed.is_empty() || !self.journal.get().is_flushed() {
+        if self.owed.is_empty() || !self.journal.lock().is_flushed() {
             return;
         }
         if let Ok(room) = self.notices.try_reserve() {
@@ -973,8 +977,8 @@
             if anew.is_some_and(|message| message.accepted) {
                 continue;
             }
-            let until = self.journal.get().final_outcome(&message).map_or(0, |(_, until)| until);
-            self.journal.get().note(&Record::Completed(message, end.into(), until), unix);
+            let until = self.journal.lock().final_outcome(&message).map_or(0, |(_, until)| until);
+            self.journal.lock().enqueue(&Record::completed(message, end.into(), until), unix);
         }
     }
 
@@ -1012,7 +1016,7 @@
     fn ban(&mut self, now: Micros, uid: &str, banned: bool) -> AdminReply {
         let endpoint = self.endpoint_ids.get(uid).copied();
         let known = endpoint.is_some() || self.once_listed.iter().any(|known| known == uid);
-        if !known && !self.journal.get().bans().contains(uid) {
+        if !known && !self.journal.lock().banned_endpoints().contains(uid) {
             return Err("no such endpoint was ever listed".to_owned());
         }
         let record = if banned {
@@ -1020,8 +1024,8 @@
         } else {
             Record::EndpointAllowed(uid.to_owned())
         };
-        if banned != self.journal.get().bans().contains(uid) {
-            self.journal.get().commit(&[record], unix_now()).map_err(|e| e.to_string())?;
+        if banned != self.journal.lock().banned_endpoints().contains(uid) {
+            self.journal.lock().commit(&[record], unix_now()).map_err(|e| e.to_string())?;
         }
         if let Some(endpoint) = endpoint {
             let event = if banned { Event::BanStarted { endpoint } } else { Event::BanEnded { endpoint } };
@@ -1075,7 +1079,7 @@
         if moved || matches!(line.state, LifecycleState::Terminating | LifecycleState::Other) {
             self.leave_out(endpoint);
         }
-        if self.journal.get().bans().contains(&line.uid) {
+        if self.journal.lock().banned_endpoints().contains(&line.uid) {
             self.balancer.on_event(now, Event::BanStarted { endpoint }, &mut self.actions);
         }
         if line.state == LifecycleState::Terminated {
--- a/src/forwarder/server/mod.rs
+++ b/src/forwarder/server/mod.rs
@@ -95,7 +95,7 @@
 #[derive(Default)]
 pub(crate) struct ConnectionCounts {
     /// At this process.
-    pub(crate) here: AtomicUsize,
+    pub(crate) own: AtomicUsize,
     /// At the old process.
     pub(crate) predecessor: AtomicUsize,
 }
@@ -262,14 +262,14 @@
         });
         let task = self.tasks.spawn(client(stream, intake, using.clone()));
         self.open.push(Client { using, task });
-        self.places.here.store(self.tasks.len(), Relaxed);
+        self.places.own.store(self.tasks.len(), Relaxed);
     }
 
     /// Forgets connections that are closed.
     fn count(&mut self) {
         while self.tasks.try_join_next().is_some() {}
         self.open.retain(|client| !client.task.is_finished());
-        self.places.here.store(self.tasks.len(), Relaxed);
+        self.places.own.store(self.tasks.len(), Relaxed);
     }
 
     /// What dawdles half way through a request gives way down to the part that a new version leaves in any case.
--- a/src/forwarder/upgrade/mod.rs
+++ b/src/forwarder/upgrade/mod.rs
@@ -147,7 +147,7 @@
     }
 
     /// Whether it is this process's now.
-    pub(crate) fn take(&self) -> io::Result<bool> {
+    pub(crate) fn try_acquire(&self) -> io::Result<bool> {
         match self.0.try_lock() {
             Ok(()) => Ok(true),
             Err(TryLockError::WouldBlock) => Ok(false),
@@ -155,7 +155,7 @@
         }
     }
 
-    pub(crate) fn free(&self) -> io::Result<()> {
+    pub(crate) fn release(&self) -> io::Result<()> {
         self.0.unlock()
     }
 }
@@ -219,7 +219,7 @@
         PeerChannel { id, frames, writer, reader }
     }
 
-    pub(crate) fn say(&self, frame: Frame) {
+    pub(crate) fn send(&self, frame: Frame) {
         // Whether the other process has gone, its end of the channel tells.
         let _ = self.frames.send(frame);
     }
@@ -330,7 +330,7 @@
 impl Predecessor {
     /// Says that all is owned now. Until this is written nothing may be written to the journal: the old process
     /// goes on from what it knows if it does not hear it.
-    pub(crate) async fn owned(
+    pub(crate) async fn confirm_ownership(
         mut self,
         node: Sender<RuntimeEvent>,
     ) -> Result<(HandoffState, PeerChannel), UpgradeError> {
@@ -347,7 +347,7 @@
 ) -> io::Result<Ownership> {
     let lock = StateLock::open(folder)?;
     loop {
-        if lock.take()? {
+        if lock.try_acquire()? {
             return Ok(Ownership { lock, predecessor: None });
         }
         let predecessor = tokio::select! {
@@ -380,7 +380,7 @@
     let heard = timeout(REST, hear(&mut wire.read)).await.map_err(|_| UpgradeError::Silent)??;
     let Frame::Handoff(rest) = heard else { return Err(UpgradeError::UnexpectedFrame) };
     let since = Instant::now();
-    while !lock.take()? {
+    while !lock.try_acquire()? {
         if since.elapsed() > LOCK {
             return Err(UpgradeError::Locked);
         }
