Split the HTTP client into connection, status recording and observed reads

The connection, the reader of status lines and the stream that feeds it stood in one file, with names such as Tap, Lines, Seen and WHOLE.

Tests run: lib, decision_history, simulator_adapter_history, wire, forwarder; clippy.

--- /dev/null
+++ b/src/forwarder/http/connection.rs
@@ -0,0 +1,139 @@
+//! A client connection and the requests sent on it.
+
+use super::RESPONSE_COMPLETION_TIMEOUT;
+use super::response_status::{ResponseProgress, StatusRecordingStream};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, yield_now};
+use tokio::time::{sleep, timeout};
+
+/// The longest head of a response, and the most unread bytes that a connection buffers.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+
+/// Why a request has no response.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum RequestError {
+    /// No byte of the request was written. It is returned for use on another connection.
+    #[error("the connection closed before the request was written")]
+    NotWritten(Box<Request<Full<Bytes>>>),
+    /// The request was written at least in part, and may have arrived.
+    #[error("the connection broke before a response arrived")]
+    Interrupted,
+    /// A response arrived that cannot be parsed.
+    #[error("the response cannot be parsed")]
+    InvalidResponse,
+}
+
+/// An open connection. It is closed when it is dropped.
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// What has arrived of the last response. The stream, owned by the driver task, holds another sender of the
+    /// channel and updates it; the channel keeps only the last value.
+    progress: watch::Sender<ResponseProgress>,
+    /// The task that reads and writes the socket. It ends with the connection.
+    driver: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Opens a connection to `address` within `limit`.
+    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let (progress, _) = watch::channel(ResponseProgress::NotStarted);
+        let handshake = async {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            let stream = StatusRecordingStream::new(stream, progress.clone());
+            let mut client = http1::Builder::new();
+            client
+                .max_buf_size(MAX_BUFFER_BYTES)
+                .handshake(TokioIo::new(stream))
+                .await
+                .map_err(io::Error::other)
+        };
+        let (sender, connection) = timeout(limit, handshake).await.map_err(|_| io::ErrorKind::TimedOut)??;
+        let driver = tokio::spawn(async move {
+            // An error also fails the request that the connection carries, and is handled there.
+            let _ = connection.await;
+        });
+        Ok(Connection { sender, progress, driver })
+    }
+
+    /// Whether the connection is open as far as this side has read. It is not once the other side has closed it
+    /// or has sent bytes that belong to no request.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Whether the connection may carry another request.
+    ///
+    /// Bytes behind the last response would be taken for the response to the next request, or would make it fail.
+    /// The driver closes an idle connection at the first such byte, but only once it has been scheduled: this
+    /// method yields to it first.
+    pub(crate) async fn is_reusable(&self) -> bool {
+        yield_now().await;
+        self.is_open()
+    }
+
+    /// The status in the status line of the last response, even if the response was invalid further on.
+    pub(crate) fn status(&self) -> Option<StatusCode> {
+        match *self.progress.borrow() {
+            ResponseProgress::StatusReceived(status) => Some(status),
+            ResponseProgress::NotStarted | ResponseProgress::Started => None,
+        }
+    }
+
+    /// Sends one request and waits for the head of its response. The caller bounds the time until the response
+    /// starts. A response that has started must complete its head soon, or it counts as invalid: otherwise it
+    /// would occupy its call slot until the call times out.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, RequestError> {
+        if self.sender.ready().await.is_err() {
+            return Err(RequestError::NotWritten(Box::new(request)));
+        }
+        self.progress.send_replace(ResponseProgress::NotStarted);
+        let mut progress = self.progress.subscribe();
+        let response = tokio::select! {
+            biased;
+            response = self.sender.try_send_request(request) => response,
+            () = head_overdue(&mut progress) => return Err(RequestError::InvalidResponse),
+        };
+        response.map_err(|mut error| match error.take_message() {
+            Some(request) => RequestError::NotWritten(Box::new(request)),
+            None if error.error().is_parse() || self.has_response_started() => RequestError::InvalidResponse,
+            None => RequestError::Interrupted,
+        })
+    }
+
+    /// Closes the connection and returns once its socket is released.
+    pub(crate) async fn close(mut self) {
+        self.driver.abort();
+        let _ = (&mut self.driver).await;
+    }
+
+    fn has_response_started(&self) -> bool {
+        *self.progress.borrow() != ResponseProgress::NotStarted
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Completes when a response has started and the time for its head is over.
+async fn head_overdue(progress: &mut watch::Receiver<ResponseProgress>) {
+    // The channel is not closed: the connection holds a sender and outlives its request.
+    let _ = progress.wait_for(|progress| *progress != ResponseProgress::NotStarted).await;
+    sleep(RESPONSE_COMPLETION_TIMEOUT).await;
+}
--- /dev/null
+++ b/src/forwarder/http/response_status/mod.rs
@@ -0,0 +1,165 @@
+//! Records the status line of each response before the HTTP parser reads it.
+//!
+//! To the parser, a response whose head is damaged behind the status line is only an error. The status line is
+//! true all the same, so it is kept.
+
+use super::poll_read_observed;
+use hyper::StatusCode;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// The longest part of a line that is kept. A status line is recognized by its first bytes.
+const MAX_LINE_BYTES: usize = 256;
+
+/// How much of a response has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ResponseProgress {
+    /// Nothing, or complete interim responses only.
+    NotStarted,
+    /// Some bytes, but not the status line of the final response.
+    Started,
+    /// The status line of the final response.
+    StatusReceived(StatusCode),
+}
+
+/// Finds the status line of the final response, behind interim responses (1xx) and their headers.
+#[derive(Default)]
+struct StatusLineParser {
+    /// The start of the current line.
+    line: Vec<u8>,
+    /// The current line belongs to the head of an interim response.
+    in_interim_head: bool,
+    /// A line arrived that is no status line where one was due: no status is reported.
+    is_invalid: bool,
+}
+
+impl StatusLineParser {
+    /// Consumes the next bytes and returns how much of the response has arrived.
+    fn read(&mut self, bytes: &[u8]) -> ResponseProgress {
+        for &byte in bytes {
+            if byte != b'\n' {
+                self.push(byte);
+                continue;
+            }
+            if let Some(status) = self.end_line() {
+                *self = StatusLineParser::default();
+                return ResponseProgress::StatusReceived(status);
+            }
+        }
+        // After an interim response the endpoint may take its time again.
+        if self.line.is_empty() && !self.in_interim_head && !self.is_invalid {
+            ResponseProgress::NotStarted
+        } else {
+            ResponseProgress::Started
+        }
+    }
+
+    /// Keeps the start of a line only: a line without an end must not take more and more memory.
+    fn push(&mut self, byte: u8) {
+        if self.line.len() < MAX_LINE_BYTES {
+            self.line.push(byte);
+        }
+    }
+
+    /// Evaluates the line that is now complete. Returns the status if it is the final status line.
+    fn end_line(&mut self) -> Option<StatusCode> {
+        let line = std::mem::take(&mut self.line);
+        let line = line.strip_suffix(b"\r").unwrap_or(&line);
+        if line.is_empty() {
+            self.in_interim_head = false;
+            return None;
+        }
+        if self.in_interim_head || self.is_invalid {
+            return None;
+        }
+        match parse_status_line(line) {
+            Some(status) if status.is_informational() => self.in_interim_head = true,
+            Some(status) => return Some(status),
+            None => self.is_invalid = true,
+        }
+        None
+    }
+}
+
+/// The status in a status line, or `None` if the line is no status line.
+fn parse_status_line(line: &[u8]) -> Option<StatusCode> {
+    let rest = line.strip_prefix(b"HTTP/1.1 ").or_else(|| line.strip_prefix(b"HTTP/1.0 "))?;
+    let (code, reason) = rest.split_at_checked(3)?;
+    StatusCode::from_bytes(code).ok().filter(|_| matches!(reason.first(), None | Some(b' ')))
+}
+
+/// A stream that records the status line of each response read from it.
+pub(super) struct StatusRecordingStream {
+    stream: TcpStream,
+    parser: StatusLineParser,
+    /// Shared with the [`super::Connection`], which resets it to `NotStarted` before each request.
+    progress: watch::Sender<ResponseProgress>,
+}
+
+impl StatusRecordingStream {
+    /// Wraps `stream` and reports to `progress`.
+    pub(super) fn new(stream: TcpStream, progress: watch::Sender<ResponseProgress>) -> Self {
+        StatusRecordingStream { stream, parser: StatusLineParser::default(), progress }
+    }
+}
+
+/// Reports to `progress` how much of a response has arrived with the `newly_read` bytes.
+fn record(parser: &mut StatusLineParser, progress: &watch::Sender<ResponseProgress>, newly_read: &[u8]) {
+    let before = *progress.borrow();
+    if matches!(before, ResponseProgress::StatusReceived(_)) {
+        return;
+    }
+    if before == ResponseProgress::NotStarted {
+        *parser = StatusLineParser::default();
+    }
+    let now = parser.read(newly_read);
+    progress.send_if_modified(|progress| std::mem::replace(progress, now) != now);
+}
+
+impl AsyncRead for StatusRecordingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let StatusRecordingStream { stream, parser, progress } = &mut *self;
+        poll_read_observed(stream, context, buffer, |newly_read| record(parser, progress, newly_read))
+    }
+}
+
+impl AsyncWrite for StatusRecordingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+#[cfg(test)]
+mod tests;
