Split the endpoint client by step: call, exchange, response, outcome, write guard

One file held the select loop, the exchange, both encodings and the outcomes, with names such as end, part, hold, latest and Answer. Now call.rs makes a call in named steps, pending_items.rs holds the attempts that wait, exchange.rs reuses or opens the connection, request and response encode and parse, outcome.rs derives the results and write_guard makes the last check before a write. What a call did to get a connection is owned by CallConnection, so that no lock is needed.

--- /dev/null
+++ b/src/forwarder/endpoint_client/call.rs
@@ -0,0 +1,140 @@
+//! One call, from its request to its report.
+
+use super::exchange::{CallConnection, NoResponse};
+use super::outcome::{attempt_result, attempt_results};
+use super::pending_items::PendingItems;
+use super::request::encode_request;
+use super::response::EndpointResponse;
+use super::write_guard::WriteGuard;
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::http::Connection;
+use crate::forwarder::messages::call_report::{AttemptResult, CallReport, ConnectionUsage};
+use crate::interface::{EndpointId, MessageId, Outcome};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::{Receiver, Sender};
+use tokio::time::{Instant, sleep_until};
+
+/// One message in a call.
+pub(crate) struct CallItem {
+    /// The message.
+    pub(crate) id: MessageId,
+    /// Number of the attempt.
+    pub(crate) attempt: usize,
+    /// The id that the client gave to the message.
+    pub(crate) message: String,
+    /// The idempotency key.
+    pub(crate) key: Option<String>,
+    /// The payload.
+    pub(crate) body: Bytes,
+    /// The attempt times out at this time.
+    pub(crate) times_out_at: Instant,
+    /// The message expires at this time, and the call ends with it.
+    pub(crate) expires_at: Instant,
+    /// The attempt must not be written at or after this time: the endpoint may have forgotten the key by then.
+    pub(crate) send_before: Instant,
+}
+
+/// A call to make.
+pub(crate) struct OutboundCall {
+    /// The endpoint to call.
+    pub(crate) endpoint: EndpointId,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// The messages. The call of an empty list only reports that nothing was sent.
+    pub(crate) items: Vec<CallItem>,
+    /// An idle connection to the address, if there is one to reuse.
+    pub(crate) reused: Option<Connection>,
+    /// The time that establishing a connection may take.
+    pub(crate) connect_timeout: Duration,
+    /// Commands from the runtime, which holds the sender until the call has ended and chose the bound.
+    pub(crate) commands: Receiver<CallCommand>,
+    /// Checks whether the call may still be written. The runtime holds the other reference.
+    pub(crate) guard: Arc<WriteGuard>,
+    /// Where the report goes: the bounded event queue of the runtime.
+    pub(crate) events: Sender<RuntimeEvent>,
+}
+
+/// A command to a call in flight.
+pub(crate) enum CallCommand {
+    /// Cancel this attempt of this message.
+    Cancel(MessageId, usize),
+    /// End the call. One of its messages has failed and its client is notified: that message must not be
+    /// delivered after all, and a single message cannot be removed from a call on the wire.
+    Abandon,
+    /// The destination asked for a wait: nothing may be written from now on.
+    WithholdWrite,
+}
+
+/// Makes the call and reports the outcome of each attempt in it to the runtime.
+///
+/// The results are reported together when the call is over. Until then the endpoint may still be executing each of
+/// its messages, and a further attempt of one could duplicate it.
+pub(crate) async fn perform(mut call: OutboundCall) {
+    let items = std::mem::take(&mut call.items);
+    let reused = call.reused.take();
+    let Some(request) = encode_request(&items, call.address) else {
+        // Each attempt must be reported in any case: otherwise it would occupy its call slot forever.
+        let results = items.iter().map(|item| attempt_result(item, Outcome::NotSent)).collect();
+        return call.report(results, reused, ConnectionUsage::default()).await;
+    };
+    let guard = call.guard.clone();
+    let mut connection = CallConnection::new(call.address, call.connect_timeout, reused);
+    let mut pending = PendingItems::new(items);
+    let response = {
+        let exchange = pin!(connection.exchange(request, &guard));
+        await_response(exchange, &mut pending, &mut call.commands, &guard).await
+    };
+    let is_complete = matches!(&response, Some(Ok(response)) if response.is_complete);
+    if !is_complete {
+        connection.close().await;
+    }
+    let (pending, mut results) = pending.into_parts(&guard);
+    if let Some(response) = response {
+        results.extend(attempt_results(&pending, &response));
+    }
+    call.report(results, connection.connection, connection.usage).await;
+}
+
+/// Waits for the end of the exchange, and meanwhile ends attempts that time out or are cancelled. Returns `None`
+/// once no attempt is left that waits for the response.
+async fn await_response<E>(
+    mut exchange: Pin<&mut E>,
+    pending: &mut PendingItems,
+    commands: &mut Receiver<CallCommand>,
+    guard: &WriteGuard,
+) -> Option<Result<EndpointResponse, NoResponse>>
+where
+    E: Future<Output = Result<EndpointResponse, NoResponse>>,
+{
+    while let Some(next_timeout) = pending.next_timeout() {
+        let send_before = pending.send_before();
+        tokio::select! {
+            response = &mut exchange => return Some(response),
+            () = sleep_until(next_timeout) => pending.end_timed_out(Instant::now()),
+            () = sleep_until(send_before.unwrap_or(next_timeout)), if send_before.is_some() => {
+                pending.pass_send_before(guard);
+            }
+            Some(command) = commands.recv() => pending.apply(command, guard),
+        }
+    }
+    None
+}
+
+impl OutboundCall {
+    /// Reports the end of the call.
+    async fn report(
+        &self,
+        results: Vec<AttemptResult>,
+        connection: Option<Connection>,
+        connection_usage: ConnectionUsage,
+    ) {
+        let (endpoint, address) = (self.endpoint, self.address);
+        let report = CallReport { endpoint, address, results, connection, connection_usage };
+        // The runtime closes the channel only when the process ends.
+        let _ = self.events.send(RuntimeEvent::CallEnded(report)).await;
+    }
+}
--- /dev/null
+++ b/src/forwarder/endpoint_client/exchange.rs
@@ -0,0 +1,161 @@
+//! Sending a call on a reused or a new connection, and receiving its response.
+
+use super::request::is_batch;
+use super::response::EndpointResponse;
+use super::write_guard::WriteGuard;
+use crate::forwarder::http::{Connection, RequestError};
+use crate::forwarder::messages::call_report::{ConnectionUsage, IdleReuse};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A reused connection that breaks within this time after a call was written to it was already dead: calls take
+/// longer than this.
+const STALE_CONNECTION_WINDOW: Duration = Duration::from_millis(100);
+
+/// Why a call has no response that can be parsed.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+pub(super) enum NoResponse {
+    /// No connection was established, or it closed before anything was written.
+    #[error("not connected")]
+    NotConnected,
+    /// The [`WriteGuard`] did not permit the write, and nothing was written.
+    #[error("the write was withheld")]
+    Withheld,
+    /// The connection broke. The call may have been executed.
+    #[error("the connection broke before a response arrived")]
+    Interrupted,
+    /// A response arrived that cannot be parsed. The call may have been executed.
+    #[error("the response cannot be parsed")]
+    Invalid,
+    /// The connection had been idle and was already dead. The call may have been executed all the same.
+    #[error("the idle connection was dead")]
+    StaleConnection,
+}
+
+/// The connection of a call, and what the call did to get it.
+pub(super) struct CallConnection {
+    address: SocketAddr,
+    connect_timeout: Duration,
+    /// The connection, if one is open.
+    pub(super) connection: Option<Connection>,
+    /// What the call did to get a connection.
+    pub(super) usage: ConnectionUsage,
+}
+
+/// What has to be known of a sent request to interpret its failure.
+struct SentRequest {
+    is_batch: bool,
+    /// The connection had carried another call before.
+    on_reused_connection: bool,
+    sent_at: Instant,
+}
+
+impl CallConnection {
+    /// A connection to `address`: `reused`, if it can still carry a call, or a new one.
+    pub(super) fn new(address: SocketAddr, connect_timeout: Duration, reused: Option<Connection>) -> Self {
+        CallConnection { address, connect_timeout, connection: reused, usage: ConnectionUsage::default() }
+    }
+
+    /// Sends the request and reads its response. If a reused connection turns out to be closed before anything was
+    /// written, a new connection is opened.
+    pub(super) async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        guard: &WriteGuard,
+    ) -> Result<EndpointResponse, NoResponse> {
+        let is_batch = is_batch(&request);
+        let mut request = Box::new(request);
+        loop {
+            let on_reused_connection = self.is_reusable().await;
+            if !on_reused_connection {
+                self.open().await?;
+            }
+            let Some(connection) = &mut self.connection else { return Err(NoResponse::NotConnected) };
+            // Checked as late as possible: only the readiness of the connection is awaited before the write.
+            if !guard.try_begin() {
+                return Err(NoResponse::Withheld);
+            }
+            let sent = SentRequest { is_batch, on_reused_connection, sent_at: Instant::now() };
+            match connection.send(*request).await {
+                Ok(response) => {
+                    if on_reused_connection {
+                        self.usage.reuse = Some(IdleReuse::Alive);
+                    }
+                    return EndpointResponse::read(response, is_batch).await;
+                }
+                Err(RequestError::NotWritten(unsent)) if on_reused_connection => {
+                    request = unsent;
+                    self.connection = None;
+                }
+                Err(error) => return self.interpret_failure(&error, &sent),
+            }
+        }
+    }
+
+    /// Closes the connection, if one is open, and returns once its socket is released.
+    pub(super) async fn close(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.close().await;
+        }
+    }
+
+    async fn is_reusable(&self) -> bool {
+        match &self.connection {
+            Some(connection) => connection.is_reusable().await,
+            None => false,
+        }
+    }
+
+    async fn open(&mut self) -> Result<(), NoResponse> {
+        match Connection::open(self.address, self.connect_timeout).await {
+            Ok(connection) => {
+                self.usage.opened += 1;
+                self.connection = Some(connection);
+                Ok(())
+            }
+            Err(error) => {
+                self.usage.failed = Some(error.kind());
+                Err(NoResponse::NotConnected)
+            }
+        }
+    }
+
+    /// What a request that failed says about the call.
+    fn interpret_failure(
+        &mut self,
+        error: &RequestError,
+        sent: &SentRequest,
+    ) -> Result<EndpointResponse, NoResponse> {
+        match error {
+            RequestError::NotWritten(_) => Err(NoResponse::NotConnected),
+            _ if self.proves_delivery(sent) => Ok(EndpointResponse::status_only(StatusCode::OK)),
+            RequestError::InvalidResponse => Err(NoResponse::Invalid),
+            RequestError::Interrupted if sent.was_connection_stale() => {
+                self.usage.reuse = Some(IdleReuse::Dead);
+                Err(NoResponse::StaleConnection)
+            }
+            RequestError::Interrupted => Err(NoResponse::Interrupted),
+        }
+    }
+
+    /// Whether the status line alone shows that the message was delivered, whatever became of the rest of the
+    /// response.
+    ///
+    /// On a reused connection the status line may belong to a late duplicate of the previous call's response. A
+    /// message wrongly taken for delivered would be lost, so it does not count there.
+    fn proves_delivery(&self, sent: &SentRequest) -> bool {
+        let status = self.connection.as_ref().and_then(Connection::status);
+        !sent.is_batch && !sent.on_reused_connection && status == Some(StatusCode::OK)
+    }
+}
+
+impl SentRequest {
+    /// Whether the connection that broke now was already dead when the request was written to it.
+    fn was_connection_stale(&self) -> bool {
+        self.on_reused_connection && self.sent_at.elapsed() < STALE_CONNECTION_WINDOW
+    }
+}
--- a/src/forwarder/endpoint_client/format_tests.rs
+++ b/src/forwarder/endpoint_client/request/format_tests.rs
@@ -1,27 +1,29 @@
-//! Holds the requests that go out to targets: method, path, headers and body.
+//! Fixes the requests to endpoints: method, path, headers and body.
 
 use super::*;
 use http_body_util::BodyExt;
+use std::time::Duration;
 
-const TARGET: &str = "10.0.0.1:8080";
+const ENDPOINT: &str = "10.0.0.1:8080";
 
-fn item(name: &str, key: Option<&str>, body: &'static [u8], wait_ms: u64) -> CallItem {
-    let until = Instant::now() + Duration::from_millis(wait_ms);
+fn item(name: &str, key: Option<&str>, body: &'static [u8], timeout_ms: u64) -> CallItem {
+    let timeout = Instant::now() + Duration::from_millis(timeout_ms);
     CallItem {
         id: 1,
         attempt: 0,
         message: name.to_owned(),
         key: key.map(str::to_owned),
         body: Bytes::from_static(body),
-        times_out_at: until,
-        expires_at: until,
-        send_before: until,
+        times_out_at: timeout,
+        expires_at: timeout,
+        send_before: timeout,
     }
 }
 
 /// A request as text: its first line, its headers by name, and its body.
 async fn text_of(items: &[CallItem]) -> String {
-    let request = request(items, TARGET.parse().expect("an address")).expect("a request can be made");
+    let request =
+        encode_request(items, ENDPOINT.parse().expect("an address")).expect("a request can be made");
     let (parts, body) = request.into_parts();
     let header = |(name, value): (&hyper::header::HeaderName, &HeaderValue)| {
         format!("{name}: {}\n", value.to_str().expect("plain text"))
@@ -34,7 +36,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn one_message_goes_as_it_is() {
+async fn one_message_is_sent_with_headers_and_unchanged_body() {
     let keyed = text_of(&[item("m-1", Some("key-1"), b"hello", 2500)]).await;
     let headers = "host: 10.0.0.1:8080\nidempotency-key: key-1\nreq-deadline-ms: 2500\nreq-id: m-1\n";
     assert_eq!(keyed, format!("POST /hook\n{headers}\nhello"));
@@ -43,7 +45,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn several_messages_go_as_a_batch() {
+async fn several_messages_are_sent_as_a_json_batch() {
     let items = [item("m-1", Some("key-1"), b"hello", 2500), item("m-2", None, b"\x00\xff", 3000)];
     let headers = "content-type: application/json\nhost: 10.0.0.1:8080\nreq-deadline-ms: 3000\n";
     let body = r#"[{"id":"m-1","key":"key-1","body":"aGVsbG8="},{"id":"m-2","body":"AP8="}]"#;
@@ -52,5 +54,5 @@
 
 #[test]
 fn no_message_gives_no_request() {
-    assert!(request(&[], TARGET.parse().expect("an address")).is_none());
+    assert!(encode_request(&[], ENDPOINT.parse().expect("an address")).is_none());
 }
--- /dev/null
+++ b/src/forwarder/endpoint_client/write_guard/mod.rs
@@ -0,0 +1,84 @@
+//! The last check before a call is written, and its record in the journal.
+
+use crate::forwarder::clock::unix_now;
+use crate::forwarder::journal::{JournalError, Record, SharedJournal};
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::time::Instant;
+
+/// Decides whether a call may be written, and records its attempts in the journal just before the first byte.
+///
+/// They are not recorded earlier: a successor process takes a recorded attempt for one that may have been executed.
+/// The guard is shared by the call and the runtime, which run on one thread.
+pub(crate) struct WriteGuard {
+    journal: SharedJournal,
+    /// The attempts to record: id of the message and number of the attempt.
+    attempts: Vec<(String, usize)>,
+    /// The call must not be written at or after this time.
+    send_before: Instant,
+    /// The zone of the endpoint, which is recorded with the attempts.
+    zone: String,
+    /// Something may have been written.
+    write_begun: AtomicBool,
+    /// Nothing more may be written.
+    write_withheld: AtomicBool,
+}
+
+impl WriteGuard {
+    /// A guard for a call of these `attempts` (id of the message and number of the attempt) to an endpoint in
+    /// `zone`. The call must not be written at or after `send_before`.
+    pub(crate) fn new(
+        journal: SharedJournal,
+        attempts: Vec<(String, usize)>,
+        send_before: Instant,
+        zone: String,
+    ) -> Self {
+        WriteGuard {
+            journal,
+            attempts,
+            send_before,
+            zone,
+            write_begun: AtomicBool::new(false),
+            write_withheld: AtomicBool::new(false),
+        }
+    }
+
+    /// Forbids writing from now on.
+    pub(crate) fn withhold(&self) {
+        self.write_withheld.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether something may have been written.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.write_begun.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the call may be written now, and records its attempts the first time that it may.
+    pub(super) fn try_begin(&self) -> bool {
+        // The time is compared here although the call also has a timer for it: both the timer and the connection
+        // may become ready at once, and the connection may be polled first.
+        if self.write_withheld.load(Ordering::Relaxed) || Instant::now() >= self.send_before {
+            return false;
+        }
+        if self.is_begun() {
+            return true;
+        }
+        if let Err(error) = self.record_attempts() {
+            eprintln!("journal: a call is withheld: {error}");
+            return false;
+        }
+        self.write_begun.store(true, Ordering::Relaxed);
+        true
+    }
+
+    fn record_attempts(&self) -> Result<(), JournalError> {
+        let now = unix_now();
+        let record = |(message, attempt): &(String, usize)| {
+            Record::attempt_started(message.clone(), *attempt, now, self.zone.clone())
+        };
+        let records: Vec<Record> = self.attempts.iter().map(record).collect();
+        self.journal.lock().commit(&records, now)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/forwarder/endpoint_client/tests.rs
+++ b/src/forwarder/endpoint_client/write_guard/tests.rs
@@ -1,23 +1,26 @@
 use super::*;
 use crate::forwarder::journal::Journal;
+use std::time::Duration;
 use std::{env, fs, process};
 
 #[test]
-fn nothing_is_written_or_noted_once_it_is_too_late() {
+fn late_or_withheld_call_is_neither_written_nor_recorded() {
     let folder = env::temp_dir().join(format!("guard-test-{}", process::id()));
     fs::create_dir_all(&folder).expect("a temporary folder");
     let (journal, _) = Journal::open(&folder, 1 << 20, unix_now()).expect("it opens");
     let journal = SharedJournal::new(journal);
-    let guard = |latest| WriteGuard::new(journal.clone(), vec![("m".to_owned(), 0)], latest, "a".to_owned());
+    let guard = |send_before| {
+        WriteGuard::new(journal.clone(), vec![("m".to_owned(), 0)], send_before, "a".to_owned())
+    };
     let now = Instant::now();
-    // No timer has told it so.
+    // No timer has fired.
     let late = guard(now);
     assert!(!late.try_begin() && !late.is_begun());
     let length = || fs::metadata(folder.join("journal")).map_or(0, |file| file.len());
-    assert_eq!(length(), 0, "noted");
+    assert_eq!(length(), 0, "recorded");
     let early = guard(now + Duration::from_secs(60));
     assert!(early.try_begin() && early.is_begun() && length() > 0);
-    // Written or not, nothing more goes once it is held.
+    // Begun or not, nothing more is written once the write is withheld.
     early.withhold();
     assert!(!early.try_begin());
     fs::remove_dir_all(&folder).expect("it was there");
