Split the server into listener, connection, activity, stream, request, reply and handler

Each part is a module now, requests are parsed into typed headers, and a typed error says why a request is not accepted and maps to its status. The fields of RequestHandler are setting_names, connection_counts and body_memory. The guarded read is the one of the HTTP client. Log line: 'intake: ...' is 'server: ...'.

--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -124,12 +124,12 @@
     });
     let (phase, closing) = watch::channel(LifecyclePhase::Serving);
     let server = RequestHandler {
-        names: configuration.names,
+        setting_names: configuration.names,
         settings: configuration.settings,
         runtime: inputs,
         phase: closing,
-        places,
-        bodies: Semaphore::new(configuration.limits.memory_mb.max(1) * 1024 / BODIES),
+        connection_counts: places,
+        body_memory: Semaphore::new(configuration.limits.memory_mb.max(1) * 1024 / BODIES),
     };
     let server = tokio::spawn(server::serve(listener, clients, Arc::new(server)));
     runtime.run(received, phase, server).await;
--- a/src/forwarder/server/framing/mod.rs
+++ b/src/forwarder/server/framing/mod.rs
@@ -1,80 +1,102 @@
-//! Looks at requests' heads as their bytes pass, in front of the parser. It only tells where a head leaves in
-//! doubt how long its body is; to read and to refuse is the parser's and the intake's.
+//! Scans the heads of requests ahead of the HTTP parser for ambiguous body lengths.
+//!
+//! It only detects heads that leave the length of their body in doubt. Parsing and validating requests is the task
+//! of the parser and of the request handler.
 
-/// Longest part of a line that is looked at: a name, and a length.
-const LINE_MOST: usize = 64;
+/// The longest part of a header line that is kept: enough for a header name and a length.
+const MAX_LINE_BYTES: usize = 64;
 
-/// Where in the stream of requests the next byte belongs.
+/// Scans the bytes of a connection and follows the boundaries of its requests.
 #[derive(Debug, Default)]
-pub(crate) struct FramingScanner {
+pub(super) struct FramingScanner {
+    /// The start of the current line.
     line: Vec<u8>,
-    lengths: u32,
-    length: u64,
+    /// The number of `Content-Length` headers in this head.
+    content_length_headers: u32,
+    /// The value of the last of them.
+    content_length: u64,
     /// A line of this head has been read.
-    begun: bool,
-    coded: bool,
-    /// Bytes left of a body.
-    body: u64,
-    /// Where the next head begins is not known: the connection ends with this one.
-    lost: bool,
+    in_head: bool,
+    /// This head has a `Transfer-Encoding` header.
+    has_transfer_encoding: bool,
+    /// Bytes of the current body that have not arrived yet.
+    remaining_body: u64,
+    /// The start of the next head is unknown. The connection ends with this request, so that no other follows.
+    is_boundary_unknown: bool,
 }
 
 impl FramingScanner {
-    /// Takes the next bytes; true if they end a head with more than one length, or with a length and a
-    /// transfer coding.
-    pub(crate) fn read(&mut self, mut bytes: &[u8]) -> bool {
+    /// Consumes the next bytes. Returns whether they complete a head with several `Content-Length` headers, or with
+    /// `Content-Length` and `Transfer-Encoding`.
+    pub(super) fn read(&mut self, mut bytes: &[u8]) -> bool {
         let mut ambiguous = false;
-        while !self.lost && !bytes.is_empty() {
-            if self.body > 0 {
-                let skipped = usize::try_from(self.body).unwrap_or(usize::MAX).min(bytes.len());
-                self.body -= skipped as u64;
-                bytes = &bytes[skipped..];
+        while !self.is_boundary_unknown && !bytes.is_empty() {
+            if self.remaining_body > 0 {
+                bytes = self.skip_body(bytes);
                 continue;
             }
-            let end = bytes.iter().position(|byte| *byte == b'\n');
-            let part = &bytes[..end.unwrap_or(bytes.len())];
-            // Of a longer line the start is enough.
-            let room = LINE_MOST - self.line.len();
-            self.line.extend_from_slice(&part[..part.len().min(room)]);
-            let Some(end) = end else { break };
-            bytes = &bytes[end + 1..];
+            let line_end = bytes.iter().position(|byte| *byte == b'\n');
+            self.extend_line(&bytes[..line_end.unwrap_or(bytes.len())]);
+            let Some(line_end) = line_end else { break };
+            bytes = &bytes[line_end + 1..];
             ambiguous |= self.end_line();
         }
         ambiguous
     }
 
-    /// Whether the bytes so far end within a request: in its head, or in its body.
-    pub(crate) fn is_within(&self) -> bool {
-        self.begun || self.body > 0 || !self.line.is_empty()
+    /// Whether the bytes read so far end within a request: in its head or in its body.
+    pub(super) fn is_within_request(&self) -> bool {
+        self.in_head || self.remaining_body > 0 || !self.line.is_empty()
     }
 
+    /// Consumes bytes of the body and returns the bytes behind it.
+    fn skip_body<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
+        let remaining = usize::try_from(self.remaining_body).unwrap_or(usize::MAX);
+        let skipped = remaining.min(bytes.len());
+        self.remaining_body -= skipped as u64;
+        &bytes[skipped..]
+    }
+
+    /// Adds to the current line, of which only the start is kept.
+    fn extend_line(&mut self, part: &[u8]) {
+        let free = MAX_LINE_BYTES - self.line.len();
+        self.line.extend_from_slice(&part[..part.len().min(free)]);
+    }
+
+    /// Evaluates the line that is now complete. Returns whether it ends an ambiguous head.
     fn end_line(&mut self) -> bool {
         let line = std::mem::take(&mut self.line);
         let line = line.strip_suffix(b"\r").unwrap_or(&line);
         if !line.is_empty() {
-            self.begun = true;
-            self.header(line);
+            self.in_head = true;
+            self.read_header(line);
             return false;
         }
-        if !self.begun {
-            // Empty lines ahead of a request are skipped.
-            return false;
-        }
-        let ambiguous = self.lengths > 1 || (self.lengths > 0 && self.coded);
-        *self =
-            FramingScanner { body: self.length, lost: ambiguous || self.coded, ..FramingScanner::default() };
+        // Empty lines before a request are skipped.
+        self.in_head && self.end_head()
+    }
+
+    /// Returns whether the head that is now complete is ambiguous.
+    fn end_head(&mut self) -> bool {
+        let has_content_length = self.content_length_headers > 0;
+        let ambiguous = self.content_length_headers > 1 || (has_content_length && self.has_transfer_encoding);
+        *self = FramingScanner {
+            remaining_body: self.content_length,
+            is_boundary_unknown: ambiguous || self.has_transfer_encoding,
+            ..FramingScanner::default()
+        };
         ambiguous
     }
 
-    fn header(&mut self, line: &[u8]) {
+    fn read_header(&mut self, line: &[u8]) {
         let Some(colon) = line.iter().position(|byte| *byte == b':') else { return };
         let (name, value) = (line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
         if name.eq_ignore_ascii_case(b"content-length") {
-            self.lengths += 1;
-            // One that is no number is refused by the parser.
-            self.length = str::from_utf8(value).ok().and_then(|v| v.parse().ok()).unwrap_or(0);
+            self.content_length_headers += 1;
+            // The parser rejects a value that is not a number.
+            self.content_length = str::from_utf8(value).ok().and_then(|text| text.parse().ok()).unwrap_or(0);
         } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
-            self.coded = true;
+            self.has_transfer_encoding = true;
         }
     }
 }
--- /dev/null
+++ b/src/forwarder/server/handler.rs
@@ -0,0 +1,134 @@
+//! Handling the requests of clients.
+
+use super::activity::ConnectionActivity;
+use super::lifecycle::{ConnectionCounts, LifecyclePhase};
+use super::reply::{HttpReply, OVERLOAD_RETRY_AFTER, close_after, encode_reply, status_reply};
+use super::request::{MessageHeaders, RequestError, body_length, parse_class, read_body};
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
+use crate::interface::{Idempotency, Settings};
+use crate::settings_reader::SettingNames;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::{Method, Request, StatusCode};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::Sender;
+use tokio::sync::{Semaphore, oneshot, watch};
+
+/// The path of the readiness check.
+const READINESS_PATH: &str = "/-/ready";
+/// The unit in which the memory for bodies is counted.
+const BYTES_PER_BODY_PERMIT: u64 = 1024;
+
+/// The handler of all client requests, shared by all connections.
+pub(crate) struct RequestHandler {
+    /// The names of classes and tenants, as clients use them.
+    pub(crate) setting_names: SettingNames,
+    /// The settings.
+    pub(crate) settings: Settings,
+    /// Where submitted messages go: the bounded event queue of the runtime.
+    pub(crate) runtime: Sender<RuntimeEvent>,
+    /// The phase of the process, which the runtime sets.
+    pub(crate) phase: watch::Receiver<LifecyclePhase>,
+    /// The numbers of connections, shared with the runtime.
+    pub(crate) connection_counts: Arc<ConnectionCounts>,
+    /// Bounds the memory for message bodies until the reply to their request: one permit for each KiB.
+    pub(crate) body_memory: Semaphore,
+}
+
+impl RequestHandler {
+    /// Handles one request, and records in `activity` when it begins and ends.
+    pub(super) async fn handle(
+        &self,
+        request: Request<Incoming>,
+        activity: &ConnectionActivity,
+    ) -> HttpReply {
+        activity.begin_request();
+        let mut reply =
+            self.route(request, activity).await.unwrap_or_else(|error| status_reply(error.status()));
+        // The end of an invalid request is in doubt: nothing behind it is read as another request.
+        if reply.status().is_client_error() || self.phase() >= LifecyclePhase::Draining {
+            close_after(&mut reply);
+        }
+        activity.end_request();
+        reply
+    }
+
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        activity: &ConnectionActivity,
+    ) -> Result<HttpReply, RequestError> {
+        let body_timeout = activity.remaining_request_time();
+        if activity.has_ambiguous_framing() {
+            return Err(RequestError::AmbiguousFraming);
+        }
+        if request.headers().contains_key(TRANSFER_ENCODING) {
+            return Err(RequestError::LengthRequired);
+        }
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, READINESS_PATH) => Ok(status_reply(self.readiness())),
+            (&Method::POST, path) if path.len() > 1 => {
+                self.submit(request, body_timeout).await.map(encode_reply)
+            }
+            _ => Err(RequestError::NotFound),
+        }
+    }
+
+    fn phase(&self) -> LifecyclePhase {
+        *self.phase.borrow()
+    }
+
+    fn readiness(&self) -> StatusCode {
+        match self.phase() {
+            LifecyclePhase::Draining => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::OK,
+        }
+    }
+
+    /// Validates a message, submits it to the runtime and waits for the reply. The body may take `body_timeout` to
+    /// arrive.
+    async fn submit(
+        &self,
+        request: Request<Incoming>,
+        body_timeout: Duration,
+    ) -> Result<ClientReply, RequestError> {
+        let (parts, body) = request.into_parts();
+        let class = parse_class(parts.uri.path(), &self.setting_names.classes)?;
+        let headers =
+            MessageHeaders::parse(&parts.headers, &self.setting_names.tenants, self.is_key_required(class))?;
+        let permits = body_length(&body)?.div_ceil(BYTES_PER_BODY_PERMIT) as u32;
+        // Held until the reply.
+        let Ok(_body_memory) = self.body_memory.try_acquire_many(permits) else {
+            return Ok(ClientReply::Rejected(Some(OVERLOAD_RETRY_AFTER)));
+        };
+        let body = read_body(body, body_timeout).await?;
+        Ok(self.submit_to_runtime(class, headers, body).await)
+    }
+
+    fn is_key_required(&self, class: usize) -> bool {
+        matches!(self.settings.classes[class].idempotency, Idempotency::Keyed { .. })
+    }
+
+    async fn submit_to_runtime(&self, class: usize, headers: MessageHeaders, body: Bytes) -> ClientReply {
+        let (reply, received_reply) = oneshot::channel();
+        let message = ClientRequest {
+            id: headers.id,
+            class,
+            tenant: headers.tenant,
+            destination: headers.destination,
+            key: headers.key,
+            body,
+            deadline: Instant::now() + headers.remaining,
+            reply,
+        };
+        // A full queue means that the runtime is overloaded. The message was not accepted, so that it may be
+        // submitted again.
+        if self.runtime.try_send(RuntimeEvent::ClientRequest(message)).is_err() {
+            return ClientReply::Rejected(Some(OVERLOAD_RETRY_AFTER));
+        }
+        received_reply.await.unwrap_or(ClientReply::Rejected(None))
+    }
+}
--- /dev/null
+++ b/src/forwarder/server/lifecycle.rs
@@ -0,0 +1,44 @@
+//! The phases of the process, and the connections that two processes share during an upgrade.
+
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+/// In [`LifecyclePhase::Draining`], connections without an open request are closed after this time. By then the
+/// load balancer has noticed that the process is not ready, and requests on their way have arrived.
+const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How far the process is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum LifecyclePhase {
+    /// Normal operation.
+    Serving,
+    /// The readiness check fails, so that clients go elsewhere. Requests are still served.
+    Draining,
+    /// Each reply is the last on its connection.
+    Closing,
+    /// A successor takes over. This process accepts no connections and closes idle ones.
+    HandingOver,
+    /// No new connections and no new requests.
+    Stopped,
+}
+
+impl LifecyclePhase {
+    /// The time after which connections without an open request are closed. `None` if they stay open.
+    pub(super) fn idle_close_delay(self) -> Option<Duration> {
+        match self {
+            LifecyclePhase::Serving | LifecyclePhase::Closing => None,
+            LifecyclePhase::Draining => Some(DRAIN_IDLE_TIMEOUT),
+            LifecyclePhase::HandingOver | LifecyclePhase::Stopped => Some(Duration::ZERO),
+        }
+    }
+}
+
+/// The numbers of client connections. Two processes share the file descriptors of one during an upgrade, so that
+/// the connections of both count towards the capacity.
+#[derive(Default)]
+pub(crate) struct ConnectionCounts {
+    /// Connections to this process.
+    pub(crate) own: AtomicUsize,
+    /// Connections to the predecessor.
+    pub(crate) predecessor: AtomicUsize,
+}
--- /dev/null
+++ b/src/forwarder/server/listener.rs
@@ -0,0 +1,176 @@
+//! The accept loop, and the bound on the number of connections.
+
+use super::activity::ConnectionActivity;
+use super::connection::{SHUTDOWN_POLL_INTERVAL, serve_connection};
+use super::handler::RequestHandler;
+use super::lifecycle::{ConnectionCounts, LifecyclePhase};
+use super::reply::NO_CAPACITY_RESPONSE;
+use super::stream::{DISCARD_BUFFER_BYTES, MAX_LINGERING_CLOSE_BYTES};
+use std::io::{self, Read, Write};
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet, yield_now};
+use tokio::time::{sleep, timeout};
+
+/// At capacity, a connection without an open request may be evicted after this time. A client that opened a
+/// connection to send a request has sent it by then.
+const MIN_IDLE_BEFORE_EVICTION: Duration = Duration::from_millis(250);
+/// While two processes share the file descriptors of one, the connections of the predecessor reduce the capacity of
+/// the successor, but not below the capacity divided by this.
+const MIN_CAPACITY_DIVISOR: usize = 4;
+/// The pause after a failed accept. The process may be out of descriptors: others have to be closed first.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Serves clients, with at most `max_connections` at a time, until the phase is [`LifecyclePhase::Stopped`] and the
+/// last open request has its reply.
+pub(crate) async fn serve(listener: TcpListener, max_connections: usize, handler: Arc<RequestHandler>) {
+    let mut phase = handler.phase.clone();
+    let mut connections = ClientConnections::new(max_connections, handler);
+    tokio::select! {
+        () = connections.accept_all(listener) => {}
+        _ = phase.wait_for(|phase| *phase == LifecyclePhase::Stopped) => {}
+    }
+    connections.close_all().await;
+}
+
+/// The open connections of clients. It owns their tasks.
+struct ClientConnections {
+    max_connections: usize,
+    handler: Arc<RequestHandler>,
+    open: Vec<OpenConnection>,
+    tasks: JoinSet<()>,
+}
+
+struct OpenConnection {
+    activity: Arc<ConnectionActivity>,
+    task: AbortHandle,
+}
+
+impl ClientConnections {
+    fn new(max_connections: usize, handler: Arc<RequestHandler>) -> Self {
+        ClientConnections { max_connections, handler, open: Vec::new(), tasks: JoinSet::new() }
+    }
+
+    async fn accept_all(&mut self, listener: TcpListener) {
+        let mut phase = self.handler.phase.clone();
+        loop {
+            match accept_unless_handing_over(&listener, &mut phase).await {
+                None => {
+                    let _ = phase.wait_for(|phase| *phase != LifecyclePhase::HandingOver).await;
+                }
+                Some(Ok(stream)) => self.add(stream).await,
+                Some(Err(error)) => {
+                    eprintln!("server: {error}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// Serves a new connection.
+    async fn add(&mut self, stream: TcpStream) {
+        let capacity = self.capacity();
+        self.serve_or_reject(stream, capacity);
+        // An evicted connection is closed by its task. Without yielding to it, a burst of new connections would
+        // exceed the bound.
+        if self.open.len() >= capacity {
+            yield_now().await;
+        }
+    }
+
+    /// The number of connections that this process may have now.
+    fn capacity(&self) -> usize {
+        let shared = self.max_connections.saturating_sub(self.counts().predecessor.load(Relaxed));
+        shared.max(self.min_capacity()).max(1)
+    }
+
+    /// The number of connections that a process may have even if the other one has taken all of them.
+    fn min_capacity(&self) -> usize {
+        self.max_connections / MIN_CAPACITY_DIVISOR
+    }
+
+    fn counts(&self) -> &ConnectionCounts {
+        &self.handler.connection_counts
+    }
+
+    /// Serves a new connection, at capacity in place of an idle one. A client never waits for capacity: otherwise
+    /// clients that open connections and send nothing would lock out the others.
+    fn serve_or_reject(&mut self, stream: TcpStream, capacity: usize) {
+        self.remove_closed();
+        if self.open.len() >= capacity && !self.evict_idle() {
+            return reject_without_capacity(stream);
+        }
+        let activity = Arc::new(ConnectionActivity::new());
+        let task = self.tasks.spawn(serve_connection(stream, self.handler.clone(), activity.clone()));
+        self.open.push(OpenConnection { activity, task });
+        self.update_count();
+    }
+
+    fn remove_closed(&mut self) {
+        while self.tasks.try_join_next().is_some() {}
+        self.open.retain(|connection| !connection.task.is_finished());
+        self.update_count();
+    }
+
+    fn update_count(&self) {
+        self.counts().own.store(self.tasks.len(), Relaxed);
+    }
+
+    /// Closes one connection without an open request, and returns whether there was one. Connections on which no
+    /// request ever arrived go first, then those that have been idle for longest.
+    fn evict_idle(&mut self) -> bool {
+        let candidates = self.open.iter().enumerate().filter_map(|(position, connection)| {
+            let activity = &connection.activity;
+            let idle_time = activity.idle_time().filter(|time| *time >= MIN_IDLE_BEFORE_EVICTION)?;
+            Some((!activity.has_received_request(), idle_time, position))
+        });
+        let Some((.., position)) = candidates.max() else { return false };
+        self.open.swap_remove(position).task.abort();
+        true
+    }
+
+    /// Waits until the last connection is closed. Meanwhile, connections that receive a request slowly are evicted
+    /// down to the capacity that a successor leaves to this process in any case.
+    async fn close_all(mut self) {
+        while !self.tasks.is_empty() {
+            self.remove_closed();
+            while self.open.len() > self.min_capacity() && self.evict_idle() {}
+            let _ = timeout(SHUTDOWN_POLL_INTERVAL, self.tasks.join_next()).await;
+        }
+        self.remove_closed();
+    }
+}
+
+/// Accepts the next connection. `None` while this process hands over: its successor accepts connections on the same
+/// socket, and those that this process does not accept are accepted there.
+async fn accept_unless_handing_over(
+    listener: &TcpListener,
+    phase: &mut watch::Receiver<LifecyclePhase>,
+) -> Option<io::Result<TcpStream>> {
+    tokio::select! {
+        biased;
+        _ = phase.wait_for(|phase| *phase == LifecyclePhase::HandingOver) => None,
+        accepted = listener.accept() => Some(accepted.map(|(stream, _)| stream)),
+    }
+}
+
+/// Rejects a connection for want of capacity and closes it, without waiting for the client.
+fn reject_without_capacity(stream: TcpStream) {
+    // The asynchronous runtime does not know yet whether the socket is readable or writable, so it is used directly.
+    // It is non-blocking.
+    let Ok(mut stream) = stream.into_std() else { return };
+    // Closing a socket with unread bytes would reset the connection and discard the response.
+    let mut discarded = [0; DISCARD_BUFFER_BYTES];
+    for _ in 0..MAX_LINGERING_CLOSE_BYTES / DISCARD_BUFFER_BYTES {
+        if !stream.read(&mut discarded).is_ok_and(|length| length == DISCARD_BUFFER_BYTES) {
+            break;
+        }
+    }
+    // The response fits into the empty buffer of the socket. An error means that the client has disconnected.
+    let _ = stream.write(NO_CAPACITY_RESPONSE);
+    let _ = stream.shutdown(Shutdown::Write);
+}
--- /dev/null
+++ b/src/forwarder/server/request.rs
@@ -0,0 +1,189 @@
+//! Validating the requests of clients.
+
+use crate::settings_reader::index;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::{HeaderMap, StatusCode};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// The longest body of a message.
+const MAX_BODY_BYTES: u64 = 64 << 10;
+/// The longest id, key or tenant name. The id and the key are part of every journal record of the message.
+const MAX_NAME_BYTES: usize = 128;
+/// The longest time that a client may wait for a message. It keeps sums of times far from overflow.
+const MAX_DEADLINE_MS: u64 = 24 * 3600 * 1000;
+
+const ID_HEADER: &str = "req-id";
+const TENANT_HEADER: &str = "req-owner";
+const DEADLINE_HEADER: &str = "req-deadline-ms";
+const KEY_HEADER: &str = "idempotency-key";
+const ENVELOPE_HEADER: &str = "envelope";
+/// The field of the envelope that names the destination.
+const DESTINATION_FIELD: &str = "dest";
+
+/// Why a request is not accepted.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum RequestError {
+    /// The request has several body lengths, or a length and a transfer encoding.
+    #[error("ambiguous body length")]
+    AmbiguousFraming,
+    /// The body has a transfer encoding. Only bodies with a length are accepted, so that their end is never in doubt.
+    #[error("no body length")]
+    LengthRequired,
+    /// There is nothing at this path, or not for this method.
+    #[error("unknown path or method")]
+    NotFound,
+    /// The path names no class.
+    #[error("unknown class")]
+    UnknownClass,
+    /// The header occurs more than once: different readers could use different values.
+    #[error("repeated header {0}")]
+    RepeatedHeader(&'static str),
+    /// The header is missing, or its value is not permitted.
+    #[error("invalid header {0}")]
+    InvalidHeader(&'static str),
+    /// The body is too long.
+    #[error("body too large")]
+    BodyTooLarge,
+    /// The connection broke within the body.
+    #[error("incomplete body")]
+    IncompleteBody,
+    /// The body did not arrive in time.
+    #[error("body timed out")]
+    BodyTimeout,
+}
+
+impl RequestError {
+    /// The status of the reply.
+    pub(super) fn status(&self) -> StatusCode {
+        match self {
+            RequestError::AmbiguousFraming
+            | RequestError::UnknownClass
+            | RequestError::RepeatedHeader(_)
+            | RequestError::InvalidHeader(_)
+            | RequestError::IncompleteBody => StatusCode::BAD_REQUEST,
+            RequestError::LengthRequired => StatusCode::LENGTH_REQUIRED,
+            RequestError::NotFound => StatusCode::NOT_FOUND,
+            RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
+/// The index of the class that the path names. The path has one segment.
+pub(super) fn parse_class(path: &str, classes: &[String]) -> Result<usize, RequestError> {
+    let class = path.trim_start_matches('/');
+    if class.contains('/') {
+        return Err(RequestError::NotFound);
+    }
+    index(classes, class).ok_or(RequestError::UnknownClass)
+}
+
+/// What the headers of a message say.
+pub(super) struct MessageHeaders {
+    /// The id that the client gave to the message.
+    pub(super) id: String,
+    /// The index of its tenant.
+    pub(super) tenant: Option<usize>,
+    /// Its destination.
+    pub(super) destination: u64,
+    /// Its idempotency key.
+    pub(super) key: Option<String>,
+    /// The time for which the client waits.
+    pub(super) remaining: Duration,
+}
+
+impl MessageHeaders {
+    /// Parses the headers of a message. `tenants` are the names of the tenants, and `key_required` tells whether its
+    /// class demands an idempotency key.
+    pub(super) fn parse(
+        headers: &HeaderMap,
+        tenants: &[String],
+        key_required: bool,
+    ) -> Result<Self, RequestError> {
+        check_repeated_headers(headers)?;
+        Ok(MessageHeaders {
+            tenant: parse_tenant(headers, tenants)?,
+            key: parse_key(headers, key_required)?,
+            remaining: parse_deadline(headers)?,
+            id: parse_id(headers)?,
+            destination: parse_destination(headers)?,
+        })
+    }
+}
+
+fn check_repeated_headers(headers: &HeaderMap) -> Result<(), RequestError> {
+    let checked = [ID_HEADER, TENANT_HEADER, DEADLINE_HEADER, KEY_HEADER, ENVELOPE_HEADER];
+    let repeated = checked.into_iter().find(|name| headers.get_all(*name).iter().count() > 1);
+    repeated.map_or(Ok(()), |name| Err(RequestError::RepeatedHeader(name)))
+}
+
+/// A missing header reads as an empty one.
+fn header_text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, RequestError> {
+    let Some(value) = headers.get(name) else { return Ok("") };
+    value.to_str().map(str::trim).map_err(|_| RequestError::InvalidHeader(name))
+}
+
+/// The text of a header that holds an id, a key or a name.
+fn short_header_text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, RequestError> {
+    let text = header_text(headers, name)?;
+    if text.len() > MAX_NAME_BYTES { Err(RequestError::InvalidHeader(name)) } else { Ok(text) }
+}
+
+fn parse_tenant(headers: &HeaderMap, tenants: &[String]) -> Result<Option<usize>, RequestError> {
+    let name = short_header_text(headers, TENANT_HEADER)?;
+    if name.is_empty() && tenants.is_empty() {
+        return Ok(None);
+    }
+    index(tenants, name).map(Some).ok_or(RequestError::InvalidHeader(TENANT_HEADER))
+}
+
+fn parse_key(headers: &HeaderMap, required: bool) -> Result<Option<String>, RequestError> {
+    match short_header_text(headers, KEY_HEADER)? {
+        "" if required => Err(RequestError::InvalidHeader(KEY_HEADER)),
+        "" => Ok(None),
+        key => Ok(Some(key.to_owned())),
+    }
+}
+
+fn parse_deadline(headers: &HeaderMap) -> Result<Duration, RequestError> {
+    let milliseconds = header_text(headers, DEADLINE_HEADER)?.parse().ok();
+    milliseconds
+        .filter(|milliseconds| *milliseconds <= MAX_DEADLINE_MS)
+        .map(Duration::from_millis)
+        .ok_or(RequestError::InvalidHeader(DEADLINE_HEADER))
+}
+
+fn parse_id(headers: &HeaderMap) -> Result<String, RequestError> {
+    match short_header_text(headers, ID_HEADER)? {
+        "" => Err(RequestError::InvalidHeader(ID_HEADER)),
+        id => Ok(id.to_owned()),
+    }
+}
+
+/// The destination in the envelope, which consists of `name=value` fields separated by commas.
+fn parse_destination(headers: &HeaderMap) -> Result<u64, RequestError> {
+    header_text(headers, ENVELOPE_HEADER)?
+        .split(',')
+        .filter_map(|field| field.trim().split_once('='))
+        .filter(|(name, _)| *name == DESTINATION_FIELD)
+        .find_map(|(_, value)| value.parse().ok())
+        .ok_or(RequestError::InvalidHeader(ENVELOPE_HEADER))
+}
+
+/// The length of the body, which is known before the body arrives.
+pub(super) fn body_length(body: &Incoming) -> Result<u64, RequestError> {
+    let length = body.size_hint().exact();
+    length.filter(|length| *length <= MAX_BODY_BYTES).ok_or(RequestError::BodyTooLarge)
+}
+
+/// Reads the complete body within `limit`.
+pub(super) async fn read_body(body: Incoming, limit: Duration) -> Result<Bytes, RequestError> {
+    match timeout(limit, Limited::new(body, MAX_BODY_BYTES as usize).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(_)) => Err(RequestError::IncompleteBody),
+        Err(_) => Err(RequestError::BodyTimeout),
+    }
+}
--- /dev/null
+++ b/src/forwarder/server/stream.rs
@@ -0,0 +1,110 @@
+//! The stream of a client connection: it checks the framing of requests and closes without losing the last reply.
+
+use super::activity::ConnectionActivity;
+use super::framing::FramingScanner;
+use crate::forwarder::http::poll_read_observed;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// The time that a closed connection continues to read, unless the client closes it earlier.
+const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The bytes that a closed connection reads at most.
+pub(super) const MAX_LINGERING_CLOSE_BYTES: usize = 256 << 10;
+/// The size of the buffer for bytes that are read and discarded.
+pub(super) const DISCARD_BUFFER_BYTES: usize = 4096;
+
+/// A client's stream, which examines the head of each request before the HTTP parser does. The parser hides a
+/// `Content-Length` header that is repeated or stands beside `Transfer-Encoding`.
+pub(super) struct ClientStream {
+    stream: TcpStream,
+    scanner: FramingScanner,
+    activity: Arc<ConnectionActivity>,
+    /// Set once this side has closed the connection.
+    lingering_close: Option<LingeringClose>,
+}
+
+/// The end of a connection that this side has closed and the client has not.
+///
+/// Closing a socket with unread bytes resets the connection, and the reset may discard the last reply before the
+/// client has read it. So bytes are read and discarded for a while.
+struct LingeringClose {
+    timeout: Pin<Box<Sleep>>,
+    remaining_bytes: usize,
+}
+
+impl ClientStream {
+    /// Wraps `stream` and records in `activity` what arrives.
+    pub(super) fn new(stream: TcpStream, activity: Arc<ConnectionActivity>) -> Self {
+        ClientStream { stream, scanner: FramingScanner::default(), activity, lingering_close: None }
+    }
+}
+
+impl LingeringClose {
+    fn new() -> Self {
+        LingeringClose {
+            timeout: Box::pin(sleep(LINGERING_CLOSE_TIMEOUT)),
+            remaining_bytes: MAX_LINGERING_CLOSE_BYTES,
+        }
+    }
+
+    /// Discards what arrives, and is ready once the client has closed its side or a limit is reached.
+    fn poll_discard(&mut self, stream: &mut TcpStream, context: &mut Context<'_>) -> Poll<()> {
+        while self.timeout.as_mut().poll(context).is_pending() {
+            let mut discarded = [0; DISCARD_BUFFER_BYTES];
+            let mut discarded = ReadBuf::new(&mut discarded);
+            let read = ready!(Pin::new(&mut *stream).poll_read(context, &mut discarded));
+            let discarded_bytes = discarded.filled().len();
+            self.remaining_bytes = self.remaining_bytes.saturating_sub(discarded_bytes);
+            if read.is_err() || discarded_bytes == 0 || self.remaining_bytes == 0 {
+                break;
+            }
+        }
+        Poll::Ready(())
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let ClientStream { stream, scanner, activity, .. } = &mut *self;
+        poll_read_observed(stream, context, buffer, |newly_read| {
+            if scanner.read(newly_read) {
+                activity.record_ambiguous_framing();
+            }
+            activity.record_bytes(scanner.is_within_request());
+        })
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    /// Closes this side. What arrives from now on is discarded and never parsed as a request.
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let ClientStream { stream, lingering_close, .. } = &mut *self;
+        if lingering_close.is_none() {
+            ready!(Pin::new(&mut *stream).poll_shutdown(context))?;
+        }
+        let lingering_close = lingering_close.get_or_insert_with(LingeringClose::new);
+        lingering_close.poll_discard(stream, context).map(Ok)
+    }
+}
