Name path, variable and key in configuration errors; flatten settings in a module

Errors were tuples of a path or nothing, and did not say which file or variable they concern. They are variants with named fields now. Reading the environment, the file and the settings are separate functions, and the conversion of nested settings to pairs has its own module. JSON keys and variables are unchanged.

--- a/src/forwarder/configuration/mod.rs
+++ b/src/forwarder/configuration/mod.rs
@@ -1,100 +1,96 @@
-//! What the forwarder is told at its start: the environment and the configuration file.
+//! The configuration of the forwarder: environment variables and the configuration file.
+
+mod error;
+mod setting_pairs;
+
+pub use error::ConfigError;
 
 use crate::forwarder::messages::endpoint_list::EndpointList;
 use crate::interface::Settings;
-use crate::key_value::FieldError;
 use crate::settings_reader::{SettingNames, settings_from};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::{env, fs, io};
+use std::{env, fs};
 
-/// Why the forwarder cannot start.
-#[derive(Debug, thiserror::Error)]
-pub enum ConfigError {
-    /// A variable of the environment is missing.
-    #[error("the environment lacks {0}")]
-    Missing(&'static str),
-    /// The file cannot be read.
-    #[error("cannot read {0}: {1}")]
-    Read(PathBuf, #[source] io::Error),
-    /// The file is not of the agreed form.
-    #[error("cannot make out {0}: {1}")]
-    Form(PathBuf, #[source] serde_json::Error),
-    /// The operators' address cannot be read.
-    #[error("the operators' address: {0}")]
-    Admin(#[source] std::net::AddrParseError),
-    /// The seed is no hexadecimal number.
-    #[error("the seed is no hexadecimal number")]
-    Seed(#[from] std::num::ParseIntError),
-    /// A setting cannot be read.
-    #[error("settings: {0}")]
-    Settings(FieldError),
-}
+/// Names the configuration file.
+const CONFIG_VARIABLE: &str = "BALANCER_CONFIG";
+/// Names the directory that outlasts the process.
+const STATE_VARIABLE: &str = "BALANCER_STATE";
+/// Overrides the address for operators, since processes may share the file but not the address.
+const ADMIN_VARIABLE: &str = "BALANCER_ADMIN";
 
-/// Bounds on what the process may hold.
+/// Bounds on the resources of the process.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub(crate) struct ResourceLimits {
+    /// Memory, in MiB.
     pub(crate) memory_mb: usize,
+    /// Open file descriptors.
     pub(crate) sockets: usize,
+    /// Disk space for the journal, in MB.
     pub(crate) disk_mb: f64,
 }
 
+/// The form of the configuration file.
 #[derive(Deserialize)]
-struct File {
+struct ConfigFile {
     listen: SocketAddr,
     discovery: SocketAddr,
     admin: Option<SocketAddr>,
+    /// Hexadecimal.
     seed: String,
     limits: ResourceLimits,
-    #[serde(default)]
-    known: Value,
+    #[serde(default, rename = "known")]
+    known_endpoints: Value,
     settings: Value,
 }
 
-/// All that the forwarder is told.
+/// The configuration of the forwarder.
 pub struct Config {
+    /// Where clients connect, unless a listener is inherited.
     pub(crate) listen: SocketAddr,
+    /// The address of discovery and of the receiver of notices.
     pub(crate) discovery: SocketAddr,
-    /// Where operators call; nowhere if it is not told.
+    /// Where operators connect, if anywhere.
     pub(crate) admin: Option<SocketAddr>,
+    /// The directory that outlasts the process.
     pub(crate) state: PathBuf,
+    /// The seed of the decision module's random numbers.
     pub(crate) seed: u64,
+    /// Bounds on the resources of the process.
     pub(crate) limits: ResourceLimits,
-    /// The list that this forwarder last had, where it had one.
+    /// The endpoint list that this forwarder had last, if it had one.
     pub(crate) known: Option<EndpointList>,
+    /// The settings of the decision module.
     pub(crate) settings: Settings,
+    /// The names of what the settings number.
     pub(crate) names: SettingNames,
 }
 
 impl Config {
-    /// Reads the file that the environment names.
+    /// Reads the configuration file named by `BALANCER_CONFIG`, and the environment.
     pub fn from_env() -> Result<Self, ConfigError> {
-        let var = |name| env::var_os(name).map(PathBuf::from).ok_or(ConfigError::Missing(name));
-        let mut config = Config::read(&var("BALANCER_CONFIG")?, var("BALANCER_STATE")?)?;
-        // Each process is told its own, while the file may be shared.
-        if let Some(admin) = env::var("BALANCER_ADMIN").ok().filter(|admin| !admin.is_empty()) {
-            config.admin = Some(admin.parse().map_err(ConfigError::Admin)?);
+        let mut config = Config::read(&required_path(CONFIG_VARIABLE)?, required_path(STATE_VARIABLE)?)?;
+        if let Some(admin) = admin_from_env()? {
+            config.admin = Some(admin);
         }
         Ok(config)
     }
 
     fn read(path: &Path, state: PathBuf) -> Result<Self, ConfigError> {
-        let text = fs::read(path).map_err(|e| ConfigError::Read(path.into(), e))?;
-        let file: File = serde_json::from_slice(&text).map_err(|e| ConfigError::Form(path.into(), e))?;
-        // An old list is better than none, but the forwarder can do without: discovery has the present one.
-        let known = EndpointList::deserialize(file.known);
-        let known = known.inspect_err(|e| eprintln!("configuration: no endpoints known: {e}")).ok();
-        let mut pairs = Vec::new();
-        flatten("", &file.settings, &mut pairs);
-        let (settings, names) = settings_from(&pairs).map_err(ConfigError::Settings)?;
+        let file = ConfigFile::read(path)?;
+        let known = parse_known_endpoints(file.known_endpoints);
+        let (settings, names) = settings_from(&setting_pairs::flatten(&file.settings))
+            .map_err(|source| ConfigError::Settings { path: path.into(), source })?;
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|source| ConfigError::Seed { path: path.into(), source })?;
         Ok(Config {
             listen: file.listen,
             discovery: file.discovery,
             admin: file.admin,
             state,
-            seed: u64::from_str_radix(&file.seed, 16)?,
+            seed,
             limits: file.limits,
             known,
             settings,
@@ -103,28 +99,28 @@
     }
 }
 
-/// Puts nested settings into the form that the simulator's wire gives them: path and value, plain lists
-/// joined by commas, lists of objects by number and with a count.
-fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
-    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
-    match value {
-        Value::Object(fields) => fields.iter().for_each(|(key, v)| flatten(&below(key), v, pairs)),
-        Value::Array(items) if items.iter().any(Value::is_object) => {
-            pairs.push((below("count"), items.len().to_string()));
-            items.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, pairs));
-        }
-        Value::Array(items) => {
-            let texts: Vec<String> = items.iter().map(plain).collect();
-            pairs.push((path.to_owned(), texts.join(",")));
-        }
-        Value::Null => {}
-        v => pairs.push((path.to_owned(), plain(v))),
+impl ConfigFile {
+    fn read(path: &Path) -> Result<Self, ConfigError> {
+        let text = fs::read(path).map_err(|source| ConfigError::Read { path: path.into(), source })?;
+        serde_json::from_slice(&text).map_err(|source| ConfigError::Parse { path: path.into(), source })
     }
 }
 
-fn plain(value: &Value) -> String {
-    value.as_str().map_or_else(|| value.to_string(), |text| text.replace([' ', ','], "_"))
+fn required_path(name: &'static str) -> Result<PathBuf, ConfigError> {
+    env::var_os(name).map(PathBuf::from).ok_or(ConfigError::MissingVariable { name })
+}
+
+fn admin_from_env() -> Result<Option<SocketAddr>, ConfigError> {
+    let Some(address) = env::var(ADMIN_VARIABLE).ok().filter(|address| !address.is_empty()) else {
+        return Ok(None);
+    };
+    let parsed = address.parse();
+    parsed.map(Some).map_err(|source| ConfigError::AdminAddress { variable: ADMIN_VARIABLE, source })
 }
 
-#[cfg(test)]
-mod tests;
+/// An old endpoint list lets the forwarder send calls before discovery is reached, but it can do without one.
+fn parse_known_endpoints(document: Value) -> Option<EndpointList> {
+    EndpointList::deserialize(document)
+        .inspect_err(|error| eprintln!("configuration: no known endpoints: {error}"))
+        .ok()
+}
--- a/src/forwarder/configuration/tests.rs
+++ b/src/forwarder/configuration/setting_pairs/tests.rs
@@ -1,8 +1,9 @@
 use super::*;
 use crate::interface::Idempotency;
+use crate::settings_reader::settings_from;
 
 #[test]
-fn nested_settings_are_read_as_the_wire_reads_them() {
+fn nested_settings_parse_like_settings_of_the_simulator_protocol() {
     let settings = serde_json::json!({
         "classes": [{"name": "auth-notice", "idempotency": "token", "dedupScope": "all",
                      "keyTtl": 15000.0, "goalTime": 3000.0, "deadline": 28000.0}],
@@ -13,9 +14,7 @@
         "limits": {"cancel": true, "absent": null},
         "zone": "hall-b", "zones": ["hall-a", "hall-b"]
     });
-    let mut pairs = Vec::new();
-    flatten("", &settings, &mut pairs);
-    let (read, names) = settings_from(&pairs).expect("it is well formed");
+    let (read, names) = settings_from(&flatten(&settings)).expect("it is well formed");
     assert_eq!(read.classes[0].idempotency, Idempotency::Keyed { key_lifetime: 15_000_000, per_zone: false });
     assert_eq!((read.classes[0].latency_objective, read.call_slots, read.zone), (3_000_000, 15, 1));
     assert_eq!((read.kinds[0].batch, read.kinds[1].separate_routes, read.cancellation), (20, true, true));
