Test the validation of client requests case by case; hide the parts of CallConnection

The validation of headers was covered only through sockets. The fields of CallConnection are private.

--- a/src/forwarder/endpoint_client/call.rs
+++ b/src/forwarder/endpoint_client/call.rs
@@ -44,13 +44,14 @@
     pub(crate) endpoint: EndpointId,
     /// Its address.
     pub(crate) address: SocketAddr,
-    /// The messages. The call of an empty list only reports that nothing was sent.
+    /// The messages. Without any, nothing is sent, and the report has no results.
     pub(crate) items: Vec<CallItem>,
     /// An idle connection to the address, if there is one to reuse.
     pub(crate) reused: Option<Connection>,
     /// The time that establishing a connection may take.
     pub(crate) connect_timeout: Duration,
-    /// Commands from the runtime, which holds the sender until the call has ended and chose the bound.
+    /// Commands from the runtime, which holds the sender and sends without waiting: the bound suffices for all
+    /// commands that a call can get.
     pub(crate) commands: Receiver<CallCommand>,
     /// Checks whether the call may still be written. The runtime holds the other reference.
     pub(crate) guard: Arc<WriteGuard>,
@@ -81,22 +82,22 @@
         let results = items.iter().map(|item| attempt_result(item, Outcome::NotSent)).collect();
         return call.report(results, reused, ConnectionUsage::default()).await;
     };
-    let guard = call.guard.clone();
     let mut connection = CallConnection::new(call.address, call.connect_timeout, reused);
     let mut pending = PendingItems::new(items);
     let response = {
-        let exchange = pin!(connection.exchange(request, &guard));
-        await_response(exchange, &mut pending, &mut call.commands, &guard).await
+        let exchange = pin!(connection.exchange(request, &call.guard));
+        await_response(exchange, &mut pending, &mut call.commands, &call.guard).await
     };
     let is_complete = matches!(&response, Some(Ok(response)) if response.is_complete);
     if !is_complete {
         connection.close().await;
     }
-    let (pending, mut results) = pending.into_parts(&guard);
+    let (waiting, mut results) = pending.into_parts(&call.guard);
     if let Some(response) = response {
-        results.extend(attempt_results(&pending, &response));
+        results.extend(attempt_results(&waiting, &response));
     }
-    call.report(results, connection.connection, connection.usage).await;
+    let (connection, usage) = connection.into_parts();
+    call.report(results, connection, usage).await;
 }
 
 /// Waits for the end of the exchange, and meanwhile ends attempts that time out or are cancelled. Returns `None`
--- a/src/forwarder/endpoint_client/exchange.rs
+++ b/src/forwarder/endpoint_client/exchange.rs
@@ -41,9 +41,9 @@
     address: SocketAddr,
     connect_timeout: Duration,
     /// The connection, if one is open.
-    pub(super) connection: Option<Connection>,
+    connection: Option<Connection>,
     /// What the call did to get a connection.
-    pub(super) usage: ConnectionUsage,
+    usage: ConnectionUsage,
 }
 
 /// What has to be known of a sent request to interpret its failure.
@@ -103,6 +103,11 @@
         }
     }
 
+    /// The connection, if one is open, and what the call did to get it.
+    pub(super) fn into_parts(self) -> (Option<Connection>, ConnectionUsage) {
+        (self.connection, self.usage)
+    }
+
     async fn is_reusable(&self) -> bool {
         match &self.connection {
             Some(connection) => connection.is_reusable().await,
--- a/src/forwarder/server/handler.rs
+++ b/src/forwarder/server/handler.rs
@@ -113,6 +113,7 @@
     }
 
     async fn submit_to_runtime(&self, class: usize, headers: MessageHeaders, body: Bytes) -> ClientReply {
+        // The runtime holds the sender until the message is accepted or complete.
         let (reply, received_reply) = oneshot::channel();
         let message = ClientRequest {
             id: headers.id,
--- a/src/forwarder/server/request.rs
+++ b/src/forwarder/server/request/mod.rs
@@ -187,3 +187,6 @@
         Err(_) => Err(RequestError::BodyTimeout),
     }
 }
+
+#[cfg(test)]
+mod tests;
