--- /dev/null
+++ b/src/forwarder/journal/capacity.rs
@@ -0,0 +1,59 @@
+//! Decides what still fits into the space of the journal, and when to compact its file.
+
+/// A file is not compacted because of its length while it is at most this long.
+pub(super) const MIN_COMPACTION_BYTES: u64 = 256 << 10;
+/// A file is compacted for its length once it is this many times as long as its compacted copy.
+const COMPACTION_RATIO: u64 = 3;
+/// Compaction is worth its time if it frees at least this part (1/16) of the space.
+const WORTHWHILE_FRACTION: u64 = 16;
+/// A file is also compacted once it and its copy would leave less than this part (1/8) of the space free. Later
+/// the copy would not fit beside it, and no message could be accepted until most of the open ones have ended.
+const COMPACTION_MARGIN_FRACTION: u64 = 8;
+
+/// The space of the journal at one moment. All fields are in bytes.
+#[derive(Clone, Copy)]
+pub(super) struct Capacity {
+    /// Upper bound of the file and its copy together.
+    pub(super) max_bytes: u64,
+    /// Length of the file.
+    pub(super) file_length: u64,
+    /// Length of the frames that are still to be written.
+    pub(super) pending_bytes: u64,
+    /// Estimated length of the file after a compaction.
+    pub(super) compacted_length: u64,
+    /// What is reserved for records of open messages.
+    pub(super) reserved_bytes: u64,
+}
+
+impl Capacity {
+    /// Whether new records of this length fit, which reserve more for the records to follow.
+    ///
+    /// Beside the file there must be space for its compacted copy or for the reserved records, whichever is longer.
+    /// Space for both is not needed: a copy is made while there is space for it, and messages can end without one.
+    pub(super) fn fits(&self, new_bytes: u64, newly_reserved_bytes: u64) -> bool {
+        let compacted_length = self.compacted_length + new_bytes;
+        let reserved_bytes = self.reserved_bytes + newly_reserved_bytes;
+        let beside_file = compacted_length.max(reserved_bytes);
+        self.file_length + self.pending_bytes + new_bytes + beside_file <= self.max_bytes
+    }
+
+    /// The space that a compaction would leave.
+    pub(super) fn after_compaction(self) -> Self {
+        Capacity { file_length: self.compacted_length, ..self }
+    }
+
+    /// Whether a compaction would free enough to be worth its time. Near the bound, where it frees next to nothing,
+    /// one for each message would take up the processor when most messages are open.
+    pub(super) fn is_compaction_worthwhile(&self) -> bool {
+        self.file_length.saturating_sub(self.compacted_length) >= self.max_bytes / WORTHWHILE_FRACTION
+    }
+
+    /// Whether the file should be compacted now: it is long compared with its copy, or so long that its copy will
+    /// soon not fit beside it.
+    pub(super) fn is_compaction_due(&self) -> bool {
+        let is_long = self.file_length > MIN_COMPACTION_BYTES.max(COMPACTION_RATIO * self.compacted_length);
+        let with_copy = self.file_length + self.compacted_length.max(self.reserved_bytes);
+        let is_copy_at_risk = with_copy > self.max_bytes - self.max_bytes / COMPACTION_MARGIN_FRACTION;
+        is_long || (is_copy_at_risk && self.is_compaction_worthwhile())
+    }
+}
--- /dev/null
+++ b/src/forwarder/journal/encoding.rs
@@ -0,0 +1,121 @@
+//! The frames of the journal file.
+//!
+//! A frame is the length of its payload, the CRC-32 of its payload, and the payload. The payload is the length of
+//! a record's JSON, the JSON, and the body of the message, if the record has one. Numbers are 32-bit little-endian.
+
+use super::records::Record;
+use super::stored_record::StoredRecord;
+use bytes::Bytes;
+
+/// Length of one number.
+const NUMBER_BYTES: usize = 4;
+/// Length of the header: payload length and checksum.
+const HEADER_BYTES: usize = 2 * NUMBER_BYTES;
+/// How the JSON of each record starts.
+const JSON_START: &[u8] = b"{\"";
+
+/// Appends the frame of a record, and gives the length of the frame in bytes.
+pub(super) fn encode(record: &Record, buffer: &mut Vec<u8>) -> u64 {
+    let start = buffer.len();
+    let payload_start = start + HEADER_BYTES;
+    let json_start = payload_start + NUMBER_BYTES;
+    buffer.resize(json_start, 0);
+    serde_json::to_writer(&mut *buffer, &StoredRecord::from(record.clone()))
+        .expect("a record contains no map and writing to memory cannot fail");
+    let json_length = buffer.len() - json_start;
+    if let Record::Accepted(message) = record {
+        buffer.extend_from_slice(&message.body);
+    }
+    write_number(buffer, payload_start, json_length as u32);
+    let payload_length = buffer.len() - payload_start;
+    let checksum = crc32fast::hash(&buffer[payload_start..]);
+    write_number(buffer, start, payload_length as u32);
+    write_number(buffer, start + NUMBER_BYTES, checksum);
+    (buffer.len() - start) as u64
+}
+
+fn write_number(buffer: &mut [u8], at: usize, number: u32) {
+    buffer[at..at + NUMBER_BYTES].copy_from_slice(&number.to_le_bytes());
+}
+
+fn read_number(bytes: &[u8], at: usize) -> Option<u32> {
+    let number = bytes.get(at..at + NUMBER_BYTES)?;
+    number.try_into().ok().map(u32::from_le_bytes)
+}
+
+/// A record and its place in the file.
+#[derive(Debug, PartialEq)]
+pub(super) struct Frame {
+    pub(super) record: Record,
+    /// Offset of its first byte.
+    pub(super) start: usize,
+    /// Offset behind its last byte.
+    pub(super) end: usize,
+}
+
+impl Frame {
+    /// The length of the frame in bytes.
+    pub(super) fn size(&self) -> u64 {
+        (self.end - self.start) as u64
+    }
+}
+
+/// The offset behind the frame that starts here, if the bytes reach that far. Its content is not checked.
+fn frame_end(bytes: &[u8], start: usize) -> Option<usize> {
+    let end = start + HEADER_BYTES + read_number(bytes, start)? as usize;
+    Some(end).filter(|end| *end <= bytes.len())
+}
+
+/// Whether the bytes are as long as the frame at their start says. Its content is not checked.
+pub(super) fn starts_with_complete_frame(bytes: &[u8]) -> bool {
+    frame_end(bytes, 0).is_some()
+}
+
+/// The frame that starts here, if it is complete and undamaged.
+fn decode(bytes: &[u8], start: usize) -> Option<Frame> {
+    let end = frame_end(bytes, start)?;
+    let payload = &bytes[start + HEADER_BYTES..end];
+    let json_length = read_number(payload, 0)? as usize;
+    let (json, body) = payload.get(NUMBER_BYTES..)?.split_at_checked(json_length)?;
+    // The start of the JSON is compared first: behind damage each offset is tried, and a checksum over a long
+    // payload at each of them would take too long.
+    if !json.starts_with(JSON_START) || crc32fast::hash(payload) != read_number(bytes, start + NUMBER_BYTES)?
+    {
+        return None;
+    }
+    let stored: StoredRecord = serde_json::from_slice(json).ok()?;
+    let mut record = Record::from(stored);
+    if let Record::Accepted(message) = &mut record {
+        message.body = Bytes::copy_from_slice(body);
+    }
+    Some(Frame { record, start, end })
+}
+
+/// Iterates over the undamaged frames of a file. The bytes between two of them are damaged.
+pub(super) struct Frames<'a> {
+    bytes: &'a [u8],
+    /// Where the next frame should start.
+    position: usize,
+}
+
+impl<'a> Frames<'a> {
+    /// The frames of this file.
+    pub(super) fn of(bytes: &'a [u8]) -> Self {
+        Frames { bytes, position: 0 }
+    }
+}
+
+impl Iterator for Frames<'_> {
+    type Item = Frame;
+
+    fn next(&mut self) -> Option<Frame> {
+        // Behind a damaged frame the offset that its length gives comes first: its body may contain bytes that look
+        // like a frame.
+        let behind_damaged = frame_end(self.bytes, self.position);
+        let every_offset = self.position + 1..self.bytes.len();
+        let mut candidates = [self.position].into_iter().chain(behind_damaged).chain(every_offset);
+        let frame = candidates.find_map(|start| decode(self.bytes, start))?;
+        self.position = frame.end;
+        Some(frame)
+    }
+}
--- /dev/null
+++ b/src/forwarder/journal/file.rs
@@ -0,0 +1,101 @@
+//! The file of the journal on disk.
+
+use super::error::JournalError;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+/// Name of the file in the state folder.
+const FILE_NAME: &str = "journal";
+/// Extension of the copy that a compaction writes.
+const COPY_EXTENSION: &str = "new";
+
+/// The open file. Its length is counted here, so that a failed write can be undone.
+///
+/// Writes are not synced to the disk: the file has to outlast the process, not the machine.
+pub(super) struct JournalFile {
+    path: PathBuf,
+    file: File,
+    /// Length of the part that is known to be complete, in bytes.
+    length: u64,
+}
+
+impl JournalFile {
+    /// Opens or creates the file in this folder, and reads it. The length is 0 until [`Self::truncate`] sets it.
+    pub(super) fn open(folder: &Path) -> Result<(Self, Vec<u8>), JournalError> {
+        let path = folder.join(FILE_NAME);
+        // A copy is left behind if the process ended while it compacted. The file itself is still complete then.
+        remove_if_present(path.with_extension(COPY_EXTENSION))?;
+        let mut file = match OpenOptions::new().read(true).append(true).create(true).open(&path) {
+            Ok(file) => file,
+            Err(source) => return Err(JournalError::Open { path, source }),
+        };
+        let mut content = Vec::new();
+        if let Err(source) = file.read_to_end(&mut content) {
+            return Err(JournalError::Read { path, source });
+        }
+        Ok((JournalFile { path, file, length: 0 }, content))
+    }
+
+    /// Length of the file in bytes.
+    pub(super) fn length(&self) -> u64 {
+        self.length
+    }
+
+    /// Sets the length without a change to the file, which has this length already.
+    pub(super) fn set_known_length(&mut self, length: u64) {
+        self.length = length;
+    }
+
+    /// Shortens the file to the known length.
+    pub(super) fn truncate(&self) -> Result<(), JournalError> {
+        self.file
+            .set_len(self.length)
+            .map_err(|source| JournalError::Truncate { path: self.path.clone(), source })
+    }
+
+    /// Appends the bytes; all of them or, if it fails, none.
+    pub(super) fn append(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
+        if let Err(source) = self.file.write_all(bytes) {
+            // A part of the bytes may have been written, and would hide whatever is appended behind it.
+            self.truncate()?;
+            return Err(JournalError::Write { path: self.path.clone(), source });
+        }
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Reads the file up to the known length.
+    pub(super) fn read(&self) -> Result<Vec<u8>, JournalError> {
+        let mut content =
+            fs::read(&self.path).map_err(|source| JournalError::Read { path: self.path.clone(), source })?;
+        content.truncate(self.length as usize);
+        Ok(content)
+    }
+
+    /// Replaces the content of the file. The new content is written to a copy that takes the place of the file, so
+    /// that the file is complete at any time.
+    pub(super) fn replace(&mut self, content: &[u8]) -> Result<(), JournalError> {
+        let copy = self.path.with_extension(COPY_EXTENSION);
+        let mut file = match OpenOptions::new().append(true).create_new(true).open(&copy) {
+            Ok(file) => file,
+            Err(source) => return Err(JournalError::Open { path: copy, source }),
+        };
+        if let Err(source) = file.write_all(content).and_then(|()| fs::rename(&copy, &self.path)) {
+            return match fs::remove_file(&copy) {
+                Ok(()) => Err(JournalError::Write { path: copy, source }),
+                Err(source) => Err(JournalError::Remove { path: copy, source }),
+            };
+        }
+        self.file = file;
+        self.length = content.len() as u64;
+        Ok(())
+    }
+}
+
+fn remove_if_present(path: PathBuf) -> Result<(), JournalError> {
+    match fs::remove_file(&path) {
+        Err(source) if source.kind() != io::ErrorKind::NotFound => Err(JournalError::Remove { path, source }),
+        _ => Ok(()),
+    }
+}
--- a/src/forwarder/journal/format_tests.rs
+++ b/src/forwarder/journal/format_tests.rs
@@ -1,8 +1,12 @@
 //! Holds the bytes of the journal: files that earlier versions have written must be read the same for ever, also
 //! where they are damaged, and what is written must not change unnoticed.
 
+use super::encoding::encode;
 use super::tests::Folder;
 use super::*;
+use crate::forwarder::messages::notice::NoticeOutcome;
+use bytes::Bytes;
+use std::fs;
 
 /// A journal with every kind of record, as version 0.1.0 wrote it.
 const EVERY_RECORD: &[u8] = include_bytes!("../../../tests/fixtures/journal/every-record.journal");
@@ -48,7 +52,7 @@
         tenant: tenant.map(str::to_owned),
         destination: 7,
         key: key.map(str::to_owned),
-        deadline: FAR_FUTURE,
+        deadline_unix_ms: FAR_FUTURE,
         body: body.into(),
     }
 }
@@ -69,29 +73,29 @@
 /// Its body would end the message `plain` if it were read as a record.
 fn message_with_a_frame_in_its_body() -> AcceptedMessage {
     let mut body = b"before".to_vec();
-    put(&over("plain", FinalOutcome::Failed, FAR_FUTURE), &mut body);
+    encode(&completed("plain", FinalOutcome::Failed, FAR_FUTURE), &mut body);
     body.extend_from_slice(b"after");
     message("frame-like", Some("tenant-b"), None, body)
 }
 
-fn message_taken_again() -> AcceptedMessage {
+fn message_accepted_again() -> AcceptedMessage {
     message("retaken", None, Some("key-3"), "second time")
 }
 
-fn sent(id: &str, attempt: usize, at: u64, zone: &str) -> Record {
-    Record::AttemptStarted(id.to_owned(), attempt, at, zone.to_owned())
+fn attempt_started(id: &str, attempt: usize, sent_at: u64, zone: &str) -> Record {
+    Record::attempt_started(id.to_owned(), attempt, sent_at, zone.to_owned())
 }
 
-fn ended(id: &str, attempt: usize, may_have_run: bool) -> Record {
-    Record::AttemptEnded(id.to_owned(), attempt, may_have_run)
+fn attempt_ended(id: &str, attempt: usize, may_have_executed: bool) -> Record {
+    Record::attempt_ended(id.to_owned(), attempt, may_have_executed)
 }
 
-fn owed(id: &str, end: NoticeOutcome, until: u64) -> Record {
-    Record::NoticePending(id.to_owned(), end, until)
+fn notice_pending(id: &str, outcome: NoticeOutcome, until: u64) -> Record {
+    Record::notice_pending(id.to_owned(), outcome, until)
 }
 
-fn over(id: &str, end: FinalOutcome, until: u64) -> Record {
-    Record::Completed(id.to_owned(), end, until)
+fn completed(id: &str, outcome: FinalOutcome, until: u64) -> Record {
+    Record::completed(id.to_owned(), outcome, until)
 }
 
 fn simple(id: &str) -> Record {
@@ -100,7 +104,8 @@
 
 /// The records of the fixture, in its order.
 fn every_record() -> Vec<Record> {
-    [open_messages(), endpoints(), attempts(), taken_again(), owed_notices(), finished_messages()].concat()
+    [open_messages(), endpoints(), attempts(), accepted_again(), pending_notices(), finished_messages()]
+        .concat()
 }
 
 fn open_messages() -> Vec<Record> {
@@ -116,68 +121,68 @@
 
 fn attempts() -> Vec<Record> {
     vec![
-        sent("plain", 0, NOW, "hall-a"),
-        ended("plain", 0, true),
-        sent("plain", 1, NOW + 1, "hall-b"),
-        ended("plain", 1, false),
-        sent("plain", 2, NOW + 2, "hall-a"),
+        attempt_started("plain", 0, NOW, "hall-a"),
+        attempt_ended("plain", 0, true),
+        attempt_started("plain", 1, NOW + 1, "hall-b"),
+        attempt_ended("plain", 1, false),
+        attempt_started("plain", 2, NOW + 2, "hall-a"),
         // Attempts 0 and 1 were never noted, and attempt 1 comes too late.
-        sent("bare", 2, NOW + 3, "hall-c"),
-        sent("bare", 1, NOW + 4, "hall-d"),
-        ended("bare", 7, true),
+        attempt_started("bare", 2, NOW + 3, "hall-c"),
+        attempt_started("bare", 1, NOW + 4, "hall-d"),
+        attempt_ended("bare", 7, true),
         // Of a message that the file does not hold.
-        sent("unknown", 0, NOW, "hall-a"),
+        attempt_started("unknown", 0, NOW, "hall-a"),
     ]
 }
 
-fn taken_again() -> Vec<Record> {
+fn accepted_again() -> Vec<Record> {
     vec![
         Record::Accepted(message("retaken", None, Some("key-3"), "first time")),
-        sent("retaken", 0, NOW, "hall-a"),
-        over("retaken", FinalOutcome::Rejected, FAR_FUTURE + 1),
-        Record::Accepted(message_taken_again()),
+        attempt_started("retaken", 0, NOW, "hall-a"),
+        completed("retaken", FinalOutcome::Rejected, FAR_FUTURE + 1),
+        Record::Accepted(message_accepted_again()),
     ]
 }
 
-fn owed_notices() -> Vec<Record> {
+fn pending_notices() -> Vec<Record> {
     let timed = NoticeOutcome::Rejected { retry_in_ms: Some(1500) };
     let untimed = NoticeOutcome::Rejected { retry_in_ms: None };
     vec![
         simple("given-up"),
-        sent("given-up", 0, NOW + 5, "hall-a"),
-        owed("given-up", NoticeOutcome::Failed, FAR_FUTURE + 2),
+        attempt_started("given-up", 0, NOW + 5, "hall-a"),
+        notice_pending("given-up", NoticeOutcome::Failed, FAR_FUTURE + 2),
         simple("handed-back"),
-        owed("handed-back", timed, FAR_FUTURE + 3),
+        notice_pending("handed-back", timed, FAR_FUTURE + 3),
         simple("handed-back-untimed"),
-        owed("handed-back-untimed", untimed, FAR_FUTURE + 4),
+        notice_pending("handed-back-untimed", untimed, FAR_FUTURE + 4),
     ]
 }
 
 fn finished_messages() -> Vec<Record> {
     vec![
         simple("delivered"),
-        sent("delivered", 0, NOW + 6, "hall-a"),
-        ended("delivered", 0, true),
-        over("delivered", FinalOutcome::Delivered, FAR_FUTURE + 5),
+        attempt_started("delivered", 0, NOW + 6, "hall-a"),
+        attempt_ended("delivered", 0, true),
+        completed("delivered", FinalOutcome::Delivered, FAR_FUTURE + 5),
         simple("failed"),
-        over("failed", FinalOutcome::Failed, FAR_FUTURE + 6),
+        completed("failed", FinalOutcome::Failed, FAR_FUTURE + 6),
         simple("refused"),
-        over("refused", FinalOutcome::Rejected, FAR_FUTURE + 7),
+        completed("refused", FinalOutcome::Rejected, FAR_FUTURE + 7),
         simple("forgotten"),
-        over("forgotten", FinalOutcome::Delivered, NOW - 1),
+        completed("forgotten", FinalOutcome::Delivered, NOW - 1),
     ]
 }
 
-fn attempt(sent: u64, zone: &str, may_have_run: bool) -> RecoveredAttempt {
-    RecoveredAttempt { sent, zone: zone.to_owned(), may_have_run }
+fn attempt(sent_at_unix_ms: u64, zone: &str, may_have_executed: bool) -> RecoveredAttempt {
+    RecoveredAttempt { sent_at_unix_ms, zone: zone.to_owned(), may_have_executed }
 }
 
 fn open(
-    taken: AcceptedMessage,
+    message: AcceptedMessage,
     attempts: Vec<RecoveredAttempt>,
-    owed: Option<NoticeOutcome>,
+    pending_notice: Option<NoticeOutcome>,
 ) -> RecoveredMessage {
-    RecoveredMessage { taken, attempts, owed, in_doubt: false }
+    RecoveredMessage { message, attempts, pending_notice, in_doubt: false }
 }
 
 /// What the fixture tells of messages that are not over.
@@ -200,14 +205,14 @@
         open(bare_message(), bare_attempts, None),
         open(binary_message(), vec![], None),
         open(message_with_a_frame_in_its_body(), vec![], None),
-        open(message_taken_again(), vec![], None),
+        open(message_accepted_again(), vec![], None),
         open(simple("given-up"), vec![attempt(NOW + 5, "hall-a", true)], Some(NoticeOutcome::Failed)),
         open(simple("handed-back"), vec![], Some(timed)),
         open(simple("handed-back-untimed"), vec![], Some(untimed)),
     ]
 }
 
-fn expected_ends() -> Vec<(&'static str, FinalOutcome, u64)> {
+fn expected_outcomes() -> Vec<(&'static str, FinalOutcome, u64)> {
     vec![
         ("delivered", FinalOutcome::Delivered, FAR_FUTURE + 5),
         ("failed", FinalOutcome::Failed, FAR_FUTURE + 6),
@@ -220,16 +225,17 @@
 }
 
 /// The ends that are remembered, by message.
-fn remembered_ends(journal: &Journal) -> Vec<(&str, FinalOutcome, u64)> {
-    let mut ends: Vec<_> =
-        journal.ends.iter().map(|(id, (end, until))| (id.as_str(), *end, *until)).collect();
-    ends.sort_by_key(|(id, ..)| *id);
-    ends
+fn remembered_outcomes(journal: &Journal) -> Vec<(&str, FinalOutcome, u64)> {
+    let remembered = journal.retained.outcomes.iter();
+    let mut outcomes: Vec<_> =
+        remembered.map(|(message, of)| (message, of.outcome, of.until_unix_ms)).collect();
+    outcomes.sort_by_key(|(message, ..)| *message);
+    outcomes
 }
 
 fn assert_reads_as_the_fixture(journal: &Journal, messages: &[RecoveredMessage]) {
     assert_eq!(messages, expected_open_messages());
-    assert_eq!(remembered_ends(journal), expected_ends());
+    assert_eq!(remembered_outcomes(journal), expected_outcomes());
     assert_eq!(journal.banned_endpoints().iter().collect::<Vec<_>>(), ["endpoint-2", "endpoint-3"]);
 }
 
@@ -266,16 +272,16 @@
         }
     }
 
-    fn end(&mut self, end: FinalOutcome) {
-        self.number(match end {
+    fn outcome(&mut self, outcome: FinalOutcome) {
+        self.number(match outcome {
             FinalOutcome::Delivered => 1,
             FinalOutcome::Failed => 2,
             FinalOutcome::Rejected => 3,
         });
     }
 
-    fn owed(&mut self, owed: Option<NoticeOutcome>) {
-        let (kind, retry_in_ms) = match owed {
+    fn pending_notice(&mut self, notice: Option<NoticeOutcome>) {
+        let (kind, retry_in_ms) = match notice {
             None => (0, 0),
             Some(NoticeOutcome::Failed) => (1, 0),
             Some(NoticeOutcome::Rejected { retry_in_ms: None }) => (2, 0),
@@ -285,36 +291,36 @@
         self.number(retry_in_ms);
     }
 
-    fn message(&mut self, taken: &AcceptedMessage) {
-        self.text(&taken.id);
-        self.text(&taken.class);
-        self.optional_text(&taken.tenant);
-        self.number(taken.destination);
-        self.optional_text(&taken.key);
-        self.number(taken.deadline);
-        self.text(&taken.body);
+    fn message(&mut self, message: &AcceptedMessage) {
+        self.text(&message.id);
+        self.text(&message.class);
+        self.optional_text(&message.tenant);
+        self.number(message.destination);
+        self.optional_text(&message.key);
+        self.number(message.deadline_unix_ms);
+        self.text(&message.body);
     }
 
     fn open_message(&mut self, open: &RecoveredMessage) {
-        self.message(&open.taken);
+        self.message(&open.message);
         self.number(open.attempts.len() as u64);
         for attempt in &open.attempts {
-            self.number(attempt.sent);
+            self.number(attempt.sent_at_unix_ms);
             self.text(&attempt.zone);
-            self.number(attempt.may_have_run.into());
+            self.number(attempt.may_have_executed.into());
         }
-        self.owed(open.owed);
+        self.pending_notice(open.pending_notice);
         self.number(open.in_doubt.into());
     }
 
     fn journal(&mut self, journal: &Journal, messages: &[RecoveredMessage]) {
         self.number(messages.len() as u64);
         messages.iter().for_each(|open| self.open_message(open));
-        let ends = remembered_ends(journal);
-        self.number(ends.len() as u64);
-        for (id, end, until) in ends {
+        let outcomes = remembered_outcomes(journal);
+        self.number(outcomes.len() as u64);
+        for (id, outcome, until) in outcomes {
             self.text(id);
-            self.end(end);
+            self.outcome(outcome);
             self.number(until);
         }
         self.number(journal.banned_endpoints().len() as u64);
--- a/src/forwarder/journal/mod.rs
+++ b/src/forwarder/journal/mod.rs
@@ -1,570 +1,194 @@
-//! The journal: what the forwarder has taken on, in the folder that outlasts its process.
+//! The journal: the accepted messages and their state, in a folder that outlasts the process.
 //!
-//! One append-only file of frames (length, checksum, payload). Each turn of the node is one write, made
-//! before anything of that turn is answered or sent. No sync is needed: what was written outlasts the process.
-
-use crate::forwarder::messages::notice::NoticeOutcome;
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, HashMap};
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
-use std::path::{Path, PathBuf};
+//! One append-only file of checksummed frames. The records of one turn of the runtime are appended by one write,
+//! before the turn replies to a client or writes to an endpoint. When the process starts, the records are replayed.
+
+mod capacity;
+mod compaction;
+mod encoding;
+mod error;
+mod file;
+mod open_messages;
+mod outcomes;
+mod records;
+mod replay;
+mod retained;
+mod stored_record;
+
+pub use error::JournalError;
+pub(crate) use records::{AcceptedMessage, FinalOutcome, Record, RecoveredAttempt, RecoveredMessage};
+
+use capacity::Capacity;
+use encoding::{Frames, encode, starts_with_complete_frame};
+use file::JournalFile;
+use open_messages::RESERVED_BYTES_PER_MESSAGE;
+use replay::Replay;
+use retained::RetainedState;
+use std::collections::BTreeSet;
+use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// Length and checksum.
-const FRAME_HEAD: usize = 8;
-/// Room kept for each open message, so that its attempts and its end still fit when the disk is full. Those that
-/// are written use it up.
-const RESERVE: u64 = 1024;
-/// Longest record of a message taken on, but for its body: an id, a key and two names.
-const TAKEN_MOST: u64 = 640;
-/// A file is not compacted while it is shorter than this.
-const COMPACT_FROM: u64 = 256 << 10;
-/// To make room, a file is compacted where that frees this part of the bound.
-const WORTH_COMPACTING: u64 = 16;
-/// A file is also compacted once it and its copy would take all but this part of the bound: later the copy
-/// would no longer fit beside it, and nothing more could be taken on until most of what is held has ended.
-const COMPACT_MARGIN: u64 = 8;
-/// Ends that are remembered at the most, so that a message handed in again finds its answer.
-const ENDS_MOST: usize = 4096;
-
-/// Ends that are past are dropped this often (ms).
-const SWEEP: u64 = 1000;
-
-/// A message as it was taken on.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct AcceptedMessage {
-    pub(crate) id: String,
-    pub(crate) class: String,
-    pub(crate) tenant: Option<String>,
-    #[serde(rename = "dest")]
-    pub(crate) destination: u64,
-    pub(crate) key: Option<String>,
-    /// Unix time, in milliseconds.
-    pub(crate) deadline: u64,
-    #[serde(skip)]
-    pub(crate) body: Bytes,
-}
-
-/// One entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Record {
-    /// Taken on.
-    #[serde(rename = "Taken")]
-    Accepted(AcceptedMessage),
-    /// An attempt goes out: message, attempt, Unix time (ms) and zone of the endpoint.
-    #[serde(rename = "Sent")]
-    AttemptStarted(String, usize, u64, String),
-    /// It ended: message, attempt and whether it may have run.
-    #[serde(rename = "Ended")]
-    AttemptEnded(String, usize, bool),
-    /// The module gave the message up and a notice is owed; until when (Unix ms) that is worth remembering.
-    #[serde(rename = "Owed")]
-    NoticePending(String, NoticeOutcome, u64),
-    /// Nothing more is owed: message, its end, and until when (Unix ms) that is worth remembering.
-    #[serde(rename = "Over")]
-    Completed(String, FinalOutcome, u64),
-    /// Operators have taken this endpoint out;
-    #[serde(rename = "Banned")]
-    EndpointBanned(String),
-    /// and put it back.
-    #[serde(rename = "Allowed")]
-    EndpointAllowed(String),
-}
-
-impl Record {
-    /// An attempt was sent at this Unix time (ms) to an endpoint of this zone.
-    pub(crate) fn attempt_started(message: String, attempt: usize, sent_at: u64, zone: String) -> Self {
-        Record::AttemptStarted(message, attempt, sent_at, zone)
-    }
-
-    /// An attempt ended; whether it may have been executed.
-    pub(crate) fn attempt_ended(message: String, attempt: usize, may_have_executed: bool) -> Self {
-        Record::AttemptEnded(message, attempt, may_have_executed)
-    }
-
-    /// A notice has to be sent; its outcome is worth remembering until this Unix time (ms).
-    pub(crate) fn notice_pending(message: String, outcome: NoticeOutcome, remember_until: u64) -> Self {
-        Record::NoticePending(message, outcome, remember_until)
-    }
-
-    /// The message is complete; its outcome is worth remembering until this Unix time (ms).
-    pub(crate) fn completed(message: String, outcome: FinalOutcome, remember_until: u64) -> Self {
-        Record::Completed(message, outcome, remember_until)
-    }
-
-    /// The message, or the endpoint.
-    fn id(&self) -> &str {
-        match self {
-            Record::EndpointBanned(uid) | Record::EndpointAllowed(uid) => uid,
-            Record::Accepted(AcceptedMessage { id, .. })
-            | Record::AttemptStarted(id, ..)
-            | Record::AttemptEnded(id, ..)
-            | Record::NoticePending(id, ..)
-            | Record::Completed(id, ..) => id,
-        }
-    }
-}
-
-/// How a message ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum FinalOutcome {
-    Delivered,
-    Failed,
-    #[serde(rename = "Refused")]
-    Rejected,
-}
-
-impl From<NoticeOutcome> for FinalOutcome {
-    fn from(end: NoticeOutcome) -> Self {
-        match end {
-            NoticeOutcome::Failed => FinalOutcome::Failed,
-            NoticeOutcome::Rejected { .. } => FinalOutcome::Rejected,
-        }
-    }
-}
-
-/// An attempt found in the journal.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct RecoveredAttempt {
-    pub(crate) sent: u64,
-    pub(crate) zone: String,
-    /// False only where it is known that it never ran.
-    pub(crate) may_have_run: bool,
-}
-
-/// An open message found in the journal.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct RecoveredMessage {
-    pub(crate) taken: AcceptedMessage,
-    pub(crate) attempts: Vec<RecoveredAttempt>,
-    pub(crate) owed: Option<NoticeOutcome>,
-    /// A record that can't be read any more may have told of an attempt or of its end.
-    pub(crate) in_doubt: bool,
-}
-
-/// Why a turn could not be written. Nothing of it stands in the file.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum JournalError {
-    #[error("the journal is full")]
-    Full,
-    #[error("the journal cannot be written: {0}")]
-    Io(#[from] io::Error),
-}
-
-/// What an open message takes up.
-#[derive(Clone, Copy, Default)]
-struct Live {
-    /// Bytes of its records.
-    bytes: u64,
-    /// Room that is kept for those to come.
-    reserved: u64,
-}
+/// Upper bound of the record of an accepted message without its body: an id, a key and two names, which are bounded
+/// where messages are submitted.
+const MAX_ACCEPTED_RECORD_BYTES: u64 = 640;
 
 /// The open journal.
 pub(crate) struct Journal {
-    path: PathBuf,
-    file: File,
-    len: u64,
-    limit: u64,
-    /// What each open message takes up, and all of them.
-    live: HashMap<String, Live>,
-    live_bytes: u64,
-    reserved: u64,
-    /// Ends still remembered, and until when (Unix ms).
-    ends: HashMap<String, (FinalOutcome, u64)>,
-    /// Endpoints that operators have taken out.
-    bans: BTreeSet<String>,
-    /// When ends that are past were last dropped (Unix ms).
-    swept: u64,
-    /// Frames that have no choice but to be written: ends of attempts and messages.
-    backlog: Vec<u8>,
+    file: JournalFile,
+    /// Upper bound of the file and its compacted copy together.
+    max_bytes: u64,
+    retained: RetainedState,
+    /// Frames that are appended by the next commit that succeeds.
+    pending: Vec<u8>,
 }
 
-/// The journal as the node and its calls share it.
+/// The journal as the runtime and the calls to endpoints share it.
 #[derive(Clone)]
 pub(crate) struct SharedJournal(Arc<Mutex<Journal>>);
 
 impl SharedJournal {
+    /// Shares this journal.
     pub(crate) fn new(journal: Journal) -> Self {
         SharedJournal(Arc::new(Mutex::new(journal)))
     }
 
-    /// To be held for one statement, and never across a wait.
+    /// Locks the journal. The guard is held for one statement and never across an await.
     pub(crate) fn lock(&self) -> MutexGuard<'_, Journal> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Journal {
-    /// Opens the journal of the folder, cuts off a torn tail, passes over what is damaged, and replays the rest: the
-    /// open messages, in the order taken.
+    /// Opens the journal of the folder and replays it: damaged frames are skipped and a torn tail is cut off. Gives the
+    /// open messages too, in the order of their acceptance.
     pub(crate) fn open(
         folder: &Path,
-        limit: u64,
-        now: u64,
+        max_bytes: u64,
+        now_unix_ms: u64,
     ) -> Result<(Self, Vec<RecoveredMessage>), JournalError> {
-        let path = folder.join("journal");
-        // Left by a process that ended while it compacted; the old file still holds all.
-        match fs::remove_file(folder.join("journal.new")) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e.into()),
-            _ => {}
-        }
-        let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
-        let mut text = Vec::new();
-        file.read_to_end(&mut text)?;
-        let mut journal = Journal {
-            path,
-            file,
-            len: 0,
-            limit,
-            live: HashMap::new(),
-            live_bytes: 0,
-            reserved: 0,
-            ends: HashMap::new(),
-            bans: BTreeSet::new(),
-            swept: now,
-            backlog: Vec::new(),
-        };
+        let (file, content) = JournalFile::open(folder)?;
+        let retained = RetainedState::new(now_unix_ms);
+        let mut journal = Journal { file, max_bytes, retained, pending: Vec::new() };
         let mut replay = Replay::default();
-        for Frame { record, start, end } in Frames::of(&text) {
-            if start as u64 > journal.len {
-                let open = replay.doubt();
-                let passed = start as u64 - journal.len;
-                eprintln!("journal: {passed} damaged bytes passed over; {open} open messages may have run");
-            }
-            journal.len = end as u64;
-            journal.book(&record, (end - start) as u64, now);
-            replay.apply(record);
-        }
-        let tail = &text[journal.len as usize..];
+        journal.replay_frames(&content, &mut replay, now_unix_ms);
+        let tail = &content[journal.file.length() as usize..];
         if !tail.is_empty() {
-            // A process that is killed leaves the front of a frame, of which nothing was acted upon. A whole one that can't
-            // be read was damaged later.
-            let open = if is_whole(tail) { replay.doubt() } else { 0 };
-            eprintln!(
-                "journal: cut off {} bytes of a torn tail; {open} open messages may have run",
-                tail.len()
-            );
-            journal.file.set_len(journal.len)?;
+            journal.cut_off(tail, &mut replay)?;
         }
-        Ok((journal, replay.open()))
-    }
-
-    /// Notes what must be written with the next turn, or whenever writing succeeds again.
-    pub(crate) fn enqueue(&mut self, record: &Record, now: u64) {
-        let start = self.backlog.len();
-        put(record, &mut self.backlog);
-        let size = (self.backlog.len() - start) as u64;
-        self.book(record, size, now);
-    }
-
-    /// How a message ended, if it did not long ago, and until when (Unix ms) that is worth remembering.
-    pub(crate) fn final_outcome(&self, id: &str) -> Option<(FinalOutcome, u64)> {
-        self.ends.get(id).copied()
+        Ok((journal, replay.into_open_messages()))
     }
 
-    /// Endpoints that operators have taken out.
-    pub(crate) fn banned_endpoints(&self) -> &BTreeSet<String> {
-        &self.bans
-    }
-
-    /// Whether all that was noted stands in the file.
-    pub(crate) fn is_flushed(&self) -> bool {
-        self.backlog.is_empty()
-    }
-
-    /// Whether messages of this many bytes in all could still be taken on.
-    pub(crate) fn has_capacity(&mut self, messages: usize, bytes: usize, now: u64) -> bool {
-        // Records are short but for the body; names and keys are bounded where messages come in.
-        let (bytes, reserve) = (bytes as u64 + messages as u64 * TAKEN_MOST, messages as u64 * RESERVE);
-        if self.fits(self.len, bytes, reserve) {
-            return true;
+    /// Replays the undamaged frames. The file is known up to the last of them then.
+    fn replay_frames(&mut self, content: &[u8], replay: &mut Replay, now_unix_ms: u64) {
+        for frame in Frames::of(content) {
+            let damaged_bytes = frame.start as u64 - self.file.length();
+            if damaged_bytes > 0 {
+                let in_doubt = replay.mark_in_doubt();
+                eprintln!(
+                    "journal: skipped {damaged_bytes} damaged bytes; {in_doubt} open messages may have been executed"
+                );
+            }
+            self.file.set_known_length(frame.end as u64);
+            self.retained.apply(&frame.record, frame.size(), now_unix_ms);
+            replay.apply(frame.record);
         }
-        // Guards the processor: near the bound, where compacting frees next to nothing, doing it for each message
-        // would take more time than there is, just when the most is held.
-        self.is_worth_compacting()
-            && self.fits(self.compacted_len(), bytes, reserve)
-            && self.compact(now).is_ok()
-            && self.fits(self.len, bytes, reserve)
-    }
-
-    /// Room for a file of this length and `more` bytes, and beside it for its compacted copy or for the records
-    /// to come, whichever is longer. Not for both: a copy is made while there is room for it, and messages can
-    /// end without one.
-    fn fits(&self, len: u64, more: u64, reserve: u64) -> bool {
-        let beside = (self.compacted_len() + more).max(self.reserved + reserve);
-        len + self.backlog.len() as u64 + more + beside <= self.limit
-    }
-
-    fn is_worth_compacting(&self) -> bool {
-        self.len.saturating_sub(self.compacted_len()) >= self.limit / WORTH_COMPACTING
     }
 
-    /// Whether the file has grown long, or so long that its copy will soon not fit beside it.
-    fn is_due_for_compacting(&self) -> bool {
-        let both = self.len + self.compacted_len().max(self.reserved);
-        self.len > COMPACT_FROM.max(3 * self.compacted_len())
-            || (self.is_worth_compacting() && both > self.limit - self.limit / COMPACT_MARGIN)
+    /// Cuts off the bytes behind the last undamaged frame.
+    fn cut_off(&mut self, tail: &[u8], replay: &mut Replay) -> Result<(), JournalError> {
+        // A process that is killed leaves the front part of a frame, before it acted on any of its records. A frame of
+        // full length that cannot be read was damaged later, after the process may have acted on it.
+        let in_doubt = if starts_with_complete_frame(tail) { replay.mark_in_doubt() } else { 0 };
+        eprintln!(
+            "journal: cut off {} bytes of a torn tail; {in_doubt} open messages may have been executed",
+            tail.len()
+        );
+        self.file.truncate()
     }
 
-    fn compacted_len(&self) -> u64 {
-        self.live_bytes + (self.ends.len() + self.bans.len()) as u64 * 128
+    /// Adds a record that cannot be refused, such as the end of an attempt. It takes effect at once, and is written by
+    /// the next commit that succeeds.
+    pub(crate) fn enqueue(&mut self, record: &Record, now_unix_ms: u64) {
+        let size = encode(record, &mut self.pending);
+        self.retained.apply(record, size, now_unix_ms);
     }
 
-    /// Writes what was noted and these records, all or nothing.
-    pub(crate) fn commit(&mut self, records: &[Record], now: u64) -> Result<(), JournalError> {
-        let noted = self.backlog.len();
-        let mut sizes = Vec::with_capacity(records.len());
-        for record in records {
-            let start = self.backlog.len();
-            put(record, &mut self.backlog);
-            sizes.push((self.backlog.len() - start) as u64);
-        }
-        if self.backlog.is_empty() {
+    /// Writes the enqueued records and these. If it fails, these have no effect, and the enqueued ones stay enqueued.
+    pub(crate) fn commit(&mut self, records: &[Record], now_unix_ms: u64) -> Result<(), JournalError> {
+        let enqueued_bytes = self.pending.len();
+        let sizes: Vec<u64> = records.iter().map(|record| encode(record, &mut self.pending)).collect();
+        if self.pending.is_empty() {
             return Ok(());
         }
-        match self.append() {
-            Ok(()) => {
-                self.backlog.clear();
-                for (record, size) in records.iter().zip(sizes) {
-                    self.book(record, size, now);
-                }
-                if self.is_due_for_compacting() {
-                    // The long file still holds all: it is tried again after the next turn.
-                    if let Err(e) = self.compact(now) {
-                        eprintln!("journal: not compacted: {e}");
-                    }
-                }
-                Ok(())
-            }
-            Err(e) => {
-                self.backlog.truncate(noted);
-                Err(e)
-            }
-        }
-    }
-
-    fn append(&mut self) -> Result<(), JournalError> {
-        if self.len + self.backlog.len() as u64 > self.limit {
-            return Err(JournalError::Full);
+        if let Err(error) = self.append_pending() {
+            self.pending.truncate(enqueued_bytes);
+            return Err(error);
         }
-        if let Err(e) = self.file.write_all(&self.backlog) {
-            // A part of it may stand there, and would hide whatever is written after it.
-            self.file.set_len(self.len)?;
-            return Err(e.into());
+        for (record, size) in records.iter().zip(sizes) {
+            self.retained.apply(record, size, now_unix_ms);
         }
-        self.len += self.backlog.len() as u64;
+        self.compact_if_due(now_unix_ms);
         Ok(())
     }
 
-    /// Keeps count of what a compacted file would hold.
-    fn book(&mut self, record: &Record, size: u64, now: u64) {
-        match record {
-            Record::Completed(id, end, until) => {
-                let live = self.live.remove(id).unwrap_or_default();
-                self.live_bytes -= live.bytes;
-                self.reserved -= live.reserved;
-                self.remember(id, *end, *until, now);
-                return;
-            }
-            Record::EndpointBanned(uid) => {
-                self.bans.insert(uid.clone());
-                return;
-            }
-            Record::EndpointAllowed(uid) => {
-                self.bans.remove(uid);
-                return;
-            }
-            Record::NoticePending(id, end, until) => self.remember(id, (*end).into(), *until, now),
-            _ => {}
-        }
-        let live = self.live.entry(record.id().to_owned()).or_default();
-        live.bytes += size;
-        self.live_bytes += size;
-        let reserved = match record {
-            Record::Accepted(_) => RESERVE,
-            _ => live.reserved.saturating_sub(size),
-        };
-        self.reserved = self.reserved - live.reserved + reserved;
-        live.reserved = reserved;
-    }
-
-    fn remember(&mut self, id: &str, end: FinalOutcome, until: u64, now: u64) {
-        // What is past would make the memory, and the file with it, grow up to the bound.
-        if now >= self.swept + SWEEP || self.ends.len() >= ENDS_MOST {
-            self.ends.retain(|_, (_, until)| *until > now);
-            self.swept = now;
-        }
-        if self.ends.len() < ENDS_MOST && until > now {
-            self.ends.insert(id.to_owned(), (end, until));
-        }
-    }
-
-    /// Copies what is still of use into a new file and puts that in the old one's place.
-    fn compact(&mut self, now: u64) -> Result<(), JournalError> {
-        self.ends.retain(|_, (_, until)| *until > now);
-        let text = fs::read(&self.path)?;
-        let mut kept = Vec::with_capacity(self.compacted_len() as usize);
-        // Once each, however often they were begun and ended.
-        self.bans.iter().for_each(|uid| put(&Record::EndpointBanned(uid.clone()), &mut kept));
-        for Frame { record, start, end } in Frames::of(&text[..text.len().min(self.len as usize)]) {
-            let keep = match &record {
-                Record::Completed(id, ..) => self.ends.contains_key(id),
-                Record::EndpointBanned(_) | Record::EndpointAllowed(_) => false,
-                other => self.live.contains_key(other.id()),
-            };
-            if keep {
-                kept.extend_from_slice(&text[start..end]);
-            }
-        }
-        if self.len + kept.len() as u64 > self.limit {
+    fn append_pending(&mut self) -> Result<(), JournalError> {
+        if self.file.length() + self.pending.len() as u64 > self.max_bytes {
             return Err(JournalError::Full);
         }
-        let new = self.path.with_extension("new");
-        let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
-        if let Err(e) = file.write_all(&kept).and_then(|()| fs::rename(&new, &self.path)) {
-            fs::remove_file(&new)?;
-            return Err(e.into());
-        }
-        (self.file, self.len) = (file, kept.len() as u64);
+        self.file.append(&self.pending)?;
+        self.pending.clear();
         Ok(())
     }
-}
 
-/// Adds one frame: the payload is the length of its head, the head as JSON, and the body as it is.
-fn put(record: &Record, out: &mut Vec<u8>) {
-    let start = out.len();
-    out.extend_from_slice(&[0; FRAME_HEAD + 4]);
-    serde_json::to_writer(&mut *out, record).expect("a record has no map and writing to memory cannot fail");
-    let head = (out.len() - start - FRAME_HEAD - 4) as u32;
-    if let Record::Accepted(taken) = record {
-        out.extend_from_slice(&taken.body);
+    fn compact_if_due(&mut self, now_unix_ms: u64) {
+        if !self.capacity().is_compaction_due() {
+            return;
+        }
+        // The long file is still complete, so the next commit tries again.
+        if let Err(error) = self.compact(now_unix_ms) {
+            eprintln!("journal: not compacted: {error}");
+        }
     }
-    let payload = start + FRAME_HEAD;
-    out[payload..payload + 4].copy_from_slice(&head.to_le_bytes());
-    let (len, sum) = ((out.len() - payload) as u32, crc32fast::hash(&out[payload..]));
-    out[start..start + 4].copy_from_slice(&len.to_le_bytes());
-    out[start + 4..payload].copy_from_slice(&sum.to_le_bytes());
-}
-
-/// A record and where it stands.
-#[derive(Debug, PartialEq)]
-struct Frame {
-    record: Record,
-    start: usize,
-    end: usize,
-}
 
-/// The number that stands there.
-fn number(text: &[u8], at: usize) -> Option<u32> {
-    text.get(at..at + 4).and_then(|b| b.try_into().ok()).map(u32::from_le_bytes)
-}
-
-/// Where the frame that begins there ends by its own length, as far as there is so much text.
-fn end_of_frame(text: &[u8], start: usize) -> Option<usize> {
-    let end = start + FRAME_HEAD + number(text, start)? as usize;
-    Some(end).filter(|end| *end <= text.len())
-}
-
-/// Whether the text is long enough for the frame that it begins with.
-fn is_whole(text: &[u8]) -> bool {
-    end_of_frame(text, 0).is_some()
-}
-
-/// The frame that begins there, if it stands there whole.
-fn frame(text: &[u8], start: usize) -> Option<Frame> {
-    let end = end_of_frame(text, start)?;
-    let payload = &text[start + FRAME_HEAD..end];
-    let (head, body) = payload.get(4..)?.split_at_checked(number(payload, 0)? as usize)?;
-    // Guards the processor where a frame is looked for byte by byte: few places look like one.
-    if !head.starts_with(b"{\"") || crc32fast::hash(payload) != number(text, start + 4)? {
-        return None;
-    }
-    let mut record = serde_json::from_slice(head).ok()?;
-    if let Record::Accepted(taken) = &mut record {
-        taken.body = Bytes::copy_from_slice(body);
+    /// How a message ended, if this is still remembered, and until when (Unix ms) it is worth remembering.
+    pub(crate) fn final_outcome(&self, message: &str) -> Option<(FinalOutcome, u64)> {
+        let remembered = self.retained.outcomes.get(message)?;
+        Some((remembered.outcome, remembered.until_unix_ms))
     }
-    Some(Frame { record, start, end })
-}
-
-/// Finds the whole frames of a text. What lies between two of them was damaged.
-struct Frames<'a> {
-    text: &'a [u8],
-    at: usize,
-}
 
-impl<'a> Frames<'a> {
-    fn of(text: &'a [u8]) -> Self {
-        Frames { text, at: 0 }
+    /// Ids of the endpoints that operators have disabled.
+    pub(crate) fn banned_endpoints(&self) -> &BTreeSet<String> {
+        &self.retained.banned_endpoints
     }
-}
-
-impl Iterator for Frames<'_> {
-    type Item = Frame;
 
-    fn next(&mut self) -> Option<Frame> {
-        // Behind a damaged one by its length first: a body may hold what looks like a frame.
-        let next = end_of_frame(self.text, self.at);
-        let mut places = [self.at].into_iter().chain(next).chain(self.at + 1..self.text.len());
-        let found = places.find_map(|start| frame(self.text, start))?;
-        self.at = found.end;
-        Some(found)
+    /// Whether all enqueued records have been written.
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.pending.is_empty()
     }
-}
-
-/// Puts the messages together again from their records.
-#[derive(Default)]
-struct Replay {
-    order: Vec<String>,
-    open: HashMap<String, RecoveredMessage>,
-}
 
-impl Replay {
-    fn apply(&mut self, record: Record) {
-        match record {
-            Record::Accepted(taken) => {
-                self.order.push(taken.id.clone());
-                let id = taken.id.clone();
-                self.open.insert(
-                    id,
-                    RecoveredMessage { taken, attempts: Vec::new(), owed: None, in_doubt: false },
-                );
-            }
-            // Without an end it may have run: the process ended while it was out.
-            Record::AttemptStarted(id, attempt, sent, zone) => {
-                if let Some(open) = self.open.get_mut(&id).filter(|open| open.attempts.len() <= attempt) {
-                    // Those between were never written, and so not noted.
-                    let unsent = RecoveredAttempt { sent, zone: zone.clone(), may_have_run: false };
-                    open.attempts.resize(attempt, unsent);
-                    open.attempts.push(RecoveredAttempt { sent, zone, may_have_run: true });
-                }
-            }
-            Record::AttemptEnded(id, attempt, may_have_run) => {
-                if let Some(a) = self.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt)) {
-                    a.may_have_run = may_have_run;
-                }
-            }
-            Record::NoticePending(id, end, _) => {
-                if let Some(open) = self.open.get_mut(&id) {
-                    open.owed = Some(end);
-                }
-            }
-            Record::Completed(id, ..) => drop(self.open.remove(&id)),
-            // The journal keeps them.
-            Record::EndpointBanned(_) | Record::EndpointAllowed(_) => {}
+    /// Whether this number of messages, with bodies of `body_bytes` in all, could be accepted. Compacts the file if that
+    /// makes them fit.
+    pub(crate) fn has_capacity(&mut self, messages: usize, body_bytes: usize, now_unix_ms: u64) -> bool {
+        let new_bytes = body_bytes as u64 + messages as u64 * MAX_ACCEPTED_RECORD_BYTES;
+        let reserved_bytes = messages as u64 * RESERVED_BYTES_PER_MESSAGE;
+        let capacity = self.capacity();
+        if capacity.fits(new_bytes, reserved_bytes) {
+            return true;
         }
+        capacity.is_compaction_worthwhile()
+            && capacity.after_compaction().fits(new_bytes, reserved_bytes)
+            && self.compact(now_unix_ms).is_ok()
+            && self.capacity().fits(new_bytes, reserved_bytes)
     }
 
-    /// Records were lost here; gives how many messages they may have told of.
-    fn doubt(&mut self) -> usize {
-        self.open.values_mut().for_each(|open| open.in_doubt = true);
-        self.open.len()
-    }
-
-    fn open(mut self) -> Vec<RecoveredMessage> {
-        self.order.iter().filter_map(|id| self.open.remove(id)).collect()
+    fn capacity(&self) -> Capacity {
+        Capacity {
+            max_bytes: self.max_bytes,
+            file_length: self.file.length(),
+            pending_bytes: self.pending.len() as u64,
+            compacted_length: self.retained.compacted_length(),
+            reserved_bytes: self.retained.open_messages.reserved_bytes(),
+        }
     }
 }
 
--- /dev/null
+++ b/src/forwarder/journal/outcomes.rs
@@ -0,0 +1,59 @@
+//! The outcomes of messages that ended a short time ago.
+
+use super::records::{FinalOutcome, RememberedOutcome};
+use std::collections::HashMap;
+
+/// Outcomes that are remembered at most.
+const MAX_OUTCOMES: usize = 4096;
+/// Expired outcomes are dropped this often.
+const SWEEP_INTERVAL_MS: u64 = 1000;
+
+/// Remembers how messages ended, each until its time has passed. Expired outcomes are dropped from time to time, so
+/// that neither the memory nor the compacted file grows with the number of all messages ever sent.
+pub(super) struct OutcomeCache {
+    by_message: HashMap<String, RememberedOutcome>,
+    last_sweep_unix_ms: u64,
+}
+
+impl OutcomeCache {
+    pub(super) fn new(now_unix_ms: u64) -> Self {
+        OutcomeCache { by_message: HashMap::new(), last_sweep_unix_ms: now_unix_ms }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.by_message.len()
+    }
+
+    pub(super) fn get(&self, message: &str) -> Option<RememberedOutcome> {
+        self.by_message.get(message).copied()
+    }
+
+    /// Remembers an outcome. An expired one is ignored, and any one while the cache is full.
+    pub(super) fn insert(
+        &mut self,
+        message: &str,
+        outcome: FinalOutcome,
+        until_unix_ms: u64,
+        now_unix_ms: u64,
+    ) {
+        let is_sweep_due = now_unix_ms >= self.last_sweep_unix_ms + SWEEP_INTERVAL_MS;
+        if is_sweep_due || self.len() >= MAX_OUTCOMES {
+            self.drop_expired(now_unix_ms);
+            self.last_sweep_unix_ms = now_unix_ms;
+        }
+        if self.len() < MAX_OUTCOMES && until_unix_ms > now_unix_ms {
+            self.by_message.insert(message.to_owned(), RememberedOutcome { outcome, until_unix_ms });
+        }
+    }
+
+    /// Drops the outcomes whose time has passed.
+    pub(super) fn drop_expired(&mut self, now_unix_ms: u64) {
+        self.by_message.retain(|_, remembered| remembered.until_unix_ms > now_unix_ms);
+    }
+
+    /// All remembered outcomes with their messages, in no particular order.
+    #[cfg(test)]
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&str, RememberedOutcome)> {
+        self.by_message.iter().map(|(message, remembered)| (message.as_str(), *remembered))
+    }
+}
--- a/src/forwarder/runtime/hand_over.rs
+++ b/src/forwarder/runtime/hand_over.rs
@@ -131,7 +131,7 @@
                 }
             }
         }
-        let untried = open.iter().filter(|o| o.owed.is_none() && o.attempts.is_empty()).count();
+        let untried = open.iter().filter(|o| o.pending_notice.is_none() && o.attempts.is_empty()).count();
         if !open.is_empty() {
             eprintln!("journal: {} messages open, {untried} of them untried", open.len());
         }
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -545,7 +545,7 @@
             tenant: tenant.map(|t| self.names.tenants[t].clone()),
             destination,
             key,
-            deadline: unix_now() + left,
+            deadline_unix_ms: unix_now() + left,
             body,
         };
         let message = Message {
@@ -584,7 +584,7 @@
         open: RecoveredMessage,
         still_out: &mut BTreeMap<(String, usize), InheritedCall>,
     ) {
-        let RecoveredMessage { taken, attempts, owed, in_doubt } = open;
+        let RecoveredMessage { message: taken, attempts, pending_notice: owed, in_doubt } = open;
         if let Some(end) = owed {
             return self.owed.push(Notice { message: taken.id, outcome: end });
         }
@@ -594,10 +594,13 @@
         // When a lost attempt was made nobody knows: too long ago for any key to be remembered.
         let lost = in_doubt.then_some(PossibleExecution { sent_at: -LONG_AGO, zone: usize::MAX });
         let risk_of = |of: usize| {
-            let first = attempts[..of].iter().find(|a| a.may_have_run);
+            let first = attempts[..of].iter().find(|a| a.may_have_executed);
             let zone = |a: &RecoveredAttempt| index(zones, &a.zone).unwrap_or(usize::MAX);
             lost.or_else(|| {
-                first.map(|a| PossibleExecution { sent_at: now.saturating_add(ago(a.sent)), zone: zone(a) })
+                first.map(|a| PossibleExecution {
+                    sent_at: now.saturating_add(ago(a.sent_at_unix_ms)),
+                    zone: zone(a),
+                })
             })
         };
         let possible_execution = risk_of(attempts.len());
@@ -605,7 +608,7 @@
             MessageHistory { accepted: true, attempts: attempts.len(), possible_execution, in_flight: None };
         let class = index(&self.names.classes, &taken.class);
         let tenant = taken.tenant.as_ref().and_then(|t| index(&self.names.tenants, t));
-        let expires_at = now.saturating_add(ago(taken.deadline));
+        let expires_at = now.saturating_add(ago(taken.deadline_unix_ms));
         let untried = history.attempts == 0 && !in_doubt;
         // The last attempt may be out yet.
         let last = history.attempts.checked_sub(1);
@@ -670,9 +673,10 @@
             _ => NoticeOutcome::Failed,
         };
         let name = message.taken.id;
-        self.journal
-            .lock()
-            .enqueue(&Record::notice_pending(name.clone(), notice, message.taken.deadline), unix_now());
+        self.journal.lock().enqueue(
+            &Record::notice_pending(name.clone(), notice, message.taken.deadline_unix_ms),
+            unix_now(),
+        );
         self.owed.push(Notice { message: name, outcome: notice });
     }
 
@@ -933,7 +937,7 @@
         self.metrics.record_attempt(to, outcome, took, !self.calls.contains_key(&out.call));
         let unix = unix_now();
         if finished && let Some(message) = self.messages.remove(&id) {
-            let AcceptedMessage { id: name, deadline, .. } = message.taken;
+            let AcceptedMessage { id: name, deadline_unix_ms: deadline, .. } = message.taken;
             self.ids.remove(&name);
             let end =
                 if outcome == Outcome::Delivered { FinalOutcome::Delivered } else { FinalOutcome::Failed };
