Split the upgrade into lock, frames, framing, channel, listener and take-over

Now each is a module with one job. `AttemptRef` and `LearnedEntry` replace tuples with the same JSON; fields carry their units; constants say what they bound. `UpgradeError` says what failed and on which path. The channel and the listener are generic over the event type, and the replies to operators before there is anything to serve are passed in as a future. The inherited listener has small steps and errors that name the variable.

--- a/src/forwarder/inherited_listener.rs
+++ b/src/forwarder/inherited_listener.rs
@@ -1,4 +1,6 @@
-//! The clients' listening socket, where the platform holds it and every process inherits it.
+//! The listening socket for clients, if the platform holds it and every process of the forwarder inherits it.
+//!
+//! Clients can connect during an upgrade then, since the socket is never closed.
 
 use std::env;
 use std::fs;
@@ -6,41 +8,73 @@
 use std::net::TcpListener;
 use std::os::fd::{FromRawFd, RawFd};
 
+/// The environment variable that contains the number of the inherited descriptor.
+const DESCRIPTOR_VARIABLE: &str = "BALANCER_FD";
+/// The last of the standard streams. None of them is adopted as a listener.
+const LAST_STANDARD_STREAM: RawFd = 2;
+
 /// Why the inherited socket cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum InheritError {
-    /// The variable names no descriptor.
-    #[error("BALANCER_FD: {0:?} is no descriptor")]
-    Name(String),
-    /// The descriptor is not open, or is no socket.
-    #[error("descriptor {0} is no socket")]
-    NoSocket(RawFd),
-    /// The socket listens for no TCP connections.
-    #[error("descriptor {0} does not listen: {1}")]
-    Unusable(RawFd, #[source] io::Error),
+    /// The variable contains no number, or that of a standard stream.
+    #[error("{DESCRIPTOR_VARIABLE}: {0:?} is not a descriptor of a socket")]
+    InvalidDescriptor(String),
+    /// The descriptor is not open, or is not a socket.
+    #[error("{DESCRIPTOR_VARIABLE}: descriptor {0} is not a socket")]
+    NotASocket(RawFd),
+    /// The socket cannot be used as a TCP listener.
+    #[error("{DESCRIPTOR_VARIABLE}: descriptor {descriptor} is not a TCP listener: {source}")]
+    NotAListener {
+        /// The descriptor.
+        descriptor: RawFd,
+        /// The cause.
+        source: io::Error,
+    },
 }
 
-/// The listener that `$BALANCER_FD` names, if it names one. To be called once, before anything else is opened.
+/// The inherited listener, in non-blocking mode; `None` if the environment names none.
+///
+/// It must be called only once, and before any descriptor is opened that could have the same number.
 pub fn listener() -> Result<Option<TcpListener>, InheritError> {
-    let Some(name) = env::var("BALANCER_FD").ok().filter(|name| !name.is_empty()) else { return Ok(None) };
-    // The three below are the standard streams.
-    let fd = name.parse().ok().filter(|fd: &RawFd| *fd > 2).ok_or(InheritError::Name(name))?;
-    let link = fs::read_link(format!("/proc/self/fd/{fd}")).map_err(|_| InheritError::NoSocket(fd))?;
-    if !link.to_string_lossy().starts_with("socket:") {
-        return Err(InheritError::NoSocket(fd));
+    let value = env::var(DESCRIPTOR_VARIABLE).unwrap_or_default();
+    if value.is_empty() {
+        return Ok(None);
+    }
+    let descriptor = parse_descriptor(value)?;
+    if !is_socket(descriptor) {
+        return Err(InheritError::NotASocket(descriptor));
+    }
+    let listener = adopt(descriptor);
+    match prepare(&listener) {
+        Ok(()) => Ok(Some(listener)),
+        Err(source) => Err(InheritError::NotAListener { descriptor, source }),
+    }
+}
+
+fn parse_descriptor(value: String) -> Result<RawFd, InheritError> {
+    match value.parse() {
+        Ok(descriptor) if descriptor > LAST_STANDARD_STREAM => Ok(descriptor),
+        _ => Err(InheritError::InvalidDescriptor(value)),
     }
-    let listener = adopt(fd);
-    listener
-        .local_addr()
-        .and_then(|_| listener.set_nonblocking(true))
-        .map_err(|e| InheritError::Unusable(fd, e))?;
-    Ok(Some(listener))
 }
 
-/// Safe crates adopt only what `LISTEN_FDS` announces, which this platform does not set.
+/// Whether the descriptor is open and a socket.
+fn is_socket(descriptor: RawFd) -> bool {
+    fs::read_link(format!("/proc/self/fd/{descriptor}"))
+        .is_ok_and(|link| link.to_string_lossy().starts_with("socket:"))
+}
+
+/// Checks that the socket has an IP address, and makes it non-blocking.
+fn prepare(listener: &TcpListener) -> io::Result<()> {
+    listener.local_addr()?;
+    listener.set_nonblocking(true)
+}
+
+/// Makes this process the owner of the descriptor. The crates that do this safely adopt only descriptors that
+/// `LISTEN_FDS` announces, which the platform does not set.
 #[allow(unsafe_code)]
-fn adopt(fd: RawFd) -> TcpListener {
-    // SAFETY: the descriptor is open and a socket, as the caller has just seen, and nothing in this process owns
-    // it: it was inherited, and it is adopted once, before anything else is opened.
-    unsafe { TcpListener::from_raw_fd(fd) }
+fn adopt(descriptor: RawFd) -> TcpListener {
+    // SAFETY: the descriptor is open and a socket, which the caller has checked. Nothing in this process owns it: it
+    // was inherited, and it is adopted once, before any other descriptor is opened.
+    unsafe { TcpListener::from_raw_fd(descriptor) }
 }
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -22,6 +22,7 @@
 use event::RuntimeEvent;
 use runtime::{Runtime, RuntimeChannels};
 use server::{ConnectionCounts, LifecyclePhase, RequestHandler};
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -60,6 +61,9 @@
     /// The journal cannot be opened.
     #[error("journal: {0}")]
     Journal(String),
+    /// The lock on the state folder cannot be had.
+    #[error("upgrade: {0}")]
+    Upgrade(#[from] upgrade::UpgradeError),
     /// A socket or a signal cannot be had.
     #[error("{0}")]
     Io(#[from] io::Error),
@@ -81,6 +85,16 @@
     }
 }
 
+/// Replies to operators as long as another process owns the state. Never completes.
+async fn reject_admin_requests(events: &mut mpsc::Receiver<RuntimeEvent>) -> Infallible {
+    while let Some(event) = events.recv().await {
+        if let RuntimeEvent::AdminRequest(request) = event {
+            let _ = request.reply.send(Err("not ready: another process still serves".to_owned()));
+        }
+    }
+    std::future::pending().await
+}
+
 /// Runs until SIGTERM, or until a new version has taken over and all is done. Clients come to the inherited listener;
 /// without one, the address is bound.
 pub async fn run(configuration: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
@@ -98,7 +112,7 @@
         None => TcpListener::bind(configuration.listen).await?,
     };
     let begin = tokio::select! {
-        begin = upgrade::acquire_ownership(&configuration.state, &mut received) => begin?,
+        begin = upgrade::acquire_ownership(&configuration.state, reject_admin_requests(&mut received)) => begin?,
         _ = terminate.recv() => return Ok(()),
     };
     let (notices, batches) = mpsc::channel(1);
--- a/src/forwarder/runtime/hand_over.rs
+++ b/src/forwarder/runtime/hand_over.rs
@@ -9,7 +9,9 @@
 use crate::forwarder::messages::call_report::{AttemptResult, CallReport};
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::forwarder::messages::endpoint_list::{EndpointList, EndpointRecord, LifecycleState};
-use crate::forwarder::upgrade::{self, Frame, HandoffState, PeerChannel, PeerEvent, PeerRole};
+use crate::forwarder::upgrade::{
+    self, AttemptRef, Frame, HandoffState, LearnedEntry, PeerChannel, PeerEvent, PeerRole,
+};
 use crate::interface::{EndpointId, Event, InheritedCall, LearnedState, MessageId, Micros, Outcome};
 use crate::settings_reader::index;
 use base64::Engine;
@@ -92,15 +94,19 @@
         for ((_, attempt), out) in &self.out {
             let written = self.calls.get(&out.call).filter(|call| call.is_written());
             let Some(endpoint) = written.and_then(|call| uid(call.endpoint)) else { continue };
-            let new = || upgrade::InFlightCall { endpoint, age: now - out.sent, attempts: Vec::new() };
-            calls.entry(out.call).or_insert_with(new).attempts.push((out.name.clone(), *attempt));
+            let new = || upgrade::InFlightCall { endpoint, age_us: now - out.sent, attempts: Vec::new() };
+            calls
+                .entry(out.call)
+                .or_insert_with(new)
+                .attempts
+                .push(AttemptRef { message: out.name.clone(), attempt: *attempt });
         }
-        let learned = |l: LearnedState| (l.endpoint.and_then(uid), l);
+        let learned = |l: LearnedState| LearnedEntry { endpoint: l.endpoint.and_then(uid), state: l };
         HandoffState {
-            rev: self.rev.unwrap_or(0),
+            revision: self.rev.unwrap_or(0),
             endpoints: self.endpoints.iter().map(line).collect(),
             calls: calls.into_values().collect(),
-            clients: self.places.own.load(Relaxed),
+            client_connections: self.places.own.load(Relaxed),
             learned: self.balancer.learned(now).into_iter().map(learned).collect(),
         }
     }
@@ -108,10 +114,10 @@
     /// Goes on from the journal, and from what an older process has told.
     pub(super) fn take_up(&mut self, now: Micros, open: Vec<RecoveredMessage>, rest: Option<HandoffState>) {
         let mut still_out = BTreeMap::new();
-        if let Some(HandoffState { rev, endpoints, calls, learned, .. }) = rest {
+        if let Some(HandoffState { revision: rev, endpoints, calls, learned, .. }) = rest {
             eprintln!("handover: took over {} messages and {} calls out", open.len(), calls.len());
             self.list(now, &EndpointList { revision: rev, complete: true, endpoints, unreadable: 0 });
-            for upgrade::InFlightCall { endpoint, age, attempts } in calls {
+            for upgrade::InFlightCall { endpoint, age_us: age, attempts } in calls {
                 let Some(&endpoint) = self.endpoint_ids.get(&endpoint) else { continue };
                 let (call, left) = (self.next_call, attempts.len());
                 self.next_call += 1;
@@ -121,9 +127,9 @@
                 );
                 self.endpoints.get_mut(&endpoint).into_iter().for_each(|t| t.out += 1);
                 let out = InheritedCall { call, endpoint, sent_at: now - age };
-                still_out.extend(attempts.into_iter().map(|attempt| (attempt, out)));
+                still_out.extend(attempts.into_iter().map(|attempt| (attempt.into(), out)));
             }
-            for (uid, learned) in learned {
+            for LearnedEntry { endpoint: uid, state: learned } in learned {
                 let endpoint = uid.as_ref().and_then(|uid| self.endpoint_ids.get(uid).copied());
                 if endpoint.is_some() == learned.endpoint.is_some() {
                     let learned = LearnedState { endpoint, ..learned };
@@ -155,7 +161,7 @@
     pub(super) fn process_news(
         &mut self,
         now: Micros,
-        PeerEvent { side, link, frame }: PeerEvent,
+        PeerEvent { role: side, channel_id: link, frame }: PeerEvent,
     ) -> Option<MessageId> {
         match (side, frame) {
             (PeerRole::Predecessor, Some(Frame::AttemptsEnded(ends))) => self.ended_elsewhere(now, ends),
@@ -203,7 +209,7 @@
             outcome: Outcome::StaleConnection,
             finished: false,
             report: None,
-            wait: None,
+            retry_after_us: None,
             unsent: false,
         };
         self.out.iter().filter(|(_, out)| predecessor(out)).map(lost).collect()
@@ -215,7 +221,16 @@
     }
 
     fn ended_elsewhere(&mut self, now: Micros, ends: Vec<upgrade::EndedAttempt>) {
-        for upgrade::EndedAttempt { message, attempt, outcome, finished, report, wait, unsent } in ends {
+        for upgrade::EndedAttempt {
+            message,
+            attempt,
+            outcome,
+            finished,
+            report,
+            retry_after_us: wait,
+            unsent,
+        } in ends
+        {
             let Some(id) = self.named(&message, attempt) else { continue };
             let call = self.out.get(&(id, attempt)).and_then(|out| self.calls.get(&out.call));
             let Some(endpoint) = call.map(|call| call.endpoint) else { continue };
@@ -239,7 +254,8 @@
         message: upgrade::ForwardedRequest,
     ) -> Option<MessageId> {
         let predecessor = self.predecessor.as_ref()?.sender();
-        let upgrade::ForwardedRequest { id, class, tenant, destination, key, body, left } = message;
+        let upgrade::ForwardedRequest { id, class, tenant, destination, key, body, remaining_ms: left } =
+            message;
         let tenant = match tenant {
             Some(name) => index(&self.names.tenants, &name).map(Some),
             None => Some(None),
@@ -265,7 +281,7 @@
         let Successor::HandedOver { link, since, held } = &mut self.successor else { return };
         let (mut owned, mut gone, mut close) = (false, since.elapsed() > OWNED, false);
         held.retain(|input| match input {
-            RuntimeEvent::Peer(PeerEvent { side: PeerRole::Successor, link: from, frame })
+            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Successor, channel_id: from, frame })
                 if !owned && *from == link.id =>
             {
                 owned = matches!(frame, Some(Frame::Owned));
@@ -327,7 +343,7 @@
                     frames.push(Frame::AdminCommand(self.wait_for(Waiting::Operator(answer)), call));
                 }
                 RuntimeEvent::Terminate => self.closing = self.closing.or(Some(Instant::now())),
-                RuntimeEvent::Peer(PeerEvent { side: PeerRole::Predecessor, frame, .. }) => {
+                RuntimeEvent::Peer(PeerEvent { role: PeerRole::Predecessor, frame, .. }) => {
                     let ends = match frame {
                         Some(Frame::AttemptsEnded(ends)) => ends,
                         Some(_) => Vec::new(),
@@ -338,7 +354,7 @@
                     }
                     frames.push(Frame::AttemptsEnded(ends));
                 }
-                RuntimeEvent::Peer(PeerEvent { side: PeerRole::Successor, frame, link }) => {
+                RuntimeEvent::Peer(PeerEvent { role: PeerRole::Successor, frame, channel_id: link }) => {
                     self.newer_news(link, frame)
                 }
                 // It is the new version's to hear of these.
@@ -372,12 +388,12 @@
                     let _ = operator.send(reply);
                 }
             }
-            Some(Frame::CancelAttempt(message, attempt)) => {
+            Some(Frame::CancelAttempt(AttemptRef { message, attempt })) => {
                 if let Some(id) = self.named(&message, attempt) {
                     self.cancel(id, attempt);
                 }
             }
-            Some(Frame::AbandonMessage(message, attempt)) => {
+            Some(Frame::AbandonMessage(AttemptRef { message, attempt })) => {
                 if let Some(id) = self.named(&message, attempt) {
                     self.order(id, attempt, || CallCommand::Abandon, Frame::AbandonMessage);
                 }
@@ -409,7 +425,7 @@
             destination,
             key,
             body: STANDARD.encode(&body),
-            left: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            remaining_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
         Frame::ClientRequest(self.wait_for(Waiting::Client(answer)), passed)
     }
@@ -426,7 +442,15 @@
             let outcome =
                 if late && outcome == Outcome::Cancelled { Outcome::StaleConnection } else { outcome };
             let message = out.name;
-            ends.push(upgrade::EndedAttempt { message, attempt, outcome, finished, report, wait, unsent });
+            ends.push(upgrade::EndedAttempt {
+                message,
+                attempt,
+                outcome,
+                finished,
+                report,
+                retry_after_us: wait,
+                unsent,
+            });
         }
         Frame::AttemptsEnded(ends)
     }
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -21,7 +21,7 @@
 use crate::forwarder::messages::notice::{Notice, NoticeOutcome};
 use crate::forwarder::metrics::{DropReason, IntervalMetrics};
 use crate::forwarder::server::{ConnectionCounts, LifecyclePhase};
-use crate::forwarder::upgrade::{self, Frame, HandoffState, Ownership, PeerChannel, StateLock};
+use crate::forwarder::upgrade::{self, AttemptRef, Frame, HandoffState, Ownership, PeerChannel, StateLock};
 use crate::interface::{
     Action, AttemptEnded, DestinationId, EndpointEntry, EndpointId, EndpointState, Event, Idempotency,
     InheritedCall, MessageHistory, MessageId, Micros, Outcome, PossibleExecution, Settings, Submission,
@@ -261,7 +261,9 @@
         };
         // It died when it had handed over: its calls ended with it, and the journal knows of them.
         let (rest, predecessor) = predecessor.map_or((None, None), |(rest, link)| (Some(rest), Some(link)));
-        places.predecessor.store(rest.as_ref().map_or(0, |rest: &HandoffState| rest.clients), Relaxed);
+        places
+            .predecessor
+            .store(rest.as_ref().map_or(0, |rest: &HandoffState| rest.client_connections), Relaxed);
         let mut node = Runtime {
             settings: config.settings.clone(),
             names: config.names.clone(),
@@ -860,12 +862,12 @@
         id: MessageId,
         attempt: usize,
         here: impl FnOnce() -> CallCommand,
-        predecessor: impl FnOnce(String, usize) -> Frame,
+        predecessor: impl FnOnce(AttemptRef) -> Frame,
     ) {
         let Some(out) = self.out.get(&(id, attempt)) else { return };
         match (self.calls.get(&out.call), &self.predecessor) {
             (Some(CallInFlight { owner: CallOwner::Predecessor, .. }), Some(process)) => {
-                process.send(predecessor(out.name.clone(), attempt));
+                process.send(predecessor(AttemptRef { message: out.name.clone(), attempt }));
             }
             (Some(call), _) => call.order(here()),
             (None, _) => {}
--- /dev/null
+++ b/src/forwarder/upgrade/channel.rs
@@ -0,0 +1,118 @@
+//! The channel to another process of the same forwarder.
+
+use super::error::UpgradeError;
+use super::frames::Frame;
+use super::framing::{FrameReader, FrameWriter, FramedStream};
+use std::time::Duration;
+use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// When the other process ends, its connections to endpoints may be closed a moment later than its channel. Its
+/// disconnection is reported after this time.
+const DISCONNECT_DELAY: Duration = Duration::from_millis(50);
+
+/// What the other process is to this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerRole {
+    /// It has handed over to this process.
+    Predecessor,
+    /// It takes over from this process.
+    Successor,
+}
+
+/// Something that happened on a [`PeerChannel`].
+#[derive(Debug)]
+pub(crate) struct PeerEvent {
+    /// What the other process is to this one.
+    pub(crate) role: PeerRole,
+    /// The channel. Events of a channel that was dropped may still be queued.
+    pub(crate) channel_id: u64,
+    /// The frame that was received. `None` if the channel is closed; it is the last event of the channel.
+    pub(crate) frame: Option<Frame>,
+}
+
+/// A channel to another process. When it is dropped, it stops receiving; the connection is closed once the queued
+/// frames are written and every [`Self::sender`] is dropped.
+pub(crate) struct PeerChannel {
+    /// Tells the channels of one role apart.
+    pub(crate) id: u64,
+    /// The writer task holds the other end. The queue is unbounded, since the runtime must not wait for the other
+    /// process.
+    frames: UnboundedSender<Frame>,
+    /// Ends when no sender of frames is left, or when the other process has closed the connection.
+    writer: JoinHandle<()>,
+    /// Aborted when the channel is dropped.
+    reader: JoinHandle<()>,
+}
+
+impl PeerChannel {
+    /// Starts the tasks that read and write the connection. What is received goes to `events`.
+    pub(super) fn start<E>(id: u64, role: PeerRole, stream: FramedStream, events: Sender<E>) -> Self
+    where
+        E: From<PeerEvent> + Send + 'static,
+    {
+        let (frames, queue) = unbounded_channel();
+        let writer = tokio::spawn(write_frames(stream.writer, queue));
+        let reader = tokio::spawn(read_frames(stream.reader, id, role, events));
+        PeerChannel { id, frames, writer, reader }
+    }
+
+    /// Queues a frame. It is lost if the other process has ended, which a [`PeerEvent`] reports.
+    pub(crate) fn send(&self, frame: Frame) {
+        let _ = self.frames.send(frame);
+    }
+
+    /// Another sender of frames, for a task that replies later.
+    pub(crate) fn sender(&self) -> UnboundedSender<Frame> {
+        self.frames.clone()
+    }
+
+    /// Closes the channel and waits, up to this limit, until the queued frames are written.
+    pub(crate) async fn flush(mut self, limit: Duration) {
+        let (closed, _) = unbounded_channel();
+        self.frames = closed;
+        let _ = timeout(limit, &mut self.writer).await;
+    }
+}
+
+impl Drop for PeerChannel {
+    fn drop(&mut self) {
+        self.reader.abort();
+    }
+}
+
+async fn write_frames(mut writer: FrameWriter, mut queue: UnboundedReceiver<Frame>) {
+    while let Some(frame) = queue.recv().await {
+        if writer.send(&frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Passes on the frames of the other process and, at the end, its disconnection.
+async fn read_frames<E: From<PeerEvent>>(
+    mut reader: FrameReader,
+    channel_id: u64,
+    role: PeerRole,
+    events: Sender<E>,
+) {
+    loop {
+        let frame = match reader.receive().await {
+            Ok(frame) => Some(frame),
+            Err(UpgradeError::Closed) => None,
+            Err(error) => {
+                eprintln!("upgrade: {error}");
+                None
+            }
+        };
+        let is_closed = frame.is_none();
+        if is_closed {
+            sleep(DISCONNECT_DELAY).await;
+        }
+        let event = PeerEvent { role, channel_id, frame };
+        if events.send(event.into()).await.is_err() || is_closed {
+            return;
+        }
+    }
+}
--- a/src/forwarder/upgrade/format_tests.rs
+++ b/src/forwarder/upgrade/format_tests.rs
@@ -1,9 +1,12 @@
-//! Holds the bytes of the hand-over: two versions of the program speak to each other, so no frame may change
+//! Holds the bytes of the frames of an upgrade: two versions of the program exchange them, so no frame may change
 //! unnoticed.
 
 use super::*;
-use crate::forwarder::messages::endpoint_list::LifecycleState;
-use crate::interface::HealthState;
+use crate::forwarder::messages::admin_command::AdminCommand;
+use crate::forwarder::messages::client_request::ClientReply;
+use crate::forwarder::messages::endpoint_list::{EndpointRecord, LifecycleState};
+use crate::interface::{HealthState, LearnedState, LoadReport, Outcome};
+use std::time::Duration;
 
 /// Each frame as version 0.1.0 wrote it, one a line, in the order of [`every_frame`].
 const FRAMES: &str = include_str!("../../../tests/fixtures/handover/frames.jsonl");
@@ -47,34 +50,42 @@
     }
 }
 
-fn rest() -> Frame {
-    let cold = HealthState::WarmingUp { since: 2_000_000 };
+fn attempt(message: &str, attempt: usize) -> AttemptRef {
+    AttemptRef { message: message.to_owned(), attempt }
+}
+
+fn learned_entry(uid: Option<&str>, state: LearnedState) -> LearnedEntry {
+    LearnedEntry { endpoint: uid.map(str::to_owned), state }
+}
+
+fn handoff() -> Frame {
+    let warming_up = HealthState::WarmingUp { since: 2_000_000 };
     Frame::Handoff(Box::new(HandoffState {
-        rev: 42,
+        revision: 42,
         endpoints: endpoints(),
         calls: vec![
             InFlightCall {
                 endpoint: "endpoint-1".to_owned(),
-                age: 1234,
-                attempts: vec![("m-1".to_owned(), 0), ("m-2".to_owned(), 3)],
+                age_us: 1234,
+                attempts: vec![attempt("m-1", 0), attempt("m-2", 3)],
             },
-            InFlightCall { endpoint: "endpoint-2".to_owned(), age: 0, attempts: vec![] },
+            InFlightCall { endpoint: "endpoint-2".to_owned(), age_us: 0, attempts: vec![] },
         ],
-        clients: 5,
+        client_connections: 5,
         learned: vec![
-            (None, learned(None, HealthState::Healthy, None)),
-            (Some("endpoint-1".to_owned()), learned(Some(3), cold, Some((10.0, 80.5)))),
-            (None, learned(None, HealthState::Down { next_probe: 500_000 }, Some((0.25, 1.0)))),
+            learned_entry(None, learned(None, HealthState::Healthy, None)),
+            learned_entry(Some("endpoint-1"), learned(Some(3), warming_up, Some((10.0, 80.5)))),
+            learned_entry(None, learned(None, HealthState::Down { next_probe: 500_000 }, Some((0.25, 1.0)))),
         ],
     }))
 }
 
-fn empty_rest() -> Frame {
+fn empty_handoff() -> Frame {
     Frame::Handoff(Box::new(HandoffState {
-        rev: 0,
+        revision: 0,
         endpoints: vec![],
         calls: vec![],
-        clients: 0,
+        client_connections: 0,
         learned: vec![],
     }))
 }
@@ -86,7 +97,7 @@
         outcome,
         finished: false,
         report: None,
-        wait: None,
+        retry_after_us: None,
         unsent: false,
     }
 }
@@ -99,7 +110,10 @@
             report: Some(LoadReport { limit: Some(12.5) }),
             ..ended(Outcome::Rejected { retry_after: None })
         },
-        EndedAttempt { wait: Some(1_500_000), ..ended(Outcome::Rejected { retry_after: Some(1_500_000) }) },
+        EndedAttempt {
+            retry_after_us: Some(1_500_000),
+            ..ended(Outcome::Rejected { retry_after: Some(1_500_000) })
+        },
         ended(Outcome::TimedOut),
         EndedAttempt { unsent: true, ..ended(Outcome::ConnectFailed) },
         ended(Outcome::Reset),
@@ -110,7 +124,7 @@
     ])
 }
 
-fn handed_in(tenant: Option<&str>, key: Option<&str>) -> ForwardedRequest {
+fn forwarded_request(tenant: Option<&str>, key: Option<&str>) -> ForwardedRequest {
     ForwardedRequest {
         id: "m-9".to_owned(),
         class: "auth-notice".to_owned(),
@@ -118,21 +132,21 @@
         destination: u64::MAX,
         key: key.map(str::to_owned),
         body: "aGVsbG8=".to_owned(),
-        left: 2500,
+        remaining_ms: 2500,
     }
 }
 
-fn answers() -> Vec<Frame> {
-    let refused =
+fn client_replies() -> Vec<Frame> {
+    let rejected =
         [None, Some(Duration::from_millis(1500)), Some(Duration::new(2, 7))].map(ClientReply::Rejected);
     [ClientReply::Accepted, ClientReply::Delivered, ClientReply::Failed]
         .into_iter()
-        .chain(refused)
-        .map(|answer| Frame::ClientReply(11, answer))
+        .chain(rejected)
+        .map(|reply| Frame::ClientReply(11, reply))
         .collect()
 }
 
-fn operators_calls() -> Vec<Frame> {
+fn admin_commands() -> Vec<Frame> {
     let endpoint = || "endpoint-1".to_owned();
     [
         AdminCommand::Ready,
@@ -141,7 +155,7 @@
         AdminCommand::Drain,
         AdminCommand::Resume,
     ]
-    .map(|call| Frame::AdminCommand(12, call))
+    .map(|command| Frame::AdminCommand(12, command))
     .into()
 }
 
@@ -149,19 +163,19 @@
 fn every_frame() -> Vec<Frame> {
     let mut frames = vec![
         Frame::TakeOver,
-        rest(),
-        empty_rest(),
+        handoff(),
+        empty_handoff(),
         Frame::Owned,
         Frame::ClientConnections(3),
         every_outcome(),
         Frame::AttemptsEnded(vec![]),
-        Frame::CancelAttempt("m-1".to_owned(), 2),
-        Frame::AbandonMessage("m-1".to_owned(), 0),
-        Frame::ClientRequest(u64::MAX, handed_in(Some("tenant-a"), Some("key \"1\" \u{e9}"))),
-        Frame::ClientRequest(10, handed_in(None, None)),
+        Frame::CancelAttempt(attempt("m-1", 2)),
+        Frame::AbandonMessage(attempt("m-1", 0)),
+        Frame::ClientRequest(u64::MAX, forwarded_request(Some("tenant-a"), Some("key \"1\" \u{e9}"))),
+        Frame::ClientRequest(10, forwarded_request(None, None)),
     ];
-    frames.extend(answers());
-    frames.extend(operators_calls());
+    frames.extend(client_replies());
+    frames.extend(admin_commands());
     frames.push(Frame::AdminReply(13, Ok("ready".to_owned())));
     frames.push(Frame::AdminReply(14, Err("no such endpoint".to_owned())));
     frames
@@ -182,25 +196,25 @@
 }
 
 #[test]
-fn each_frame_of_an_earlier_version_is_read_whole() {
+fn each_frame_of_an_earlier_version_is_read_completely() {
     for line in FRAMES.lines() {
         assert_eq!(write(&read(line)), line);
     }
 }
 
 #[test]
-fn the_end_of_an_attempt_without_unsent_is_read() {
-    let whole = write(&Frame::AttemptsEnded(vec![ended(Outcome::Reset)]));
-    let predecessor = whole.replace(",\"unsent\":false", "");
-    assert_ne!(predecessor, whole);
-    assert_eq!(write(&read(&predecessor)), whole);
+fn an_ended_attempt_without_unsent_is_read() {
+    let complete = write(&Frame::AttemptsEnded(vec![ended(Outcome::Reset)]));
+    let predecessor = complete.replace(",\"unsent\":false", "");
+    assert_ne!(predecessor, complete);
+    assert_eq!(write(&read(&predecessor)), complete);
 }
 
 #[test]
-fn a_target_without_a_capacity_hint_is_read() {
-    let whole = write(&rest());
-    let predecessor = whole.replace(",\"capacity_hint\":1.5", "");
-    assert_ne!(predecessor, whole);
-    let with_defaults = whole.replace("\"capacity_hint\":1.5", "\"capacity_hint\":1.0");
+fn an_endpoint_without_a_capacity_hint_is_read() {
+    let complete = write(&handoff());
+    let predecessor = complete.replace(",\"capacity_hint\":1.5", "");
+    assert_ne!(predecessor, complete);
+    let with_defaults = complete.replace("\"capacity_hint\":1.5", "\"capacity_hint\":1.0");
     assert_eq!(write(&read(&predecessor)), with_defaults);
 }
--- /dev/null
+++ b/src/forwarder/upgrade/listener.rs
@@ -0,0 +1,88 @@
+//! Waits for processes that want to take over from this one.
+
+use super::channel::{PeerChannel, PeerEvent, PeerRole};
+use super::error::UpgradeError;
+use super::frames::Frame;
+use super::framing::FramedStream;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::net::UnixListener;
+use tokio::sync::mpsc::Sender;
+use tokio::time::{sleep, timeout};
+
+/// Name of the socket in the state folder. Earlier versions use the same.
+const SOCKET_NAME: &str = "handover";
+/// A process that connects must send its first frame within this time.
+const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// The socket on which the owner of the folder accepts successors.
+pub(super) fn socket_path(folder: &Path) -> PathBuf {
+    folder.join(SOCKET_NAME)
+}
+
+/// Accepts processes that want to take over, as long as this process lives. The channel to each of them is sent to
+/// `events`, and so is what it sends later.
+pub(crate) fn listen_for_successors<E>(folder: &Path, events: Sender<E>) -> Result<(), UpgradeError>
+where
+    E: From<PeerEvent> + From<PeerChannel> + Send + 'static,
+{
+    let path = socket_path(folder);
+    match bind(&path) {
+        Ok(listener) => {
+            tokio::spawn(accept_successors(listener, events));
+            Ok(())
+        }
+        Err(source) => Err(UpgradeError::Listen { path, source }),
+    }
+}
+
+/// Binds the socket in place of the one that the previous owner left behind.
+fn bind(path: &Path) -> io::Result<UnixListener> {
+    match fs::remove_file(path) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => UnixListener::bind(path),
+    }
+}
+
+async fn accept_successors<E>(listener: UnixListener, events: Sender<E>)
+where
+    E: From<PeerEvent> + From<PeerChannel> + Send + 'static,
+{
+    let mut last_id = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                last_id += 1;
+                // In a task of its own, so that a process that sends nothing does not delay the next one.
+                tokio::spawn(greet(last_id, FramedStream::new(stream), events.clone()));
+            }
+            Err(error) => {
+                eprintln!("upgrade: cannot accept a connection: {error}");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Waits for the request to take over, and passes the channel on.
+async fn greet<E>(id: u64, mut stream: FramedStream, events: Sender<E>)
+where
+    E: From<PeerEvent> + From<PeerChannel> + Send + 'static,
+{
+    let error = match timeout(GREETING_TIMEOUT, stream.reader.receive()).await {
+        Ok(Ok(Frame::TakeOver)) => {
+            let channel = PeerChannel::start(id, PeerRole::Successor, stream, events.clone());
+            // This fails only while the process ends.
+            let _ = events.send(channel.into()).await;
+            return;
+        }
+        Ok(Ok(_)) => UpgradeError::UnexpectedFrame,
+        Ok(Err(error)) => error,
+        Err(_) => UpgradeError::Timeout,
+    };
+    eprintln!("upgrade: {error}");
+}
