--- a/src/forwarder/inherited_listener.rs
+++ b/src/forwarder/inherited_listener.rs
@@ -74,7 +74,7 @@
 /// `LISTEN_FDS` announces, which the platform does not set.
 #[allow(unsafe_code)]
 fn adopt(descriptor: RawFd) -> TcpListener {
-    // SAFETY: the descriptor is open and a socket, which the caller has checked. Nothing in this process owns it: it
-    // was inherited, and it is adopted once, before any other descriptor is opened.
+    // SAFETY: the descriptor is open and a socket, which the caller has checked. Nothing in this process owns
+    // it: it was inherited, and it is adopted once, before any other descriptor is opened.
     unsafe { TcpListener::from_raw_fd(descriptor) }
 }
--- a/src/forwarder/journal/capacity.rs
+++ b/src/forwarder/journal/capacity.rs
@@ -4,11 +4,11 @@
 pub(super) const MIN_COMPACTION_BYTES: u64 = 256 << 10;
 /// A file is compacted for its length once it is this many times as long as its compacted copy.
 const COMPACTION_RATIO: u64 = 3;
-/// Compaction is worth its time if it frees at least this part (1/16) of the space.
-const WORTHWHILE_FRACTION: u64 = 16;
-/// A file is also compacted once it and its copy would leave less than this part (1/8) of the space free. Later
+/// Compaction is worth its time if it frees at least the space divided by this.
+const WORTHWHILE_DIVISOR: u64 = 16;
+/// A file is also compacted once it and its copy would leave less free than the space divided by this. Later
 /// the copy would not fit beside it, and no message could be accepted until most of the open ones have ended.
-const COMPACTION_MARGIN_FRACTION: u64 = 8;
+const COMPACTION_MARGIN_DIVISOR: u64 = 8;
 
 /// The space of the journal at one moment. All fields are in bytes.
 #[derive(Clone, Copy)]
@@ -28,8 +28,9 @@
 impl Capacity {
     /// Whether new records of this length fit, which reserve more for the records to follow.
     ///
-    /// Beside the file there must be space for its compacted copy or for the reserved records, whichever is longer.
-    /// Space for both is not needed: a copy is made while there is space for it, and messages can end without one.
+    /// Beside the file there must be space for its compacted copy or for the reserved records, whichever is
+    /// longer. Space for both is not needed: a copy is made while there is space for it, and messages can end
+    /// without one.
     pub(super) fn fits(&self, new_bytes: u64, newly_reserved_bytes: u64) -> bool {
         let compacted_length = self.compacted_length + new_bytes;
         let reserved_bytes = self.reserved_bytes + newly_reserved_bytes;
@@ -42,18 +43,18 @@
         Capacity { file_length: self.compacted_length, ..self }
     }
 
-    /// Whether a compaction would free enough to be worth its time. Near the bound, where it frees next to nothing,
-    /// one for each message would take up the processor when most messages are open.
+    /// Whether a compaction would free enough to be worth its time. Near the bound, where it frees next to
+    /// nothing, one for each message would take up the processor when most messages are open.
     pub(super) fn is_compaction_worthwhile(&self) -> bool {
-        self.file_length.saturating_sub(self.compacted_length) >= self.max_bytes / WORTHWHILE_FRACTION
+        self.file_length.saturating_sub(self.compacted_length) >= self.max_bytes / WORTHWHILE_DIVISOR
     }
 
-    /// Whether the file should be compacted now: it is long compared with its copy, or so long that its copy will
-    /// soon not fit beside it.
+    /// Whether the file should be compacted now: it is long compared with its copy, or so long that its copy
+    /// will soon not fit beside it.
     pub(super) fn is_compaction_due(&self) -> bool {
         let is_long = self.file_length > MIN_COMPACTION_BYTES.max(COMPACTION_RATIO * self.compacted_length);
         let with_copy = self.file_length + self.compacted_length.max(self.reserved_bytes);
-        let is_copy_at_risk = with_copy > self.max_bytes - self.max_bytes / COMPACTION_MARGIN_FRACTION;
+        let is_copy_at_risk = with_copy > self.max_bytes - self.max_bytes / COMPACTION_MARGIN_DIVISOR;
         is_long || (is_copy_at_risk && self.is_compaction_worthwhile())
     }
 }
--- a/src/forwarder/journal/encoding.rs
+++ b/src/forwarder/journal/encoding.rs
@@ -1,7 +1,8 @@
 //! The frames of the journal file.
 //!
-//! A frame is the length of its payload, the CRC-32 of its payload, and the payload. The payload is the length of
-//! a record's JSON, the JSON, and the body of the message, if the record has one. Numbers are 32-bit little-endian.
+//! A frame is the length of its payload, the CRC-32 of its payload, and the payload. The payload is the
+//! length of a record's JSON, the JSON, and the body of the message, if the record has one. Numbers are
+//! 32-bit little-endian.
 
 use super::records::Record;
 use super::stored_record::StoredRecord;
@@ -109,8 +110,8 @@
     type Item = Frame;
 
     fn next(&mut self) -> Option<Frame> {
-        // Behind a damaged frame the offset that its length gives comes first: its body may contain bytes that look
-        // like a frame.
+        // Behind a damaged frame the offset that its length gives comes first: its body may contain bytes
+        // that look like a frame.
         let behind_damaged = frame_end(self.bytes, self.position);
         let every_offset = self.position + 1..self.bytes.len();
         let mut candidates = [self.position].into_iter().chain(behind_damaged).chain(every_offset);
--- a/src/forwarder/journal/error.rs
+++ b/src/forwarder/journal/error.rs
@@ -3,7 +3,8 @@
 use std::io;
 use std::path::PathBuf;
 
-/// Why the journal could not be opened or written. A commit that fails leaves none of its records in the file.
+/// Why the journal could not be opened or written. A commit that fails leaves none of its records in the
+/// file.
 #[derive(Debug, thiserror::Error)]
 pub enum JournalError {
     /// The records would make the file longer than it may be.
--- a/src/forwarder/journal/file.rs
+++ b/src/forwarder/journal/file.rs
@@ -21,10 +21,12 @@
 }
 
 impl JournalFile {
-    /// Opens or creates the file in this folder, and reads it. The length is 0 until [`Self::truncate`] sets it.
+    /// Opens or creates the file in this folder, and reads it. The known length is 0 until
+    /// [`Self::set_known_length`] is called.
     pub(super) fn open(folder: &Path) -> Result<(Self, Vec<u8>), JournalError> {
         let path = folder.join(FILE_NAME);
-        // A copy is left behind if the process ended while it compacted. The file itself is still complete then.
+        // A copy is left behind if the process ended while it compacted. The file itself is still complete
+        // then.
         remove_if_present(path.with_extension(COPY_EXTENSION))?;
         let mut file = match OpenOptions::new().read(true).append(true).create(true).open(&path) {
             Ok(file) => file,
@@ -37,12 +39,12 @@
         Ok((JournalFile { path, file, length: 0 }, content))
     }
 
-    /// Length of the file in bytes.
+    /// Length of the complete part of the file, in bytes.
     pub(super) fn length(&self) -> u64 {
         self.length
     }
 
-    /// Sets the length without a change to the file, which has this length already.
+    /// Declares that the file is complete up to this length.
     pub(super) fn set_known_length(&mut self, length: u64) {
         self.length = length;
     }
@@ -73,8 +75,8 @@
         Ok(content)
     }
 
-    /// Replaces the content of the file. The new content is written to a copy that takes the place of the file, so
-    /// that the file is complete at any time.
+    /// Replaces the content of the file. The new content is written to a copy that takes the place of the
+    /// file, so that the file is complete at any time.
     pub(super) fn replace(&mut self, content: &[u8]) -> Result<(), JournalError> {
         let copy = self.path.with_extension(COPY_EXTENSION);
         let mut file = match OpenOptions::new().append(true).create_new(true).open(&copy) {
--- a/src/forwarder/journal/mod.rs
+++ b/src/forwarder/journal/mod.rs
@@ -1,7 +1,8 @@
 //! The journal: the accepted messages and their state, in a folder that outlasts the process.
 //!
-//! One append-only file of checksummed frames. The records of one turn of the runtime are appended by one write,
-//! before the turn replies to a client or writes to an endpoint. When the process starts, the records are replayed.
+//! One append-only file of checksummed frames. The records of one turn of the runtime are appended by one
+//! write, before the turn replies to a client or writes to an endpoint. When the process starts, the records
+//! are replayed.
 
 mod capacity;
 mod compaction;
@@ -28,8 +29,8 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// Upper bound of the record of an accepted message without its body: an id, a key and two names, which are bounded
-/// where messages are submitted.
+/// Upper bound of the record of an accepted message without its body: an id, a key and two names, which are
+/// bounded where messages are submitted.
 const MAX_ACCEPTED_RECORD_BYTES: u64 = 640;
 
 /// The open journal.
@@ -59,8 +60,8 @@
 }
 
 impl Journal {
-    /// Opens the journal of the folder and replays it: damaged frames are skipped and a torn tail is cut off. Gives the
-    /// open messages too, in the order of their acceptance.
+    /// Opens the journal of the folder and replays it: damaged frames are skipped and a torn tail is cut off.
+    /// Gives the open messages too, in the order of their acceptance.
     pub(crate) fn open(
         folder: &Path,
         max_bytes: u64,
@@ -85,7 +86,8 @@
             if damaged_bytes > 0 {
                 let in_doubt = replay.mark_in_doubt();
                 eprintln!(
-                    "journal: skipped {damaged_bytes} damaged bytes; {in_doubt} open messages may have been executed"
+                    "journal: skipped {damaged_bytes} damaged bytes; \
+                     {in_doubt} open messages may have been executed"
                 );
             }
             self.file.set_known_length(frame.end as u64);
@@ -96,8 +98,8 @@
 
     /// Cuts off the bytes behind the last undamaged frame.
     fn cut_off(&mut self, tail: &[u8], replay: &mut Replay) -> Result<(), JournalError> {
-        // A process that is killed leaves the front part of a frame, before it acted on any of its records. A frame of
-        // full length that cannot be read was damaged later, after the process may have acted on it.
+        // A process that is killed leaves the front part of a frame, before it acted on any of its records. A
+        // frame of full length that cannot be read was damaged later, after the process may have acted on it.
         let in_doubt = if starts_with_complete_frame(tail) { replay.mark_in_doubt() } else { 0 };
         eprintln!(
             "journal: cut off {} bytes of a torn tail; {in_doubt} open messages may have been executed",
@@ -106,14 +108,15 @@
         self.file.truncate()
     }
 
-    /// Adds a record that cannot be refused, such as the end of an attempt. It takes effect at once, and is written by
-    /// the next commit that succeeds.
+    /// Adds a record that cannot be refused, such as the end of an attempt. It takes effect at once, and is
+    /// written by the next commit that succeeds.
     pub(crate) fn enqueue(&mut self, record: &Record, now_unix_ms: u64) {
         let size = encode(record, &mut self.pending);
         self.retained.apply(record, size, now_unix_ms);
     }
 
-    /// Writes the enqueued records and these. If it fails, these have no effect, and the enqueued ones stay enqueued.
+    /// Writes the enqueued records and these. If it fails, these have no effect, and the enqueued ones stay
+    /// enqueued.
     pub(crate) fn commit(&mut self, records: &[Record], now_unix_ms: u64) -> Result<(), JournalError> {
         let enqueued_bytes = self.pending.len();
         let sizes: Vec<u64> = records.iter().map(|record| encode(record, &mut self.pending)).collect();
@@ -166,8 +169,8 @@
         self.pending.is_empty()
     }
 
-    /// Whether this number of messages, with bodies of `body_bytes` in all, could be accepted. Compacts the file if that
-    /// makes them fit.
+    /// Whether this number of messages, with bodies of `body_bytes` in all, could be accepted. Compacts the
+    /// file if that makes them fit.
     pub(crate) fn has_capacity(&mut self, messages: usize, body_bytes: usize, now_unix_ms: u64) -> bool {
         let new_bytes = body_bytes as u64 + messages as u64 * MAX_ACCEPTED_RECORD_BYTES;
         let reserved_bytes = messages as u64 * RESERVED_BYTES_PER_MESSAGE;
--- a/src/forwarder/journal/open_messages.rs
+++ b/src/forwarder/journal/open_messages.rs
@@ -3,8 +3,8 @@
 use super::records::Record;
 use std::collections::HashMap;
 
-/// Bytes reserved for each open message, so that the records of its attempts and of its end still fit once the file
-/// is full. Those records use the reserve up.
+/// Bytes reserved for each open message, so that the records of its attempts and of its end still fit once
+/// the file is full. Those records use the reserve up.
 pub(super) const RESERVED_BYTES_PER_MESSAGE: u64 = 1024;
 
 /// The bytes of one open message.
@@ -39,8 +39,8 @@
         self.reserved
     }
 
-    /// Counts a record of an open message that takes up `size` bytes. An accepted message gets its reserve; every
-    /// other record uses up some of it.
+    /// Counts a record of an open message that takes up `size` bytes. An accepted message gets its reserve;
+    /// every other record uses up some of it.
     pub(super) fn add(&mut self, message: &str, record: &Record, size: u64) {
         let bytes = self.by_message.entry(message.to_owned()).or_default();
         bytes.written += size;
--- a/src/forwarder/journal/outcomes.rs
+++ b/src/forwarder/journal/outcomes.rs
@@ -8,8 +8,8 @@
 /// Expired outcomes are dropped this often.
 const SWEEP_INTERVAL_MS: u64 = 1000;
 
-/// Remembers how messages ended, each until its time has passed. Expired outcomes are dropped from time to time, so
-/// that neither the memory nor the compacted file grows with the number of all messages ever sent.
+/// Remembers how messages ended, each until its time has passed. Expired outcomes are dropped from time to
+/// time, so that neither the memory nor the compacted file grows with the number of all messages ever sent.
 pub(super) struct OutcomeCache {
     by_message: HashMap<String, RememberedOutcome>,
     last_sweep_unix_ms: u64,
--- a/src/forwarder/journal/replay.rs
+++ b/src/forwarder/journal/replay.rs
@@ -17,7 +17,8 @@
         match record {
             Record::Accepted(message) => self.accept(message),
             Record::AttemptStarted { message, attempt, sent_at_unix_ms, zone } => {
-                // Without a record of its end the attempt may have been executed: the process ended during it.
+                // Without a record of its end the attempt may have been executed: the process ended during
+                // it.
                 let started = RecoveredAttempt { sent_at_unix_ms, zone, may_have_executed: true };
                 self.start_attempt(&message, attempt, started);
             }
--- a/src/forwarder/journal/retained.rs
+++ b/src/forwarder/journal/retained.rs
@@ -48,8 +48,8 @@
         }
     }
 
-    /// Whether a compaction copies this record. Bans are not copied but written anew, one record each, however often
-    /// they began and ended.
+    /// Whether a compaction copies this record. Bans are not copied but written anew, one record each,
+    /// however often they began and ended.
     pub(super) fn retains(&self, record: &Record) -> bool {
         match record {
             Record::Accepted(message) => self.open_messages.contains(&message.id),
--- a/src/forwarder/journal/stored_record.rs
+++ b/src/forwarder/journal/stored_record.rs
@@ -4,9 +4,9 @@
 use crate::forwarder::messages::notice::NoticeOutcome;
 use serde::{Deserialize, Serialize};
 
-/// A record as it is stored: an object with the kind of the record as its key. The fields of most kinds form an
-/// array, in the order given here. Files of earlier versions must stay readable, so kinds, fields and their order
-/// never change.
+/// A record as it is stored: an object with the kind of the record as its key. The fields of most kinds form
+/// an array, in the order given here. Files of earlier versions must stay readable, so kinds, fields and
+/// their order never change.
 #[derive(Serialize, Deserialize)]
 pub(super) enum StoredRecord {
     Taken(AcceptedMessage),
--- a/src/forwarder/journal/tests/encoding.rs
+++ b/src/forwarder/journal/tests/encoding.rs
@@ -4,7 +4,8 @@
 use super::{record, *};
 
 proptest! {
-    /// Each complete frame before a cut is read; around damage, each frame but the damaged one; and nothing else.
+    /// Each complete frame before a cut is read; around damage, each frame but the damaged one; and nothing
+    /// else.
     #[test]
     fn a_torn_or_damaged_file_yields_every_undamaged_record(
         records in proptest::collection::vec(record(), 0..12),
--- a/src/forwarder/upgrade/channel.rs
+++ b/src/forwarder/upgrade/channel.rs
@@ -8,8 +8,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-/// When the other process ends, its connections to endpoints may be closed a moment later than its channel. Its
-/// disconnection is reported after this time.
+/// When the other process ends, its connections to endpoints may be closed a moment later than its channel.
+/// Its disconnection is reported after this time.
 const DISCONNECT_DELAY: Duration = Duration::from_millis(50);
 
 /// What the other process is to this one.
@@ -32,13 +32,13 @@
     pub(crate) frame: Option<Frame>,
 }
 
-/// A channel to another process. When it is dropped, it stops receiving; the connection is closed once the queued
-/// frames are written and every [`Self::sender`] is dropped.
+/// A channel to another process. When it is dropped, it stops receiving; the connection is closed once the
+/// queued frames are written and every [`Self::sender`] is dropped.
 pub(crate) struct PeerChannel {
     /// Tells the channels of one role apart.
     pub(crate) id: u64,
-    /// The writer task holds the other end. The queue is unbounded, since the runtime must not wait for the other
-    /// process.
+    /// The writer task holds the other end. The queue is unbounded, since the runtime must not wait for the
+    /// other process.
     frames: UnboundedSender<Frame>,
     /// Ends when no sender of frames is left, or when the other process has closed the connection.
     writer: JoinHandle<()>,
--- a/src/forwarder/upgrade/format_tests.rs
+++ b/src/forwarder/upgrade/format_tests.rs
@@ -1,5 +1,5 @@
-//! Holds the bytes of the frames of an upgrade: two versions of the program exchange them, so no frame may change
-//! unnoticed.
+//! Holds the bytes of the frames of an upgrade: two versions of the program exchange them, so no frame may
+//! change unnoticed.
 
 use super::*;
 use crate::forwarder::messages::admin_command::AdminCommand;
--- a/src/forwarder/upgrade/frames.rs
+++ b/src/forwarder/upgrade/frames.rs
@@ -1,7 +1,7 @@
 //! The frames that two processes exchange during an upgrade.
 //!
-//! The processes may run different versions of the program: the serialized names and forms stay as they are. A new
-//! field needs a default.
+//! The processes may run different versions of the program: the serialized names and forms stay as they are.
+//! A new field needs a default.
 
 use crate::forwarder::messages::admin_command::{AdminCommand, AdminReply};
 use crate::forwarder::messages::client_request::ClientReply;
--- a/src/forwarder/upgrade/framing.rs
+++ b/src/forwarder/upgrade/framing.rs
@@ -6,7 +6,8 @@
 use tokio::net::UnixStream;
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 
-/// Upper bound of a frame. The largest contains the endpoint list and all calls in flight, and is far shorter.
+/// Upper bound of a frame. The largest contains the endpoint list and all calls in flight, and is far
+/// shorter.
 const MAX_FRAME_BYTES: u64 = 8 << 20;
 /// Ends each frame. JSON without layout contains none.
 const FRAME_END: u8 = b'\n';
--- a/src/forwarder/upgrade/listener.rs
+++ b/src/forwarder/upgrade/listener.rs
@@ -24,8 +24,8 @@
     folder.join(SOCKET_NAME)
 }
 
-/// Accepts processes that want to take over, as long as this process lives. The channel to each of them is sent to
-/// `events`, and so is what it sends later.
+/// Accepts processes that want to take over, as long as this process lives. The channel to each of them is
+/// sent to `events`, and so is what it sends later.
 pub(crate) fn listen_for_successors<E>(folder: &Path, events: Sender<E>) -> Result<(), UpgradeError>
 where
     E: From<PeerEvent> + From<PeerChannel> + Send + 'static,
--- a/src/forwarder/upgrade/lock.rs
+++ b/src/forwarder/upgrade/lock.rs
@@ -8,8 +8,8 @@
 /// Name of the locked file in the state folder.
 const FILE_NAME: &str = "lock";
 
-/// The lock of the process that owns the journal and makes the calls. The kernel releases it when the process ends,
-/// however it ends.
+/// The lock of the process that owns the journal and makes the calls. The kernel releases it when the process
+/// ends, however it ends.
 pub(crate) struct StateLock {
     path: PathBuf,
     file: File,
--- a/src/forwarder/upgrade/take_over.rs
+++ b/src/forwarder/upgrade/take_over.rs
@@ -39,8 +39,9 @@
 }
 
 impl Predecessor {
-    /// Confirms that this process owns the state now. Before that nothing may be written to the journal: without the
-    /// confirmation the predecessor goes on from the state that it knows. What it sends later goes to `events`.
+    /// Confirms that this process owns the state now. Before that nothing may be written to the journal:
+    /// without the confirmation the predecessor goes on from the state that it knows. What it sends later
+    /// goes to `events`.
     pub(crate) async fn confirm_ownership<E>(
         mut self,
         events: Sender<E>,
@@ -54,8 +55,8 @@
     }
 }
 
-/// Takes the lock of the folder, or takes over from the process that holds it. Retries until one of them succeeds;
-/// `meanwhile` runs as long as this takes.
+/// Takes the lock of the folder, or takes over from the process that holds it. Retries until one of them
+/// succeeds; `meanwhile` runs as long as this takes.
 pub(crate) async fn acquire_ownership(
     folder: &Path,
     meanwhile: impl Future<Output = Infallible>,
