--- /dev/null
+++ b/src/forwarder/background_tasks.rs
@@ -0,0 +1,14 @@
+//! The tasks that run beside the runtime.
+
+use tokio::task::{AbortHandle, JoinSet};
+
+/// Owns tasks and aborts them when it is dropped, at the end of the process.
+#[derive(Default)]
+pub(crate) struct BackgroundTasks(JoinSet<()>);
+
+impl BackgroundTasks {
+    /// Starts a task. It can be aborted earlier by the handle that is returned.
+    pub(crate) fn spawn(&mut self, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
+        self.0.spawn(task)
+    }
+}
--- /dev/null
+++ b/src/forwarder/descriptor_budget.rs
@@ -0,0 +1,31 @@
+//! How the descriptors of the process are shared out.
+
+use super::Config;
+use super::admin;
+
+/// Descriptors for the standard streams, the async runtime, the listener, the journal and discovery.
+const RESERVED_DESCRIPTORS: usize = 20;
+
+/// How many descriptors connections of each sort may use, so that neither many clients nor many endpoints use up
+/// all of them.
+pub(crate) struct DescriptorBudget {
+    /// Connections of clients: two thirds of the descriptors that are not set aside.
+    pub(crate) client_connections: usize,
+    /// Connections to endpoints that carry no call: the last third.
+    pub(crate) idle_connections: usize,
+}
+
+impl DescriptorBudget {
+    /// Sets descriptors aside for calls, operators and the process itself, and shares out the others.
+    pub(crate) fn new(configuration: &Config) -> Self {
+        // The listener for operators takes one as well.
+        let operators = if configuration.admin.is_some() { admin::CALLERS + 1 } else { 0 };
+        let calls = configuration.settings.call_slots;
+        let reserved = RESERVED_DESCRIPTORS.saturating_add(operators).saturating_add(calls);
+        let available = configuration.limits.sockets.saturating_sub(reserved);
+        DescriptorBudget {
+            client_connections: (available * 2 / 3).max(1),
+            idle_connections: (available / 3).max(1),
+        }
+    }
+}
--- a/src/forwarder/event.rs
+++ b/src/forwarder/event.rs
@@ -19,11 +19,11 @@
     NoticesAcknowledged(Vec<Notice>),
     /// An operator sent a command.
     AdminRequest(AdminRequest),
-    /// A new version of the program asks to take over.
+    /// A newer process of this forwarder asks to take over.
     TakeOverRequested(PeerChannel),
-    /// Another process of this forwarder sent a frame, or is gone.
+    /// Another process of this forwarder sent a frame, or has ended.
     Peer(PeerEvent),
-    /// The process is to terminate.
+    /// The process received SIGTERM.
     Terminate,
 }
 
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -1,8 +1,10 @@
-//! The real forwarder: the decision module on sockets.
+//! The forwarder process: the decision module on real sockets.
 
 mod admin;
+mod background_tasks;
 mod clock;
 mod configuration;
+mod descriptor_budget;
 mod discovery;
 mod endpoint_client;
 mod event;
@@ -14,138 +16,210 @@
 mod notices;
 mod runtime;
 mod server;
+mod signals;
 mod upgrade;
 
 pub use configuration::{Config, ConfigError};
 pub use inherited_listener::{InheritError, listener as inherited_listener};
+pub use journal::JournalError;
+pub use upgrade::UpgradeError;
 
+use background_tasks::BackgroundTasks;
+use descriptor_budget::DescriptorBudget;
 use event::RuntimeEvent;
+use messages::notice::Notice;
 use runtime::{Runtime, RuntimeChannels};
 use server::{ConnectionCounts, LifecyclePhase, RequestHandler};
+use signals::Signals;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::Signal;
+use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::sync::{Semaphore, mpsc, watch};
+use upgrade::Ownership;
 
-/// What may wait for the node at a time.
-const INPUTS: usize = 1024;
+/// Events that may wait for the runtime.
+const EVENT_QUEUE_CAPACITY: usize = 1024;
+/// Batches of notices that may wait for the notice sender.
+const NOTICE_QUEUE_CAPACITY: usize = 1;
+/// The bodies of requests that have no reply yet may take the memory limit divided by this.
+const BODY_MEMORY_DIVISOR: usize = 8;
+const KIB_PER_MB: usize = 1024;
 
-/// The part of the memory that bodies may take before the node has them; the journal's bounds hold from then.
-const BODIES: usize = 8;
+/// Why the forwarder could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// A signal handler cannot be installed.
+    #[error("cannot handle signals: {0}")]
+    Signals(#[source] io::Error),
+    /// An address cannot be bound.
+    #[error("cannot listen on {0}: {1}")]
+    Listen(SocketAddr, #[source] io::Error),
+    /// The inherited listener cannot be used.
+    #[error("cannot use the inherited listener: {0}")]
+    InheritedListener(#[source] io::Error),
+    /// The lock in the state folder cannot be used.
+    #[error("upgrade: {0}")]
+    Upgrade(#[from] UpgradeError),
+    /// The journal cannot be opened.
+    #[error("journal: {0}")]
+    Journal(#[from] JournalError),
+}
 
-/// Descriptors for all but clients and targets: standard streams, runtime, listener, journal, discovery.
-const OWN: usize = 20;
+/// Runs until SIGTERM, or until a successor has taken over and all work is done. Clients are accepted on the
+/// inherited listener; without one, the configured address is bound.
+///
+/// # Errors
+///
+/// See [`RunError`]. Nothing was taken over from a predecessor, except where the journal cannot be opened.
+pub async fn run(configuration: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
+    // First of all: until its handler is installed, SIGHUP ends the process.
+    let Signals { hangup, mut terminate } = Signals::install().map_err(RunError::Signals)?;
+    let descriptors = DescriptorBudget::new(&configuration);
+    // The runtime holds the receiver.
+    let (events, mut event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let mut tasks = BackgroundTasks::default();
+    serve_operators(&configuration, &events, &mut tasks).await?;
+    // Before the take-over: a process that cannot serve clients must leave its predecessor alone.
+    let listener = client_listener(&configuration, inherited).await?;
+    let ownership = tokio::select! {
+        ownership = acquire_ownership(&configuration, &mut event_queue) => ownership?,
+        _ = terminate.recv() => return Ok(()),
+    };
+    let connection_counts = Arc::new(ConnectionCounts::default());
+    // The notice sender holds the receiver.
+    let (notices, notice_batches) = mpsc::channel(NOTICE_QUEUE_CAPACITY);
+    let channels = RuntimeChannels {
+        max_idle_connections: descriptors.idle_connections,
+        notices,
+        events: events.clone(),
+        connection_counts: connection_counts.clone(),
+    };
+    let mut runtime = Runtime::start(&configuration, channels, ownership).await?;
+    listen_for_successors(&configuration, &events);
+    let discovery = start_platform_clients(&configuration, &events, notice_batches, &mut runtime, &mut tasks);
+    tasks.spawn(reload_configuration(hangup, discovery));
+    tasks.spawn(forward_termination(terminate, events.clone()));
+    // The runtime publishes its phase, the server and its connections follow it.
+    let (phase_publisher, phase) = watch::channel(LifecyclePhase::Serving);
+    let handler = request_handler(configuration, events, phase, connection_counts);
+    let server = tokio::spawn(server::serve(listener, descriptors.client_connections, Arc::new(handler)));
+    runtime.run(event_queue, phase_publisher, server).await;
+    Ok(())
+}
 
-/// How the descriptors are shared out, so that neither many clients nor many targets use up all of them.
-struct Sockets {
-    clients: usize,
-    /// Connections to targets without a call.
-    idle: usize,
+/// Serves operators, if an address for them is configured.
+async fn serve_operators(
+    configuration: &Config,
+    events: &Sender<RuntimeEvent>,
+    tasks: &mut BackgroundTasks,
+) -> Result<(), RunError> {
+    if let Some(address) = configuration.admin {
+        tasks.spawn(admin::serve(bind(address).await?, events.clone()));
+    }
+    Ok(())
 }
 
-impl Sockets {
-    fn share(configuration: &Config) -> Self {
-        let operators = if configuration.admin.is_some() { admin::CALLERS + 1 } else { 0 };
-        let own = OWN.saturating_add(operators).saturating_add(configuration.settings.call_slots);
-        let free = configuration.limits.sockets.saturating_sub(own);
-        Sockets { clients: (free * 2 / 3).max(1), idle: (free / 3).max(1) }
+async fn client_listener(
+    configuration: &Config,
+    inherited: Option<std::net::TcpListener>,
+) -> Result<TcpListener, RunError> {
+    match inherited {
+        Some(listener) => TcpListener::from_std(listener).map_err(RunError::InheritedListener),
+        None => bind(configuration.listen).await,
     }
 }
 
-/// Why the forwarder ended before it was told to.
-#[derive(Debug, thiserror::Error)]
-pub enum RunError {
-    /// The journal cannot be opened.
-    #[error("journal: {0}")]
-    Journal(String),
-    /// The lock on the state folder cannot be had.
-    #[error("upgrade: {0}")]
-    Upgrade(#[from] upgrade::UpgradeError),
-    /// A socket or a signal cannot be had.
-    #[error("{0}")]
-    Io(#[from] io::Error),
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.map_err(|error| RunError::Listen(address, error))
 }
 
-/// Reads the file again at each SIGHUP and passes on discovery's address; all else that the file tells holds
-/// for the whole life of the process. A file that can't be read changes nothing.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
-    while hangup.recv().await.is_some() {
-        match Config::from_env() {
-            Ok(configuration) => {
-                discovery.send_if_modified(|at| {
-                    let old = std::mem::replace(at, configuration.discovery);
-                    old != configuration.discovery
-                });
-            }
-            Err(e) => eprintln!("configuration: not read again: {e}"),
-        }
-    }
+/// Waits until this process owns the state folder.
+async fn acquire_ownership(
+    configuration: &Config,
+    event_queue: &mut Receiver<RuntimeEvent>,
+) -> Result<Ownership, RunError> {
+    Ok(upgrade::acquire_ownership(&configuration.state, reject_admin_requests(event_queue)).await?)
 }
 
 /// Replies to operators as long as another process owns the state. Never completes.
-async fn reject_admin_requests(events: &mut mpsc::Receiver<RuntimeEvent>) -> Infallible {
-    while let Some(event) = events.recv().await {
+async fn reject_admin_requests(event_queue: &mut Receiver<RuntimeEvent>) -> Infallible {
+    while let Some(event) = event_queue.recv().await {
         if let RuntimeEvent::AdminRequest(request) = event {
+            // An operator who has disconnected needs no reply.
             let _ = request.reply.send(Err("not ready: another process still serves".to_owned()));
         }
     }
     std::future::pending().await
 }
 
-/// Runs until SIGTERM, or until a new version has taken over and all is done. Clients come to the inherited listener;
-/// without one, the address is bound.
-pub async fn run(configuration: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
-    // Before anybody can see that it is ready: SIGHUP without a handler would end the process.
-    let hangup = signal(SignalKind::hangup())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let Sockets { clients, idle } = Sockets::share(&configuration);
-    let (inputs, mut received) = mpsc::channel(INPUTS);
-    if let Some(at) = configuration.admin {
-        tokio::spawn(admin::serve(TcpListener::bind(at).await?, inputs.clone()));
+/// Lets successors ask to take over. If that is impossible, the process serves all the same, and a successor waits
+/// until it has ended.
+fn listen_for_successors(configuration: &Config, events: &Sender<RuntimeEvent>) {
+    if let Err(error) = upgrade::listen_for_successors(&configuration.state, events.clone()) {
+        eprintln!("upgrade: no successor can take over: {error}");
     }
-    // Before anything is taken over: a process that can't serve leaves the other one alone.
-    let listener = match inherited {
-        Some(listener) => TcpListener::from_std(listener)?,
-        None => TcpListener::bind(configuration.listen).await?,
-    };
-    let begin = tokio::select! {
-        begin = upgrade::acquire_ownership(&configuration.state, reject_admin_requests(&mut received)) => begin?,
-        _ = terminate.recv() => return Ok(()),
-    };
-    let (notices, batches) = mpsc::channel(1);
-    let (told, at) = watch::channel(configuration.discovery);
-    let places = Arc::new(ConnectionCounts::default());
-    let to = RuntimeChannels { idle_most: idle, notices, inputs: inputs.clone(), places: places.clone() };
-    let mut runtime =
-        Runtime::start(&configuration, to, begin).await.map_err(|e| RunError::Journal(e.to_string()))?;
-    upgrade::listen_for_successors(&configuration.state, inputs.clone()).unwrap_or_else(|e| {
-        // It serves all the same; a new version waits until it has ended.
-        eprintln!("handover: no new version can take over: {e}");
-    });
-    let settings = configuration.settings.clone();
-    let follow = discovery::follow(at.clone(), runtime.rev(), inputs.clone(), settings, configuration.seed);
-    runtime.ends_with_it(tokio::spawn(follow).abort_handle());
-    runtime.ends_with_it(tokio::spawn(notices::send_all(at, batches, inputs.clone())).abort_handle());
-    tokio::spawn(reload(hangup, told));
-    let told = inputs.clone();
-    tokio::spawn(async move {
-        terminate.recv().await;
-        // The node is gone only when the process ends.
-        let _ = told.send(RuntimeEvent::Terminate).await;
-    });
-    let (phase, closing) = watch::channel(LifecyclePhase::Serving);
-    let server = RequestHandler {
+}
+
+/// Starts the tasks that follow the endpoint list and send notices. They end once a successor owns the messages.
+/// Returns where the address of the platform is published to them.
+fn start_platform_clients(
+    configuration: &Config,
+    events: &Sender<RuntimeEvent>,
+    notice_batches: Receiver<Vec<Notice>>,
+    runtime: &mut Runtime,
+    tasks: &mut BackgroundTasks,
+) -> watch::Sender<SocketAddr> {
+    let (publisher, address) = watch::channel(configuration.discovery);
+    let discovery = tasks.spawn(discovery::follow(
+        address.clone(),
+        runtime.list_revision(),
+        events.clone(),
+        configuration.settings.clone(),
+        configuration.seed,
+    ));
+    let notices = tasks.spawn(notices::send_all(address, notice_batches, events.clone()));
+    runtime.abort_after_handover(discovery);
+    runtime.abort_after_handover(notices);
+    publisher
+}
+
+/// Reads the configuration again at each SIGHUP and publishes the address of discovery. Everything else in it holds
+/// for the lifetime of the process. An unreadable file changes nothing.
+async fn reload_configuration(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::from_env() {
+            Ok(Config { discovery: address, .. }) => {
+                discovery.send_if_modified(|published| std::mem::replace(published, address) != address);
+            }
+            Err(error) => eprintln!("configuration: not reloaded: {error}"),
+        }
+    }
+}
+
+/// Passes SIGTERM on to the runtime.
+async fn forward_termination(mut terminate: Signal, events: Sender<RuntimeEvent>) {
+    terminate.recv().await;
+    // The runtime ends only with the process.
+    let _ = events.send(RuntimeEvent::Terminate).await;
+}
+
+fn request_handler(
+    configuration: Config,
+    events: Sender<RuntimeEvent>,
+    phase: watch::Receiver<LifecyclePhase>,
+    connection_counts: Arc<ConnectionCounts>,
+) -> RequestHandler {
+    let body_kib = configuration.limits.memory_mb.max(1) * KIB_PER_MB / BODY_MEMORY_DIVISOR;
+    RequestHandler {
         setting_names: configuration.names,
         settings: configuration.settings,
-        runtime: inputs,
-        phase: closing,
-        connection_counts: places,
-        body_memory: Semaphore::new(configuration.limits.memory_mb.max(1) * 1024 / BODIES),
-    };
-    let server = tokio::spawn(server::serve(listener, clients, Arc::new(server)));
-    runtime.run(received, phase, server).await;
-    Ok(())
+        runtime: events,
+        phase,
+        connection_counts,
+        body_memory: Semaphore::new(body_kib),
+    }
 }
--- /dev/null
+++ b/src/forwarder/runtime/admin.rs
@@ -0,0 +1,79 @@
+//! Carries out the commands of operators.
+
+use super::Runtime;
+use crate::forwarder::clock::unix_now;
+use crate::forwarder::journal::Record;
+use crate::forwarder::messages::admin_command::{AdminCommand, AdminReply, AdminRequest};
+use crate::forwarder::server::LifecyclePhase;
+use crate::interface::{Event, Micros};
+
+impl Runtime {
+    /// Carries out a request. One whose operator has stopped waiting is dropped: what is not acknowledged in time
+    /// is not done.
+    pub(super) fn handle_admin_request(&mut self, now: Micros, request: AdminRequest) {
+        if request.reply.is_closed() {
+            return;
+        }
+        let reply = self.execute_admin_command(now, request.command);
+        // The operator may have disconnected.
+        let _ = request.reply.send(reply);
+    }
+
+    /// Carries out a command and logs it.
+    pub(super) fn execute_admin_command(&mut self, now: Micros, command: AdminCommand) -> AdminReply {
+        let reply = match &command {
+            // Sent often by monitoring, and so not logged.
+            AdminCommand::Ready => return self.readiness(),
+            AdminCommand::Disable(uid) => self.set_banned(now, uid, true),
+            AdminCommand::Enable(uid) => self.set_banned(now, uid, false),
+            AdminCommand::Drain => {
+                self.decisions.notify(now, Event::Drain);
+                Ok("draining".to_owned())
+            }
+            AdminCommand::Resume => {
+                self.decisions.notify(now, Event::Resume);
+                Ok("taking clients".to_owned())
+            }
+        };
+        eprintln!("admin: {command:?}: {reply:?}");
+        reply
+    }
+
+    fn readiness(&self) -> AdminReply {
+        match self.phase() {
+            LifecyclePhase::Serving => Ok("ready".to_owned()),
+            LifecyclePhase::Draining => Err("draining".to_owned()),
+            LifecyclePhase::Closing | LifecyclePhase::HandingOver | LifecyclePhase::Stopped => {
+                Err("about to end".to_owned())
+            }
+        }
+    }
+
+    /// Starts or ends the ban of an endpoint. The ban is written to the journal before it takes effect. A repeated
+    /// command changes nothing.
+    fn set_banned(&mut self, now: Micros, uid: &str, banned: bool) -> AdminReply {
+        let is_banned = self.journal.lock().banned_endpoints().contains(uid);
+        if !is_banned && !self.endpoints.was_ever_listed(uid) {
+            return Err("no such endpoint was ever listed".to_owned());
+        }
+        if banned != is_banned {
+            self.commit_ban(uid, banned)?;
+        }
+        self.apply_ban(now, uid, banned);
+        Ok(format!("{uid} {}", if banned { "left out" } else { "put back" }))
+    }
+
+    fn commit_ban(&self, uid: &str, banned: bool) -> Result<(), String> {
+        let uid = uid.to_owned();
+        let record = if banned { Record::EndpointBanned(uid) } else { Record::EndpointAllowed(uid) };
+        self.journal.lock().commit(&[record], unix_now()).map_err(|error| error.to_string())
+    }
+
+    fn apply_ban(&mut self, now: Micros, uid: &str, banned: bool) {
+        let Some(endpoint) = self.endpoints.number_of(uid) else { return };
+        let event = if banned { Event::BanStarted { endpoint } } else { Event::BanEnded { endpoint } };
+        self.decisions.notify(now, event);
+        // Its connections may be stale: operators may have restarted the endpoint.
+        self.stop_using(endpoint);
+    }
+}
--- /dev/null
+++ b/src/forwarder/runtime/call_in_flight.rs
@@ -0,0 +1,101 @@
+//! A call in flight and the commands to it.
+
+use crate::forwarder::endpoint_client::{CallCommand, WriteGuard};
+use crate::forwarder::upgrade::{AttemptRef, Frame};
+use crate::interface::{EndpointId, MessageId, Micros};
+use std::sync::Arc;
+use tokio::sync::mpsc::Sender;
+
+/// Identifies an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct AttemptKey {
+    /// The message.
+    pub(super) id: MessageId,
+    /// Number of the attempt.
+    pub(super) attempt: usize,
+}
+
+/// A call in flight.
+pub(super) struct CallInFlight {
+    pub(super) endpoint: EndpointId,
+    /// Attempts of it that have not ended.
+    pub(super) attempts_left: usize,
+    /// How long its connection had been idle before; 0 for a new connection.
+    pub(super) idle_for: Micros,
+    /// It was told to write nothing more.
+    pub(super) write_withheld: bool,
+    pub(super) process: CallProcess,
+}
+
+/// The process that makes a call.
+pub(super) enum CallProcess {
+    This {
+        /// The call's task holds the receiver; its bound is [`command_capacity`].
+        commands: Sender<CallCommand>,
+        guard: Arc<WriteGuard>,
+    },
+    Predecessor,
+}
+
+/// How many commands a call may get: each of its attempts is cancelled or abandoned at most once each, and the
+/// call is told once to write nothing more.
+pub(super) fn command_capacity(attempts: usize) -> usize {
+    2 * attempts + 1
+}
+
+impl CallInFlight {
+    /// Whether some of it may have been written.
+    pub(super) fn may_be_written(&self) -> bool {
+        match &self.process {
+            CallProcess::This { guard, .. } => guard.is_begun(),
+            CallProcess::Predecessor => true,
+        }
+    }
+
+    /// Sends a command to the call if this process makes it.
+    pub(super) fn command(&self, command: CallCommand) {
+        let CallProcess::This { commands, guard } = &self.process else { return };
+        if !matches!(command, CallCommand::Cancel(..)) {
+            // Takes effect at once: the connection may be established before the task reads the command.
+            guard.withhold();
+        }
+        // A call that no longer receives commands has ended; its report is on its way.
+        let _ = commands.try_send(command);
+    }
+
+    /// Tells the call to write nothing more. The capacity of its channel allows for one such command only.
+    pub(super) fn withhold_write(&mut self) {
+        if !self.write_withheld {
+            self.write_withheld = true;
+            self.command(CallCommand::WithholdWrite);
+        }
+    }
+}
+
+/// A command to the call of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum AttemptCommand {
+    /// Cancel the attempt.
+    Cancel,
+    /// Its message was given up: abandon the call.
+    Abandon,
+}
+
+impl AttemptCommand {
+    /// The command to a call of this process.
+    pub(super) fn to_call(self, AttemptKey { id, attempt }: AttemptKey) -> CallCommand {
+        match self {
+            AttemptCommand::Cancel => CallCommand::Cancel(id, attempt),
+            AttemptCommand::Abandon => CallCommand::Abandon,
+        }
+    }
+
+    /// The frame for the process that makes the call.
+    pub(super) fn to_frame(self, message: String, attempt: usize) -> Frame {
+        let attempt = AttemptRef { message, attempt };
+        match self {
+            AttemptCommand::Cancel => Frame::CancelAttempt(attempt),
+            AttemptCommand::Abandon => Frame::AbandonMessage(attempt),
+        }
+    }
+}
--- /dev/null
+++ b/src/forwarder/runtime/call_reports.rs
@@ -0,0 +1,108 @@
+//! Handles the results of calls.
+
+use super::Runtime;
+use super::call_in_flight::AttemptKey;
+use super::calls::EndedAttempt;
+use crate::forwarder::clock::unix_now;
+use crate::forwarder::http::Connection;
+use crate::forwarder::journal::{FinalOutcome, Record};
+use crate::forwarder::messages::call_report::{AttemptResult, CallReport, IdleReuse};
+use crate::interface::{AttemptEnded, EndpointId, Event, Micros, Outcome};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+impl Runtime {
+    /// Handles the end of a call that this process made.
+    pub(super) fn handle_call_report(&mut self, now: Micros, report: CallReport) {
+        if let Some(connection) = report.connection {
+            self.keep_connection(report.endpoint, report.address, connection);
+        }
+        self.metrics.record_connections(report.address, report.connection_usage);
+        if let Some(reuse) = report.connection_usage.reuse {
+            self.record_reuse(now, report.endpoint, &report.results, reuse);
+        }
+        if report.results.iter().any(|result| result.retry_after.is_some()) {
+            self.withhold_writes_to_destination_of(report.endpoint);
+        }
+        for result in report.results {
+            self.end_attempt(now, report.address, result);
+        }
+    }
+
+    /// Keeps the connection of a call that has ended for later calls, if the endpoint may be called at this
+    /// address and there is room for it.
+    fn keep_connection(&mut self, endpoint: EndpointId, address: SocketAddr, connection: Connection) {
+        let Some(known) = self.endpoints.get(endpoint) else { return };
+        let is_banned = self.journal.lock().banned_endpoints().contains(&known.record.uid);
+        let may_be_called =
+            known.record.address == address && !self.endpoints.is_removed(endpoint) && !is_banned;
+        if may_be_called && self.idle_connections.len() < self.max_idle_connections() {
+            self.idle_connections.add(endpoint, connection);
+        }
+    }
+
+    /// While a predecessor still has calls in flight, the two processes share the descriptors of one.
+    fn max_idle_connections(&self) -> usize {
+        let capacity = self.idle_connections.capacity();
+        if self.predecessor.is_some() { capacity / 2 } else { capacity }
+    }
+
+    fn record_reuse(
+        &mut self,
+        now: Micros,
+        endpoint: EndpointId,
+        results: &[AttemptResult],
+        reuse: IdleReuse,
+    ) {
+        let Some(first) = results.first() else { return };
+        let key = AttemptKey { id: first.id, attempt: first.attempt };
+        if let Some(idle_for) = self.calls.idle_time_of(key) {
+            self.idle_connections.record_reuse(now, endpoint, idle_for, reuse);
+        }
+    }
+
+    /// An endpoint has asked for a wait: calls to its destination that are not written yet must not be written.
+    pub(super) fn withhold_writes_to_destination_of(&mut self, endpoint: EndpointId) {
+        let endpoints = &self.endpoints;
+        let destination = endpoints.destination(endpoint);
+        self.calls.withhold_writes(|called| endpoints.destination(called) == destination);
+    }
+
+    /// Handles the end of an attempt, whichever process made it.
+    pub(super) fn end_attempt(&mut self, now: Micros, address: SocketAddr, result: AttemptResult) {
+        let key = AttemptKey { id: result.id, attempt: result.attempt };
+        let Some(EndedAttempt { sent_at, call_ended, .. }) = self.calls.end_attempt(key) else { return };
+        let latency = Duration::from_micros(u64::try_from(now - sent_at).unwrap_or(0));
+        self.metrics.record_attempt(address, result.outcome, latency, call_ended);
+        self.journal_attempt_end(&result);
+        let ended = AttemptEnded {
+            id: result.id,
+            attempt: result.attempt,
+            outcome: result.outcome,
+            elapsed: now - sent_at,
+            finished: !self.messages.contains(result.id),
+            report: result.report,
+            retry_after: result.retry_after,
+            unsent: result.unsent,
+        };
+        self.decisions.notify(now, Event::AttemptEnded(ended));
+    }
+
+    /// Notes the end of the attempt for the journal, and completes its message if that needs nothing more.
+    fn journal_attempt_end(&mut self, result: &AttemptResult) {
+        let unix_ms = unix_now();
+        let record = if result.finished
+            && let Some(message) = self.messages.remove(result.id)
+        {
+            let delivered = result.outcome == Outcome::Delivered;
+            let outcome = if delivered { FinalOutcome::Delivered } else { FinalOutcome::Failed };
+            Record::completed(message.content.id, outcome, message.content.deadline_unix_ms)
+        } else if let Some(message) = self.messages.get(result.id) {
+            let may_have_executed = !result.outcome.never_executed();
+            Record::attempt_ended(message.content.id.clone(), result.attempt, may_have_executed)
+        } else {
+            return;
+        };
+        self.journal.lock().enqueue(&record, unix_ms);
+    }
+}
--- /dev/null
+++ b/src/forwarder/runtime/calls.rs
@@ -0,0 +1,228 @@
+//! The calls in flight and the attempts that travel in them.
+
+use super::call_in_flight::{AttemptCommand, AttemptKey, CallInFlight, CallProcess};
+use crate::forwarder::endpoint_client::{CallCommand, WriteGuard};
+use crate::forwarder::upgrade::PeerChannel;
+use crate::interface::{EndpointId, InheritedCall, Micros};
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::sync::mpsc::Sender;
+
+/// Identifies a call; later calls have higher numbers.
+pub(super) type CallId = u64;
+
+/// An attempt in flight.
+struct AttemptInFlight {
+    sent_at: Micros,
+    /// The call that it travels in.
+    call: CallId,
+    /// The id that the client gave to its message, which may be complete already.
+    message: String,
+}
+
+/// An attempt that this process starts.
+pub(super) struct StartedAttempt {
+    pub(super) key: AttemptKey,
+    /// The id that the client gave to its message.
+    pub(super) message: String,
+}
+
+/// A call that this process starts.
+pub(super) struct StartedCall {
+    pub(super) endpoint: EndpointId,
+    /// How long its connection had been idle before; 0 for a new connection.
+    pub(super) idle_for: Micros,
+    pub(super) attempts: Vec<StartedAttempt>,
+    /// The call's task holds the receiver. The bound is [`super::call_in_flight::command_capacity`].
+    pub(super) commands: Sender<CallCommand>,
+    /// Shared with the call's task.
+    pub(super) guard: Arc<WriteGuard>,
+}
+
+/// An attempt that has just ended.
+pub(super) struct EndedAttempt {
+    pub(super) sent_at: Micros,
+    /// The id that the client gave to its message.
+    pub(super) message: String,
+    /// The call ended with this attempt.
+    pub(super) call_ended: bool,
+}
+
+/// An attempt whose call may have been written, for the hand-over.
+pub(super) struct WrittenAttempt<'a> {
+    pub(super) call: CallId,
+    pub(super) endpoint: EndpointId,
+    pub(super) sent_at: Micros,
+    pub(super) message: &'a str,
+    pub(super) attempt: usize,
+}
+
+/// Owns the attempts and calls in flight.
+#[derive(Default)]
+pub(super) struct CallsInFlight {
+    attempts: HashMap<AttemptKey, AttemptInFlight>,
+    calls: HashMap<CallId, CallInFlight>,
+    next_call: CallId,
+}
+
+impl CallsInFlight {
+    /// Calls in flight.
+    pub(super) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Whether no call is in flight.
+    pub(super) fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Whether any attempt is in flight.
+    pub(super) fn has_attempts(&self) -> bool {
+        !self.attempts.is_empty()
+    }
+
+    /// The attempts in flight.
+    pub(super) fn attempt_keys(&self) -> Vec<AttemptKey> {
+        self.attempts.keys().copied().collect()
+    }
+
+    /// Whether a call to this endpoint is in flight.
+    pub(super) fn is_called(&self, endpoint: EndpointId) -> bool {
+        self.calls.values().any(|call| call.endpoint == endpoint)
+    }
+
+    /// Adds a call that this process starts now.
+    pub(super) fn add_call(&mut self, now: Micros, started: StartedCall) {
+        let StartedCall { endpoint, idle_for, attempts, commands, guard } = started;
+        let call = self.insert_call(CallInFlight {
+            endpoint,
+            attempts_left: attempts.len(),
+            idle_for,
+            write_withheld: false,
+            process: CallProcess::This { commands, guard },
+        });
+        for StartedAttempt { key, message } in attempts {
+            self.attempts.insert(key, AttemptInFlight { sent_at: now, call, message });
+        }
+    }
+
+    /// Adds a call that the predecessor makes. Its attempts are added by [`CallsInFlight::add_inherited_attempt`]
+    /// once their messages have numbers.
+    pub(super) fn add_inherited_call(&mut self, endpoint: EndpointId, attempts: usize) -> CallId {
+        self.insert_call(CallInFlight {
+            endpoint,
+            attempts_left: attempts,
+            idle_for: 0,
+            write_withheld: true,
+            process: CallProcess::Predecessor,
+        })
+    }
+
+    /// Adds an attempt of a call that the predecessor makes.
+    pub(super) fn add_inherited_attempt(&mut self, key: AttemptKey, call: InheritedCall, message: String) {
+        let attempt = AttemptInFlight { sent_at: call.sent_at, call: call.call, message };
+        self.attempts.insert(key, attempt);
+    }
+
+    fn insert_call(&mut self, call: CallInFlight) -> CallId {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, call);
+        id
+    }
+
+    /// Removes an attempt that has ended, and its call with the last one.
+    pub(super) fn end_attempt(&mut self, key: AttemptKey) -> Option<EndedAttempt> {
+        let AttemptInFlight { sent_at, call, message } = self.attempts.remove(&key)?;
+        let call_ended = self.end_attempt_of_call(call);
+        Some(EndedAttempt { sent_at, message, call_ended })
+    }
+
+    /// Counts an attempt of the call as ended. Returns whether the call has ended.
+    fn end_attempt_of_call(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else { return true };
+        call.attempts_left -= 1;
+        let ended = call.attempts_left == 0;
+        if ended {
+            self.calls.remove(&id);
+        }
+        ended
+    }
+
+    /// The attempt in flight with this number of the message with this client's id.
+    pub(super) fn find(&self, message: &str, attempt: usize) -> Option<AttemptKey> {
+        let mut attempts = self.attempts.iter();
+        attempts
+            .find(|(key, flight)| key.attempt == attempt && flight.message == message)
+            .map(|(key, _)| *key)
+    }
+
+    /// The endpoint that an attempt was sent to.
+    pub(super) fn endpoint_of(&self, key: AttemptKey) -> Option<EndpointId> {
+        self.call_of(key).map(|call| call.endpoint)
+    }
+
+    /// How long the connection of an attempt's call had been idle before.
+    pub(super) fn idle_time_of(&self, key: AttemptKey) -> Option<Micros> {
+        self.call_of(key).map(|call| call.idle_for)
+    }
+
+    fn call_of(&self, key: AttemptKey) -> Option<&CallInFlight> {
+        self.calls.get(&self.attempts.get(&key)?.call)
+    }
+
+    /// Sends a command to the call of an attempt in flight, by way of the predecessor if that makes the call.
+    pub(super) fn command(
+        &self,
+        key: AttemptKey,
+        command: AttemptCommand,
+        predecessor: Option<&PeerChannel>,
+    ) {
+        let Some(attempt) = self.attempts.get(&key) else { return };
+        let Some(call) = self.calls.get(&attempt.call) else { return };
+        match (&call.process, predecessor) {
+            (CallProcess::Predecessor, Some(predecessor)) => {
+                predecessor.send(command.to_frame(attempt.message.clone(), key.attempt));
+            }
+            _ => call.command(command.to_call(key)),
+        }
+    }
+
+    /// Tells all calls in flight to write nothing more.
+    pub(super) fn withhold_all_writes(&mut self) {
+        self.calls.values_mut().for_each(CallInFlight::withhold_write);
+    }
+
+    /// Tells the calls to these endpoints to write nothing more.
+    pub(super) fn withhold_writes(&mut self, endpoints: impl Fn(EndpointId) -> bool) {
+        self.calls
+            .values_mut()
+            .filter(|call| endpoints(call.endpoint))
+            .for_each(CallInFlight::withhold_write);
+    }
+
+    /// The attempts whose calls may have been written.
+    pub(super) fn written_attempts(&self) -> impl Iterator<Item = WrittenAttempt<'_>> {
+        self.attempts.iter().filter_map(|(key, flight)| {
+            let call = self.calls.get(&flight.call).filter(|call| call.may_be_written())?;
+            Some(WrittenAttempt {
+                call: flight.call,
+                endpoint: call.endpoint,
+                sent_at: flight.sent_at,
+                message: &flight.message,
+                attempt: key.attempt,
+            })
+        })
+    }
+
+    /// The message and the number of each attempt that the predecessor has in flight.
+    pub(super) fn attempts_of_predecessor(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.attempts.iter().filter_map(|(key, flight)| {
+            let call = self.calls.get(&flight.call)?;
+            matches!(call.process, CallProcess::Predecessor).then_some((flight.message.as_str(), key.attempt))
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/forwarder/runtime/calls/tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+
+const ENDPOINT: EndpointId = 3;
+
+fn key(id: u64) -> AttemptKey {
+    AttemptKey { id, attempt: 0 }
+}
+
+/// A call of the predecessor with one attempt for each of these messages.
+fn with_inherited_call(messages: &[&str]) -> CallsInFlight {
+    let mut calls = CallsInFlight::default();
+    let call = calls.add_inherited_call(ENDPOINT, messages.len());
+    for (id, message) in (0..).zip(messages) {
+        let inherited = InheritedCall { call, endpoint: ENDPOINT, sent_at: 5 };
+        calls.add_inherited_attempt(key(id), inherited, (*message).to_owned());
+    }
+    calls
+}
+
+#[test]
+fn a_call_ends_with_its_last_attempt() {
+    let mut calls = with_inherited_call(&["m-1", "m-2"]);
+    let first = calls.end_attempt(key(0)).expect("it is in flight");
+    assert_eq!((first.sent_at, first.message.as_str(), first.call_ended), (5, "m-1", false));
+    assert!(calls.is_called(ENDPOINT));
+    assert!(calls.end_attempt(key(0)).is_none(), "it has ended already");
+    assert!(calls.end_attempt(key(1)).expect("it is in flight").call_ended);
+    assert!(!calls.is_called(ENDPOINT));
+    assert!(calls.is_empty() && !calls.has_attempts());
+}
+
+#[test]
+fn an_attempt_is_found_by_message_and_number() {
+    let calls = with_inherited_call(&["m-1", "m-2"]);
+    assert_eq!(calls.find("m-2", 0), Some(key(1)));
+    assert_eq!(calls.find("m-2", 1), None);
+    assert_eq!(calls.find("m-3", 0), None);
+    assert_eq!(calls.endpoint_of(key(1)), Some(ENDPOINT));
+}
+
+#[test]
+fn calls_of_the_predecessor_count_as_written() {
+    let calls = with_inherited_call(&["m-1"]);
+    let written: Vec<&str> = calls.written_attempts().map(|attempt| attempt.message).collect();
+    assert_eq!(written, ["m-1"]);
+    assert_eq!(calls.attempts_of_predecessor().collect::<Vec<_>>(), [("m-1", 0)]);
+}
--- /dev/null
+++ b/src/forwarder/runtime/client_requests.rs
@@ -0,0 +1,83 @@
+//! Messages that clients submit.
+
+use super::Runtime;
+use super::open_messages::OpenMessage;
+use crate::forwarder::clock::unix_now;
+use crate::forwarder::journal::{AcceptedMessage, FinalOutcome};
+use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
+use crate::forwarder::metrics::DropReason;
+use crate::interface::{DestinationId, Micros};
+use crate::interface::{Event, MessageHistory, MessageId, Submission};
+
+/// What the decision module needs to know about a message beside its number.
+pub(super) struct SubmissionDetails {
+    /// Index of its class.
+    pub(super) class: usize,
+    /// Index of its tenant.
+    pub(super) tenant: Option<usize>,
+    pub(super) destination: DestinationId,
+    pub(super) expires_at: Micros,
+    pub(super) history: MessageHistory,
+}
+
+impl Runtime {
+    /// Submits a message to the decision module, unless the reply is known already or too many messages are open.
+    /// The commit of the turn accepts it.
+    pub(super) fn submit(&mut self, now: Micros, request: ClientRequest) {
+        if let Some(open) = self.messages.by_client_id_mut(&request.id)
+            && !open.accepted
+        {
+            return open.add_client(request.reply);
+        }
+        if let Some(reply) = self.immediate_reply(&request.id) {
+            if matches!(reply, ClientReply::Rejected(_)) {
+                self.metrics.record_dropped(DropReason::TooManyOpenMessages);
+            }
+            // The client may have disconnected.
+            let _ = request.reply.send(reply);
+            return;
+        }
+        self.submit_new_message(now, request);
+    }
+
+    /// The reply to a message that is complete, accepted already, or one too many.
+    fn immediate_reply(&self, client_id: &str) -> Option<ClientReply> {
+        let final_outcome = self.journal.lock().final_outcome(client_id);
+        match final_outcome {
+            Some((FinalOutcome::Delivered, _)) => Some(ClientReply::Delivered),
+            Some((FinalOutcome::Failed, _)) => Some(ClientReply::Failed),
+            Some((FinalOutcome::Rejected, _)) => Some(ClientReply::Rejected(None)),
+            None if self.messages.by_client_id(client_id).is_some() => Some(ClientReply::Accepted),
+            None if self.messages.len() >= self.settings.max_open_messages => {
+                Some(ClientReply::Rejected(None))
+            }
+            None => None,
+        }
+    }
+
+    fn submit_new_message(&mut self, now: Micros, request: ClientRequest) {
+        let ClientRequest { id, class, tenant, destination, key, body, deadline, reply } = request;
+        let expires_at = self.clock.micros(deadline.into());
+        let remaining_ms = u64::try_from((expires_at - now) / 1000).unwrap_or(0);
+        let content = AcceptedMessage {
+            id,
+            class: self.names.classes[class].clone(),
+            tenant: tenant.map(|tenant| self.names.tenants[tenant].clone()),
+            destination,
+            key,
+            deadline_unix_ms: unix_now() + remaining_ms,
+            body,
+        };
+        let number = self.messages.insert_submitted(OpenMessage::submitted(content, expires_at, reply));
+        let history = MessageHistory::default();
+        let details = SubmissionDetails { class, tenant, destination, expires_at, history };
+        self.notify_submission(now, number, details);
+    }
+
+    /// Announces a message to the decision module.
+    pub(super) fn notify_submission(&mut self, now: Micros, id: MessageId, details: SubmissionDetails) {
+        let SubmissionDetails { class, tenant, destination, expires_at, history } = details;
+        let submission = Submission { id, class, tenant, key: None, expires_at, destination, history };
+        self.decisions.notify(now, Event::Submit(submission));
+    }
+}
--- /dev/null
+++ b/src/forwarder/runtime/endpoint_list.rs
@@ -0,0 +1,77 @@
+//! Applies the endpoint list of discovery.
+
+use super::Runtime;
+use crate::forwarder::messages::endpoint_list::{EndpointList, EndpointRecord, LifecycleState};
+use crate::interface::{EndpointEntry, EndpointId, EndpointState, Event, Micros};
+use crate::settings_reader::index;
+
+impl Runtime {
+    /// Applies the list, or changes to it.
+    pub(super) fn apply_endpoint_list(&mut self, now: Micros, list: &EndpointList) {
+        self.endpoints.set_revision(list.revision);
+        if list.complete {
+            self.endpoints.mark_all_removed(now);
+        }
+        let entries = list.endpoints.iter().map(|record| self.apply_record(now, record)).collect();
+        let event = if list.complete { Event::ListSnapshot(entries) } else { Event::ListUpdate(entries) };
+        self.decisions.notify(now, event);
+        for endpoint in self.endpoints.removed() {
+            self.stop_using(endpoint);
+        }
+        self.forget_removed_endpoints(now);
+    }
+
+    fn apply_record(&mut self, now: Micros, record: &EndpointRecord) -> EndpointEntry {
+        let kind = index(&self.names.kinds, &record.kind).unwrap_or(usize::MAX);
+        let max_batch = self.settings.kinds.get(kind).map_or(1, |kind| kind.batch.max(1));
+        let updated = self.endpoints.update(record, max_batch);
+        let endpoint = updated.endpoint;
+        if updated.address_changed || is_draining(record.state) {
+            self.stop_using(endpoint);
+        }
+        if self.journal.lock().banned_endpoints().contains(&record.uid) {
+            self.decisions.notify(now, Event::BanStarted { endpoint });
+        }
+        if record.state == LifecycleState::Terminated {
+            self.endpoints.mark_removed(now, endpoint);
+        } else {
+            self.endpoints.mark_listed(endpoint);
+        }
+        EndpointEntry {
+            endpoint,
+            destination: record.destination,
+            zone: index(&self.names.zones, &record.zone).unwrap_or(usize::MAX),
+            kind,
+            state: endpoint_state(record.state),
+            weight: record.weight,
+        }
+    }
+
+    /// Stops new writes to an endpoint, both on idle connections and on those that are still being established.
+    pub(super) fn stop_using(&mut self, endpoint: EndpointId) {
+        self.idle_connections.close(endpoint);
+        self.calls.withhold_writes(|called| called == endpoint);
+    }
+
+    fn forget_removed_endpoints(&mut self, now: Micros) {
+        let calls = &self.calls;
+        let forgotten = self.endpoints.forget_removed(now, |endpoint| calls.is_called(endpoint));
+        for endpoint in forgotten {
+            self.idle_connections.forget(endpoint);
+            // Its number is not used again. The ban of its id stays in the journal.
+            self.decisions.notify(now, Event::BanEnded { endpoint });
+        }
+    }
+}
+
+fn is_draining(state: LifecycleState) -> bool {
+    matches!(state, LifecycleState::Terminating | LifecycleState::Other)
+}
+
+fn endpoint_state(state: LifecycleState) -> EndpointState {
+    match state {
+        LifecycleState::InService => EndpointState::Serving,
+        LifecycleState::Terminating | LifecycleState::Other => EndpointState::Draining,
+        LifecycleState::Terminated => EndpointState::Deleted,
+    }
+}
--- /dev/null
+++ b/src/forwarder/runtime/log.rs
@@ -0,0 +1,36 @@
+//! The periodic log lines.
+
+use super::Runtime;
+use crate::interface::{DestinationBacklog, Micros};
+
+impl Runtime {
+    /// Logs what happened since the last time and what delays messages, if it is time to do so.
+    pub(super) fn log_if_due(&mut self, now: Micros) {
+        let Some(metrics) = self.metrics.take_if_due() else { return };
+        eprintln!(
+            "runtime: {} messages open, {} calls in flight, {} idle connections; {metrics}",
+            self.messages.len(),
+            self.calls.len(),
+            self.idle_connections.len()
+        );
+        for backlog in self.decisions.backlog(now) {
+            log_backlog(&backlog);
+        }
+    }
+}
+
+fn log_backlog(backlog: &DestinationBacklog) {
+    eprintln!(
+        "runtime: destination {}: {} messages queued, {} endpoints, {} calls in flight, degraded {}, outage {}, \
+         rate {:.1?}, ready in {} ms, Retry-After {} ms",
+        backlog.destination,
+        backlog.messages,
+        backlog.endpoints,
+        backlog.calls,
+        backlog.degraded,
+        backlog.outage,
+        backlog.rate,
+        backlog.ready_in / 1000,
+        backlog.retry_after / 1000
+    );
+}
--- /dev/null
+++ b/src/forwarder/runtime/outbound_calls.rs
@@ -0,0 +1,169 @@
+//! Starts the calls that the decision module asked for.
+
+use super::Runtime;
+use super::call_in_flight::{AttemptKey, command_capacity};
+use super::calls::{StartedAttempt, StartedCall};
+use super::endpoints::Endpoint;
+use super::idle_connections::ReusedConnection;
+use crate::forwarder::endpoint_client::{self, CallItem, OutboundCall, WriteGuard};
+use crate::interface::{AttemptEnded, EndpointId, Event, Idempotency, MessageId, Micros, Outcome};
+use crate::settings_reader::index;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::channel;
+use tokio::time::Instant;
+
+/// Shortest time that a connection gets to be established, in microseconds.
+const MIN_CONNECT_TIMEOUT_MICROS: Micros = 1000;
+
+/// An attempt that was decided in this turn.
+pub(super) struct PlannedAttempt {
+    id: MessageId,
+    attempt: usize,
+    endpoint: EndpointId,
+    times_out_at: Micros,
+    /// It must not be written later than this.
+    send_before: Micros,
+}
+
+/// Attempts that travel in one call.
+struct PlannedCall {
+    endpoint: EndpointId,
+    attempts: Vec<PlannedAttempt>,
+}
+
+impl Runtime {
+    /// Numbers an attempt of a message that is still open. A timeout of 0 means until the client stops waiting.
+    pub(super) fn plan_attempt(
+        &mut self,
+        now: Micros,
+        id: MessageId,
+        endpoint: EndpointId,
+        timeout: Micros,
+        send_before: Micros,
+    ) -> Option<PlannedAttempt> {
+        let message = self.messages.get_mut(id)?;
+        let attempt = message.attempts;
+        message.attempts += 1;
+        let expires_at = message.expires_at;
+        let times_out_at =
+            if timeout == 0 { expires_at } else { now.saturating_add(timeout).min(expires_at) };
+        Some(PlannedAttempt { id, attempt, endpoint, times_out_at, send_before })
+    }
+
+    /// Starts calls for the attempts of a turn.
+    pub(super) fn start_calls(&mut self, now: Micros, attempts: Vec<PlannedAttempt>) {
+        for call in self.group_into_calls(attempts) {
+            self.start_call(now, call);
+        }
+    }
+
+    /// Attempts to one endpoint travel together, up to what its kind of destination allows.
+    fn group_into_calls(&self, attempts: Vec<PlannedAttempt>) -> Vec<PlannedCall> {
+        let mut calls: Vec<PlannedCall> = Vec::new();
+        for attempt in attempts {
+            let endpoint = attempt.endpoint;
+            let max_batch = self.endpoints.max_batch(endpoint);
+            let has_room =
+                |call: &&mut PlannedCall| call.endpoint == endpoint && call.attempts.len() < max_batch;
+            match calls.iter_mut().rfind(has_room) {
+                Some(call) => call.attempts.push(attempt),
+                None => calls.push(PlannedCall { endpoint, attempts: vec![attempt] }),
+            }
+        }
+        calls
+    }
+
+    fn start_call(&mut self, now: Micros, call: PlannedCall) {
+        let endpoint = call.endpoint;
+        let items = self.call_items(call);
+        let Some(known) = self.endpoints.get(endpoint).filter(|_| !items.is_empty()) else { return };
+        let address = known.record.address;
+        let guard = Arc::new(self.write_guard(known, &items));
+        let proven_only = items.iter().any(|item| self.is_not_idempotent(item.id));
+        let reused = self.idle_connections.take(now, endpoint, proven_only);
+        // This side keeps the sender with the call, the call's task the receiver.
+        let (command_sender, commands) = channel(command_capacity(items.len()));
+        self.calls.add_call(
+            now,
+            StartedCall {
+                endpoint,
+                idle_for: reused.as_ref().map_or(0, |reused| reused.idle_for),
+                attempts: items.iter().map(started_attempt).collect(),
+                commands: command_sender,
+                guard: guard.clone(),
+            },
+        );
+        // The task ends by itself, after it has reported the end of each attempt.
+        tokio::spawn(endpoint_client::perform(OutboundCall {
+            endpoint,
+            address,
+            items,
+            reused: reused.map(|ReusedConnection { connection, .. }| connection),
+            connect_timeout: self.connect_timeout(),
+            commands,
+            guard,
+            events: self.events.clone(),
+        }));
+    }
+
+    /// The messages of a call. An attempt whose message or endpoint was removed is reported as not sent instead.
+    fn call_items(&mut self, call: PlannedCall) -> Vec<CallItem> {
+        let is_known = self.endpoints.contains(call.endpoint);
+        let mut items = Vec::with_capacity(call.attempts.len());
+        for attempt in call.attempts {
+            let Some(message) = self.messages.get(attempt.id).filter(|_| is_known) else {
+                self.report_not_sent(&attempt);
+                continue;
+            };
+            items.push(CallItem {
+                id: attempt.id,
+                attempt: attempt.attempt,
+                message: message.content.id.clone(),
+                key: message.content.key.clone(),
+                body: message.content.body.clone(),
+                times_out_at: self.clock.instant(attempt.times_out_at),
+                expires_at: self.clock.instant(message.expires_at),
+                send_before: self.clock.instant(attempt.send_before),
+            });
+        }
+        items
+    }
+
+    /// Lets the call journal its attempts right before it is written.
+    fn write_guard(&self, endpoint: &Endpoint, items: &[CallItem]) -> WriteGuard {
+        let attempts = items.iter().map(|item| (item.message.clone(), item.attempt)).collect();
+        let send_before = items.iter().map(|item| item.send_before).min().unwrap_or_else(Instant::now);
+        WriteGuard::new(self.journal.clone(), attempts, send_before, endpoint.zone.clone())
+    }
+
+    /// Whether the message must never be executed twice. Without its class nothing may be assumed about it.
+    fn is_not_idempotent(&self, id: MessageId) -> bool {
+        let Some(message) = self.messages.get(id) else { return false };
+        index(&self.names.classes, &message.content.class)
+            .is_none_or(|class| self.settings.classes[class].idempotency == Idempotency::NotIdempotent)
+    }
+
+    fn connect_timeout(&self) -> Duration {
+        Duration::from_micros(self.settings.connect_timeout.max(MIN_CONNECT_TIMEOUT_MICROS) as u64)
+    }
+
+    /// Reports an attempt that was not sent, at the start of the next turn.
+    pub(super) fn report_not_sent(&mut self, planned: &PlannedAttempt) {
+        self.decisions.defer(Event::AttemptEnded(AttemptEnded {
+            id: planned.id,
+            attempt: planned.attempt,
+            outcome: Outcome::NotSent,
+            elapsed: 0,
+            finished: !self.messages.contains(planned.id),
+            report: None,
+            retry_after: None,
+            unsent: true,
+        }));
+    }
+}
+
+fn started_attempt(item: &CallItem) -> StartedAttempt {
+    let key = AttemptKey { id: item.id, attempt: item.attempt };
+    StartedAttempt { key, message: item.message.clone() }
+}
--- /dev/null
+++ b/src/forwarder/runtime/recovery.rs
@@ -0,0 +1,146 @@
+//! Recovers the messages of an earlier process from the journal, and what a predecessor has handed over.
+
+use super::Runtime;
+use super::call_in_flight::AttemptKey;
+use super::client_requests::SubmissionDetails;
+use super::final_answers::FinalAnswer;
+use super::open_messages::OpenMessage;
+use crate::forwarder::clock::unix_now;
+use crate::forwarder::journal::{AcceptedMessage, RecoveredAttempt, RecoveredMessage};
+use crate::forwarder::messages::notice::Notice;
+use crate::forwarder::upgrade::HandoffState;
+use crate::interface::{Event, InheritedCall, MessageHistory, Micros, PossibleExecution};
+use crate::settings_reader::index;
+use std::collections::BTreeMap;
+
+/// Age of an attempt whose time was lost: no destination remembers an idempotency key for so long.
+const UNKNOWN_ATTEMPT_AGE_MICROS: Micros = 1 << 55;
+
+/// Attempts that the predecessor has in flight, by message and number.
+#[derive(Default)]
+pub(super) struct InheritedAttempts(BTreeMap<(String, usize), InheritedCall>);
+
+impl InheritedAttempts {
+    pub(super) fn insert(&mut self, message: String, attempt: usize, call: InheritedCall) {
+        self.0.insert((message, attempt), call);
+    }
+
+    /// Takes the last one of so many attempts of a message, if it is in flight.
+    fn take_last(&mut self, message: &str, attempts: usize) -> Option<InheritedCall> {
+        self.0.remove(&(message.to_owned(), attempts.checked_sub(1)?))
+    }
+}
+
+/// Converts wall-clock times of the journal to the clock of this process.
+#[derive(Clone, Copy)]
+struct WallClock {
+    now: Micros,
+    unix_ms: u64,
+}
+
+impl WallClock {
+    fn to_micros(self, unix_ms: u64) -> Micros {
+        let from_now_ms = unix_ms as i64 - self.unix_ms as i64;
+        self.now.saturating_add(from_now_ms.saturating_mul(1000))
+    }
+}
+
+impl Runtime {
+    /// Goes on from the journal, and from what the predecessor has handed over.
+    pub(super) fn recover(
+        &mut self,
+        now: Micros,
+        recovered: Vec<RecoveredMessage>,
+        handoff: Option<HandoffState>,
+    ) {
+        let mut inherited = InheritedAttempts::default();
+        if let Some(state) = handoff {
+            inherited = self.restore_handoff_state(now, recovered.len(), state);
+        }
+        log_recovered(&recovered);
+        for message in recovered {
+            self.recover_message(now, message, &mut inherited);
+        }
+        self.track_attempts_of_complete_messages(now, inherited);
+    }
+
+    fn recover_message(
+        &mut self,
+        now: Micros,
+        recovered: RecoveredMessage,
+        inherited: &mut InheritedAttempts,
+    ) {
+        let RecoveredMessage { message: content, attempts, pending_notice, in_doubt } = recovered;
+        if let Some(outcome) = pending_notice {
+            return self.notices.push(Notice { message: content.id, outcome });
+        }
+        let wall_clock = WallClock { now, unix_ms: unix_now() };
+        let expires_at = wall_clock.to_micros(content.deadline_unix_ms);
+        let in_flight = inherited.take_last(&content.id, attempts.len());
+        // What the attempt in flight may have done is reported when it ends.
+        let ended = &attempts[..attempts.len() - usize::from(in_flight.is_some())];
+        let history = MessageHistory {
+            accepted: true,
+            attempts: ended.len(),
+            possible_execution: self.possible_execution(ended, in_doubt, wall_clock),
+            in_flight,
+        };
+        let without_attempt = attempts.is_empty() && !in_doubt;
+        let message = OpenMessage::recovered(content, expires_at, attempts.len(), without_attempt);
+        self.resubmit(now, message, history);
+    }
+
+    /// The first one of these attempts that may have been executed. Where records of a message are damaged, any
+    /// attempt at any time may be missing.
+    fn possible_execution(
+        &self,
+        attempts: &[RecoveredAttempt],
+        in_doubt: bool,
+        wall_clock: WallClock,
+    ) -> Option<PossibleExecution> {
+        if in_doubt {
+            return Some(PossibleExecution { sent_at: -UNKNOWN_ATTEMPT_AGE_MICROS, zone: usize::MAX });
+        }
+        let first = attempts.iter().find(|attempt| attempt.may_have_executed)?;
+        let zone = index(&self.names.zones, &first.zone).unwrap_or(usize::MAX);
+        Some(PossibleExecution { sent_at: wall_clock.to_micros(first.sent_at_unix_ms), zone })
+    }
+
+    /// Submits a recovered message to the decision module.
+    fn resubmit(&mut self, now: Micros, message: OpenMessage, history: MessageHistory) {
+        let AcceptedMessage { id: client_id, class, tenant, destination, .. } = &message.content;
+        let class = index(&self.names.classes, class);
+        let tenant = tenant.as_ref().and_then(|tenant| index(&self.names.tenants, tenant));
+        let (client_id, destination, expires_at) = (client_id.clone(), *destination, message.expires_at);
+        let id = self.messages.insert(message);
+        let Some(class) = class else {
+            // The settings no longer contain its class: nothing is known about the effect of an attempt.
+            return self.give_up(id, FinalAnswer::Failed);
+        };
+        let details = SubmissionDetails { class, tenant, destination, expires_at, history };
+        self.notify_submission(now, id, details);
+        if let Some(call) = history.in_flight {
+            let key = AttemptKey { id, attempt: history.attempts };
+            self.calls.add_inherited_attempt(key, call, client_id);
+        }
+    }
+
+    /// The calls of these attempts still take slots, although their messages are complete.
+    fn track_attempts_of_complete_messages(&mut self, now: Micros, inherited: InheritedAttempts) {
+        for ((message, attempt), call) in inherited.0 {
+            let id = self.messages.assign_number();
+            self.calls.add_inherited_attempt(AttemptKey { id, attempt }, call, message);
+            self.decisions.notify(now, Event::InheritedAttempt { id, attempt, call });
+        }
+    }
+}
+
+fn log_recovered(recovered: &[RecoveredMessage]) {
+    if recovered.is_empty() {
+        return;
+    }
+    let without_attempt =
+        |message: &&RecoveredMessage| message.pending_notice.is_none() && message.attempts.is_empty();
+    let never_attempted = recovered.iter().filter(without_attempt).count();
+    eprintln!("journal: {} messages open, {never_attempted} of them never attempted", recovered.len());
+}
--- /dev/null
+++ b/src/forwarder/runtime/shutdown.rs
@@ -0,0 +1,112 @@
+//! The lifecycle of the process, and the time line of its graceful shutdown.
+
+use super::upgrade::Successor;
+use crate::forwarder::server::LifecyclePhase;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// New clients are still served for this long after SIGTERM.
+const CLIENT_GRACE_PERIOD: Duration = Duration::from_millis(400);
+/// No call starts later than this after SIGTERM: it could still be in flight at the end, where it would have to
+/// count as possibly executed.
+const CALL_START_PERIOD: Duration = Duration::from_millis(1500);
+/// Calls that are still in flight this long after SIGTERM are no longer awaited.
+const CALL_COMPLETION_PERIOD: Duration = Duration::from_millis(3200);
+/// The process ends at the latest this long after SIGTERM, before it is killed.
+const MAX_SHUTDOWN_TIME: Duration = Duration::from_millis(3500);
+/// How long a process waits for SIGTERM once its successor owns everything and nothing is left to do here.
+const MAX_IDLE_AFTER_UPGRADE: Duration = Duration::from_secs(10);
+
+/// What is still to be done before the process may end.
+pub(super) struct RemainingWork {
+    /// Clients have open connections.
+    pub(super) clients: bool,
+    /// The journal has records that are not written yet.
+    pub(super) journal: bool,
+    /// Calls are in flight, or replies of the successor are awaited.
+    pub(super) calls_or_replies: bool,
+}
+
+/// Owns the state that the phases of the process are derived from.
+pub(super) struct Lifecycle {
+    /// When SIGTERM was received.
+    terminated_at: Option<Instant>,
+    /// The decision module accepts new clients.
+    accepts_clients: bool,
+}
+
+impl Lifecycle {
+    pub(super) fn new() -> Self {
+        Lifecycle { terminated_at: None, accepts_clients: true }
+    }
+
+    /// SIGTERM was received. Only the first one counts.
+    pub(super) fn terminate(&mut self) {
+        self.terminated_at.get_or_insert_with(Instant::now);
+    }
+
+    pub(super) fn set_accepts_clients(&mut self, accepts_clients: bool) {
+        self.accepts_clients = accepts_clients;
+    }
+
+    pub(super) fn is_terminating(&self) -> bool {
+        self.terminated_at.is_some()
+    }
+
+    /// Whether new calls may be started.
+    pub(super) fn may_start_calls(&self) -> bool {
+        self.time_since_termination().is_none_or(|elapsed| elapsed < CALL_START_PERIOD)
+    }
+
+    /// Whether calls in flight are no longer awaited.
+    pub(super) fn is_past_call_completion(&self) -> bool {
+        self.time_since_termination().is_some_and(|elapsed| elapsed >= CALL_COMPLETION_PERIOD)
+    }
+
+    /// The phase of a process; `has_attempts` and `has_messages` tell whether attempts are in flight and messages
+    /// are open.
+    pub(super) fn phase(
+        &self,
+        successor: &Successor,
+        has_attempts: bool,
+        has_messages: bool,
+    ) -> LifecyclePhase {
+        match successor {
+            Successor::HandedOver(_) => return LifecyclePhase::HandingOver,
+            Successor::Owner(_) => return LifecyclePhase::Stopped,
+            Successor::None | Successor::Requested(_) => {}
+        }
+        match self.time_since_termination() {
+            Some(elapsed) if may_stop_serving(elapsed, has_attempts, has_messages) => LifecyclePhase::Stopped,
+            Some(_) => LifecyclePhase::Closing,
+            None if self.accepts_clients => LifecyclePhase::Serving,
+            None => LifecyclePhase::Draining,
+        }
+    }
+
+    /// Whether the process may end.
+    pub(super) fn is_complete(&self, successor: &Successor, remaining: &RemainingWork) -> bool {
+        let overdue = self.time_since_termination().is_some_and(|elapsed| elapsed > MAX_SHUTDOWN_TIME);
+        let done = match successor {
+            Successor::Owner(owner) => {
+                let may_end = self.is_terminating() || owner.since.elapsed() > MAX_IDLE_AFTER_UPGRADE;
+                may_end && !remaining.clients && !remaining.calls_or_replies
+            }
+            _ => self.is_terminating() && !remaining.clients && !remaining.journal,
+        };
+        overdue || done
+    }
+
+    fn time_since_termination(&self) -> Option<Duration> {
+        self.terminated_at.map(|at| at.elapsed())
+    }
+}
+
+/// Whether nothing new is read from clients any more, this long after SIGTERM.
+fn may_stop_serving(elapsed: Duration, has_attempts: bool, has_messages: bool) -> bool {
+    let all_calls_ended = !has_attempts && (elapsed >= CALL_START_PERIOD || !has_messages);
+    elapsed >= CALL_COMPLETION_PERIOD || (elapsed >= CLIENT_GRACE_PERIOD && all_calls_ended)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/forwarder/runtime/turn.rs
@@ -0,0 +1,162 @@
+//! The steps of a turn, in which this process owns the messages.
+
+use super::Runtime;
+use super::call_in_flight::{AttemptCommand, AttemptKey};
+use super::final_answers::FinalAnswer;
+use super::outbound_calls::PlannedAttempt;
+use super::upgrade::Successor;
+use crate::forwarder::clock::unix_now;
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::journal::{FinalOutcome, Record};
+use crate::forwarder::messages::client_request::ClientReply;
+use crate::forwarder::metrics::DropReason;
+use crate::interface::{Action, Event, MessageId, Micros};
+
+/// Messages that the commit of a turn accepts.
+#[derive(Default)]
+struct Acceptance {
+    ids: Vec<MessageId>,
+    records: Vec<Record>,
+    body_bytes: usize,
+}
+
+impl Runtime {
+    /// Handles the events of a turn, lets the module decide and carries its decisions out.
+    pub(super) fn take_turn(&mut self, events: Vec<RuntimeEvent>) {
+        let now = self.clock.now();
+        self.decisions.notify_deferred(now);
+        for event in events {
+            self.handle_event(now, event);
+        }
+        self.decisions.notify_wake_if_due(now);
+        self.finish_turn(now);
+    }
+
+    fn handle_event(&mut self, now: Micros, event: RuntimeEvent) {
+        match event {
+            RuntimeEvent::ClientRequest(request) => self.submit(now, request),
+            RuntimeEvent::CallEnded(report) => self.handle_call_report(now, report),
+            RuntimeEvent::EndpointList(list) => self.apply_endpoint_list(now, &list),
+            RuntimeEvent::NoticesAcknowledged(notices) => self.complete_notified(notices),
+            RuntimeEvent::AdminRequest(request) => self.handle_admin_request(now, request),
+            RuntimeEvent::Terminate => self.lifecycle.terminate(),
+            RuntimeEvent::TakeOverRequested(channel) => {
+                // Of two successors at a time, the later one has to ask again.
+                if matches!(self.successor, Successor::None) {
+                    self.successor = Successor::Requested(channel);
+                }
+            }
+            RuntimeEvent::Peer(event) => self.handle_peer_event(now, event),
+        }
+    }
+
+    /// Lets the module decide and carries its decisions out: first the final answers, then the journal, then the
+    /// replies to clients, then the calls, then the notices.
+    pub(super) fn finish_turn(&mut self, now: Micros) {
+        self.decide(now);
+        let attempts = self.execute_actions(now);
+        self.commit(now, attempts);
+        self.send_notices();
+        self.log_if_due(now);
+        self.idle_connections.close_expired(now);
+    }
+
+    /// Attempts are decided at the end of a turn. Without it, none are.
+    fn decide(&mut self, now: Micros) {
+        if self.lifecycle.may_start_calls() {
+            self.decisions.notify(now, Event::TurnEnd);
+        }
+    }
+
+    /// Carries the actions out, except for new attempts: these are returned, and start after the commit.
+    fn execute_actions(&mut self, now: Micros) -> Vec<PlannedAttempt> {
+        let mut attempts = Vec::new();
+        for action in self.decisions.take_actions() {
+            match action {
+                Action::Send { id, endpoint, timeout, send_before } => {
+                    attempts.extend(self.plan_attempt(now, id, endpoint, timeout, send_before));
+                }
+                Action::Reject { id, retry_after } => self.give_up(id, FinalAnswer::rejected(retry_after)),
+                Action::Fail { id } => self.give_up(id, FinalAnswer::Failed),
+                Action::Cancel { id, attempt } => {
+                    self.command_attempt(AttemptKey { id, attempt }, AttemptCommand::Cancel);
+                }
+                Action::CloseIdleConnections { endpoint } => self.idle_connections.close(endpoint),
+                Action::Wake { at } => self.decisions.request_wake(at),
+                // Discovery follows the list all the time.
+                Action::Subscribe => {}
+                Action::AcceptClients(accepts) => self.lifecycle.set_accepts_clients(accepts),
+            }
+        }
+        attempts
+    }
+
+    /// Writes the turn to the journal, then replies to clients and starts calls. If it cannot be written, no
+    /// message is accepted and no call is started.
+    fn commit(&mut self, now: Micros, attempts: Vec<PlannedAttempt>) {
+        let unix_ms = unix_now();
+        let Acceptance { ids, records, .. } = self.select_for_acceptance(unix_ms);
+        let written = self.journal.lock().commit(&records, unix_ms);
+        if let Err(error) = written {
+            eprintln!("runtime: {error}");
+            ids.into_iter().for_each(|id| self.reject_submission(id));
+            attempts.iter().for_each(|attempt| self.report_not_sent(attempt));
+            return;
+        }
+        ids.into_iter().for_each(|id| self.accept(id));
+        self.start_calls(now, attempts);
+    }
+
+    /// Selects the submitted messages that fit into the journal and whose clients still wait; rejects the others.
+    fn select_for_acceptance(&mut self, unix_ms: u64) -> Acceptance {
+        let mut selected = Acceptance::default();
+        for id in self.messages.take_submitted() {
+            let Some(message) = self.messages.get(id) else { continue };
+            let messages = selected.ids.len() + 1;
+            let body_bytes = selected.body_bytes + message.content.body.len();
+            let is_acceptable = !message.is_abandoned_by_clients()
+                && self.journal.lock().has_capacity(messages, body_bytes, unix_ms);
+            if !is_acceptable {
+                self.reject_submission(id);
+                continue;
+            }
+            selected.records.push(Record::Accepted(message.content.clone()));
+            selected.ids.push(id);
+            selected.body_bytes = body_bytes;
+        }
+        selected
+    }
+
+    /// Tells the clients of a message that it is accepted, now that it stands in the journal.
+    fn accept(&mut self, id: MessageId) {
+        let Some(message) = self.messages.get_mut(id) else { return };
+        message.accepted = true;
+        self.metrics.record_accepted();
+        if !message.reply(ClientReply::Accepted) {
+            self.withdraw_accepted(id);
+        }
+    }
+
+    /// A message was not accepted: its clients get a rejection unless they have disconnected, and the module
+    /// forgets it.
+    fn reject_submission(&mut self, id: MessageId) {
+        let Some(mut message) = self.messages.remove(id) else { return };
+        self.metrics.record_dropped(if message.is_abandoned_by_clients() {
+            DropReason::ClientDisconnected
+        } else {
+            DropReason::JournalFull
+        });
+        message.reply(ClientReply::Rejected(None));
+        self.decisions.defer(Event::ClientDisconnected { id });
+    }
+
+    /// All clients of a message disconnected before they were told that it is accepted: it is completed without
+    /// an attempt.
+    fn withdraw_accepted(&mut self, id: MessageId) {
+        let Some(message) = self.messages.remove(id) else { return };
+        self.metrics.record_dropped(DropReason::ClientDisconnected);
+        let completed = Record::completed(message.content.id, FinalOutcome::Rejected, 0);
+        self.journal.lock().enqueue(&completed, unix_now());
+        self.decisions.defer(Event::ClientDisconnected { id });
+    }
+}
--- /dev/null
+++ b/src/forwarder/runtime/upgrade/forwarding.rs
@@ -0,0 +1,179 @@
+//! This process after its hand-over: it completes its calls and forwards to the successor what clients and operators
+//! still send here.
+
+use super::successor::Successor;
+use crate::forwarder::event::RuntimeEvent;
+use crate::forwarder::messages::admin_command::{AdminCommand, AdminRequest};
+use crate::forwarder::messages::call_report::{AttemptResult, CallReport};
+use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
+use crate::forwarder::runtime::Runtime;
+use crate::forwarder::runtime::call_in_flight::{AttemptCommand, AttemptKey};
+use crate::forwarder::upgrade::{
+    AttemptRef, EndedAttempt, ForwardedRequest, Frame, PeerEvent, PeerRole, UpgradeError,
+};
+use crate::interface::Outcome;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Instant;
+
+impl Runtime {
+    /// Forwards what still arrives here to the successor that owns the messages. Calls in flight are completed.
+    pub(in crate::forwarder::runtime) fn forward_to_successor(&mut self, events: Vec<RuntimeEvent>) {
+        if self.lifecycle.is_past_call_completion() {
+            self.cancel_all_attempts();
+        }
+        // Sent in each turn: the successor shares the descriptors with these connections.
+        let mut frames = vec![Frame::ClientConnections(self.connection_counts.own.load(Relaxed))];
+        for event in events {
+            frames.extend(self.forward_event(event));
+        }
+        if let Successor::Owner(successor) = &self.successor {
+            frames.into_iter().for_each(|frame| successor.channel.send(frame));
+        }
+    }
+
+    fn cancel_all_attempts(&mut self) {
+        for key in self.calls.attempt_keys() {
+            self.command_attempt(key, AttemptCommand::Cancel);
+        }
+    }
+
+    /// The frame for an event that the successor has to handle.
+    fn forward_event(&mut self, event: RuntimeEvent) -> Option<Frame> {
+        match event {
+            RuntimeEvent::ClientRequest(request) => self.forward_client_request(request),
+            RuntimeEvent::CallEnded(report) => Some(self.forward_call_report(report)),
+            RuntimeEvent::AdminRequest(request) => self.forward_admin_request(request),
+            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Predecessor, frame, .. }) => {
+                Some(self.forward_ends_of_predecessor(frame))
+            }
+            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Successor, frame, channel_id }) => {
+                self.handle_successor_event(channel_id, frame);
+                None
+            }
+            RuntimeEvent::Terminate => {
+                self.lifecycle.terminate();
+                None
+            }
+            // The successor receives these itself.
+            RuntimeEvent::EndpointList(_)
+            | RuntimeEvent::NoticesAcknowledged(_)
+            | RuntimeEvent::TakeOverRequested(_) => None,
+        }
+    }
+
+    /// Without a successor nobody can accept the message, and nothing was done with it.
+    fn forward_client_request(&mut self, request: ClientRequest) -> Option<Frame> {
+        if self.has_successor_ended() {
+            let _ = request.reply.send(ClientReply::Rejected(None));
+            return None;
+        }
+        let remaining = request.deadline.saturating_duration_since(Instant::now());
+        let forwarded = ForwardedRequest {
+            id: request.id,
+            class: self.names.classes[request.class].clone(),
+            tenant: request.tenant.map(|tenant| self.names.tenants[tenant].clone()),
+            destination: request.destination,
+            key: request.key,
+            body: STANDARD.encode(&request.body),
+            remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        };
+        Some(Frame::ClientRequest(self.pending_replies.add_client(request.reply), forwarded))
+    }
+
+    /// Replies to a readiness check at once; forwards other commands whose operators still wait.
+    fn forward_admin_request(&mut self, AdminRequest { command, reply }: AdminRequest) -> Option<Frame> {
+        if command == AdminCommand::Ready {
+            let _ = reply.send(Err("a new version has taken over".to_owned()));
+            return None;
+        }
+        if reply.is_closed() {
+            return None;
+        }
+        if self.has_successor_ended() {
+            let _ = reply.send(Err("the new version has gone".to_owned()));
+            return None;
+        }
+        Some(Frame::AdminCommand(self.pending_replies.add_operator(reply), command))
+    }
+
+    /// The ends of a call that this process made. Its connection is closed, since no further call is made here.
+    fn forward_call_report(&mut self, report: CallReport) -> Frame {
+        let results = report.results.into_iter();
+        Frame::AttemptsEnded(results.filter_map(|result| self.end_forwarded_attempt(result)).collect())
+    }
+
+    fn end_forwarded_attempt(&mut self, result: AttemptResult) -> Option<EndedAttempt> {
+        let AttemptResult { id, attempt, outcome, finished, report, retry_after, unsent } = result;
+        let ended = self.calls.end_attempt(AttemptKey { id, attempt })?;
+        // Cancelled because this process ends, which says nothing about the endpoint.
+        let is_cancelled_by_shutdown =
+            outcome == Outcome::Cancelled && self.lifecycle.is_past_call_completion();
+        let outcome = if is_cancelled_by_shutdown { Outcome::StaleConnection } else { outcome };
+        Some(EndedAttempt {
+            message: ended.message,
+            attempt,
+            outcome,
+            finished,
+            report,
+            retry_after_us: retry_after,
+            unsent,
+        })
+    }
+
+    /// The ends of attempts that this process' own predecessor reports, or that are lost as it has ended.
+    fn forward_ends_of_predecessor(&mut self, frame: Option<Frame>) -> Frame {
+        let ended = match frame {
+            Some(Frame::AttemptsEnded(ended)) => ended,
+            Some(_) => Vec::new(),
+            None => self.attempts_lost_with_predecessor(),
+        };
+        for EndedAttempt { message, attempt, .. } in &ended {
+            if let Some(key) = self.calls.find(message, *attempt) {
+                self.calls.end_attempt(key);
+            }
+        }
+        Frame::AttemptsEnded(ended)
+    }
+
+    /// Whether the successor that owned the messages has ended.
+    fn has_successor_ended(&self) -> bool {
+        matches!(&self.successor, Successor::Owner(successor) if successor.ended)
+    }
+
+    /// Handles a frame or the end of the successor that owns the messages.
+    fn handle_successor_event(&mut self, channel: u64, frame: Option<Frame>) {
+        let is_current =
+            matches!(&self.successor, Successor::Owner(successor) if successor.channel.id == channel);
+        match frame {
+            _ if !is_current => {}
+            Some(frame) => self.handle_successor_frame(frame),
+            None => self.handle_successor_end(),
+        }
+    }
+
+    fn handle_successor_frame(&mut self, frame: Frame) {
+        match frame {
+            Frame::ClientReply(request, reply) => self.pending_replies.reply_to_client(request, reply),
+            Frame::AdminReply(request, reply) => self.pending_replies.reply_to_operator(request, reply),
+            Frame::CancelAttempt(attempt) => self.command_attempt_of(&attempt, AttemptCommand::Cancel),
+            Frame::AbandonMessage(attempt) => self.command_attempt_of(&attempt, AttemptCommand::Abandon),
+            unexpected => eprintln!("upgrade: {}: {unexpected:?}", UpgradeError::UnexpectedFrame),
+        }
+    }
+
+    fn command_attempt_of(&self, attempt: &AttemptRef, command: AttemptCommand) {
+        if let Some(key) = self.calls.find(&attempt.message, attempt.attempt) {
+            self.command_attempt(key, command);
+        }
+    }
+
+    fn handle_successor_end(&mut self) {
+        eprintln!("upgrade: the successor ended");
+        self.pending_replies.clear();
+        if let Successor::Owner(successor) = &mut self.successor {
+            successor.ended = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/forwarder/runtime/upgrade/handoff.rs
@@ -0,0 +1,91 @@
+//! The state that a process hands over to its successor beside the journal.
+
+use crate::forwarder::messages::endpoint_list::EndpointList;
+use crate::forwarder::runtime::Runtime;
+use crate::forwarder::runtime::calls::CallId;
+use crate::forwarder::runtime::recovery::InheritedAttempts;
+use crate::forwarder::upgrade::{AttemptRef, HandoffState, InFlightCall, LearnedEntry};
+use crate::interface::{Event, InheritedCall, LearnedState, Micros};
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering::Relaxed;
+
+impl Runtime {
+    /// What the journal does not contain.
+    pub(super) fn handoff_state(&self, now: Micros) -> HandoffState {
+        HandoffState {
+            revision: self.endpoints.revision().unwrap_or(0),
+            endpoints: self.endpoints.records(),
+            calls: self.calls_to_hand_over(now),
+            client_connections: self.connection_counts.own.load(Relaxed),
+            learned: self.learned_to_hand_over(now),
+        }
+    }
+
+    fn calls_to_hand_over(&self, now: Micros) -> Vec<InFlightCall> {
+        let mut calls: BTreeMap<CallId, InFlightCall> = BTreeMap::new();
+        for written in self.calls.written_attempts() {
+            let Some(endpoint) = self.endpoints.uid(written.endpoint) else { continue };
+            let age_us = now - written.sent_at;
+            let call = calls.entry(written.call).or_insert_with(|| InFlightCall {
+                endpoint,
+                age_us,
+                attempts: Vec::new(),
+            });
+            call.attempts.push(AttemptRef { message: written.message.to_owned(), attempt: written.attempt });
+        }
+        calls.into_values().collect()
+    }
+
+    /// Endpoints are named by the ids of discovery: the successor numbers them anew.
+    fn learned_to_hand_over(&self, now: Micros) -> Vec<LearnedEntry> {
+        let learned = self.decisions.learned(now).into_iter();
+        let entry = |state: LearnedState| LearnedEntry {
+            endpoint: state.endpoint.and_then(|id| self.endpoints.uid(id)),
+            state,
+        };
+        learned.map(entry).collect()
+    }
+
+    /// Restores what the predecessor has handed over, and returns its attempts in flight. `open_messages` is
+    /// logged.
+    pub(in crate::forwarder::runtime) fn restore_handoff_state(
+        &mut self,
+        now: Micros,
+        open_messages: usize,
+        state: HandoffState,
+    ) -> InheritedAttempts {
+        let HandoffState { revision, endpoints, calls, learned, .. } = state;
+        eprintln!(
+            "upgrade: took over {open_messages} messages and {} calls in flight from the predecessor",
+            calls.len()
+        );
+        let list = EndpointList { revision, complete: true, endpoints, unreadable: 0 };
+        self.apply_endpoint_list(now, &list);
+        let inherited = self.restore_calls(now, calls);
+        for LearnedEntry { endpoint: uid, state } in learned {
+            self.restore_learned(now, uid.as_deref(), state);
+        }
+        inherited
+    }
+
+    fn restore_calls(&mut self, now: Micros, calls: Vec<InFlightCall>) -> InheritedAttempts {
+        let mut inherited = InheritedAttempts::default();
+        for InFlightCall { endpoint: uid, age_us, attempts } in calls {
+            let Some(endpoint) = self.endpoints.number_of(&uid) else { continue };
+            let call = self.calls.add_inherited_call(endpoint, attempts.len());
+            let call = InheritedCall { call, endpoint, sent_at: now - age_us };
+            for AttemptRef { message, attempt } in attempts {
+                inherited.insert(message, attempt, call);
+            }
+        }
+        inherited
+    }
+
+    /// Passes on what the predecessor had learned, unless it concerns an endpoint that is no longer listed.
+    fn restore_learned(&mut self, now: Micros, uid: Option<&str>, state: LearnedState) {
+        let endpoint = uid.and_then(|uid| self.endpoints.number_of(uid));
+        if endpoint.is_some() == state.endpoint.is_some() {
+            self.decisions.notify(now, Event::Learned(LearnedState { endpoint, ..state }));
+        }
+    }
+}
--- /dev/null
+++ b/src/forwarder/runtime/upgrade/predecessor.rs
@@ -0,0 +1,145 @@
+//! This process as the successor: it owns the journal while its predecessor still completes calls and serves
+//! clients.
+
+use super::successor::Successor;
+use crate::forwarder::messages::admin_command::AdminCommand;
+use crate::forwarder::messages::call_report::AttemptResult;
+use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
+use crate::forwarder::runtime::Runtime;
+use crate::forwarder::upgrade::{EndedAttempt, ForwardedRequest, Frame, PeerEvent, PeerRole, UpgradeError};
+use crate::interface::{Micros, Outcome};
+use crate::settings_reader::index;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+impl Runtime {
+    /// Handles a frame or the end of another process while this one owns the messages.
+    pub(in crate::forwarder::runtime) fn handle_peer_event(&mut self, now: Micros, event: PeerEvent) {
+        match (event.role, event.frame) {
+            (PeerRole::Predecessor, Some(frame)) => self.handle_predecessor_frame(now, frame),
+            (PeerRole::Predecessor, None) => self.handle_predecessor_end(now),
+            (PeerRole::Successor, None) => self.drop_request_to_take_over(event.channel_id),
+            // From a channel that was given up.
+            (PeerRole::Successor, Some(_)) => {}
+        }
+    }
+
+    fn handle_predecessor_frame(&mut self, now: Micros, frame: Frame) {
+        match frame {
+            Frame::AttemptsEnded(ended) => self.end_inherited_attempts(now, ended),
+            Frame::ClientConnections(count) => self.connection_counts.predecessor.store(count, Relaxed),
+            Frame::ClientRequest(request, message) => self.submit_forwarded(now, request, message),
+            Frame::AdminCommand(request, command) => self.execute_forwarded_command(now, request, command),
+            unexpected => eprintln!("upgrade: {}: {unexpected:?}", UpgradeError::UnexpectedFrame),
+        }
+    }
+
+    /// Attempts that the predecessor had in flight when it ended may have been executed.
+    fn handle_predecessor_end(&mut self, now: Micros) {
+        let lost = self.attempts_lost_with_predecessor();
+        eprintln!("upgrade: the predecessor ended, with {} attempts in flight", lost.len());
+        self.end_inherited_attempts(now, lost);
+        self.predecessor = None;
+        self.connection_counts.predecessor.store(0, Relaxed);
+    }
+
+    fn drop_request_to_take_over(&mut self, channel: u64) {
+        if matches!(&self.successor, Successor::Requested(requested) if requested.id == channel) {
+            self.successor = Successor::None;
+        }
+    }
+
+    /// The ends of all attempts that the predecessor has in flight, if it has ended itself. They say nothing about
+    /// the endpoints.
+    pub(super) fn attempts_lost_with_predecessor(&self) -> Vec<EndedAttempt> {
+        let lost = |(message, attempt): (&str, usize)| EndedAttempt {
+            message: message.to_owned(),
+            attempt,
+            outcome: Outcome::StaleConnection,
+            finished: false,
+            report: None,
+            retry_after_us: None,
+            unsent: false,
+        };
+        self.calls.attempts_of_predecessor().map(lost).collect()
+    }
+
+    fn end_inherited_attempts(&mut self, now: Micros, ended: Vec<EndedAttempt>) {
+        for attempt in ended {
+            self.end_inherited_attempt(now, attempt);
+        }
+    }
+
+    fn end_inherited_attempt(&mut self, now: Micros, ended: EndedAttempt) {
+        let EndedAttempt { message, attempt, outcome, finished, report, retry_after_us: retry_after, unsent } =
+            ended;
+        let Some(key) = self.calls.find(&message, attempt) else { return };
+        let Some(endpoint) = self.calls.endpoint_of(key) else { return };
+        if retry_after.is_some() {
+            self.withhold_writes_to_destination_of(endpoint);
+        }
+        let Some(address) = self.endpoints.address(endpoint) else { return };
+        let id = key.id;
+        let result = AttemptResult { id, attempt, outcome, finished, report, retry_after, unsent };
+        self.end_attempt(now, address, result);
+    }
+
+    /// Submits a message of a client that is connected to the predecessor, which passes the reply on.
+    fn submit_forwarded(&mut self, now: Micros, request: u64, forwarded: ForwardedRequest) {
+        let Some(predecessor) = self.predecessor.as_ref().map(|channel| channel.sender()) else { return };
+        let (reply, received) = oneshot::channel();
+        let Some(message) = self.decode_forwarded(forwarded, reply) else {
+            // The predecessor may have ended.
+            let _ = predecessor.send(Frame::ClientReply(request, ClientReply::Rejected(None)));
+            return;
+        };
+        // Ends with the reply, which is sent or dropped with the message.
+        tokio::spawn(pass_reply_on(request, received, predecessor));
+        self.submit(now, message);
+    }
+
+    /// Decodes a forwarded message; nothing if it names an unknown class or tenant.
+    fn decode_forwarded(
+        &self,
+        forwarded: ForwardedRequest,
+        reply: oneshot::Sender<ClientReply>,
+    ) -> Option<ClientRequest> {
+        let tenant = match &forwarded.tenant {
+            Some(name) => Some(index(&self.names.tenants, name)?),
+            None => None,
+        };
+        Some(ClientRequest {
+            id: forwarded.id,
+            class: index(&self.names.classes, &forwarded.class)?,
+            tenant,
+            destination: forwarded.destination,
+            key: forwarded.key,
+            body: STANDARD.decode(forwarded.body).ok()?.into(),
+            deadline: Instant::now() + Duration::from_millis(forwarded.remaining_ms),
+            reply,
+        })
+    }
+
+    /// Carries out a command of an operator who is connected to the predecessor.
+    fn execute_forwarded_command(&mut self, now: Micros, request: u64, command: AdminCommand) {
+        let reply = self.execute_admin_command(now, command);
+        if let Some(predecessor) = &self.predecessor {
+            predecessor.send(Frame::AdminReply(request, reply));
+        }
+    }
+}
+
+/// Sends the reply to a forwarded message to the predecessor. Without one the message was not accepted.
+async fn pass_reply_on(
+    request: u64,
+    reply: oneshot::Receiver<ClientReply>,
+    predecessor: UnboundedSender<Frame>,
+) {
+    let reply = reply.await.unwrap_or(ClientReply::Rejected(None));
+    // The predecessor may have ended.
+    let _ = predecessor.send(Frame::ClientReply(request, reply));
+}
--- /dev/null
+++ b/src/forwarder/signals.rs
@@ -0,0 +1,25 @@
+//! The signals that the process handles.
+
+use std::io;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// The signals that the process handles, from the moment of [`Signals::install`] on.
+pub(crate) struct Signals {
+    /// SIGHUP: the configuration is to be read again.
+    pub(crate) hangup: Signal,
+    /// SIGTERM: the process is to end.
+    pub(crate) terminate: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    ///
+    /// A handler cannot be installed.
+    pub(crate) fn install() -> io::Result<Self> {
+        let hangup = signal(SignalKind::hangup())?;
+        let terminate = signal(SignalKind::terminate())?;
+        Ok(Signals { hangup, terminate })
+    }
+}
