--- a/src/forwarder/descriptor_budget.rs
+++ b/src/forwarder/descriptor_budget.rs
@@ -19,7 +19,7 @@
     /// Sets descriptors aside for calls, operators and the process itself, and shares out the others.
     pub(crate) fn new(configuration: &Config) -> Self {
         // The listener for operators takes one as well.
-        let operators = if configuration.admin.is_some() { admin::CALLERS + 1 } else { 0 };
+        let operators = if configuration.admin.is_some() { admin::MAX_CONNECTIONS + 1 } else { 0 };
         let calls = configuration.settings.call_slots;
         let reserved = RESERVED_DESCRIPTORS.saturating_add(operators).saturating_add(calls);
         let available = configuration.limits.sockets.saturating_sub(reserved);
--- a/src/forwarder/discovery/tests.rs
+++ b/src/forwarder/discovery/tests.rs
@@ -1,66 +1,80 @@
-use super::*;
+use super::poll_pacer::{MAX_RATE, PollPacer};
+use super::request::PollError;
+use super::watch::{INITIAL_BACKOFF, MAX_BACKOFF, watch_backoff};
+use crate::forwarder::discovery_client::CallError;
+use crate::interface::Settings;
+use hyper::StatusCode;
+use std::time::Duration;
 
-fn polls(seed: u64) -> Polls {
+fn pacer(seed: u64) -> PollPacer {
     let settings =
         Settings { poll_discovery: true, max_list_age: 10_000_000, sender_count: 100, ..Settings::default() };
-    Polls::new(&settings, seed).expect("many share one service")
+    PollPacer::for_shared_service(&settings, seed).expect("many share one service")
 }
 
-fn refused() -> PollError {
-    PollError::Status(StatusCode::SERVICE_UNAVAILABLE)
+fn rejection() -> PollError {
+    CallError::Status(StatusCode::SERVICE_UNAVAILABLE).into()
 }
 
 #[test]
-fn only_where_many_ask_one_service_the_whole_list_is_polled() {
+fn the_list_is_polled_only_where_many_senders_share_one_service() {
     let settings =
         Settings { poll_discovery: true, max_list_age: 10_000_000, sender_count: 5, ..Settings::default() };
-    assert!(Polls::new(&settings, 3).is_some());
+    assert!(PollPacer::for_shared_service(&settings, 3).is_some());
     for few in [
         Settings { sender_count: 4, ..settings.clone() },
         Settings { poll_discovery: false, ..settings.clone() },
         Settings { max_list_age: 0, ..settings },
     ] {
-        assert!(Polls::new(&few, 3).is_none());
+        assert!(PollPacer::for_shared_service(&few, 3).is_none());
     }
 }
 
 #[test]
-fn polls_that_fail_thin_out_and_fall_apart() {
-    let mut all = [polls(0x8c1f_30d2_7a5b_e964), polls(0x51d2_0c7e_93ab_4f06)];
-    let [one, other] = all.each_mut().map(|polls| -> Vec<Duration> {
-        [polls.first()].into_iter().chain((0..12).map(|_| polls.failed(&refused()))).collect()
+fn polls_that_fail_become_rarer_and_fall_out_of_step() {
+    let mut pacers = [pacer(0x8c1f_30d2_7a5b_e964), pacer(0x51d2_0c7e_93ab_4f06)];
+    let [one, other] = pacers.each_mut().map(|pacer| -> Vec<Duration> {
+        [pacer.first_delay()]
+            .into_iter()
+            .chain((0..12).map(|_| pacer.delay_after_failure(&rejection())))
+            .collect()
     });
     assert!(one.iter().zip(&other).all(|(a, b)| a != b), "{one:?} {other:?}");
-    for all in [one, other] {
-        assert!(all[0] <= Duration::from_secs(5), "{all:?}");
-        // A refusal binds for four times the time for asking, and no longer.
-        assert!(all[3..].iter().all(|pause| (10..=30).contains(&pause.as_secs())), "{all:?}");
+    for delays in [one, other] {
+        assert!(delays[0] <= Duration::from_secs(5), "{delays:?}");
+        // A rejection binds for four times the maximum age of the list, and no longer.
+        assert!(delays[3..].iter().all(|delay| (10..=30).contains(&delay.as_secs())), "{delays:?}");
     }
 }
 
 #[test]
-fn polls_find_their_pace_and_come_in_time_after_each_answer() {
-    let mut polls = polls(3);
-    let within = Duration::from_secs(10);
+fn the_poll_rate_rises_slowly_halves_after_a_rejection_and_stays_within_the_list_age() {
+    let mut pacer = pacer(3);
+    let max_list_age = Duration::from_secs(10);
     for _ in 0..4 {
-        polls.failed(&refused());
+        pacer.delay_after_failure(&rejection());
     }
-    let backoff: Vec<Duration> = (0..100).map(|_| polls.answered()).collect();
-    assert!(backoff.iter().all(|pause| *pause < within), "{backoff:?}");
-    assert!(backoff[90..].iter().all(|pause| *pause <= within / 3), "{backoff:?}");
-    // One refusal halves the pace, one answer does not bring it back.
-    polls.failed(&refused());
-    polls.answered();
-    assert!(polls.rate < RATE_MOST * 0.6);
-    // Without any answer, what it would have brought counts as told soon.
-    assert!((0..20).all(|_| polls.failed(&PollError::Silent) <= within / 5));
+    let delays: Vec<Duration> = (0..100).map(|_| pacer.delay_after_list()).collect();
+    assert!(delays.iter().all(|delay| *delay < max_list_age), "{delays:?}");
+    assert!(delays[90..].iter().all(|delay| *delay <= max_list_age / 3), "{delays:?}");
+    // One rejection halves the rate, one list does not bring it back.
+    pacer.delay_after_failure(&rejection());
+    pacer.delay_after_list();
+    assert!(pacer.rate() < MAX_RATE * 0.6);
+    // After a call without a response the next one follows soon: the sender is held to know what it would
+    // have brought.
+    let no_response = CallError::Timeout.into();
+    assert!((0..20).all(|_| pacer.delay_after_failure(&no_response) <= max_list_age / 5));
 }
 
 #[test]
-fn watches_that_fail_are_soon_tried_again() {
-    let mut backoff = Backoff::new(3);
-    let all: Vec<Duration> = (0..9).map(|_| backoff.next()).collect();
-    assert!(all.iter().all(|pause| *pause <= BACKOFF.1 * 3 / 2) && all[8] >= BACKOFF.1 / 2, "{all:?}");
-    backoff.end();
-    assert!(backoff.next() <= BACKOFF.0 * 3 / 2);
+fn failed_watches_are_retried_soon() {
+    let mut backoff = watch_backoff(3);
+    let delays: Vec<Duration> = (0..9).map(|_| backoff.next_delay()).collect();
+    assert!(
+        delays.iter().all(|delay| *delay <= MAX_BACKOFF * 3 / 2) && delays[8] >= MAX_BACKOFF / 2,
+        "{delays:?}"
+    );
+    backoff.reset();
+    assert!(backoff.next_delay() <= INITIAL_BACKOFF * 3 / 2);
 }
--- /dev/null
+++ b/src/forwarder/discovery_client/mod.rs
@@ -0,0 +1,100 @@
+//! Calls to the discovery service, shared by [`super::discovery`] and [`super::notices`]: one call at a time
+//! on a connection that is kept open between calls.
+
+mod backoff;
+
+pub(crate) use backoff::Backoff;
+
+use crate::forwarder::http::{self, Connection};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Why a call to the discovery service failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CallError {
+    /// No connection was established.
+    #[error("no connection: {0}")]
+    Connect(#[from] io::Error),
+    /// The response did not arrive within the time limit.
+    #[error("no response in time")]
+    Timeout,
+    /// The connection broke, or the response is not valid HTTP.
+    #[error("the connection broke")]
+    Interrupted,
+    /// The response has a status other than the one that means success.
+    #[error("response status {0}")]
+    Status(StatusCode),
+}
+
+/// A client of the discovery service with at most one connection.
+pub(crate) struct DiscoveryClient {
+    connection: Option<Connection>,
+    connect_timeout: Duration,
+}
+
+impl DiscoveryClient {
+    /// Creates a client that is not connected yet.
+    pub(crate) fn new(connect_timeout: Duration) -> Self {
+        DiscoveryClient { connection: None, connect_timeout }
+    }
+
+    /// Closes the connection. The next call opens another one.
+    pub(crate) fn disconnect(&mut self) {
+        self.connection = None;
+    }
+
+    /// Closes the connection if it received bytes that belong to no call.
+    pub(crate) async fn disconnect_if_stale(&mut self) {
+        if let Some(connection) = &self.connection
+            && !connection.is_reusable().await
+        {
+            self.disconnect();
+        }
+    }
+
+    /// Sends a request to `address` and passes the head of the response to `read_response`.
+    ///
+    /// The connection of the last call is used if it is still open, whatever address it leads to: a caller
+    /// whose address changes has to [`disconnect`](Self::disconnect). `time_limit` covers the request and the
+    /// reading of the response, but not the opening of a connection, which has a timeout of its own.
+    pub(crate) async fn call<T>(
+        &mut self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        time_limit: Duration,
+        read_response: impl AsyncFnOnce(Response<Incoming>) -> Result<T, CallError>,
+    ) -> Result<T, CallError> {
+        http::set_host(&mut request, address);
+        let connection = self.open_connection(address).await?;
+        let exchange = async {
+            let response = connection.send(request).await.map_err(|_| CallError::Interrupted)?;
+            read_response(response).await
+        };
+        timeout(time_limit, exchange).await.map_err(|_| CallError::Timeout)?
+    }
+
+    async fn open_connection(&mut self, address: SocketAddr) -> Result<&mut Connection, CallError> {
+        let connection = match self.connection.take() {
+            Some(connection) if connection.is_open() => connection,
+            _ => Connection::open(address, self.connect_timeout).await?,
+        };
+        Ok(self.connection.insert(connection))
+    }
+}
+
+/// Waits until the address differs from the one that `address` has marked as seen, without marking the new
+/// one.
+///
+/// Returns an error if the address can change no more.
+pub(crate) async fn address_changed(
+    address: &watch::Receiver<SocketAddr>,
+) -> Result<(), watch::error::RecvError> {
+    address.clone().changed().await
+}
--- a/src/forwarder/messages/admin_command.rs
+++ b/src/forwarder/messages/admin_command.rs
@@ -1,13 +1,14 @@
-//! Commands of operators.
+//! Commands of operators, and the replies to them.
 
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use tokio::sync::oneshot;
 
-/// A command of an operator. It is passed between processes during an upgrade: the serialized names stay as they
-/// are.
+/// A command of an operator. It is passed between processes during an upgrade: the serialized names stay as
+/// they are.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum AdminCommand {
-    /// Whether this process is ready to serve.
+    /// Report whether this process is ready to serve.
     Ready,
     /// Send no new call to the endpoint with this id.
     Disable(String),
@@ -19,9 +20,6 @@
     Resume,
 }
 
-/// The reply: what was done, or why it was not.
-pub(crate) type AdminReply = Result<String, String>;
-
 /// A command, and where its reply goes.
 pub(crate) struct AdminRequest {
     /// What is to be done.
@@ -30,6 +28,145 @@
     pub(crate) reply: oneshot::Sender<AdminReply>,
 }
 
+/// The reply to a command: what was done, or why it was not.
+pub(crate) type AdminReply = Result<AdminSuccess, AdminError>;
+
+/// What a command has done. It is passed between processes during an upgrade as its text, which is also what
+/// operators read: the texts stay as they are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub(crate) enum AdminSuccess {
+    /// This process is ready to serve.
+    Ready,
+    /// Clients are sent away.
+    Draining,
+    /// Clients are invited again.
+    AcceptingClients,
+    /// No new call is sent to the endpoint with this id.
+    EndpointDisabled(String),
+    /// Calls are sent to it again.
+    EndpointEnabled(String),
+    /// A text of another process that this version does not know.
+    Other(String),
+}
+
+const DISABLED_SUFFIX: &str = " left out";
+const ENABLED_SUFFIX: &str = " put back";
+
+impl fmt::Display for AdminSuccess {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AdminSuccess::Ready => formatter.write_str("ready"),
+            AdminSuccess::Draining => formatter.write_str("draining"),
+            AdminSuccess::AcceptingClients => formatter.write_str("taking clients"),
+            AdminSuccess::EndpointDisabled(id) => write!(formatter, "{id}{DISABLED_SUFFIX}"),
+            AdminSuccess::EndpointEnabled(id) => write!(formatter, "{id}{ENABLED_SUFFIX}"),
+            AdminSuccess::Other(text) => formatter.write_str(text),
+        }
+    }
+}
+
+impl From<String> for AdminSuccess {
+    fn from(text: String) -> Self {
+        match text.as_str() {
+            "ready" => AdminSuccess::Ready,
+            "draining" => AdminSuccess::Draining,
+            "taking clients" => AdminSuccess::AcceptingClients,
+            other => {
+                if let Some(id) = other.strip_suffix(DISABLED_SUFFIX) {
+                    AdminSuccess::EndpointDisabled(id.to_owned())
+                } else if let Some(id) = other.strip_suffix(ENABLED_SUFFIX) {
+                    AdminSuccess::EndpointEnabled(id.to_owned())
+                } else {
+                    AdminSuccess::Other(text)
+                }
+            }
+        }
+    }
+}
+
+impl From<&str> for AdminSuccess {
+    fn from(text: &str) -> Self {
+        text.to_owned().into()
+    }
+}
+
+impl From<AdminSuccess> for String {
+    fn from(success: AdminSuccess) -> Self {
+        success.to_string()
+    }
+}
+
+/// Why a command was not carried out. It is passed between processes during an upgrade as its text, which is
+/// also what operators read: the texts stay as they are.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub(crate) enum AdminError {
+    /// The line is not a command.
+    #[error(transparent)]
+    InvalidCommand(#[from] CommandError),
+    /// The endpoint list has never held the id.
+    #[error("no such endpoint was ever listed")]
+    UnknownEndpoint,
+    /// The process is not ready because operators drain it.
+    #[error("draining")]
+    Draining,
+    /// The process is not ready because it is about to end.
+    #[error("about to end")]
+    Terminating,
+    /// The process is not ready because its predecessor still serves.
+    #[error("not ready: another process still serves")]
+    NotReady,
+    /// A successor has taken over, and the command was not passed on to it.
+    #[error("a new version has taken over")]
+    TakenOver,
+    /// The successor ended before it replied.
+    #[error("the new version has gone")]
+    SuccessorGone,
+    /// The runtime did not reply in time. The command may still be carried out.
+    #[error("no answer in time")]
+    NoReply,
+    /// The journal has no capacity for the ban.
+    #[error("the journal is full")]
+    JournalFull,
+    /// The ban cannot be written to the journal, for this reason.
+    #[error("the journal cannot be written: {0}")]
+    JournalWrite(String),
+    /// A text of another process that this version does not know.
+    #[error("{0}")]
+    Other(String),
+}
+
+impl From<String> for AdminError {
+    fn from(text: String) -> Self {
+        [
+            AdminError::UnknownEndpoint,
+            AdminError::Draining,
+            AdminError::Terminating,
+            AdminError::NotReady,
+            AdminError::TakenOver,
+            AdminError::SuccessorGone,
+            AdminError::NoReply,
+            AdminError::JournalFull,
+        ]
+        .into_iter()
+        .find(|error| error.to_string() == text)
+        .unwrap_or(AdminError::Other(text))
+    }
+}
+
+impl From<&str> for AdminError {
+    fn from(text: &str) -> Self {
+        text.to_owned().into()
+    }
+}
+
+impl From<AdminError> for String {
+    fn from(error: AdminError) -> Self {
+        error.to_string()
+    }
+}
+
 /// Why a line is not a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum CommandError {
@@ -48,7 +185,7 @@
     /// It is longer than any command.
     #[error("line too long")]
     TooLong,
-    /// The connection ended or the time was up before the line was complete.
+    /// The connection ended, or the time for reading passed, before the line was complete.
     #[error("no whole line")]
     Unfinished,
     /// It is not UTF-8.
@@ -84,3 +221,6 @@
 fn without_argument(command: AdminCommand, arguments: &[&str]) -> Result<AdminCommand, CommandError> {
     if arguments.is_empty() { Ok(command) } else { Err(CommandError::TakesNothing) }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/forwarder/messages/call_report.rs
+++ b/src/forwarder/messages/call_report.rs
@@ -13,13 +13,13 @@
     pub(crate) attempt: usize,
     /// How it ended.
     pub(crate) outcome: Outcome,
-    /// The message needs no further attempt and no further answer.
+    /// The message is complete: it needs no further attempt and no final reply.
     pub(crate) finished: bool,
-    /// What the endpoint reported about its rate limit.
+    /// What the endpoint reported about its rate limit, if it did.
     pub(crate) report: Option<LoadReport>,
     /// A wait that the endpoint asked for, whatever the outcome.
     pub(crate) retry_after: Option<Micros>,
-    /// Nothing of it was written.
+    /// Nothing of it was written: it does not count towards the maximum of attempts.
     pub(crate) unsent: bool,
 }
 
@@ -27,7 +27,7 @@
 pub(crate) struct CallReport {
     /// The endpoint that was called.
     pub(crate) endpoint: EndpointId,
-    /// The address that was called. The endpoint may have moved since.
+    /// The address that was called. The endpoint may have another address by now.
     pub(crate) address: SocketAddr,
     /// The attempts that ended with the call.
     pub(crate) results: Vec<AttemptResult>,
@@ -44,11 +44,11 @@
     pub(crate) opened: usize,
     /// Why a connection could not be established.
     pub(crate) failed: Option<io::ErrorKind>,
-    /// How the reused connection fared, if the call was written to one.
+    /// What became of the reused connection, if the call was written to one.
     pub(crate) reuse: Option<IdleReuse>,
 }
 
-/// How an idle connection fared when it was used again.
+/// What became of an idle connection that was reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum IdleReuse {
     /// It brought a response.
--- a/src/forwarder/messages/client_request.rs
+++ b/src/forwarder/messages/client_request.rs
@@ -17,9 +17,9 @@
     pub(crate) destination: u64,
     /// The idempotency key.
     pub(crate) key: Option<String>,
-    /// The payload, passed to the endpoint as it is.
+    /// The payload, passed to the endpoint unchanged.
     pub(crate) body: Bytes,
-    /// The client stops waiting at this time.
+    /// The client stops waiting at this time, and the message expires.
     pub(crate) deadline: Instant,
     /// Where the reply goes. Closed once the client has disconnected.
     pub(crate) reply: oneshot::Sender<ClientReply>,
@@ -29,13 +29,14 @@
 /// are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ClientReply {
-    /// The message is stored in the journal and will be delivered, or its end notified.
+    /// The message is stored in the journal. It will be delivered, or a notice will be sent.
     Accepted,
     /// The message was delivered.
     Delivered,
-    /// The message was not delivered, and submitting it again does no harm; after this time, if one is given.
+    /// The message was not delivered, and submitting it again does no harm. If a time is given, the client
+    /// should wait that long.
     #[serde(rename = "Refused")]
     Rejected(Option<Duration>),
-    /// The message was given up; it may have been executed.
+    /// The message failed; it may have been executed.
     Failed,
 }
--- a/src/forwarder/messages/endpoint_list.rs
+++ b/src/forwarder/messages/endpoint_list.rs
@@ -10,7 +10,7 @@
 pub(crate) struct EndpointList {
     /// The revision of the list.
     pub(crate) revision: u64,
-    /// The list is complete: endpoints that it lacks are gone. Otherwise it holds changed records only.
+    /// The list is complete: endpoints that it lacks are removed. Otherwise it holds changed records only.
     pub(crate) complete: bool,
     /// The records that could be parsed.
     pub(crate) endpoints: Vec<EndpointRecord>,
@@ -43,8 +43,8 @@
     }
 }
 
-/// One record of the endpoint list. It is passed between processes during an upgrade: the serialized names stay
-/// as they are.
+/// One record of the endpoint list. It is passed between processes during an upgrade: the serialized names
+/// stay as they are.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct EndpointRecord {
     /// The id that discovery gave to the endpoint.
@@ -80,7 +80,7 @@
     InService,
     /// It is draining: no new call may be sent to it.
     Terminating,
-    /// It is gone.
+    /// It was removed.
     Terminated,
     /// A state that this version does not know; treated as draining.
     #[serde(other)]
--- a/src/forwarder/messages/notice.rs
+++ b/src/forwarder/messages/notice.rs
@@ -2,18 +2,18 @@
 
 use serde::{Deserialize, Serialize};
 
-/// How an accepted message ended that was not delivered. It is stored in the journal and sent to the platform:
-/// the serialized names stay as they are.
+/// How an accepted message ended that was not delivered. It is stored in the journal and sent to the
+/// platform: the serialized names stay as they are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "outcome")]
 pub(crate) enum NoticeOutcome {
-    /// Given up; it may have been executed.
+    /// It failed; it may have been executed.
     #[serde(rename = "given_up")]
     Failed,
-    /// Not executed; submitting it again does no harm.
+    /// It was rejected without execution; submitting it again does no harm.
     #[serde(rename = "handed_back")]
     Rejected {
-        /// When the client should submit it again, in milliseconds from now.
+        /// How long the client should wait before it submits the message again, in milliseconds.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         retry_in_ms: Option<u64>,
     },
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod descriptor_budget;
 mod discovery;
+mod discovery_client;
 mod endpoint_client;
 mod event;
 mod http;
@@ -27,6 +28,7 @@
 use background_tasks::BackgroundTasks;
 use descriptor_budget::DescriptorBudget;
 use event::RuntimeEvent;
+use messages::admin_command::AdminError;
 use messages::notice::Notice;
 use runtime::{Runtime, RuntimeChannels};
 use server::{ConnectionCounts, LifecyclePhase, RequestHandler};
@@ -150,7 +152,7 @@
     while let Some(event) = event_queue.recv().await {
         if let RuntimeEvent::AdminRequest(request) = event {
             // An operator who has disconnected needs no reply.
-            let _ = request.reply.send(Err("not ready: another process still serves".to_owned()));
+            let _ = request.reply.send(Err(AdminError::NotReady));
         }
     }
     std::future::pending().await
--- a/src/forwarder/notices/mod.rs
+++ b/src/forwarder/notices/mod.rs
@@ -1,82 +1,92 @@
-//! Tells the platform how messages ended that were taken on and not delivered: a batch at a time, each until it
-//! is acknowledged. A notice that comes twice does no harm; one that never comes loses its message.
+//! Sends notices to the platform: how accepted messages ended that were not delivered.
+//!
+//! Notices are sent in batches, and each batch is retried until the platform acknowledges it. A notice that
+//! arrives twice does no harm; without its notice, a message would be lost.
 
+use crate::forwarder::discovery_client::{Backoff, CallError, DiscoveryClient, address_changed};
 use crate::forwarder::event::RuntimeEvent;
-use crate::forwarder::http::{self, Connection};
 use crate::forwarder::messages::notice::Notice;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::{Method, Request, Response, Uri};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-/// The answer comes at once, even while discovery is down: a later one is taken for lost. Both are short, since
-/// a notice is overdue soon after its message's time is up.
-const ANSWER: Duration = Duration::from_millis(250);
-const CONNECT: Duration = Duration::from_millis(250);
-/// A failed call is followed by the next after the first of these, doubled up to the second.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(200));
+/// Timeout of a call. The platform acknowledges at once, even while discovery is down. This and the connect
+/// timeout are short because a notice is overdue soon after the deadline of its message.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of connecting to the platform.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Delay after the first failed attempt to send a batch.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(20);
+/// Longest delay after failed attempts.
+const MAX_BACKOFF: Duration = Duration::from_millis(200);
 
-#[derive(Debug, thiserror::Error)]
-enum NoticeError {
-    #[error("no connection: {0}")]
-    Connect(#[from] std::io::Error),
-    #[error("no answer")]
-    Silent,
-    #[error("the connection broke")]
-    RequestError,
-    #[error("answered {0}")]
-    Status(StatusCode),
-}
-
-/// Sends each batch until it is acknowledged, and then tells the node. A new address breaks off the call at
-/// the old one: the batch goes there at once.
+/// Sends each batch until it is acknowledged, and reports that to the runtime, until the runtime closes
+/// `batches` or stops to receive events.
+///
+/// The runtime holds the other ends of both bounded channels. It queues notices while a batch is being sent,
+/// so that
+/// `batches` needs a capacity of one only.
 pub(crate) async fn send_all(
-    mut at: watch::Receiver<SocketAddr>,
+    address: watch::Receiver<SocketAddr>,
     mut batches: Receiver<Vec<Notice>>,
-    node: Sender<RuntimeEvent>,
+    events: Sender<RuntimeEvent>,
 ) {
-    let mut connection = None;
+    let mut sender = NoticeSender { address, client: DiscoveryClient::new(CONNECT_TIMEOUT) };
     while let Some(batch) = batches.recv().await {
-        let text = lines(&batch);
-        let mut pause = BACKOFF.0;
+        sender.send_until_acknowledged(&batch).await;
+        if events.send(RuntimeEvent::NoticesAcknowledged(batch)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The connection to the platform.
+struct NoticeSender {
+    address: watch::Receiver<SocketAddr>,
+    client: DiscoveryClient,
+}
+
+impl NoticeSender {
+    async fn send_until_acknowledged(&mut self, batch: &[Notice]) {
+        let body = encode(batch);
+        let mut backoff = Backoff::new(INITIAL_BACKOFF, MAX_BACKOFF);
         loop {
-            if at.has_changed().unwrap_or(false) {
-                connection = None;
-            }
-            let to = *at.borrow_and_update();
-            let told = tokio::select! {
+            let address = self.follow_address();
+            // A call to an earlier address is cancelled: the batch is sent to the new one at once.
+            let result = tokio::select! {
                 biased;
-                told = call(to, text.clone(), &mut connection) => told,
-                Ok(()) = wait_for_change(&at) => continue,
+                result = post(&mut self.client, address, body.clone()) => result,
+                Ok(()) = address_changed(&self.address) => continue,
             };
-            let Err(e) = told else { break };
-            eprintln!("notices: {e}; {} to send again", batch.len());
-            connection = None;
-            // A new address is tried at once.
+            let Err(error) = result else { return };
+            eprintln!("notices: {error}; {} to retry", batch.len());
+            self.client.disconnect();
             tokio::select! {
-                () = sleep(pause) => pause = (pause * 2).min(BACKOFF.1),
-                Ok(()) = wait_for_change(&at) => pause = BACKOFF.0,
+                () = sleep(backoff.next_delay()) => {}
+                // A new address is called at once.
+                Ok(()) = address_changed(&self.address) => backoff.reset(),
             }
         }
-        if node.send(RuntimeEvent::NoticesAcknowledged(batch)).await.is_err() {
-            return;
-        }
     }
-}
 
-/// Ends when the address is another one, which stays unseen.
-async fn wait_for_change(at: &watch::Receiver<SocketAddr>) -> Result<(), watch::error::RecvError> {
-    let mut at = at.clone();
-    at.changed().await
+    /// Returns the current address, and closes a connection that was opened before it was set.
+    fn follow_address(&mut self) -> SocketAddr {
+        if self.address.has_changed().unwrap_or(false) {
+            self.client.disconnect();
+        }
+        *self.address.borrow_and_update()
+    }
 }
 
-/// One JSON object a line.
-fn lines(batch: &[Notice]) -> Bytes {
+/// Encodes a batch as one JSON object a line.
+fn encode(batch: &[Notice]) -> Bytes {
     let mut text = Vec::new();
     for notice in batch {
         serde_json::to_writer(&mut text, notice)
@@ -86,24 +96,19 @@
     text.into()
 }
 
-async fn call(at: SocketAddr, text: Bytes, connection: &mut Option<Connection>) -> Result<(), NoticeError> {
-    let clean = match connection {
-        Some(open) => open.is_reusable().await,
-        None => false,
-    };
-    if !clean {
-        *connection = Some(Connection::open(at, CONNECT).await?);
-    }
-    let open = connection.as_mut().ok_or(NoticeError::RequestError)?;
-    let mut request = Request::new(Full::new(text));
+async fn post(client: &mut DiscoveryClient, address: SocketAddr, body: Bytes) -> Result<(), CallError> {
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static("/v1/notices");
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/x-ndjson"));
-    http::set_host(&mut request, at);
-    let answer = timeout(ANSWER, open.send(request)).await.map_err(|_| NoticeError::Silent)?;
-    match answer.map_err(|_| NoticeError::RequestError)?.status() {
+    client.disconnect_if_stale().await;
+    client.call(address, request, RESPONSE_TIMEOUT, check_acknowledged).await
+}
+
+async fn check_acknowledged(response: Response<Incoming>) -> Result<(), CallError> {
+    match response.status() {
         status if status.is_success() => Ok(()),
-        status => Err(NoticeError::Status(status)),
+        status => Err(CallError::Status(status)),
     }
 }
 
--- a/src/forwarder/notices/tests.rs
+++ b/src/forwarder/notices/tests.rs
@@ -4,11 +4,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 /// Longer than anything that a test waits for should take.
 const SOON: Duration = Duration::from_secs(10);
 
-/// The platform's side: what it says to a request is the test's.
+/// The platform's side: the test responds to each request.
 struct Platform(TcpListener);
 
 impl Platform {
@@ -28,7 +29,7 @@
 }
 
 /// Reads one request; its first line and its body.
-async fn request(stream: &mut TcpStream) -> io::Result<(String, String)> {
+async fn read_request(stream: &mut TcpStream) -> io::Result<(String, String)> {
     let mut text = String::new();
     loop {
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
@@ -45,28 +46,28 @@
     }
 }
 
-async fn answer(stream: &mut TcpStream, status: &str) {
+async fn respond(stream: &mut TcpStream, status: &str) {
     let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
     stream.write_all(text.as_bytes()).await.expect("it is read");
 }
 
-struct World {
-    told: watch::Sender<SocketAddr>,
+struct Fixture {
+    address: watch::Sender<SocketAddr>,
     batches: Sender<Vec<Notice>>,
-    node: Receiver<RuntimeEvent>,
+    events: Receiver<RuntimeEvent>,
 }
 
-fn start(at: SocketAddr) -> World {
-    let (told, at) = watch::channel(at);
-    let (batches, received) = mpsc::channel(1);
-    let (inputs, node) = mpsc::channel(16);
-    tokio::spawn(send_all(at, received, inputs));
-    World { told, batches, node }
+fn start(at: SocketAddr) -> Fixture {
+    let (address, address_receiver) = watch::channel(at);
+    let (batches, batch_receiver) = mpsc::channel(1);
+    let (event_sender, events) = mpsc::channel(16);
+    tokio::spawn(send_all(address_receiver, batch_receiver, event_sender));
+    Fixture { address, batches, events }
 }
 
-impl World {
+impl Fixture {
     async fn acknowledged(&mut self) -> Vec<Notice> {
-        match timeout(SOON, self.node.recv()).await.expect("the node hears") {
+        match timeout(SOON, self.events.recv()).await.expect("an event comes") {
             Some(RuntimeEvent::NoticesAcknowledged(batch)) => batch,
             _ => panic!("only acknowledgements come from here"),
         }
@@ -80,20 +81,20 @@
 #[tokio::test]
 async fn a_batch_is_one_request_with_an_object_a_line_and_is_acknowledged_by_204() {
     let (platform, at) = Platform::start().await;
-    let mut w = start(at);
-    let ends = [
+    let mut fixture = start(at);
+    let outcomes = [
         NoticeOutcome::Failed,
         NoticeOutcome::Rejected { retry_in_ms: Some(500) },
         NoticeOutcome::Rejected { retry_in_ms: None },
     ];
     let sent: Vec<Notice> = ["a", "b\"", "c"]
         .iter()
-        .zip(ends)
-        .map(|(name, end)| Notice { message: (*name).to_owned(), outcome: end })
+        .zip(outcomes)
+        .map(|(name, outcome)| Notice { message: (*name).to_owned(), outcome })
         .collect();
-    w.batches.send(sent.clone()).await.expect("it is taken");
+    fixture.batches.send(sent.clone()).await.expect("it is taken");
     let mut stream = platform.accept().await;
-    let (line, body) = request(&mut stream).await.expect("a request");
+    let (line, body) = read_request(&mut stream).await.expect("a request");
     assert_eq!(line, "POST /v1/notices HTTP/1.1");
     assert_eq!(
         body,
@@ -101,84 +102,84 @@
          {\"message\":\"b\\\"\",\"outcome\":\"handed_back\",\"retry_in_ms\":500}\n\
          {\"message\":\"c\",\"outcome\":\"handed_back\"}\n"
     );
-    assert!(w.node.try_recv().is_err(), "nothing is acknowledged before the answer");
-    answer(&mut stream, "204 No Content").await;
-    assert_eq!(w.acknowledged().await, sent);
+    assert!(fixture.events.try_recv().is_err(), "nothing is acknowledged before the response");
+    respond(&mut stream, "204 No Content").await;
+    assert_eq!(fixture.acknowledged().await, sent);
     // The next batch travels on the same connection.
-    w.batches.send(batch(&["d"])).await.expect("it is taken");
-    request(&mut stream).await.expect("a second request");
-    answer(&mut stream, "204 No Content").await;
-    assert_eq!(w.acknowledged().await, batch(&["d"]));
+    fixture.batches.send(batch(&["d"])).await.expect("it is taken");
+    read_request(&mut stream).await.expect("a second request");
+    respond(&mut stream, "204 No Content").await;
+    assert_eq!(fixture.acknowledged().await, batch(&["d"]));
 }
 
 #[tokio::test]
 async fn a_batch_is_sent_until_it_is_acknowledged() {
     let (platform, at) = Platform::start().await;
-    let mut w = start(at);
-    w.batches.send(batch(&["a", "b"])).await.expect("it is taken");
+    let mut fixture = start(at);
+    fixture.batches.send(batch(&["a", "b"])).await.expect("it is taken");
     let mut bodies = Vec::new();
     for fault in ["500 Error", "", "HTTP/1.1", "silence"] {
         let mut stream = platform.accept().await;
-        bodies.push(request(&mut stream).await.expect("a request").1);
+        bodies.push(read_request(&mut stream).await.expect("a request").1);
         match fault {
             "" => drop(stream),
-            // Left open without a word: the next try comes by itself.
+            // Left open without a response: the call times out and is retried.
             "silence" => {
-                let mut end = Vec::new();
-                let _ = timeout(SOON, stream.read_to_end(&mut end)).await.expect("it is given up");
+                let mut rest = Vec::new();
+                let _ = timeout(SOON, stream.read_to_end(&mut rest)).await.expect("the connection is closed");
             }
-            text => answer(&mut stream, text).await,
+            text => respond(&mut stream, text).await,
         }
-        assert!(w.node.try_recv().is_err(), "{fault:?} acknowledges nothing");
+        assert!(fixture.events.try_recv().is_err(), "{fault:?} acknowledges nothing");
     }
     let mut stream = platform.accept().await;
-    bodies.push(request(&mut stream).await.expect("a request").1);
-    answer(&mut stream, "204 No Content").await;
-    assert_eq!(w.acknowledged().await, batch(&["a", "b"]));
+    bodies.push(read_request(&mut stream).await.expect("a request").1);
+    respond(&mut stream, "204 No Content").await;
+    assert_eq!(fixture.acknowledged().await, batch(&["a", "b"]));
     bodies.dedup();
     assert_eq!(bodies.len(), 1);
 }
 
 #[tokio::test]
-async fn while_nobody_listens_it_tries_again_until_somebody_does() {
+async fn a_batch_is_retried_while_the_platform_refuses_connections() {
     // An address of its own: nobody else takes the port in between.
     let (platform, at) = Platform::start_on("127.77.0.1:0").await;
     drop(platform);
-    let mut w = start(at);
-    w.batches.send(batch(&["a"])).await.expect("it is taken");
+    let mut fixture = start(at);
+    fixture.batches.send(batch(&["a"])).await.expect("it is taken");
     // The next batch waits its turn.
-    w.batches.send(batch(&["b"])).await.expect("there is room for one");
-    assert!(w.batches.try_send(batch(&["c"])).is_err());
+    fixture.batches.send(batch(&["b"])).await.expect("there is room for one");
+    assert!(fixture.batches.try_send(batch(&["c"])).is_err());
     let platform = Platform(TcpListener::bind(at).await.expect("the port is still free"));
     let mut stream = platform.accept().await;
     for name in ["a", "b"] {
-        assert!(request(&mut stream).await.expect("a request").1.contains(&format!("\"{name}\"")));
-        answer(&mut stream, "204 No Content").await;
-        assert_eq!(w.acknowledged().await, batch(&[name]));
+        assert!(read_request(&mut stream).await.expect("a request").1.contains(&format!("\"{name}\"")));
+        respond(&mut stream, "204 No Content").await;
+        assert_eq!(fixture.acknowledged().await, batch(&[name]));
     }
 }
 
 #[tokio::test]
-async fn a_new_address_gets_the_batch_that_the_old_one_left_and_all_that_follow() {
+async fn a_new_address_receives_the_unacknowledged_batch_and_all_later_ones() {
     let ((old, from), (new, to)) = (Platform::start().await, Platform::start().await);
-    let mut w = start(from);
-    w.batches.send(batch(&["a"])).await.expect("it is taken");
+    let mut fixture = start(from);
+    fixture.batches.send(batch(&["a"])).await.expect("it is taken");
     let mut stream = old.accept().await;
-    let first = request(&mut stream).await.expect("a request").1;
-    w.told.send_replace(to);
+    let first = read_request(&mut stream).await.expect("a request").1;
+    fixture.address.send_replace(to);
     let mut stream = new.accept().await;
-    assert_eq!(request(&mut stream).await.expect("a request").1, first);
-    answer(&mut stream, "204 No Content").await;
-    assert_eq!(w.acknowledged().await, batch(&["a"]));
-    w.batches.send(batch(&["b"])).await.expect("it is taken");
-    assert!(request(&mut stream).await.expect("a request").1.contains("\"b\""));
-    answer(&mut stream, "204 No Content").await;
-    assert_eq!(w.acknowledged().await, batch(&["b"]));
-    // Told between two batches, too: the connection to the old address is not used again.
-    w.told.send_replace(from);
-    w.batches.send(batch(&["c"])).await.expect("it is taken");
+    assert_eq!(read_request(&mut stream).await.expect("a request").1, first);
+    respond(&mut stream, "204 No Content").await;
+    assert_eq!(fixture.acknowledged().await, batch(&["a"]));
+    fixture.batches.send(batch(&["b"])).await.expect("it is taken");
+    assert!(read_request(&mut stream).await.expect("a request").1.contains("\"b\""));
+    respond(&mut stream, "204 No Content").await;
+    assert_eq!(fixture.acknowledged().await, batch(&["b"]));
+    // Changed between two batches, too: the connection to the old address is not used again.
+    fixture.address.send_replace(from);
+    fixture.batches.send(batch(&["c"])).await.expect("it is taken");
     let mut stream = old.accept().await;
-    assert!(request(&mut stream).await.expect("a request").1.contains("\"c\""));
-    answer(&mut stream, "204 No Content").await;
-    assert_eq!(w.acknowledged().await, batch(&["c"]));
+    assert!(read_request(&mut stream).await.expect("a request").1.contains("\"c\""));
+    respond(&mut stream, "204 No Content").await;
+    assert_eq!(fixture.acknowledged().await, batch(&["c"]));
 }
--- a/src/forwarder/runtime/admin.rs
+++ b/src/forwarder/runtime/admin.rs
@@ -2,10 +2,13 @@
 
 use super::Runtime;
 use crate::forwarder::clock::unix_now;
-use crate::forwarder::journal::Record;
-use crate::forwarder::messages::admin_command::{AdminCommand, AdminReply, AdminRequest};
+use crate::forwarder::journal::{JournalError, Record};
+use crate::forwarder::messages::admin_command::{
+    AdminCommand, AdminError, AdminReply, AdminRequest, AdminSuccess,
+};
 use crate::forwarder::server::LifecyclePhase;
 use crate::interface::{Event, Micros};
+use std::error::Error;
 
 impl Runtime {
     /// Carries out a request. One whose operator has stopped waiting is dropped: what is not acknowledged in time
@@ -28,11 +31,11 @@
             AdminCommand::Enable(uid) => self.set_banned(now, uid, false),
             AdminCommand::Drain => {
                 self.decisions.notify(now, Event::Drain);
-                Ok("draining".to_owned())
+                Ok(AdminSuccess::Draining)
             }
             AdminCommand::Resume => {
                 self.decisions.notify(now, Event::Resume);
-                Ok("taking clients".to_owned())
+                Ok(AdminSuccess::AcceptingClients)
             }
         };
         eprintln!("admin: {command:?}: {reply:?}");
@@ -41,10 +44,10 @@
 
     fn readiness(&self) -> AdminReply {
         match self.phase() {
-            LifecyclePhase::Serving => Ok("ready".to_owned()),
-            LifecyclePhase::Draining => Err("draining".to_owned()),
+            LifecyclePhase::Serving => Ok(AdminSuccess::Ready),
+            LifecyclePhase::Draining => Err(AdminError::Draining),
             LifecyclePhase::Closing | LifecyclePhase::HandingOver | LifecyclePhase::Stopped => {
-                Err("about to end".to_owned())
+                Err(AdminError::Terminating)
             }
         }
     }
@@ -54,19 +57,20 @@
     fn set_banned(&mut self, now: Micros, uid: &str, banned: bool) -> AdminReply {
         let is_banned = self.journal.lock().banned_endpoints().contains(uid);
         if !is_banned && !self.endpoints.was_ever_listed(uid) {
-            return Err("no such endpoint was ever listed".to_owned());
+            return Err(AdminError::UnknownEndpoint);
         }
         if banned != is_banned {
             self.commit_ban(uid, banned)?;
         }
         self.apply_ban(now, uid, banned);
-        Ok(format!("{uid} {}", if banned { "left out" } else { "put back" }))
+        let uid = uid.to_owned();
+        Ok(if banned { AdminSuccess::EndpointDisabled(uid) } else { AdminSuccess::EndpointEnabled(uid) })
     }
 
-    fn commit_ban(&self, uid: &str, banned: bool) -> Result<(), String> {
+    fn commit_ban(&self, uid: &str, banned: bool) -> Result<(), AdminError> {
         let uid = uid.to_owned();
         let record = if banned { Record::EndpointBanned(uid) } else { Record::EndpointAllowed(uid) };
-        self.journal.lock().commit(&[record], unix_now()).map_err(|error| error.to_string())
+        self.journal.lock().commit(&[record], unix_now()).map_err(|error| journal_failure(&error))
     }
 
     fn apply_ban(&mut self, now: Micros, uid: &str, banned: bool) {
@@ -77,3 +81,12 @@
         self.stop_using(endpoint);
     }
 }
+
+/// The reply to an operator whose command could not be written to the journal.
+fn journal_failure(error: &JournalError) -> AdminError {
+    match (error, error.source()) {
+        (JournalError::Full, _) => AdminError::JournalFull,
+        (_, Some(source)) => AdminError::JournalWrite(source.to_string()),
+        (_, None) => AdminError::JournalWrite(error.to_string()),
+    }
+}
--- a/src/forwarder/runtime/upgrade/forwarding.rs
+++ b/src/forwarder/runtime/upgrade/forwarding.rs
@@ -3,7 +3,7 @@
 
 use super::successor::Successor;
 use crate::forwarder::event::RuntimeEvent;
-use crate::forwarder::messages::admin_command::{AdminCommand, AdminRequest};
+use crate::forwarder::messages::admin_command::{AdminCommand, AdminError, AdminRequest};
 use crate::forwarder::messages::call_report::{AttemptResult, CallReport};
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::forwarder::runtime::Runtime;
@@ -85,14 +85,14 @@
     /// Replies to a readiness check at once; forwards other commands whose operators still wait.
     fn forward_admin_request(&mut self, AdminRequest { command, reply }: AdminRequest) -> Option<Frame> {
         if command == AdminCommand::Ready {
-            let _ = reply.send(Err("a new version has taken over".to_owned()));
+            let _ = reply.send(Err(AdminError::TakenOver));
             return None;
         }
         if reply.is_closed() {
             return None;
         }
         if self.has_successor_ended() {
-            let _ = reply.send(Err("the new version has gone".to_owned()));
+            let _ = reply.send(Err(AdminError::SuccessorGone));
             return None;
         }
         Some(Frame::AdminCommand(self.pending_replies.add_operator(reply), command))
--- a/src/forwarder/upgrade/format_tests.rs
+++ b/src/forwarder/upgrade/format_tests.rs
@@ -176,8 +176,8 @@
     ];
     frames.extend(client_replies());
     frames.extend(admin_commands());
-    frames.push(Frame::AdminReply(13, Ok("ready".to_owned())));
-    frames.push(Frame::AdminReply(14, Err("no such endpoint".to_owned())));
+    frames.push(Frame::AdminReply(13, Ok("ready".into())));
+    frames.push(Frame::AdminReply(14, Err("no such endpoint".into())));
     frames
 }
 
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -6,30 +6,30 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Start an attempt. Attempts of one turn to one endpoint travel in one call, up to
-    /// [`super::DestinationKind::batch`].
+    /// [`super::DestinationKind::batch`] of them.
     Send {
         /// The message.
         id: MessageId,
         /// The endpoint.
         endpoint: EndpointId,
-        /// Timeout of the attempt; 0 means until the client stops waiting.
+        /// Timeout of the attempt; 0 means that it lasts until [`super::Submission::expires_at`].
         timeout: Micros,
-        /// The call must not be written after this time, should its connection take that long.
+        /// The call must not be written after this time, which matters if its connection is established late.
         send_before: Micros,
     },
-    /// Final answer: the message was not delivered, and submitting it again does no harm.
+    /// Final reply: the message was not delivered, and submitting it again does no harm.
     Reject {
         /// The message.
         id: MessageId,
-        /// How long the client should wait before it retries; 0 if it is not told.
+        /// How long the client should wait before it submits the message again; 0 if no wait is suggested.
         retry_after: Micros,
     },
-    /// Final answer: the message is given up, and it may have been executed.
+    /// Final reply: the message failed, and it may have been executed.
     Fail {
         /// The message.
         id: MessageId,
     },
-    /// Cancel an attempt, which still gets its [`super::AttemptEnded`].
+    /// Cancel an attempt. Its end is still reported by a [`super::AttemptEnded`].
     Cancel {
         /// The message.
         id: MessageId,
@@ -43,12 +43,12 @@
     },
     /// Deliver [`super::Event::Wake`] at this time or soon after it.
     Wake {
-        /// When.
+        /// The time of the wake-up.
         at: Micros,
     },
     /// Subscribe to changes of the endpoint list.
     Subscribe,
-    /// Whether new clients are invited and connections are kept alive. Clients that come while this is false are
-    /// served all the same.
+    /// Whether new clients are invited and connections of clients are kept alive. Clients that connect while
+    /// this is false are still served.
     AcceptClients(bool),
 }
--- a/src/interface/attempt.rs
+++ b/src/interface/attempt.rs
@@ -8,9 +8,9 @@
 pub enum Outcome {
     /// Delivered.
     Delivered,
-    /// Answered with an error; it may have been executed.
+    /// The response reports an error; it may have been executed.
     Error,
-    /// Rejected without execution.
+    /// The response says that it was rejected without execution.
     #[serde(rename = "Full")]
     Rejected {
         /// No further call may be sent for this long, if the destination said so.
@@ -27,13 +27,14 @@
     /// destination, which has responded: the response was damaged on its way.
     #[serde(rename = "Spoilt")]
     InvalidResponse,
-    /// The connection had been idle and broke as soon as the call was written to it; it may have been executed.
-    /// This says nothing about the health of the destination: the connection was already dead.
+    /// The reused connection broke as soon as the call was written to it; it may have been executed. This
+    /// says nothing about the health of the destination: the connection had probably been closed while it was
+    /// idle.
     #[serde(rename = "Dead")]
     StaleConnection,
     /// Cancelled by the sender; it may have been executed.
     Cancelled,
-    /// Never sent by the host, for want of a slot or for another reason of its own.
+    /// Not sent by the host, for example because it had no free slot; it was never executed.
     NotSent,
 }
 
@@ -62,13 +63,13 @@
     pub outcome: Outcome,
     /// Time since it was sent.
     pub elapsed: Micros,
-    /// The message is complete and needs no further answer.
+    /// The message is complete and needs no final reply.
     pub finished: bool,
     /// What the destination reported about its limit.
     pub report: Option<LoadReport>,
     /// Nothing of it was written: it does not count towards [`super::Settings::max_attempts`].
     pub unsent: bool,
-    /// No further call may be sent for this long, where the destination said so beside another outcome than
-    /// [`Outcome::Rejected`], which carries its own.
+    /// No further call may be sent for this long, if the destination said so beside an outcome other than
+    /// [`Outcome::Rejected`], which carries its own wait.
     pub retry_after: Option<Micros>,
 }
--- a/src/interface/backlog.rs
+++ b/src/interface/backlog.rs
@@ -2,7 +2,8 @@
 
 use super::{DestinationId, Micros};
 
-/// What delays the messages of a destination. Of separate routes, the one that is ready first is described.
+/// What delays the messages of a destination. Where its routes are separate, the one that is ready first is
+/// described.
 #[derive(Clone, Copy, Debug)]
 pub struct DestinationBacklog {
     /// The destination.
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -5,7 +5,8 @@
 /// Something that happened at the host.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A message was submitted; it needs exactly one final answer.
+    /// A message was submitted. It needs exactly one final reply: [`super::Action::Reject`],
+    /// [`super::Action::Fail`], or the end of an attempt that completes it.
     Submit(Submission),
     /// An attempt ended.
     AttemptEnded(AttemptEnded),
@@ -14,12 +15,12 @@
         /// The message.
         id: MessageId,
     },
-    /// The client disconnected; the message needs no further answer.
+    /// The client disconnected; the message needs no final reply.
     ClientDisconnected {
         /// The message.
         id: MessageId,
     },
-    /// The complete endpoint list; endpoints that it lacks are gone.
+    /// The complete endpoint list; endpoints that it lacks are removed.
     ListSnapshot(Vec<EndpointEntry>),
     /// Changed entries of the endpoint list.
     ListUpdate(Vec<EndpointEntry>),
@@ -33,9 +34,9 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// What an earlier process had learned about a listed destination.
+    /// What a predecessor had learned about a listed destination.
     Learned(LearnedState),
-    /// An attempt of an earlier process is still in flight, although its message is complete.
+    /// An attempt of a predecessor is still in flight, although its message is complete.
     InheritedAttempt {
         /// A number that no message has.
         id: MessageId,
@@ -52,6 +53,6 @@
     WatchFailed,
     /// A time requested with [`super::Action::Wake`] has come.
     Wake,
-    /// The host has no further event for now. Calls are only decided here.
+    /// The host has no further event for now. Attempts are only started in reaction to this event.
     TurnEnd,
 }
--- a/src/interface/learned_state.rs
+++ b/src/interface/learned_state.rs
@@ -5,20 +5,20 @@
 use super::{DestinationId, EndpointId, Micros};
 use serde::{Deserialize, Serialize};
 
-/// The health of a destination, or of a route where routes are separate. Times are durations before or after the
-/// take-over.
+/// The health of a destination, or of a route where routes are separate. Times are durations before or after
+/// the take-over.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum HealthState {
     /// Nothing is known against it.
     #[serde(rename = "Well")]
     Healthy,
-    /// Considered down.
+    /// Considered down: only probe calls are sent.
     Down {
         /// Time until the next probe.
         #[serde(rename = "next_try")]
         next_probe: Micros,
     },
-    /// Recovered, and warming up.
+    /// Recovered from an outage, and warming up: its capacity is still reduced.
     #[serde(rename = "Cold")]
     WarmingUp {
         /// Time since the recovery.
--- a/src/interface/message.rs
+++ b/src/interface/message.rs
@@ -2,7 +2,7 @@
 
 use super::{DestinationId, EndpointId, MessageId, Micros};
 
-/// A message submitted by a client, or one that an earlier process of this sender had accepted.
+/// A message submitted by a client, or one that a predecessor of this process had accepted.
 #[derive(Clone, Debug)]
 pub struct Submission {
     /// The message.
@@ -17,14 +17,14 @@
     pub expires_at: Micros,
     /// The destination.
     pub destination: DestinationId,
-    /// What happened to it in earlier processes; the default for a new message.
+    /// What happened to it in predecessors; the default for a new message.
     pub history: MessageHistory,
 }
 
-/// What is known about a message that an earlier process of this sender had accepted.
+/// What is known about a message that a predecessor of this process had accepted.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MessageHistory {
-    /// It was accepted: if no attempt was made yet, one is to be made while its time allows.
+    /// It was accepted: if no attempt was made yet, one is to be made before it expires.
     pub accepted: bool,
     /// Attempts that were made. Further attempts are numbered from here.
     pub attempts: usize,
@@ -43,7 +43,7 @@
     pub zone: usize,
 }
 
-/// A call of an earlier process that is still in flight. Each of its attempts still gets an
+/// A call of a predecessor that is still in flight. Each of its attempts still gets an
 /// [`super::AttemptEnded`].
 #[derive(Clone, Copy, Debug)]
 pub struct InheritedCall {
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -3,6 +3,14 @@
 //! No decision is made here. Hosts (the forwarder and the simulator adapter) translate their own world into
 //! [`Event`]s and carry out the [`Action`]s that [`crate::Balancer`] returns.
 //!
+//! A *sender* is one process with one decision module; several senders form a fleet. Clients submit
+//! *messages* to it for *destinations*, and each destination has one or more *endpoints*. A message is
+//! delivered by *attempts*; attempts that start together travel in one *call* to one endpoint. Where the
+//! endpoints of a destination have their own limits and outages, each of them is a *route*.
+//!
+//! The host works in *turns*: it passes on the events that have happened, and ends the turn with
+//! [`Event::TurnEnd`].
+//!
 //! Time is counted in whole microseconds on a clock of the host. Only differences between times matter.
 
 mod action;
@@ -29,7 +37,7 @@
 /// Identifies a message. Assigned by the host and never reused during the lifetime of a [`crate::Balancer`].
 pub type MessageId = u64;
 
-/// Identifies an endpoint, as numbered by the host from the endpoint list.
+/// Identifies an endpoint. Assigned by the host to each endpoint that it finds in the endpoint list.
 pub type EndpointId = u64;
 
 /// Identifies a destination: an external receiver with one or more endpoints.
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -28,7 +28,7 @@
     pub latency_objective: Micros,
     /// How long after its submission a message may be delivered.
     pub deadline: Micros,
-    /// Weight of one message relative to those of other classes.
+    /// Weight of a message relative to those of other classes.
     pub priority_weight: f64,
     /// Fraction of the weight that is left at the deadline, from 0 to 1.
     pub late_weight_fraction: f64,
@@ -91,20 +91,20 @@
     pub sender_count: usize,
     /// Calls that this sender may have in flight at once.
     pub call_slots: usize,
-    /// Messages that may be open at once, whether they are in flight or not.
+    /// Messages that may be open at once, whether queued or in flight.
     pub max_open_messages: usize,
     /// Attempts that a message may have.
     pub max_attempts: usize,
     /// Attempts may be cancelled.
     pub cancellation: bool,
-    /// Clients are told how long to wait after a rejection.
+    /// Rejections tell clients how long to wait before they submit the message again.
     pub retry_after: bool,
-    /// The longest wait that clients respect.
+    /// The longest such wait that clients respect.
     pub max_retry_after: Micros,
-    /// Discovery is polled by this sender; otherwise updates are pushed to it.
+    /// This sender polls discovery; otherwise updates are pushed to it.
     pub poll_discovery: bool,
-    /// Where discovery is polled, a sender without a watch is held to know every change that is older than this
-    /// at its last poll.
+    /// Where discovery is polled, a sender without a watch is held to know every change that is older than
+    /// this at its last poll.
     pub max_list_age: Micros,
     /// The meaning of the weights in the endpoint list.
     pub endpoint_weights: EndpointWeights,
@@ -112,17 +112,18 @@
     pub idle_timeout: Micros,
     /// A connection that is not established within this time has failed.
     pub connect_timeout: Micros,
-    /// Minimum time between two turns of the host.
+    /// Shortest time between two turns of the host.
     pub min_turn_interval: Micros,
-    /// A recovering destination fails again if it receives more than this multiple of its present capacity
+    /// A destination that is warming up fails again if it receives more than this multiple of its present
+    /// capacity for the whole of `overload_window`.
     pub overload_factor: f64,
-    /// for this long.
+    /// How long a load above `overload_factor` lasts until a destination that is warming up fails again.
     pub overload_window: Micros,
     /// Fraction of its capacity that a destination has right after an outage, from 0 to 1.
     pub initial_capacity: f64,
     /// Time after an outage until a destination has its full capacity again.
     pub warm_up_time: Micros,
-    /// Pause of an ordering key after an attempt that may still be executed.
+    /// How long the messages of an ordering key wait after an attempt that may still be executed.
     pub ordering_gap: Micros,
 }
 
--- a/src/settings_reader.rs
+++ b/src/settings_reader.rs
@@ -3,159 +3,208 @@
 use crate::interface::*;
 use crate::key_value::{FieldError, Fields};
 
-/// Settings by path.
+/// Name of the value in a load report that carries the rate limit.
+const REPORTED_LIMIT: &str = "x1";
+
+/// The names by which configurations and requests refer to what the interface numbers. The position of a name
+/// is its number.
+#[derive(Clone, Default)]
+pub(crate) struct SettingNames {
+    /// The classes of messages.
+    pub(crate) classes: Vec<String>,
+    /// The tenants.
+    pub(crate) tenants: Vec<String>,
+    /// The zones.
+    pub(crate) zones: Vec<String>,
+    /// The kinds of destinations.
+    pub(crate) kinds: Vec<String>,
+    /// The values of a load report, in the order in which destinations send them.
+    pub(crate) report: Vec<String>,
+}
+
+/// Returns the number of a name.
+pub(crate) fn index(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|other| other == name)
+}
+
+/// Reads settings from paths and values of any origin.
+pub(crate) fn settings_from(pairs: &[(String, String)]) -> Result<(Settings, SettingNames), FieldError> {
+    let pairs = pairs.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+    read_settings(&SettingsReader { fields: &Fields::new(0, pairs) })
+}
+
+/// Reads a load report from names and values. Returns `None` if a value is not a number.
+pub(crate) fn read_report<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> Option<LoadReport> {
+    let mut report = LoadReport { limit: None };
+    for (name, value) in values {
+        let value = value.parse::<f64>().ok().filter(|value| value.is_finite())?;
+        if name == REPORTED_LIMIT {
+            report.limit = Some(value).filter(|limit| *limit > 0.0);
+        }
+    }
+    Some(report)
+}
+
+/// Settings by path. Elements of a list have their position in the path, as in `classes.0.name`.
 pub(crate) struct SettingsReader<'a> {
-    pub(crate) fields: Fields<'a>,
+    /// The paths and values.
+    pub(crate) fields: &'a Fields<'a>,
 }
 
 impl<'a> SettingsReader<'a> {
     fn list(&self, name: &str) -> Vec<&'a str> {
-        self.fields.get(name).map(|v| v.split(',').filter(|s| !s.is_empty()).collect()).unwrap_or_default()
+        let items = self.fields.get(name).unwrap_or_default().split(',');
+        items.filter(|item| !item.is_empty()).collect()
     }
 
-    fn nums(&self, name: &str) -> Result<Vec<f64>, FieldError> {
+    fn names(&self, name: &str) -> Vec<String> {
+        self.list(name).into_iter().map(str::to_owned).collect()
+    }
+
+    fn numbers(&self, name: &str) -> Result<Vec<f64>, FieldError> {
         self.list(name)
             .iter()
-            .map(|v| v.parse::<f64>().ok().filter(|n| n.is_finite()))
+            .map(|item| item.parse::<f64>().ok().filter(|number| number.is_finite()))
             .collect::<Option<_>>()
-            .ok_or_else(|| self.fields.bad(name, "expected numbers set apart by commas"))
+            .ok_or_else(|| self.fields.invalid(name, "expected numbers set apart by commas"))
     }
 
+    /// Reads a time; zero if it is absent.
     fn time(&self, name: &str) -> Result<Micros, FieldError> {
         Ok(self.fields.time(name)?.unwrap_or(0))
     }
 
-    fn count(&self, name: &str, absent: usize) -> Result<usize, FieldError> {
-        Ok(self.fields.num(name)?.map_or(absent, |v| v.max(0.0) as usize))
+    fn count_or(&self, name: &str, default: usize) -> Result<usize, FieldError> {
+        Ok(self.fields.number(name)?.map_or(default, |number| number.max(0.0) as usize))
     }
 
-    fn num(&self, name: &str, absent: f64) -> Result<f64, FieldError> {
-        Ok(self.fields.num(name)?.unwrap_or(absent))
+    fn number_or(&self, name: &str, default: f64) -> Result<f64, FieldError> {
+        Ok(self.fields.number(name)?.unwrap_or(default))
     }
 }
 
-/// Names that the wire uses for what the interface numbers.
-#[derive(Clone, Default)]
-pub(crate) struct SettingNames {
-    pub(crate) classes: Vec<String>,
-    pub(crate) tenants: Vec<String>,
-    pub(crate) zones: Vec<String>,
-    pub(crate) kinds: Vec<String>,
-    pub(crate) report: Vec<String>,
+/// Reads the settings of a sender. An absent setting has its neutral value; the names and the idempotency of
+/// classes and the names of tenants must be present.
+pub(crate) fn read_settings(reader: &SettingsReader) -> Result<(Settings, SettingNames), FieldError> {
+    let mut names = SettingNames {
+        zones: reader.names("zones"),
+        kinds: reader.names("kinds"),
+        report: reader.names("report.fields"),
+        ..SettingNames::default()
+    };
+    let fields = reader.fields;
+    let settings = Settings {
+        classes: read_classes(reader, &mut names.classes)?,
+        tenants: read_tenants(reader, &mut names.tenants)?,
+        kinds: read_kinds(reader, names.kinds.len())?,
+        over_quota_weight: reader.number_or("overShareWorth", 1.0)?,
+        weight_decay: read_weight_decay(fields)?,
+        zone: fields.get("zone").and_then(|zone| index(&names.zones, zone)).unwrap_or(usize::MAX),
+        sender_count: reader.count_or("peersTotal", 1)?,
+        call_slots: reader.count_or("familyInfo.slots", usize::MAX)?,
+        max_open_messages: reader.count_or("limits.openCap", usize::MAX)?,
+        max_attempts: reader.count_or("limits.maxAttempts", usize::MAX)?,
+        cancellation: fields.flag("limits.cancel")?,
+        retry_after: fields.flag("limits.retryAfter")?,
+        max_retry_after: reader.time("limits.maxRetryAfter")?,
+        poll_discovery: read_poll_discovery(fields)?,
+        max_list_age: reader.time("guarantees.askWithin")?,
+        endpoint_weights: read_endpoint_weights(fields),
+        idle_timeout: reader.time("limits.idleClose")?,
+        connect_timeout: reader.time("limits.connectTimeout")?,
+        min_turn_interval: reader.time("round")?,
+        overload_factor: reader.number_or("guarantees.fallMultiple", 1.0)?,
+        overload_window: reader.time("guarantees.overloadFor")?,
+        initial_capacity: reader.number_or("guarantees.startCapacity", 0.0)?,
+        warm_up_time: reader.time("guarantees.warmAfter")?,
+        ordering_gap: reader.time("guarantees.turnGap")?,
+    };
+    Ok((settings, names))
 }
 
-/// The number that goes with a name.
-pub(crate) fn index(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|n| n == name)
+fn read_classes(reader: &SettingsReader, names: &mut Vec<String>) -> Result<Vec<Class>, FieldError> {
+    (0..reader.count_or("classes.count", 0)?)
+        .map(|number| {
+            let path = |setting: &str| format!("classes.{number}.{setting}");
+            let idempotency = read_idempotency(reader, path)?;
+            names.push(reader.fields.required(&path("name"))?.to_owned());
+            Ok(Class {
+                idempotency,
+                latency_objective: reader.time(&path("goalTime"))?,
+                deadline: reader.time(&path("deadline"))?,
+                priority_weight: reader.number_or(&path("worth"), 1.0)?,
+                late_weight_fraction: reader.number_or(&path("lateShare"), 0.0)?,
+                ordered: reader.fields.flag(&path("sequential"))?,
+            })
+        })
+        .collect()
 }
 
-/// Reads settings given as path and value, wherever they come from.
-pub(crate) fn settings_from(pairs: &[(String, String)]) -> Result<(Settings, SettingNames), FieldError> {
-    let pairs = pairs.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
-    read_settings(&SettingsReader { fields: Fields { line: 0, pairs } })
+/// Reads the idempotency of the class whose settings are at `path`.
+fn read_idempotency(
+    reader: &SettingsReader,
+    path: impl Fn(&str) -> String,
+) -> Result<Idempotency, FieldError> {
+    let fields = reader.fields;
+    match fields.required(&path("idempotency"))? {
+        "pure" => Ok(Idempotency::Idempotent),
+        "side_effect" => Ok(Idempotency::NotIdempotent),
+        "token" => {
+            let per_zone = read_key_scope(fields, &path("dedupScope"))?;
+            Ok(Idempotency::Keyed { key_lifetime: reader.time(&path("keyTtl"))?, per_zone })
+        }
+        other => Err(fields.invalid(&path("idempotency"), format!("unknown kind {other:?}"))),
+    }
 }
 
-/// Reads what a destination tells of its limit, value by name; `None` where a value is no number.
-pub(crate) fn read_report<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> Option<LoadReport> {
-    let mut report = LoadReport { limit: None };
-    for (name, value) in values {
-        let v = value.parse::<f64>().ok().filter(|v| v.is_finite())?;
-        if name == "x1" {
-            report.limit = Some(v).filter(|l| *l > 0.0);
-        }
+/// Reads whether only endpoints of one zone share their memory of idempotency keys.
+fn read_key_scope(fields: &Fields, path: &str) -> Result<bool, FieldError> {
+    match fields.get(path) {
+        Some("all") => Ok(false),
+        None | Some("zone" | "cell") => Ok(true),
+        Some(other) => Err(fields.invalid(path, format!("unknown scope {other:?}"))),
     }
-    Some(report)
 }
 
-fn owned(names: Vec<&str>) -> Vec<String> {
-    names.into_iter().map(str::to_owned).collect()
+fn read_tenants(reader: &SettingsReader, names: &mut Vec<String>) -> Result<Vec<Tenant>, FieldError> {
+    (0..reader.count_or("realms.count", 0)?)
+        .map(|number| {
+            names.push(reader.fields.required(&format!("realms.{number}.name"))?.to_owned());
+            Ok(Tenant { quota: reader.number_or(&format!("realms.{number}.quotaRps"), f64::MAX)? })
+        })
+        .collect()
 }
 
-pub(crate) fn read_settings(c: &SettingsReader) -> Result<(Settings, SettingNames), FieldError> {
-    let mut names = SettingNames {
-        zones: owned(c.list("zones")),
-        kinds: owned(c.list("kinds")),
-        report: owned(c.list("report.fields")),
-        ..SettingNames::default()
+fn read_kinds(reader: &SettingsReader, count: usize) -> Result<Vec<DestinationKind>, FieldError> {
+    let separate_routes = reader.list("familyInfo.kindApart");
+    let batch = reader.numbers("familyInfo.batchByKind")?;
+    let kind = |number: usize| DestinationKind {
+        separate_routes: matches!(separate_routes.get(number), Some(&("true" | "1"))),
+        batch: batch.get(number).map_or(1, |size: &f64| size.max(1.0) as usize),
     };
-    let mut classes = Vec::new();
-    for i in 0..c.count("classes.count", 0)? {
-        let at = |key: &str| format!("classes.{i}.{key}");
-        let kind = at("idempotency");
-        let idempotency = match c.fields.need(&kind)? {
-            "pure" => Idempotency::Idempotent,
-            "side_effect" => Idempotency::NotIdempotent,
-            "token" => {
-                let scope = at("dedupScope");
-                let per_zone = match c.fields.get(&scope) {
-                    Some("all") => false,
-                    None | Some("zone" | "cell") => true,
-                    Some(v) => return Err(c.fields.bad(&scope, format!("unknown scope {v:?}"))),
-                };
-                Idempotency::Keyed { key_lifetime: c.time(&at("keyTtl"))?, per_zone }
-            }
-            v => return Err(c.fields.bad(&kind, format!("unknown kind {v:?}"))),
-        };
-        names.classes.push(c.fields.need(&at("name"))?.to_owned());
-        classes.push(Class {
-            idempotency,
-            latency_objective: c.time(&at("goalTime"))?,
-            deadline: c.time(&at("deadline"))?,
-            priority_weight: c.num(&at("worth"), 1.0)?,
-            late_weight_fraction: c.num(&at("lateShare"), 0.0)?,
-            ordered: c.fields.flag(&at("sequential"))?,
-        });
+    Ok((0..count).map(kind).collect())
+}
+
+fn read_weight_decay(fields: &Fields) -> Result<WeightDecay, FieldError> {
+    match fields.get("familyInfo.decay") {
+        Some("halves") => Ok(WeightDecay::HalfLife),
+        None | Some("line") => Ok(WeightDecay::Linear),
+        Some(other) => Err(fields.invalid("familyInfo.decay", format!("unknown decay {other:?}"))),
     }
-    let mut tenants = Vec::new();
-    for i in 0..c.count("realms.count", 0)? {
-        names.tenants.push(c.fields.need(&format!("realms.{i}.name"))?.to_owned());
-        tenants.push(Tenant { quota: c.num(&format!("realms.{i}.quotaRps"), f64::MAX)? });
+}
+
+fn read_poll_discovery(fields: &Fields) -> Result<bool, FieldError> {
+    match fields.get("discovery") {
+        Some("ask") => Ok(true),
+        None | Some("push") => Ok(false),
+        Some(other) => Err(fields.invalid("discovery", format!("unknown mode {other:?}"))),
+    }
+}
+
+fn read_endpoint_weights(fields: &Fields) -> EndpointWeights {
+    match fields.get("weights") {
+        Some("nominal") => EndpointWeights::Nominal,
+        Some("rough") => EndpointWeights::Approximate,
+        _ => EndpointWeights::Off,
     }
-    let apart = c.list("familyInfo.kindApart");
-    let batch = c.nums("familyInfo.batchByKind")?;
-    let kinds = (0..names.kinds.len())
-        .map(|i| DestinationKind {
-            separate_routes: matches!(apart.get(i), Some(&("true" | "1"))),
-            batch: batch.get(i).map_or(1, |b| b.max(1.0) as usize),
-        })
-        .collect();
-    let settings = Settings {
-        classes,
-        kinds,
-        tenants,
-        over_quota_weight: c.num("overShareWorth", 1.0)?,
-        weight_decay: match c.fields.get("familyInfo.decay") {
-            Some("halves") => WeightDecay::HalfLife,
-            None | Some("line") => WeightDecay::Linear,
-            Some(v) => return Err(c.fields.bad("familyInfo.decay", format!("unknown decay {v:?}"))),
-        },
-        zone: c.fields.get("zone").and_then(|z| index(&names.zones, z)).unwrap_or(usize::MAX),
-        sender_count: c.count("peersTotal", 1)?,
-        call_slots: c.count("familyInfo.slots", usize::MAX)?,
-        max_open_messages: c.count("limits.openCap", usize::MAX)?,
-        max_attempts: c.count("limits.maxAttempts", usize::MAX)?,
-        cancellation: c.fields.flag("limits.cancel")?,
-        retry_after: c.fields.flag("limits.retryAfter")?,
-        max_retry_after: c.time("limits.maxRetryAfter")?,
-        poll_discovery: match c.fields.get("discovery") {
-            Some("ask") => true,
-            None | Some("push") => false,
-            Some(v) => return Err(c.fields.bad("discovery", format!("unknown mode {v:?}"))),
-        },
-        max_list_age: c.time("guarantees.askWithin")?,
-        endpoint_weights: match c.fields.get("weights") {
-            Some("nominal") => EndpointWeights::Nominal,
-            Some("rough") => EndpointWeights::Approximate,
-            _ => EndpointWeights::Off,
-        },
-        idle_timeout: c.time("limits.idleClose")?,
-        connect_timeout: c.time("limits.connectTimeout")?,
-        min_turn_interval: c.time("round")?,
-        overload_factor: c.num("guarantees.fallMultiple", 1.0)?,
-        overload_window: c.time("guarantees.overloadFor")?,
-        initial_capacity: c.num("guarantees.startCapacity", 0.0)?,
-        warm_up_time: c.time("guarantees.warmAfter")?,
-        ordering_gap: c.time("guarantees.turnGap")?,
-    };
-    Ok((settings, names))
 }
--- /dev/null
+++ b/tests/batches.rs
@@ -0,0 +1,117 @@
+//! Messages that travel in one call.
+
+mod support;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use support::{Fixture, long_turns};
+
+#[tokio::test]
+async fn messages_of_one_turn_travel_in_one_call_with_an_outcome_for_each() {
+    let mut fixture = Fixture::start_with("several", long_turns).await;
+    fixture.forwarder.submit("unsafe", "first", 9000).await;
+    fixture.endpoint.next_call().await.respond(200);
+    let forwarder = &fixture.forwarder;
+    tokio::join!(
+        forwarder.submit("unsafe", "taken", 9000),
+        forwarder.submit("unsafe", "faulty", 9000),
+        forwarder.submit("unsafe", "later", 9000),
+        forwarder.submit("unsafe", "missing", 9000),
+    );
+    let call = fixture.endpoint.next_call().await;
+    assert_eq!(call.path, "/hook/batch");
+    let items: Vec<Value> = serde_json::from_slice(&call.body).expect("an array");
+    assert_eq!(items.len(), 4);
+    for item in &items {
+        let id = item["id"].as_str().expect("an id");
+        assert_eq!(item["key"], json!(format!("key-{id}")));
+        assert_eq!(item["body"], json!(STANDARD.encode(format!("\0body of {id}"))));
+    }
+    let states = json!([{"id": "taken", "state": "accepted"}, {"id": "faulty", "state": "fault"},
+                        {"id": "later", "state": "deferred"}, {"nonsense": 1}]);
+    call.respond_with(200, &[], &states.to_string());
+    // The faulty one and the one without a state may have been executed, and are not retried. The deferred
+    // one was not.
+    let retry = fixture.endpoint.next_call().await;
+    assert_eq!((retry.path.as_str(), retry.header("req-id")), ("/hook", "later"));
+    retry.respond(200);
+    let mut failed = fixture.discovery.notices().await;
+    failed.sort_by_key(|n| n["message"].to_string());
+    let notice = |id| json!({"message": id, "outcome": "given_up"});
+    assert_eq!(failed, [notice("faulty"), notice("missing")]);
+    fixture.forwarder.until_delivered("unsafe", "taken").await;
+}
+
+#[tokio::test]
+async fn a_message_that_times_out_in_a_batch_is_retried_only_after_the_call_has_ended() {
+    // A short latency objective, so that the attempt of the keyed message times out soon, while the other one
+    // lasts until its deadline.
+    let mut fixture = Fixture::start_with("several", |configuration| {
+        long_turns(configuration);
+        configuration["settings"]["classes"][0]["goalTime"] = json!(100.0);
+    })
+    .await;
+    fixture.forwarder.submit("unsafe", "first", 9000).await;
+    fixture.endpoint.next_call().await.respond(200);
+    tokio::join!(
+        fixture.forwarder.submit("keyed", "keyed", 20_000),
+        fixture.forwarder.submit("unsafe", "slow", 6500)
+    );
+    let call = fixture.endpoint.next_call().await;
+    assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
+    // While the call is open, the keyed message may still be executed there: a retry beside it would be a
+    // duplicate.
+    tokio::select! {
+        () = call.closed() => {}
+        duplicate = fixture.endpoint.next_call() => {
+            panic!("a duplicate beside the first attempt: {}", duplicate.header("req-id"))
+        }
+    }
+    let retry = fixture.endpoint.next_call().await;
+    assert_eq!((retry.path.as_str(), retry.header("req-id")), ("/hook", "keyed"));
+    retry.respond(200);
+    assert_eq!(fixture.discovery.notice().await, json!({"message": "slow", "outcome": "given_up"}));
+}
+
+#[tokio::test]
+async fn a_batch_call_ends_when_one_of_its_messages_fails() {
+    let mut fixture = Fixture::start_with("several", long_turns).await;
+    fixture.forwarder.submit("unsafe", "first", 9000).await;
+    fixture.endpoint.next_call().await.respond(200);
+    tokio::join!(
+        fixture.forwarder.submit("unsafe", "short", 2000),
+        fixture.forwarder.submit("unsafe", "long", 60_000)
+    );
+    let call = fixture.endpoint.next_call().await;
+    assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
+    // A client that has the notice may act otherwise: the message must not be delivered after that. The other
+    // one may have been executed, and fails too.
+    let mut failed = fixture.discovery.notices().await;
+    call.closed().await;
+    while failed.len() < 2 {
+        failed.extend(fixture.discovery.notices().await);
+    }
+    let notice = |id| json!({"message": id, "outcome": "given_up"});
+    assert_eq!(failed, [notice("short"), notice("long")]);
+}
+
+#[tokio::test]
+async fn a_batch_call_ends_when_one_of_its_messages_fails_after_sigterm() {
+    let Fixture { mut discovery, endpoint: mut stub, forwarder } =
+        Fixture::start_with("several", long_turns).await;
+    forwarder.submit("unsafe", "first", 9000).await;
+    stub.next_call().await.respond(200);
+    tokio::join!(forwarder.submit("unsafe", "short", 3000), forwarder.submit("unsafe", "long", 60_000));
+    let call = stub.next_call().await;
+    assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
+    forwarder.terminate();
+    // The deadline passes between the last turn with a decision and the end of the process.
+    call.closed().await;
+    let mut failed = discovery.notices().await;
+    while failed.len() < 2 {
+        failed.extend(discovery.notices().await);
+    }
+    let notice = |id| json!({"message": id, "outcome": "given_up"});
+    assert!(failed.contains(&notice("short")) && failed.contains(&notice("long")), "{failed:?}");
+}
--- /dev/null
+++ b/tests/client_connections.rs
@@ -0,0 +1,187 @@
+//! Connections of clients: slow, silent, broken, pipelined and too many.
+
+mod support;
+
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+use support::{EVENT_TIMEOUT, Fixture, POLL_INTERVAL, QUIET_PERIOD, RawConnection, submission_text};
+use tokio::io::AsyncWriteExt;
+use tokio::time::{sleep, timeout};
+
+#[tokio::test]
+async fn slow_and_broken_clients_do_not_affect_others_and_are_disconnected() {
+    let mut fixture = Fixture::start().await;
+    let mut slow = Vec::new();
+    for text in
+        ["POST /keyed HTTP/1.1\r\nReq-", "\0\0\0", "POST /keyed HTTP/1.1\r\nContent-Length: 9\r\n\r\nab"]
+    {
+        let mut client = RawConnection::open(fixture.forwarder.address).await;
+        client.write(text).await;
+        slow.push(client);
+    }
+    assert_eq!(fixture.forwarder.submit("keyed", "m", 9000).await.status(), 202);
+    fixture.endpoint.next_call().await.respond(200);
+    // In the end each gets an error status, or loses its connection.
+    for mut client in slow {
+        client.read_to_end().await;
+    }
+}
+
+#[tokio::test]
+async fn a_message_whose_body_is_written_slowly_is_accepted() {
+    let mut fixture = Fixture::start().await;
+    let mut client = RawConnection::open(fixture.forwarder.address).await;
+    let head =
+        "POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 9000\r\nEnvelope: dest=7\r\n";
+    // The body alone takes more than a second, also on a kept connection.
+    for id in ["a", "b"] {
+        client
+            .write(&format!("{head}Req-Id: {id}\r\nIdempotency-Key: {id}\r\nContent-Length: 4\r\n\r\nsl"))
+            .await;
+        sleep(Duration::from_millis(1200)).await;
+        client.write("ow").await;
+        assert!(client.read_head().await.starts_with("HTTP/1.1 202"));
+        fixture.endpoint.next_call().await.respond(200);
+    }
+}
+
+#[tokio::test]
+async fn silent_connections_keep_nobody_out_and_are_closed() {
+    let mut fixture = Fixture::start().await;
+    let opened = Instant::now();
+    let mut silent = Vec::new();
+    // More than the descriptor limit.
+    for _ in 0..80 {
+        silent.push(RawConnection::open(fixture.forwarder.address).await);
+    }
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(fixture.forwarder.submit("keyed", "m", 9000).await.status(), 202);
+    fixture.endpoint.next_call().await.respond(200);
+    for client in &mut silent {
+        client.read_to_end().await;
+    }
+    assert!(opened.elapsed() < Duration::from_secs(3), "{:?}", opened.elapsed());
+}
+
+#[tokio::test]
+async fn a_client_beyond_the_connection_limit_gets_503() {
+    let Fixture { discovery: _discovery, endpoint: mut stub, forwarder } = Fixture::start().await;
+    // Each connection that the limit allows has a partial request.
+    let mut partial = Vec::new();
+    for n in 0..7 {
+        let mut client = RawConnection::open(forwarder.address).await;
+        let text = submission_text(&format!("m{n}"));
+        client.write(&text[..text.len() - 1]).await;
+        partial.push(client);
+    }
+    let mut rejected = RawConnection::open(forwarder.address).await;
+    rejected.write(&submission_text("late")).await;
+    let reply = rejected.read_to_end().await.text;
+    assert!(reply.starts_with("HTTP/1.1 503"), "{reply:?}");
+    for mut client in partial {
+        client.write("i").await;
+        stub.next_call().await.respond(200);
+    }
+}
+
+#[tokio::test]
+async fn a_close_with_unread_bytes_cuts_no_reply_short() {
+    let Fixture { discovery: _discovery, endpoint: mut stub, forwarder } = Fixture::start().await;
+    assert!(forwarder.admin_command("drain").await.starts_with("ACK"));
+    let mut client = RawConnection::open(forwarder.address).await;
+    // Far more than is read ahead: the rest is still in the socket when the last reply is written.
+    let more: String = (0..400).map(|n| submission_text(&format!("more{n}"))).collect();
+    client.write(&format!("{}{more}", submission_text("m"))).await;
+    let replies = client.read_to_end().await;
+    assert!(replies.text.starts_with("HTTP/1.1 202"), "{replies:?}");
+    assert_eq!(replies.text.matches("HTTP/1.1").count(), 1, "{replies:?}");
+    assert!(replies.error.is_none(), "{replies:?}");
+    // What still arrives is read: otherwise a reset would be sent for it, which could overtake the reply.
+    for _ in 0..20 {
+        client.write("more").await;
+        sleep(POLL_INTERVAL).await;
+    }
+    // A client that stays is not waited for without end.
+    let reset = async {
+        while client.stream.write_all(b"more").await.is_ok() {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(EVENT_TIMEOUT, reset).await.expect("it is closed in the end");
+    // What got no reply was not accepted.
+    let call = stub.next_call().await;
+    assert_eq!(call.header("req-id"), "m");
+    call.respond(200);
+    assert!(stub.is_quiet(QUIET_PERIOD).await);
+}
+
+#[tokio::test]
+async fn a_request_that_begins_on_an_idle_connection_has_its_full_time() {
+    let Fixture { discovery: _discovery, endpoint: mut stub, forwarder } = Fixture::start().await;
+    let mut client = RawConnection::open(forwarder.address).await;
+    client.write(&submission_text("first")).await;
+    assert!(client.read_head().await.starts_with("HTTP/1.1 202"));
+    stub.next_call().await.respond(200);
+    // Idle for less than the idle timeout; then a head that takes longer than what is left of it.
+    sleep(Duration::from_millis(1800)).await;
+    let text = submission_text("second");
+    let (head, rest) = text.split_at(text.len() - 40);
+    client.write(head).await;
+    sleep(Duration::from_millis(1200)).await;
+    client.write(rest).await;
+    assert!(client.read_head().await.starts_with("HTTP/1.1 202"));
+    stub.next_call().await.respond(200);
+    // Then it is closed without a reset, and a partial head is not waited for.
+    let mut partial = RawConnection::open(forwarder.address).await;
+    partial.write(head).await;
+    assert_eq!(partial.read_to_end().await.text, "");
+    let rest = client.read_to_end().await;
+    assert!(rest.text.is_empty() && rest.error.is_none(), "{rest:?}");
+}
+
+#[tokio::test]
+async fn pipelined_requests_are_replied_to_one_by_one_and_a_flood_does_not_affect_others() {
+    let Fixture { discovery: _discovery, endpoint: mut stub, forwarder } =
+        Fixture::start_with("several", |configuration| {
+            configuration["settings"]["limits"]["openCap"] = json!(10_000);
+            configuration["settings"]["familyInfo"]["slots"] = json!(1);
+        })
+        .await;
+    let before = forwarder.descriptors();
+    // Clients that send many messages and leave without reading the replies.
+    for n in 0..4 {
+        let client = RawConnection::open(forwarder.address).await;
+        let flood: String = (0..200).map(|m| submission_text(&format!("gone{n}-{m}"))).collect();
+        let (_, mut write) = client.stream.into_split();
+        write.write_all(flood.as_bytes()).await.expect("it reads");
+    }
+    let mut client = RawConnection::open(forwarder.address).await;
+    // A few bytes at a time, and all of them at once.
+    for piece in submission_text("bytewise").as_bytes().chunks(7) {
+        client.write(str::from_utf8(piece).expect("text")).await;
+    }
+    client.write(&(0..100).map(|n| submission_text(&format!("m{n}"))).collect::<String>()).await;
+    for _ in 0..=100 {
+        assert!(client.read_head().await.starts_with("HTTP/1.1 202"));
+    }
+    let mut delivered = BTreeSet::new();
+    while !(delivered.contains("bytewise") && (0..100).all(|n| delivered.contains(&format!("m{n}")))) {
+        let call = stub.next_call().await;
+        let batch = serde_json::from_slice::<Vec<Value>>(&call.body);
+        let single = vec![call.header("req-id").to_owned()];
+        let ids = batch.map_or(single, |b| b.iter().map(|m| m["id"].as_str().unwrap_or("").into()).collect());
+        let states: Vec<Value> = ids.iter().map(|id| json!({"id": id, "state": "accepted"})).collect();
+        for id in ids {
+            assert!(delivered.insert(id.clone()), "{id} twice");
+        }
+        call.respond_with(200, &[], &json!(states).to_string());
+    }
+    drop(client);
+    let closed = async {
+        while forwarder.descriptors() > before + 1 {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(EVENT_TIMEOUT, closed).await.expect("no connection is left open");
+}
--- a/tests/decision_history.rs
+++ b/tests/decision_history.rs
@@ -20,42 +20,50 @@
 
 /// Numbers of the kinds of decision, as the recordings encode them.
 const SEND: usize = 1;
-const REFUSE: usize = 2;
+const REJECT: usize = 2;
 const FAIL: usize = 3;
 const CANCEL: usize = 4;
-const CLOSE: usize = 5;
+const CLOSE_IDLE_CONNECTIONS: usize = 5;
 const WAKE: usize = 6;
 const SUBSCRIBE: usize = 7;
-const ADMIT: usize = 8;
+const ACCEPT_CLIENTS: usize = 8;
 
-const ALL_CLASSES: &[usize] = &[SAFE, KEYED, KEYED_PER_ZONE, UNSAFE, SAFE_ORDERED, UNSAFE_ORDERED];
-const ALL_MOODS: &[Mood] = &[
-    Mood::Well,
-    Mood::Well,
-    Mood::Well,
-    Mood::Well,
-    Mood::Failing,
-    Mood::Limited,
-    Mood::Hanging,
-    Mood::Crowded,
-    Mood::Unreachable,
+const ALL_CLASSES: &[usize] =
+    &[IDEMPOTENT, KEYED, KEYED_PER_ZONE, NOT_IDEMPOTENT, IDEMPOTENT_ORDERED, NOT_IDEMPOTENT_ORDERED];
+const ALL_CONDITIONS: &[Condition] = &[
+    Condition::Healthy,
+    Condition::Healthy,
+    Condition::Healthy,
+    Condition::Healthy,
+    Condition::Failing,
+    Condition::RateLimited,
+    Condition::Unresponsive,
+    Condition::Overloaded,
+    Condition::Unreachable,
 ];
 
-const PROFILE: Profile =
-    Profile { senders: 2, slots: 16, open_cap: 400, weights: 0, ask: false, cancel: false, halves: false };
+const PROFILE: Profile = Profile {
+    sender_count: 2,
+    call_slots: 16,
+    max_open_messages: 400,
+    weights: 0,
+    poll_discovery: false,
+    cancel: false,
+    half_life_decay: false,
+};
 
 const RATES: Rates = Rates {
     submit: 500,
     burst: 4,
-    mood: 8,
+    condition: 8,
     list: 12,
     list_broken: 0,
     ban: 0,
     ban_end: 0,
     drain: 0,
-    client_left: 10,
+    client_disconnected: 10,
     started: 10,
-    past: 10,
+    history: 10,
 };
 
 const fn destination(id: u64, kind: usize, endpoints: u64) -> Destination {
@@ -69,11 +77,11 @@
     profile: PROFILE,
     destinations: &[],
     classes: ALL_CLASSES,
-    moods: ALL_MOODS,
+    conditions: ALL_CONDITIONS,
     tenants: false,
     rates: RATES,
     take_over_every: 0,
-    must_occur: &[SEND, REFUSE, FAIL, WAKE],
+    must_occur: &[SEND, REJECT, FAIL, WAKE],
 };
 
 const SHARED_ROUTES: Scenario = Scenario {
@@ -95,9 +103,9 @@
     name: "batches with many senders",
     seed: 13,
     destinations: &[destination(1, BATCHED, 2), destination(2, SHARED, 2), destination(3, SEPARATE, 2)],
-    profile: Profile { senders: 300, weights: 2, ask: true, ..PROFILE },
+    profile: Profile { sender_count: 300, weights: 2, poll_discovery: true, ..PROFILE },
     rates: Rates { burst: 12, list_broken: 5, ..RATES },
-    must_occur: &[SEND, REFUSE, FAIL, WAKE, CLOSE, SUBSCRIBE],
+    must_occur: &[SEND, REJECT, FAIL, WAKE, CLOSE_IDLE_CONNECTIONS, SUBSCRIBE],
     ..BASIC
 };
 
@@ -105,9 +113,9 @@
     name: "keyed and unsafe classes",
     seed: 14,
     destinations: &[destination(1, SHARED, 3), destination(2, SEPARATE, 3)],
-    classes: &[KEYED, KEYED_PER_ZONE, UNSAFE],
-    profile: Profile { halves: true, ..PROFILE },
-    rates: Rates { mood: 15, past: 40, ..RATES },
+    classes: &[KEYED, KEYED_PER_ZONE, NOT_IDEMPOTENT],
+    profile: Profile { half_life_decay: true, ..PROFILE },
+    rates: Rates { condition: 15, history: 40, ..RATES },
     ..BASIC
 };
 
@@ -115,7 +123,7 @@
     name: "tenants over quota",
     seed: 15,
     destinations: &[destination(1, SHARED, 2), destination(2, SEPARATE, 2)],
-    profile: Profile { slots: 4, open_cap: 40, ..PROFILE },
+    profile: Profile { call_slots: 4, max_open_messages: 40, ..PROFILE },
     tenants: true,
     rates: Rates { submit: 700, burst: 6, ..RATES },
     ..BASIC
@@ -125,7 +133,7 @@
     name: "ordered keys",
     seed: 16,
     destinations: &[destination(1, SHARED, 2), destination(2, BATCHED, 2)],
-    classes: &[SAFE_ORDERED, UNSAFE_ORDERED, SAFE],
+    classes: &[IDEMPOTENT_ORDERED, NOT_IDEMPOTENT_ORDERED, IDEMPOTENT],
     ..BASIC
 };
 
@@ -133,10 +141,16 @@
     name: "scarce slots and hanging calls",
     seed: 17,
     destinations: &[destination(1, SHARED, 2), destination(2, SEPARATE, 3), destination(3, BATCHED, 1)],
-    moods: &[Mood::Well, Mood::Well, Mood::Hanging, Mood::Hanging, Mood::Failing],
-    profile: Profile { slots: 6, cancel: true, halves: true, ..PROFILE },
-    rates: Rates { mood: 12, ..RATES },
-    must_occur: &[SEND, REFUSE, FAIL, WAKE, CANCEL],
+    conditions: &[
+        Condition::Healthy,
+        Condition::Healthy,
+        Condition::Unresponsive,
+        Condition::Unresponsive,
+        Condition::Failing,
+    ],
+    profile: Profile { call_slots: 6, cancel: true, half_life_decay: true, ..PROFILE },
+    rates: Rates { condition: 12, ..RATES },
+    must_occur: &[SEND, REJECT, FAIL, WAKE, CANCEL],
     ..BASIC
 };
 
@@ -144,10 +158,10 @@
     name: "restarts and hand-overs",
     seed: 18,
     destinations: &[destination(1, SHARED, 3), destination(2, SEPARATE, 2), destination(3, BATCHED, 2)],
-    profile: Profile { cancel: true, ask: true, weights: 1, ..PROFILE },
-    rates: Rates { past: 150, list_broken: 4, ban: 3, ban_end: 6, ..RATES },
+    profile: Profile { cancel: true, poll_discovery: true, weights: 1, ..PROFILE },
+    rates: Rates { history: 150, list_broken: 4, ban: 3, ban_end: 6, ..RATES },
     take_over_every: 170,
-    must_occur: &[SEND, REFUSE, FAIL, WAKE, SUBSCRIBE],
+    must_occur: &[SEND, REJECT, FAIL, WAKE, SUBSCRIBE],
     ..BASIC
 };
 
@@ -155,9 +169,9 @@
     name: "bans and drains",
     seed: 19,
     destinations: &[destination(1, SHARED, 2), destination(2, SEPARATE, 2), destination(3, SHARED, 1)],
-    profile: Profile { senders: 8, weights: 1, ..PROFILE },
+    profile: Profile { sender_count: 8, weights: 1, ..PROFILE },
     rates: Rates { ban: 25, ban_end: 80, drain: 10, ..RATES },
-    must_occur: &[SEND, REFUSE, FAIL, WAKE, ADMIT],
+    must_occur: &[SEND, REJECT, FAIL, WAKE, ACCEPT_CLIENTS],
     ..BASIC
 };
 
@@ -166,16 +180,16 @@
     seed: 20,
     destinations: &[destination(1, SHARED, 4), destination(2, SEPARATE, 3), destination(3, BATCHED, 2)],
     profile: Profile {
-        senders: 300,
-        slots: 24,
+        sender_count: 300,
+        call_slots: 24,
         weights: 2,
-        ask: true,
+        poll_discovery: true,
         cancel: true,
-        halves: true,
+        half_life_decay: true,
         ..PROFILE
     },
     tenants: true,
-    rates: Rates { submit: 300, list_broken: 5, ban: 5, ban_end: 10, drain: 3, past: 30, ..RATES },
+    rates: Rates { submit: 300, list_broken: 5, ban: 5, ban_end: 10, drain: 3, history: 30, ..RATES },
     take_over_every: 450,
     ..BASIC
 };
@@ -199,7 +213,7 @@
 
 #[test]
 fn every_kind_of_decision_is_demanded_of_some_history() {
-    for kind in SEND..=ADMIT {
+    for kind in SEND..=ACCEPT_CLIENTS {
         assert!(ALL.iter().any(|scenario| scenario.must_occur.contains(&kind)), "decision {kind}");
     }
 }
--- /dev/null
+++ b/tests/discovery.rs
@@ -0,0 +1,234 @@
+//! The endpoint list: watched, polled, changed and invalid, and discovery at another address.
+
+mod support;
+
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+use support::{
+    DiscoveryStub, EndpointStub, Fixture, ForwarderProcess, QUIET_PERIOD, RawEndpoint, endpoint,
+    endpoint_list, plain_endpoint,
+};
+use tokio::time::sleep;
+
+#[tokio::test]
+async fn a_draining_endpoint_gets_no_new_call() {
+    let mut fixture = Fixture::start().await;
+    fixture.forwarder.submit("keyed", "before", 9000).await;
+    let call_in_flight = fixture.endpoint.next_call().await;
+    let mut next = EndpointStub::start().await;
+    fixture.discovery.push_changes(
+        2,
+        vec![
+            endpoint("t", fixture.endpoint.address, 7, "plain", "terminating"),
+            plain_endpoint("u", next.address, 7),
+        ],
+    );
+    // The list arrives soon, but not at once: messages show when it has arrived.
+    for n in 0.. {
+        fixture.forwarder.submit("keyed", &format!("before-{n}"), 9000).await;
+        let list_has_arrived = tokio::select! {
+            call = next.next_call() => { call.respond(200); true }
+            call = fixture.endpoint.next_call() => { call.respond(200); false }
+        };
+        if list_has_arrived {
+            break;
+        }
+    }
+    for n in 0..5 {
+        fixture.forwarder.submit("keyed", &format!("after-{n}"), 9000).await;
+        next.next_call().await.respond(200);
+    }
+    // The call in flight may finish.
+    call_in_flight.respond(200);
+    fixture.forwarder.until_delivered("keyed", "before").await;
+    assert!(fixture.endpoint.is_quiet(QUIET_PERIOD).await);
+}
+
+#[tokio::test]
+async fn sighup_switches_to_another_discovery_and_an_invalid_configuration_changes_nothing() {
+    let mut fixture = Fixture::start().await;
+    fixture.forwarder.submit("keyed", "before", 9000).await;
+    let call_in_flight = fixture.endpoint.next_call().await;
+    // A file that is no configuration: the earlier one stays in force.
+    fixture.forwarder.reload(|configuration| {
+        *configuration = json!({"name": configuration["name"], "kept": *configuration})
+    });
+    let mut second = EndpointStub::start().await;
+    fixture.discovery.push_changes(2, vec![plain_endpoint("u", second.address, 8)]);
+    // A notice that the old address does not acknowledge is sent to the new one, which is also watched.
+    fixture.forwarder.submit("unsafe", "failed", 9000).await;
+    fixture.endpoint.next_call().await.respond(500);
+    let unacknowledged = fixture.discovery.next_notice_call().await;
+    let mut new = EndpointStub::start().await;
+    fixture.forwarder.reload(|configuration| {
+        *configuration = configuration["kept"].take();
+        configuration["discovery"] = json!(new.address.to_string());
+    });
+    let (mut list_sent, mut notice_received) = (false, false);
+    while !list_sent || !notice_received {
+        let call = new.next_call().await;
+        if call.path == "/v1/notices" {
+            assert_eq!(call.body_then(|call| call.respond(204)), unacknowledged.body);
+            notice_received = true;
+        } else if call.path == "/api/targets" {
+            let endpoints = vec![
+                endpoint("t", fixture.endpoint.address, 7, "plain", "terminating"),
+                plain_endpoint("v", second.address, 7),
+            ];
+            let list = endpoint_list(9, true, endpoints);
+            call.respond_with(200, &[], &list.to_string());
+            list_sent = true;
+        }
+    }
+    // The next watch shows that the list has arrived: new messages follow it.
+    assert_eq!(new.next_call().await.path, "/api/targets?index=9&wait=2000");
+    fixture.forwarder.submit("keyed", "after", 9000).await;
+    let call = second.next_call().await;
+    assert_eq!(call.header("req-id"), "after");
+    call.respond(200);
+    // The call in flight may finish.
+    call_in_flight.respond(200);
+    fixture.forwarder.until_delivered("keyed", "before").await;
+}
+
+#[tokio::test]
+async fn sighup_during_a_response_leaves_no_watch_at_the_old_address() {
+    let (discovery, old, mut new) =
+        (DiscoveryStub::start().await, RawEndpoint::start().await, EndpointStub::start().await);
+    let forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
+        configuration["discovery"] = json!(old.address.to_string())
+    })
+    .await;
+    let mut watch = old.accept().await;
+    assert!(watch.read_head().await.starts_with("GET /api/targets?index=1&wait=2000"));
+    forwarder.pause();
+    forwarder.reload(|configuration| configuration["discovery"] = json!(new.address.to_string()));
+    let list = endpoint_list(7, false, Vec::new()).to_string();
+    watch.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
+    forwarder.unpause();
+    // The complete list is requested from the new address, and the old connection is closed without another
+    // request.
+    assert_eq!(new.next_call().await.path, "/api/targets");
+    assert_eq!(watch.read_to_end().await.text, "");
+}
+
+#[tokio::test]
+async fn revision_zero_of_the_list_is_watched_from() {
+    let mut service = EndpointStub::start().await;
+    let discovery = DiscoveryStub::start().await;
+    let _forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
+        configuration["discovery"] = json!(service.address.to_string());
+        configuration["known"]["rev"] = json!(0);
+    })
+    .await;
+    assert!(service.next_call().await.path.starts_with("/api/targets?index=0"));
+}
+
+#[tokio::test]
+async fn the_complete_list_is_requested_after_an_invalid_list_but_not_after_an_error_status() {
+    let mut service = EndpointStub::start().await;
+    let discovery = DiscoveryStub::start().await;
+    let _forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
+        configuration["discovery"] = json!(service.address.to_string())
+    })
+    .await;
+    for _ in 0..3 {
+        let call = service.next_call().await;
+        assert_eq!(call.path, "/api/targets?index=1&wait=2000");
+        call.respond(503);
+    }
+    // After a list that cannot be parsed, the known revision is in doubt.
+    service.next_call().await.respond_with(200, &[], "{");
+    assert_eq!(service.next_call().await.path, "/api/targets");
+}
+
+#[tokio::test]
+async fn a_discovery_shared_by_many_senders_is_polled_for_the_complete_list_at_its_own_pace() {
+    let (mut service, mut stub) = (EndpointStub::start().await, EndpointStub::start().await);
+    let discovery = DiscoveryStub::start().await;
+    let forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
+        configuration["discovery"] = json!(service.address.to_string());
+        configuration["settings"]["discovery"] = json!("ask");
+        configuration["settings"]["peersTotal"] = json!(100);
+        configuration["settings"]["guarantees"]["askWithin"] = json!(4000.0);
+    })
+    .await;
+    let call = service.next_call().await;
+    assert_eq!(call.path, "/api/targets");
+    // The service handles calls of others first.
+    sleep(Duration::from_millis(700)).await;
+    let list = endpoint_list(9, true, vec![plain_endpoint("t", stub.address, 7)]);
+    let responded_at = Instant::now();
+    call.respond_with(200, &[], &list.to_string());
+    let call = service.next_call().await;
+    assert_eq!(call.path, "/api/targets");
+    // Neither at once nor later than the list may be old.
+    let delay = responded_at.elapsed();
+    assert!((500..3500).contains(&delay.as_millis()), "{delay:?}");
+    assert_eq!(forwarder.submit("keyed", "m", 9000).await.status(), 202);
+    stub.next_call().await.respond(200);
+    // After a rejection the next poll comes later.
+    call.respond(503);
+    assert!(service.is_quiet(Duration::from_millis(1500)).await);
+    // A new address is polled at once.
+    let mut new = EndpointStub::start().await;
+    forwarder.reload(|configuration| configuration["discovery"] = json!(new.address.to_string()));
+    let reloaded_at = Instant::now();
+    assert_eq!(new.next_call().await.path, "/api/targets");
+    assert!(reloaded_at.elapsed() < Duration::from_secs(1), "{:?}", reloaded_at.elapsed());
+}
+
+#[tokio::test]
+async fn an_invalid_record_does_not_hide_the_others() {
+    let (mut service, mut one, mut other) =
+        (EndpointStub::start().await, EndpointStub::start().await, EndpointStub::start().await);
+    let discovery = DiscoveryStub::start().await;
+    let known = [
+        json!({"uid": 5}),
+        plain_endpoint("t", one.address, 7),
+        endpoint("u", other.address, 7, "plain", "asleep"),
+    ];
+    let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
+        configuration["discovery"] = json!(service.address.to_string())
+    })
+    .await;
+    // Nothing is sent to an endpoint in an unknown state.
+    for id in ["a", "b"] {
+        forwarder.submit("keyed", id, 9000).await;
+        one.next_call().await.respond(200);
+    }
+    let watch = service.next_call().await;
+    assert!(watch.path.starts_with("/api/targets?"));
+    let changes = vec![plain_endpoint("v", other.address, 8), json!({"uid": "t", "state": []})];
+    let list = endpoint_list(2, false, changes);
+    watch.respond_with(200, &[], &format!("{list:#}"));
+    // The skipped record may be a drain: the complete list is requested.
+    let complete = service.next_call().await;
+    assert_eq!(complete.path, "/api/targets");
+    forwarder.submit_to(8, "keyed", "c", 9000).await;
+    other.next_call().await.respond(200);
+    let list = endpoint_list(2, true, vec![known[1].clone(), json!({"uid": "w"})]);
+    complete.respond_with(200, &[], &list.to_string());
+    // Only once: a complete list with an invalid record is watched from.
+    assert!(service.next_call().await.path.starts_with("/api/targets?index=2"));
+}
+
+#[tokio::test]
+async fn without_a_known_list_the_complete_list_is_requested() {
+    for known in [Value::Null, json!({"rev": "x", "targets": 3})] {
+        let (mut service, mut stub) = (EndpointStub::start().await, EndpointStub::start().await);
+        let discovery = DiscoveryStub::start().await;
+        let forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
+            configuration["known"] = known;
+            configuration["discovery"] = json!(service.address.to_string());
+        })
+        .await;
+        let call = service.next_call().await;
+        assert_eq!(call.path, "/api/targets");
+        let list = endpoint_list(9, true, vec![plain_endpoint("t", stub.address, 7)]);
+        call.respond_with(200, &[], &list.to_string());
+        assert!(service.next_call().await.path.starts_with("/api/targets?index=9"));
+        forwarder.submit("keyed", "m", 9000).await;
+        stub.next_call().await.respond(200);
+    }
+}
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,73 @@
+//! Graceful shutdown after SIGTERM.
+
+mod support;
+
+use std::time::{Duration, Instant};
+use support::{EVENT_TIMEOUT, Fixture, QUIET_PERIOD, RawConnection, request, submission_text};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::timeout;
+
+#[tokio::test]
+async fn after_sigterm_calls_may_finish_and_the_other_messages_stay_in_the_journal() {
+    let mut fixture = Fixture::start().await;
+    fixture.forwarder.submit("unsafe", "out", 20_000).await;
+    let call_in_flight = fixture.endpoint.next_call().await;
+    let terminated_at = Instant::now();
+    fixture.forwarder.terminate();
+    // New clients are still served, each by the last reply on its connection.
+    let draining = async {
+        loop {
+            let ready =
+                request(fixture.forwarder.address, "GET", "/-/ready", &[], b"").await.expect("it serves");
+            if ready.headers().get("connection").is_some_and(|v| v == "close") {
+                return;
+            }
+        }
+    };
+    timeout(EVENT_TIMEOUT, draining).await.expect("it has received the signal");
+    assert_eq!(fixture.forwarder.submit("keyed", "late", 20_000).await.status(), 202);
+    let late = fixture.endpoint.next_call().await;
+    call_in_flight.respond(200);
+    late.respond_with(503, &[("Wait-Ms", "3000")], "");
+    assert!(fixture.forwarder.exit_status().await.success());
+    assert!(terminated_at.elapsed() < Duration::from_millis(3700), "{:?}", terminated_at.elapsed());
+    fixture.forwarder.restart().await;
+    let retry = fixture.endpoint.next_call().await;
+    assert_eq!(retry.header("req-id"), "late");
+    retry.respond(200);
+    fixture.forwarder.until_delivered("keyed", "late").await;
+    assert_eq!(fixture.forwarder.submit("unsafe", "out", 20_000).await.status(), 200);
+    assert!(fixture.discovery.is_quiet(QUIET_PERIOD).await);
+}
+
+#[tokio::test]
+async fn a_request_after_the_close_at_sigterm_is_not_accepted() {
+    let Fixture { mut discovery, endpoint: mut stub, mut forwarder } = Fixture::start().await;
+    let mut clients = Vec::new();
+    for n in 0..4 {
+        let mut client = RawConnection::open(forwarder.address).await;
+        client.write(&submission_text(&format!("before{n}"))).await;
+        assert!(client.read_head().await.starts_with("HTTP/1.1 202"));
+        stub.next_call().await.respond(200);
+        clients.push(client);
+    }
+    forwarder.pause();
+    forwarder.terminate();
+    // It arrives together with the signal, on an idle connection.
+    clients[0].write(&submission_text("with")).await;
+    forwarder.unpause();
+    let reply = clients[0].read_to_end().await;
+    assert!(reply.text.starts_with("HTTP/1.1 202") && reply.error.is_none(), "{reply:?}");
+    let call = stub.next_call().await;
+    assert_eq!(call.header("req-id"), "with");
+    call.respond(200);
+    for (n, client) in clients.iter_mut().enumerate().skip(1) {
+        assert_eq!(client.stream.read(&mut [0; 1]).await.expect("closed without a reset"), 0);
+        // The write fails if the connection was reset by now.
+        let _ = client.stream.write_all(submission_text(&format!("after{n}")).as_bytes()).await;
+        assert_eq!(client.read_to_end().await.text, "");
+    }
+    assert!(forwarder.exit_status().await.success());
+    forwarder.restart().await;
+    assert!(stub.is_quiet(QUIET_PERIOD).await && discovery.is_quiet(QUIET_PERIOD).await);
+}
--- a/tests/wire.rs
+++ b/tests/simulator_adapter.rs
@@ -1,4 +1,4 @@
-//! The adapter, with scripted frames.
+//! The simulator adapter: frames in, replies out.
 
 use message_forwarder::simulator::{ServeError, serve};
 
@@ -31,14 +31,14 @@
 }
 
 #[test]
-fn an_empty_batch_gets_an_empty_reply() {
+fn an_empty_frame_gets_an_empty_reply() {
     let (out, result) = run(&[frame(8.25, "")]);
     result.unwrap();
     assert_eq!(out, "OK\n");
 }
 
 #[test]
-fn a_message_goes_out_and_an_unsafe_one_that_may_have_run_is_given_up() {
+fn a_message_is_sent_and_an_unsafe_one_that_may_have_been_executed_fails() {
     let end =
         "RETURNED forwarder=3 ref=r1 go=0 target=515 how=255 elapsed=10.0 finished=0 healthInfo=0.4,1.25";
     let (out, result) =
@@ -60,15 +60,15 @@
 }
 
 #[test]
-fn unknown_events_ids_and_keys_are_passed_over() {
-    let odd = "NEWS forwarder=3 what=ever\nCLIENT_LEFT forwarder=3 ref=nobody\nRING forwarder=3 handle=9";
-    let (out, result) = run(&[boot(), frame(1001.0, odd)]);
+fn unknown_events_ids_and_keys_are_ignored() {
+    let unknown = "NEWS forwarder=3 what=ever\nCLIENT_LEFT forwarder=3 ref=nobody\nRING forwarder=3 handle=9";
+    let (out, result) = run(&[boot(), frame(1001.0, unknown)]);
     result.unwrap();
     assert_eq!(out.lines().filter(|l| *l == "OK").count(), 2);
 }
 
 #[test]
-fn after_exit_and_boot_nothing_of_the_old_life_is_left() {
+fn after_exit_and_boot_nothing_of_the_former_instance_is_left() {
     let again = format!("EXIT forwarder=3\n{BOOT}\nENDPOINTS forwarder=3 serial=1 mode=whole sheet=0");
     let end = "RETURNED forwarder=3 ref=r1 go=0 target=515 how=253 elapsed=10.0 finished=0";
     let (out, result) =
@@ -93,16 +93,16 @@
     ];
     let (out, result) = run(&frames);
     result.unwrap();
-    let of = |n: u32| -> Vec<String> {
-        let tag = format!("forwarder={n} ");
+    let lines_of = |instance: u32| -> Vec<String> {
+        let tag = format!("forwarder={instance} ");
         out.lines().filter(|l| l.contains(&tag)).map(|l| l.replace(&tag, "")).collect()
     };
-    assert!(of(3).iter().any(|l| l.starts_with("PASS_ON")), "{out}");
-    assert_eq!(of(3).len(), of(4).len());
+    assert!(lines_of(3).iter().any(|l| l.starts_with("PASS_ON")), "{out}");
+    assert_eq!(lines_of(3).len(), lines_of(4).len());
 }
 
 #[test]
-fn malformed_lines_are_named_with_their_field() {
+fn a_malformed_line_is_reported_with_its_number_and_field() {
     let cases = [
         (submit("r1", "note").replace("17000.0", "soon"), "line 6: field giveUpAt"),
         (submit("r1", "note").replace("giveUpAt=17000.0 ", ""), "line 6: field giveUpAt: missing"),
--- a/tests/simulator_adapter_history.rs
+++ b/tests/simulator_adapter_history.rs
@@ -1,6 +1,6 @@
 //! Long seeded histories of the simulator adapter, text in and text out, compared with digests recorded
-//! earlier. Two instances of different settings live through frames that answer their own replies: what was
-//! passed on comes back, alarms ring, subscriptions bring lists.
+//! earlier. Two instances of different settings run through frames that follow from their replies: calls that
+//! were sent return, wake-ups come, subscriptions bring lists.
 //!
 //! After an intended change of behaviour the panic message of each test shows the values to record.
 
@@ -15,8 +15,8 @@
 use support_history::{CHECKPOINT_EVERY, Digest, Expected, Generator, Recording};
 
 const FRAMES: usize = 2000;
-/// Time between two frames, in tenths of a millisecond.
-const LONGEST_GAP: i64 = 1500;
+/// Longest usual time between two frames, in tenths of a millisecond.
+const MAX_FRAME_INTERVAL: i64 = 1500;
 const SECOND: i64 = 10_000;
 
 /// Settings of the two instances; the first keys of a line are added at each start.
@@ -50,7 +50,7 @@
 const KINDS: [&str; 4] = ["shop", "bank", "depot", "shop"];
 const ENDPOINTS_PER_DESTINATION: u64 = 3;
 
-/// A call that was passed on and has not returned.
+/// A call that was sent and has not returned.
 struct Call {
     message: String,
     number: usize,
@@ -60,21 +60,21 @@
     outcome: u64,
 }
 
-/// What the simulator knows of one instance.
+/// What the simulator knows about one instance.
 #[derive(Default)]
 struct Instance {
     running: bool,
-    /// Starts so far: it goes into the names of messages, which are never used twice.
-    life: u64,
+    /// Number of starts so far. It is part of the ids of messages, which are never used twice.
+    incarnation: u64,
     messages_submitted: u64,
     calls: Vec<Call>,
-    /// Calls passed on for each message that is open.
+    /// The number of calls sent for each open message.
     open: BTreeMap<String, usize>,
-    alarm: Option<i64>,
+    wake_at: Option<i64>,
     subscribed: bool,
 }
 
-/// The simulator's side of the wire. Times are in tenths of a millisecond.
+/// The simulator. Times are in tenths of a millisecond.
 struct Simulator {
     generator: Generator,
     now: i64,
@@ -89,7 +89,7 @@
     unread: Vec<u8>,
 }
 
-/// A time as the wire writes it.
+/// A time as the protocol writes it.
 fn milliseconds(time: i64) -> f64 {
     time as f64 / 10.0
 }
@@ -116,13 +116,13 @@
         }
     }
 
-    /// The next frame as text; nothing once the history is over.
+    /// The next frame as text; empty once the history is complete.
     fn next_frame(&mut self) -> String {
         if self.frames == FRAMES {
             return String::new();
         }
         self.frames += 1;
-        self.now += self.gap();
+        self.now += self.frame_interval();
         let mut frame = format!("FRAME time={}\n", milliseconds(self.now));
         for index in 0..self.instances.len() {
             self.instance_events(index, &mut frame);
@@ -131,13 +131,13 @@
         frame
     }
 
-    fn gap(&mut self) -> i64 {
-        let long = self.generator.per_mille(10);
-        let planned = self.generator.between(1, if long { 5 * SECOND } else { LONGEST_GAP });
-        let alarms = self.instances.iter().filter_map(|instance| instance.alarm);
-        let next_alarm = alarms.min().unwrap_or(i64::MAX) - self.now;
-        // On the round of 5 ms.
-        (planned.min(next_alarm).max(1) + 49) / 50 * 50
+    fn frame_interval(&mut self) -> i64 {
+        let is_long = self.generator.per_mille(10);
+        let planned = self.generator.between(1, if is_long { 5 * SECOND } else { MAX_FRAME_INTERVAL });
+        let wakes = self.instances.iter().filter_map(|instance| instance.wake_at);
+        let next_wake = wakes.min().unwrap_or(i64::MAX) - self.now;
+        // A multiple of 5 ms.
+        (planned.min(next_wake).max(1) + 49) / 50 * 50
     }
 
     fn instance_events(&mut self, index: usize, frame: &mut String) {
@@ -145,18 +145,18 @@
             self.boot(index, frame);
         } else if self.generator.per_mille(3) {
             writeln!(frame, "EXIT forwarder={index}").unwrap();
-            let life = self.instances[index].life;
-            self.instances[index] = Instance { life, ..Instance::default() };
-            // Half of them start again in the same frame.
+            let incarnation = self.instances[index].incarnation;
+            self.instances[index] = Instance { incarnation, ..Instance::default() };
+            // Half of them are started again in the same frame.
             if self.generator.per_mille(500) {
                 self.boot(index, frame);
             }
             return;
         }
-        self.ring(index, frame);
+        self.wake(index, frame);
         self.return_calls(index, frame);
         self.change_list(index, frame);
-        self.disturb(index, frame);
+        self.disconnect_and_stream(index, frame);
         if self.generator.per_mille(500) {
             for _ in 0..=self.generator.below(4) {
                 self.submit(index, frame);
@@ -167,20 +167,20 @@
     fn boot(&mut self, index: usize, frame: &mut String) {
         let seed = self.generator.next() >> 1;
         writeln!(frame, "BOOT forwarder={index} nonce64={seed} {}", SETTINGS[index]).unwrap();
-        let life = self.instances[index].life + 1;
-        self.instances[index] = Instance { running: true, life, ..Instance::default() };
+        let incarnation = self.instances[index].incarnation + 1;
+        self.instances[index] = Instance { running: true, incarnation, ..Instance::default() };
         let mode = self.generator.pick(&["whole", "stale_copy"]);
         self.send_list(index, mode, frame);
     }
 
-    fn ring(&mut self, index: usize, frame: &mut String) {
+    fn wake(&mut self, index: usize, frame: &mut String) {
         let instance = &mut self.instances[index];
-        if instance.alarm.take_if(|at| *at <= self.now).is_some() {
+        if instance.wake_at.take_if(|at| *at <= self.now).is_some() {
             writeln!(frame, "RING forwarder={index} handle=0").unwrap();
         }
     }
 
-    /// A catalog of whole destinations, or for a patch of a few endpoints, and its announcement.
+    /// Writes a catalog, of all endpoints or for a patch of a few, and the list that refers to it.
     fn send_list(&mut self, index: usize, mode: &str, frame: &mut String) {
         self.sheet += 1;
         let rows = if mode == "patch" { 1 + self.generator.below(3) } else { self.all_endpoints() };
@@ -215,10 +215,10 @@
     }
 
     fn change_list(&mut self, index: usize, frame: &mut String) {
-        let asked = std::mem::take(&mut self.instances[index].subscribed);
+        let subscribed = std::mem::take(&mut self.instances[index].subscribed);
         if self.generator.per_mille(10) {
             writeln!(frame, "ENDPOINTS forwarder={index} serial=0 mode=broken").unwrap();
-        } else if asked || self.generator.per_mille(5) {
+        } else if subscribed || self.generator.per_mille(5) {
             let mode = self.generator.pick(&["whole", "stale_copy"]);
             self.send_list(index, mode, frame);
         } else if self.generator.per_mille(15) {
@@ -235,11 +235,11 @@
     fn submit(&mut self, index: usize, frame: &mut String) {
         let instance = &mut self.instances[index];
         instance.messages_submitted += 1;
-        let name = format!("m{}-{}", instance.life, instance.messages_submitted);
+        let name = format!("m{}-{}", instance.incarnation, instance.messages_submitted);
         instance.open.insert(name.clone(), 0);
         let class = self.generator.pick(CLASSES[index]);
-        let patience = self.generator.pick(&[12 * SECOND, 6 * SECOND, SECOND]);
-        let give_up_at = milliseconds(self.now + patience);
+        let time_limit = self.generator.pick(&[12 * SECOND, 6 * SECOND, SECOND]);
+        let expires_at = milliseconds(self.now + time_limit);
         let unknown = self.generator.per_mille(5);
         let destination = if unknown { 99 } else { 1 + self.generator.below(KINDS.len() as u64) };
         let group =
@@ -247,7 +247,7 @@
         let key = self.generator.pick(&["", " partitionKey=", " partitionKey=p1", " partitionKey=p2"]);
         writeln!(
             frame,
-            "SUBMIT forwarder={index} ref={name} priority={class} giveUpAt={give_up_at} \
+            "SUBMIT forwarder={index} ref={name} priority={class} giveUpAt={expires_at} \
              calledNode={destination}{group}{key}"
         )
         .unwrap();
@@ -290,8 +290,8 @@
         }
     }
 
-    /// Clients leave, streamed answers begin, and lines come that mean nothing.
-    fn disturb(&mut self, index: usize, frame: &mut String) {
+    /// Clients disconnect, streamed responses begin, and lines come that are to be ignored.
+    fn disconnect_and_stream(&mut self, index: usize, frame: &mut String) {
         let names: Vec<String> = self.instances[index].open.keys().cloned().collect();
         if !names.is_empty() && self.generator.per_mille(20) {
             let name = &names[self.generator.below(names.len() as u64) as usize];
@@ -301,7 +301,7 @@
         let sent: Vec<String> = self.instances[index].calls.iter().map(|call| call.message.clone()).collect();
         if !sent.is_empty() && self.generator.per_mille(20) {
             let name = &sent[self.generator.below(sent.len() as u64) as usize];
-            // The message is the client's now: however the call ends, it is over.
+            // The response belongs to the client now: however the call ends, the message is finished.
             writeln!(frame, "UNDER_WAY forwarder={index} ref={name}").unwrap();
             self.instances[index].open.remove(name);
         }
@@ -332,12 +332,12 @@
         }
         let index: usize = field(line, "forwarder").parse().expect("an instance");
         match kind {
-            "PASS_ON" => self.pass_on(index, line),
+            "PASS_ON" => self.send(index, line),
             "PUSH_BACK" | "GIVE_UP" => drop(self.instances[index].open.remove(field(line, "ref"))),
             "CANCEL" => self.cancel(index, line),
             "SET_ALARM" => {
                 let at: f64 = field(line, "time").parse().expect("a time");
-                self.instances[index].alarm = Some((at * 10.0).ceil() as i64);
+                self.instances[index].wake_at = Some((at * 10.0).ceil() as i64);
             }
             "SUBSCRIBE" => self.instances[index].subscribed = true,
             "DISCONNECT" => {}
@@ -345,11 +345,11 @@
         }
     }
 
-    fn pass_on(&mut self, index: usize, line: &str) {
+    fn send(&mut self, index: usize, line: &str) {
         let endpoint: u64 = field(line, "target").parse().expect("an endpoint");
         let allowed: f64 = field(line, "allowFor").parse().expect("a time");
-        let bad = self.unreachable.contains(&(endpoint / 10));
-        let all: &[u64] = if bad {
+        let is_unreachable = self.unreachable.contains(&(endpoint / 10));
+        let all: &[u64] = if is_unreachable {
             &[255, 254, 254, 253, 252, 252, 251, 249, 0]
         } else {
             &[0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 255, 254, 251, 249, 252]
@@ -358,7 +358,7 @@
         let quick = self.generator.between(50, 900);
         let duration = match outcome {
             253 => (allowed * 10.0) as i64,
-            252 if bad => SECOND,
+            252 if is_unreachable => SECOND,
             _ => quick,
         };
         let instance = &mut self.instances[index];
@@ -379,7 +379,7 @@
     }
 }
 
-/// The input of the adapter: each frame is made once the reply to the one before has been read.
+/// The input of the adapter: each frame is written once the reply to the one before has been read.
 struct Frames {
     simulator: Rc<RefCell<Simulator>>,
     frame: Vec<u8>,
--- /dev/null
+++ b/tests/support/discovery_stub.rs
@@ -0,0 +1,108 @@
+//! The discovery service, which also receives the notices.
+
+use super::EVENT_TIMEOUT;
+use super::endpoint_stub::{EndpointStub, ReceivedCall};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// A discovery service that holds each watch until the test pushes a list, and passes notices to the test.
+pub struct DiscoveryStub {
+    pub address: SocketAddr,
+    lists: mpsc::UnboundedSender<Value>,
+    notice_calls: mpsc::UnboundedReceiver<ReceivedCall>,
+}
+
+impl DiscoveryStub {
+    pub async fn start() -> Self {
+        let stub = EndpointStub::start().await;
+        let address = stub.address;
+        let (lists, list_receiver) = mpsc::unbounded_channel();
+        let (notice_sender, notice_calls) = mpsc::unbounded_channel();
+        tokio::spawn(serve(stub, list_receiver, notice_sender));
+        DiscoveryStub { address, lists, notice_calls }
+    }
+
+    /// Sends changed records, as the response to the present or the next watch.
+    pub fn push_changes(&self, revision: u64, endpoints: Vec<Value>) {
+        self.push(revision, false, endpoints);
+    }
+
+    /// Sends the complete list in the same way.
+    pub fn push_complete_list(&self, revision: u64, endpoints: Vec<Value>) {
+        self.push(revision, true, endpoints);
+    }
+
+    fn push(&self, revision: u64, complete: bool, endpoints: Vec<Value>) {
+        let _ = self.lists.send(endpoint_list(revision, complete, endpoints));
+    }
+
+    /// The next call with notices, which the test has to respond to.
+    pub async fn next_notice_call(&mut self) -> ReceivedCall {
+        timeout(EVENT_TIMEOUT, self.notice_calls.recv())
+            .await
+            .expect("a notice comes")
+            .expect("the stub listens")
+    }
+
+    /// The notices of the next batch, which is acknowledged.
+    pub async fn notices(&mut self) -> Vec<Value> {
+        let call = self.next_notice_call().await;
+        assert_eq!(call.path, "/v1/notices");
+        let text = call.body_then(|call| call.respond(204));
+        let lines = text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+        lines.map(|line| serde_json::from_slice(line).expect("an object a line")).collect()
+    }
+
+    /// The only notice of the next batch, which is acknowledged.
+    pub async fn notice(&mut self) -> Value {
+        let mut notices = self.notices().await;
+        assert_eq!(notices.len(), 1, "{notices:?}");
+        notices.remove(0)
+    }
+
+    /// Whether no notice comes for this long.
+    pub async fn is_quiet(&mut self, span: Duration) -> bool {
+        timeout(span, self.notice_calls.recv()).await.is_err()
+    }
+}
+
+async fn serve(
+    mut stub: EndpointStub,
+    mut lists: mpsc::UnboundedReceiver<Value>,
+    notice_calls: mpsc::UnboundedSender<ReceivedCall>,
+) {
+    let (mut watch, mut list): (Option<ReceivedCall>, Option<Value>) = (None, None);
+    loop {
+        tokio::select! {
+            Some(call) = stub.receive_call() => match call.path.starts_with("/api/targets") {
+                true => watch = Some(call),
+                false => drop(notice_calls.send(call)),
+            },
+            Some(pushed) = lists.recv() => list = Some(pushed),
+            else => return,
+        }
+        if let (Some(call), Some(pushed)) = (watch.take_if(|_| list.is_some()), list.as_ref()) {
+            call.respond_with(200, &[], &pushed.to_string());
+            list = None;
+        }
+    }
+}
+
+/// An endpoint list, as discovery sends it.
+pub fn endpoint_list(revision: u64, complete: bool, endpoints: Vec<Value>) -> Value {
+    json!({"rev": revision, "all": complete, "targets": endpoints})
+}
+
+/// A record of the endpoint list.
+pub fn endpoint(uid: &str, address: SocketAddr, destination: u64, kind: &str, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": address.to_string(), "az": "a", "model": kind, "pod_group": destination,
+           "state": state, "capacity_hint": 50.0, "boot_ms": 0})
+}
+
+/// A record of an endpoint in service whose calls carry one message each.
+pub fn plain_endpoint(uid: &str, address: SocketAddr, destination: u64) -> Value {
+    endpoint(uid, address, destination, "plain", "in_service")
+}
--- /dev/null
+++ b/tests/support/forwarder_process.rs
@@ -0,0 +1,292 @@
+//! The forwarder program, as a process of its own.
+
+use super::discovery_stub::DiscoveryStub;
+use super::forwarder_config::configuration;
+use super::http_client::{request, submit};
+use super::raw_connection::RawConnection;
+use super::reserved_addresses::{ReservedAddresses, lock_fork};
+use super::{EVENT_TIMEOUT, POLL_INTERVAL};
+use bytes::Bytes;
+use hyper::Response;
+use serde_json::Value;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::{env, fs, process};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// The number of forwarders that this test program has started.
+static STARTED: AtomicUsize = AtomicUsize::new(0);
+
+/// The forwarder, with a directory of its own. Dropped, it is killed and its directory removed.
+pub struct ForwarderProcess {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+    directory: PathBuf,
+    process: Child,
+    /// Shared by all processes, where they inherit it.
+    listener: Option<TcpListener>,
+}
+
+impl ForwarderProcess {
+    /// Starts it with a configuration that `change` may edit, and waits until it is ready.
+    pub async fn start(
+        discovery: &DiscoveryStub,
+        known_endpoints: &[Value],
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
+        ForwarderProcess::start_with(discovery, known_endpoints, change, false).await
+    }
+
+    /// The same, on a listening socket that it and its successors inherit.
+    pub async fn start_inheriting(
+        discovery: &DiscoveryStub,
+        known_endpoints: &[Value],
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
+        ForwarderProcess::start_with(discovery, known_endpoints, change, true).await
+    }
+
+    async fn start_with(
+        discovery: &DiscoveryStub,
+        known_endpoints: &[Value],
+        change: impl FnOnce(&mut Value),
+        inherits_listener: bool,
+    ) -> Self {
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let directory = env::temp_dir().join(format!("forwarder-test-{}-{number}", process::id()));
+        fs::create_dir_all(directory.join("state")).expect("a temporary directory");
+        let ReservedAddresses { address, admin_address, listener } =
+            ReservedAddresses::reserve(number, inherits_listener);
+        let mut configuration = configuration(address, admin_address, discovery.address, known_endpoints);
+        change(&mut configuration);
+        fs::write(directory.join("config.json"), configuration.to_string())
+            .expect("the directory is writable");
+        let process = spawn(&directory, listener.as_ref(), None);
+        let forwarder = ForwarderProcess { address, admin_address, directory, process, listener };
+        forwarder.wait_until_ready().await;
+        forwarder
+    }
+
+    async fn wait_until_ready(&self) {
+        let ready = async {
+            while !self.responds_ready().await {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(EVENT_TIMEOUT, ready).await.expect("the forwarder gets ready");
+    }
+
+    /// Whether it responds to a readiness check that it is ready.
+    pub async fn responds_ready(&self) -> bool {
+        let response = request(self.address, "GET", "/-/ready", &[], b"").await;
+        response.is_some_and(|response| response.status() == 200)
+    }
+
+    /// Starts it again after it has ended.
+    pub async fn restart(&mut self) {
+        self.process = spawn(&self.directory, self.listener.as_ref(), None);
+        self.wait_until_ready().await;
+    }
+
+    /// Starts a successor beside this process, and waits until it reports that it is ready.
+    pub async fn upgrade(&mut self) -> Predecessor {
+        self.admin_address = {
+            let _no_fork = lock_fork();
+            let listener = TcpListener::bind((self.admin_address.ip(), 0)).expect("a free port");
+            listener.local_addr().expect("it is bound")
+        };
+        let successor = spawn(&self.directory, self.listener.as_ref(), Some(self.admin_address));
+        let predecessor = std::mem::replace(&mut self.process, successor);
+        let ready = async {
+            while TcpStream::connect(self.admin_address).await.is_err()
+                || self.admin_command("ready").await != "ACK ready\n"
+            {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(EVENT_TIMEOUT, ready).await.expect("the successor gets ready");
+        Predecessor(predecessor)
+    }
+
+    /// The number of descriptors that it has open.
+    pub fn descriptors(&self) -> usize {
+        descriptors(&self.process)
+    }
+
+    /// A file in the state directory.
+    pub fn state_file(&self, name: &str) -> PathBuf {
+        self.directory.join("state").join(name)
+    }
+
+    pub fn journal_file(&self) -> PathBuf {
+        self.state_file("journal")
+    }
+
+    /// Sends an operator's command and returns the line of the reply.
+    pub async fn admin_command(&self, line: &str) -> String {
+        let mut connection = RawConnection::open(self.admin_address).await;
+        connection.write(&format!("{line}\n")).await;
+        connection.read_to_end().await.text
+    }
+
+    /// Sends SIGKILL.
+    pub fn kill(&mut self) {
+        kill(&mut self.process);
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        signal(&self.process, "-TERM");
+    }
+
+    /// Sends SIGSTOP: it finds all that happens from now on at once when it is continued.
+    pub fn pause(&self) {
+        signal(&self.process, "-STOP");
+    }
+
+    /// Sends SIGCONT.
+    pub fn unpause(&self) {
+        signal(&self.process, "-CONT");
+    }
+
+    /// Edits the configuration file and sends SIGHUP.
+    pub fn reload(&self, change: impl FnOnce(&mut Value)) {
+        self.configure(change);
+        signal(&self.process, "-HUP");
+    }
+
+    /// Edits the configuration file.
+    pub fn configure(&self, change: impl FnOnce(&mut Value)) {
+        let path = self.directory.join("config.json");
+        let text = fs::read(&path).expect("it was written");
+        let mut configuration = serde_json::from_slice(&text).expect("it is JSON");
+        change(&mut configuration);
+        fs::write(&path, configuration.to_string()).expect("the directory is writable");
+    }
+
+    /// Waits until it has ended.
+    pub async fn exit_status(&mut self) -> ExitStatus {
+        exit_status(&mut self.process).await
+    }
+
+    /// Submits a message for destination 7.
+    pub async fn submit(&self, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
+        self.submit_to(7, class, id, deadline_ms).await
+    }
+
+    /// Submits a message for another destination.
+    pub async fn submit_to(
+        &self,
+        destination: u64,
+        class: &str,
+        id: &str,
+        deadline_ms: u64,
+    ) -> Response<Bytes> {
+        submit(self.address, destination, class, id, deadline_ms).await
+    }
+
+    /// Submits the same message until the reply says that it was delivered.
+    pub async fn until_delivered(&self, class: &str, id: &str) {
+        let delivered = async {
+            while self.submit(class, id, 1000).await.status() != 200 {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(EVENT_TIMEOUT, delivered).await.expect("it is known as delivered");
+    }
+}
+
+impl Drop for ForwarderProcess {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// A process that a successor has taken over from. Dropped, it is killed.
+pub struct Predecessor(Child);
+
+impl Predecessor {
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        signal(&self.0, "-TERM");
+    }
+
+    /// Sends SIGKILL.
+    pub fn kill(&mut self) {
+        kill(&mut self.0);
+    }
+
+    /// Waits until it has ended.
+    pub async fn exit_status(&mut self) -> ExitStatus {
+        exit_status(&mut self.0).await
+    }
+
+    /// The number of descriptors that it has open.
+    pub fn descriptors(&self) -> usize {
+        descriptors(&self.0)
+    }
+}
+
+impl Drop for Predecessor {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn spawn(directory: &Path, listener: Option<&TcpListener>, admin_address: Option<SocketAddr>) -> Child {
+    let program = env!("CARGO_BIN_EXE_forwarder");
+    let mut command = Command::new(program);
+    if let Some(listener) = listener {
+        let listener = listener.try_clone().expect("a descriptor");
+        command = Command::new("/bin/sh");
+        command.args(["-c", "exec \"$0\" 3<&0 0</dev/null", program]);
+        command.stdin(Stdio::from(OwnedFd::from(listener))).env("BALANCER_FD", "3");
+    }
+    if let Some(admin_address) = admin_address {
+        command.env("BALANCER_ADMIN", admin_address.to_string());
+    }
+    command
+        .env("BALANCER_CONFIG", directory.join("config.json"))
+        .env("BALANCER_STATE", directory.join("state"));
+    let _no_fork = lock_fork();
+    command.spawn().expect("the program starts")
+}
+
+fn kill(process: &mut Child) {
+    process.kill().and_then(|()| process.wait()).expect("it was running");
+}
+
+fn signal(process: &Child, name: &str) {
+    let pid = process.id().to_string();
+    let mut command = Command::new("kill");
+    let mut kill = {
+        let _no_fork = lock_fork();
+        command.args([name, &pid]).spawn().expect("kill starts")
+    };
+    assert!(kill.wait().expect("kill runs").success());
+}
+
+fn descriptors(process: &Child) -> usize {
+    fs::read_dir(format!("/proc/{}/fd", process.id())).map_or(0, Iterator::count)
+}
+
+async fn exit_status(process: &mut Child) -> ExitStatus {
+    let exit = async {
+        loop {
+            match process.try_wait().expect("it can be waited for") {
+                Some(status) => return status,
+                None => sleep(POLL_INTERVAL).await,
+            }
+        }
+    };
+    timeout(EVENT_TIMEOUT, exit).await.expect("the forwarder ends")
+}
--- /dev/null
+++ b/tests/support/http_client.rs
@@ -0,0 +1,57 @@
+//! A client that submits messages.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+
+/// Sends one request on a connection of its own; `None` if no response came.
+pub async fn request(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Response<Bytes>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let mut request = Request::builder().method(method).uri(path).header("Host", "api.internal");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::copy_from_slice(body))).ok()?;
+    let (parts, body) = sender.send_request(request).await.ok()?.into_parts();
+    Some(Response::from_parts(parts, body.collect().await.ok()?.to_bytes()))
+}
+
+/// Submits a message with the key `key-<id>` and the body `\0body of <id>`.
+pub async fn submit(
+    address: SocketAddr,
+    destination: u64,
+    class: &str,
+    id: &str,
+    deadline_ms: u64,
+) -> Response<Bytes> {
+    let deadline = deadline_ms.to_string();
+    let headers = [
+        ("Req-Id", id),
+        ("Req-Owner", "acme"),
+        ("Req-Deadline-Ms", &deadline),
+        ("Idempotency-Key", &format!("key-{id}")),
+        ("Envelope", &format!("dest={destination}")),
+    ];
+    let body = format!("\0body of {id}");
+    request(address, "POST", &format!("/{class}"), &headers, body.as_bytes()).await.expect("a reply")
+}
+
+/// The text of a request that submits a keyed message with the body `hi` to destination 7.
+pub fn submission_text(id: &str) -> String {
+    format!(
+        "POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 9000\r\n\
+         Idempotency-Key: {id}\r\nEnvelope: dest=7\r\nContent-Length: 2\r\n\r\nhi"
+    )
+}
--- /dev/null
+++ b/tests/support/reserved_addresses.rs
@@ -0,0 +1,38 @@
+//! Addresses that are free when a forwarder binds them.
+
+use std::net::{SocketAddr, TcpListener};
+use std::process;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Held while a listener exists that is closed to free its port, and while a process is started. A process
+/// between fork and exec has a copy of all descriptors of the test: a port is in use until it has closed its
+/// copy.
+static FORK_LOCK: Mutex<()> = Mutex::new(());
+
+/// Waits until no other test holds the lock.
+pub fn lock_fork() -> MutexGuard<'static, ()> {
+    // A test that panicked while it held the lock has left nothing half done.
+    FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Free ports of an IP address that no other test uses, so that nobody else takes them before the forwarder
+/// does.
+pub struct ReservedAddresses {
+    pub address: SocketAddr,
+    pub admin_address: SocketAddr,
+    /// The listener at `address`, if it is to be inherited.
+    pub listener: Option<TcpListener>,
+}
+
+impl ReservedAddresses {
+    pub fn reserve(number: usize, keep_listener: bool) -> Self {
+        let pid = process::id();
+        let any_port = format!("127.{}.{}.{}:0", 1 + pid / 250 % 250, 1 + pid % 250, 1 + number);
+        let _no_fork = lock_fork();
+        let [listener, admin_listener] = [(); 2].map(|()| TcpListener::bind(&any_port).expect("a free port"));
+        let [address, admin_address] =
+            [&listener, &admin_listener].map(|listener| listener.local_addr().expect("it is bound"));
+        drop(admin_listener);
+        ReservedAddresses { address, admin_address, listener: keep_listener.then_some(listener) }
+    }
+}
--- a/tests/support_history/driver.rs
+++ b/tests/support_history/driver.rs
@@ -1,28 +1,29 @@
-//! A host for the decision module that lives through a seeded, legal history: every attempt that is sent ends
-//! once, alarms ring when they were asked for, and destinations go through good and bad times.
+//! A host for the decision module that runs a seeded, legal history: every attempt that is sent ends once,
+//! wake-ups come when they were requested, and destinations change their condition.
 
 use super::calls::Plan;
-use super::scenario::{Mood, Scenario};
+use super::scenario::{Condition, Scenario};
 use super::support_history::{CHECKPOINT_EVERY, Digest, Generator, Recording};
 use super::translation::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-const ROUND: i64 = 5 * MILLISECOND;
-/// The state of the module is added to the digest once in so many turns.
-const STATE_EVERY: usize = 50;
-/// Numbers of calls that no call of the subject itself reaches are this far apart.
-const FOREIGN_CALL_STEP: u64 = 1_000_000;
+/// Times are multiples of this.
+const TURN_INTERVAL: i64 = 5 * MILLISECOND;
+/// Turns between two additions of the state of the module to the digest.
+const TURNS_PER_STATE: usize = 50;
+/// The numbers of inherited calls are this far apart, beyond those of the calls of the subject.
+const INHERITED_CALL_STEP: u64 = 1_000_000;
 const UNLISTED_DESTINATION: u64 = 999;
 
 struct Message {
     class: usize,
     tenant: Option<usize>,
     key: Option<String>,
-    give_up_at: i64,
+    expires_at: i64,
     destination: u64,
     attempts: usize,
-    risk: Option<(i64, usize)>,
-    over: bool,
+    possible_execution: Option<(i64, usize)>,
+    finished: bool,
     started: bool,
 }
 
@@ -58,7 +59,7 @@
     endpoints: BTreeMap<u64, Endpoint>,
     banned: BTreeSet<u64>,
     draining: bool,
-    moods: BTreeMap<u64, Mood>,
+    conditions: BTreeMap<u64, Condition>,
     next_message: u64,
     next_call: u64,
     last_call: Option<LastCall>,
@@ -91,7 +92,7 @@
             endpoints,
             banned: BTreeSet::new(),
             draining: false,
-            moods: scenario.destinations.iter().map(|d| (d.id, Mood::Well)).collect(),
+            conditions: scenario.destinations.iter().map(|d| (d.id, Condition::Healthy)).collect(),
             next_message: 0,
             next_call: 0,
             last_call: None,
@@ -100,14 +101,14 @@
         }
     }
 
-    /// Lives through the whole history.
+    /// Runs the whole history.
     pub fn run(mut self) -> Recording {
         let mut checkpoints = Vec::new();
-        let list = self.whole_list();
-        self.hand_in(Input::WholeList(list));
+        let list = self.complete_list();
+        self.handle(Input::ListSnapshot(list));
         for turn in 1..=self.scenario.turns {
             self.turn(turn);
-            if turn % STATE_EVERY == 0 {
+            if turn % TURNS_PER_STATE == 0 {
                 self.subject.encode_state(self.now, &mut self.digest);
             }
             if turn % CHECKPOINT_EVERY == 0 {
@@ -124,34 +125,34 @@
         self.pass_time();
         if self.wake_at <= self.now {
             self.wake_at = i64::MAX;
-            self.hand_in(Input::Wake);
+            self.handle(Input::Wake);
         }
         self.end_attempts();
         let every = self.scenario.take_over_every;
         if every > 0 && turn.is_multiple_of(every) {
             self.take_over();
         }
-        self.change_moods();
+        self.change_conditions();
         self.change_list();
-        self.operate();
-        self.disturb_clients();
+        self.run_admin_commands();
+        self.disconnect_and_stream();
         self.submit_messages();
-        self.hand_in(Input::TurnEnd);
+        self.handle(Input::TurnEnd);
         self.last_call = None;
         let open: BTreeSet<u64> = self.attempts.iter().map(|attempt| attempt.id).collect();
-        self.messages.retain(|id, message| !message.over || open.contains(id));
+        self.messages.retain(|id, message| !message.finished || open.contains(id));
     }
 
     fn pass_time(&mut self) {
-        let long = self.generator.per_mille(8);
-        let most = if long { 5 * SECOND } else { 200 * MILLISECOND };
-        let planned = self.now + self.generator.between(0, most);
+        let is_long = self.generator.per_mille(8);
+        let longest = if is_long { 5 * SECOND } else { 200 * MILLISECOND };
+        let planned = self.now + self.generator.between(0, longest);
         let next = planned.min(self.wake_at).max(self.now + 1);
-        self.now = (next + ROUND - 1) / ROUND * ROUND;
+        self.now = (next + TURN_INTERVAL - 1) / TURN_INTERVAL * TURN_INTERVAL;
     }
 
-    fn hand_in(&mut self, input: Input) {
-        for decision in self.subject.hand_in(self.now, input) {
+    fn handle(&mut self, input: Input) {
+        for decision in self.subject.handle(self.now, input) {
             encode_decision(self.now, &decision, &mut self.digest);
             self.occurred[tag(&decision)] += 1;
             self.carry_out(decision);
@@ -161,35 +162,38 @@
     fn carry_out(&mut self, decision: Decision) {
         match decision {
             Decision::Send { id, endpoint, timeout, .. } => self.send(id, endpoint, timeout),
-            Decision::Refuse { id, .. } | Decision::Fail { id } => self.finish(id),
+            Decision::Reject { id, .. } | Decision::Fail { id } => self.finish(id),
             Decision::Cancel { id, attempt } => self.cancel(id, attempt),
             Decision::Wake { at } => self.wake_at = self.wake_at.min(at),
-            Decision::Close { .. } | Decision::Subscribe | Decision::Admit(_) => {}
+            Decision::CloseIdleConnections { .. } | Decision::Subscribe | Decision::AcceptClients(_) => {}
         }
     }
 
     fn finish(&mut self, id: u64) {
         if let Some(message) = self.messages.get_mut(&id) {
-            message.over = true;
+            message.finished = true;
         }
     }
 
-    /// Starts an attempt. Those of one turn to one endpoint mostly end alike, as parts of one call.
+    /// Starts an attempt. Attempts of one turn to one endpoint travel in one call, and mostly end alike.
     fn send(&mut self, id: u64, endpoint: u64, timeout: i64) {
         let place = self.endpoints[&endpoint];
         let batch = if place.kind == BATCHED { BATCH } else { 1 };
-        let joins = self.last_call.as_ref().is_some_and(|c| c.endpoint == endpoint && c.messages < batch);
-        if !joins {
-            let (number, plan) =
-                (self.next_call, Plan::draw(&mut self.generator, self.moods[&place.destination], timeout));
+        let joins_last_call =
+            self.last_call.as_ref().is_some_and(|c| c.endpoint == endpoint && c.messages < batch);
+        if !joins_last_call {
+            let (number, plan) = (
+                self.next_call,
+                Plan::draw(&mut self.generator, self.conditions[&place.destination], timeout),
+            );
             self.next_call += 1;
             self.last_call = Some(LastCall { number, endpoint, messages: 0, plan });
         }
-        let apart = self.generator.per_mille(30);
+        let ends_differently = self.generator.per_mille(30);
         let call = self.last_call.as_mut().expect("just set");
         call.messages += 1;
         let (number, plan) = (call.number, call.plan);
-        let message = self.messages.get_mut(&id).expect("only held messages are sent");
+        let message = self.messages.get_mut(&id).expect("only open messages are sent");
         let attempt = message.attempts;
         message.attempts += 1;
         self.attempts.push(Attempt {
@@ -199,7 +203,7 @@
             endpoint,
             sent: self.now,
             ends_at: self.now + plan.duration,
-            ending: if apart { Ending::Error } else { plan.ending },
+            ending: if ends_differently { Ending::Error } else { plan.ending },
             report: plan.report,
             wait: plan.wait,
             unsent: plan.unsent,
@@ -208,10 +212,10 @@
 
     fn cancel(&mut self, id: u64, number: usize) {
         let late = self.generator.between(0, 50 * MILLISECOND);
-        let called_off = self.generator.per_mille(900);
+        let is_cancelled = self.generator.per_mille(900);
         for attempt in self.attempts.iter_mut().filter(|a| a.id == id && a.number == number) {
             attempt.ends_at = attempt.ends_at.min(self.now + late);
-            attempt.ending = if called_off { Ending::Cancelled } else { attempt.ending };
+            attempt.ending = if is_cancelled { Ending::Cancelled } else { attempt.ending };
         }
     }
 
@@ -220,46 +224,47 @@
         let (mut due, open): (Vec<_>, Vec<_>) = open.into_iter().partition(|a| a.ends_at <= self.now);
         self.attempts = open;
         due.sort_by_key(|a| (a.ends_at, a.call, a.number, a.id));
-        due.into_iter().for_each(|attempt| self.end(attempt));
+        due.into_iter().for_each(|attempt| self.end_attempt(attempt));
     }
 
-    fn end(&mut self, a: Attempt) {
-        let never_ran = matches!(a.ending, Ending::Full(_) | Ending::ConnectFailed | Ending::NotSent);
-        let zone = self.endpoints[&a.endpoint].zone;
-        let message = self.messages.get_mut(&a.id).expect("kept while an attempt is open");
-        message.over |= message.started || a.ending == Ending::Delivered;
-        if !never_ran && message.risk.is_none() {
-            message.risk = Some((a.sent, zone));
+    fn end_attempt(&mut self, ended: Attempt) {
+        let never_executed =
+            matches!(ended.ending, Ending::Rejected(_) | Ending::ConnectFailed | Ending::NotSent);
+        let zone = self.endpoints[&ended.endpoint].zone;
+        let message = self.messages.get_mut(&ended.id).expect("kept while an attempt is open");
+        message.finished |= message.started || ended.ending == Ending::Delivered;
+        if !never_executed && message.possible_execution.is_none() {
+            message.possible_execution = Some((ended.sent, zone));
         }
-        let finished = message.over;
-        self.hand_in(Input::Ended {
-            id: a.id,
-            attempt: a.number,
-            ending: a.ending,
-            elapsed: self.now - a.sent,
+        let finished = message.finished;
+        self.handle(Input::Ended {
+            id: ended.id,
+            attempt: ended.number,
+            ending: ended.ending,
+            elapsed: self.now - ended.sent,
             finished,
-            report: a.report,
-            unsent: a.unsent,
-            wait: a.wait,
+            report: ended.report,
+            unsent: ended.unsent,
+            wait: ended.wait,
         });
     }
 
-    fn change_moods(&mut self) {
+    fn change_conditions(&mut self) {
         for destination in self.scenario.destinations {
-            if self.generator.per_mille(self.scenario.rates.mood) {
-                self.moods.insert(destination.id, self.generator.pick(self.scenario.moods));
+            if self.generator.per_mille(self.scenario.rates.condition) {
+                self.conditions.insert(destination.id, self.generator.pick(self.scenario.conditions));
             }
         }
     }
 
-    /// Endpoints as a whole list names them: those that are gone are missing.
-    fn whole_list(&self) -> Vec<Endpoint> {
+    /// The endpoints of a complete list, which lacks the removed ones.
+    fn complete_list(&self) -> Vec<Endpoint> {
         self.endpoints.values().filter(|endpoint| endpoint.listed != Listed::Deleted).copied().collect()
     }
 
     fn change_list(&mut self) {
         if self.generator.per_mille(self.scenario.rates.list_broken) {
-            self.hand_in(Input::ListBroken);
+            self.handle(Input::WatchFailed);
         }
         if !self.generator.per_mille(self.scenario.rates.list) {
             return;
@@ -278,9 +283,10 @@
             self.endpoints.insert(id, endpoint);
             changed.push(endpoint);
         }
-        let whole = self.generator.per_mille(300);
-        let input = if whole { Input::WholeList(self.whole_list()) } else { Input::ListChanges(changed) };
-        self.hand_in(input);
+        let is_complete = self.generator.per_mille(300);
+        let input =
+            if is_complete { Input::ListSnapshot(self.complete_list()) } else { Input::ListUpdate(changed) };
+        self.handle(input);
     }
 
     fn any_endpoint(&mut self) -> u64 {
@@ -288,39 +294,39 @@
         self.generator.pick(&ids)
     }
 
-    /// What operators do.
-    fn operate(&mut self) {
+    /// Operators ban endpoints, end bans, and drain and resume the process.
+    fn run_admin_commands(&mut self) {
         if self.generator.per_mille(self.scenario.rates.ban) {
             let endpoint = self.any_endpoint();
             if self.banned.insert(endpoint) {
-                self.hand_in(Input::Ban(endpoint));
+                self.handle(Input::Ban(endpoint));
             }
         }
         if self.generator.per_mille(self.scenario.rates.ban_end)
             && let Some(endpoint) = self.banned.pop_first()
         {
-            self.hand_in(Input::BanEnded(endpoint));
+            self.handle(Input::BanEnded(endpoint));
         }
         if self.generator.per_mille(self.scenario.rates.drain) {
             self.draining = !self.draining;
-            self.hand_in(if self.draining { Input::Drain } else { Input::Resume });
+            self.handle(if self.draining { Input::Drain } else { Input::Resume });
         }
     }
 
-    /// Clients leave, and streamed answers begin.
-    fn disturb_clients(&mut self) {
-        let open: Vec<u64> = self.messages.iter().filter(|(_, m)| !m.over).map(|(id, _)| *id).collect();
-        if !open.is_empty() && self.generator.per_mille(self.scenario.rates.client_left) {
+    /// Clients disconnect, and streamed responses begin.
+    fn disconnect_and_stream(&mut self) {
+        let open: Vec<u64> = self.messages.iter().filter(|(_, m)| !m.finished).map(|(id, _)| *id).collect();
+        if !open.is_empty() && self.generator.per_mille(self.scenario.rates.client_disconnected) {
             let id = self.generator.pick(&open);
             self.finish(id);
-            self.hand_in(Input::ClientLeft(id));
+            self.handle(Input::ClientDisconnected(id));
         }
         let streams: Vec<u64> = self.attempts.iter().map(|a| a.id).filter(|id| open.contains(id)).collect();
         if !streams.is_empty() && self.generator.per_mille(self.scenario.rates.started) {
             let id = self.generator.pick(&streams);
-            if let Some(message) = self.messages.get_mut(&id).filter(|message| !message.over) {
+            if let Some(message) = self.messages.get_mut(&id).filter(|message| !message.finished) {
                 message.started = true;
-                self.hand_in(Input::Started(id));
+                self.handle(Input::ResponseStarted(id));
             }
         }
     }
@@ -340,90 +346,91 @@
         let class = self.generator.pick(self.scenario.classes);
         let listed = self.generator.pick(self.scenario.destinations).id;
         let destination = if self.generator.per_mille(5) { UNLISTED_DESTINATION } else { listed };
-        let ordered = matches!(class, SAFE_ORDERED | UNSAFE_ORDERED);
+        let ordered = matches!(class, IDEMPOTENT_ORDERED | NOT_IDEMPOTENT_ORDERED);
         let key = ordered.then(|| format!("key{}", self.generator.below(6)));
         let tenant = self.scenario.tenants.then(|| self.generator.below(TENANTS) as usize);
-        let patience = self.generator.pick(&[12 * SECOND, 12 * SECOND, 6 * SECOND, SECOND]);
-        let give_up_at = self.now + patience;
-        let has_past = self.generator.per_mille(self.scenario.rates.past) && destination == listed;
-        let attempts = if has_past { self.generator.below(3) as usize } else { 0 };
-        let risky = attempts > 0 && self.generator.per_mille(500);
-        let risk = risky.then(|| (self.now - self.generator.between(1, 4 * SECOND), 1));
+        let time_limit = self.generator.pick(&[12 * SECOND, 12 * SECOND, 6 * SECOND, SECOND]);
+        let expires_at = self.now + time_limit;
+        let has_history = self.generator.per_mille(self.scenario.rates.history) && destination == listed;
+        let attempts = if has_history { self.generator.below(3) as usize } else { 0 };
+        let may_have_been_executed = attempts > 0 && self.generator.per_mille(500);
+        let possible_execution =
+            may_have_been_executed.then(|| (self.now - self.generator.between(1, 4 * SECOND), 1));
         self.messages.insert(
             id,
             Message {
                 class,
                 tenant,
                 key,
-                give_up_at,
+                expires_at,
                 destination,
                 attempts,
-                risk,
-                over: false,
+                possible_execution,
+                finished: false,
                 started: false,
             },
         );
-        if has_past && self.generator.per_mille(400) {
-            self.open_foreign_call(id, destination);
+        if has_history && self.generator.per_mille(400) {
+            self.add_inherited_call(id, destination);
         }
-        self.hand_in_message(id, has_past);
+        self.submit_message(id, has_history);
     }
 
-    /// Adds an open attempt of an earlier process, where the destination has a serving endpoint.
-    fn open_foreign_call(&mut self, id: u64, destination: u64) {
+    /// Adds a call of a predecessor that is still in flight, if the destination has a serving endpoint.
+    fn add_inherited_call(&mut self, id: u64, destination: u64) {
         let mut serving =
             self.endpoints.values().filter(|e| e.destination == destination && e.listed == Listed::Serving);
         let Some(endpoint) = serving.next().map(|endpoint| endpoint.id) else { return };
         self.last_call = None;
-        self.next_call = (self.next_call / FOREIGN_CALL_STEP + 1) * FOREIGN_CALL_STEP;
+        self.next_call = (self.next_call / INHERITED_CALL_STEP + 1) * INHERITED_CALL_STEP;
         self.send(id, endpoint, 5 * SECOND);
         self.last_call = None;
         self.attempts.last_mut().expect("just sent").sent -= 200 * MILLISECOND;
     }
 
-    fn open_call(&self, id: u64) -> Option<(usize, OpenCall)> {
+    fn call_in_flight(&self, id: u64) -> Option<(usize, CallInFlight)> {
         let attempt = self.attempts.iter().find(|attempt| attempt.id == id)?;
         Some((attempt.number, (attempt.call, attempt.endpoint, attempt.sent)))
     }
 
-    /// Hands in a message with what became of it so far.
-    fn hand_in_message(&mut self, id: u64, taken_on: bool) {
-        let open = self.open_call(id);
+    /// Submits a message with its history.
+    fn submit_message(&mut self, id: u64, accepted: bool) {
+        let open = self.call_in_flight(id);
         let message = &self.messages[&id];
         let input = Input::Submit {
             id,
             class: message.class,
             tenant: message.tenant,
             key: message.key.clone(),
-            give_up_at: message.give_up_at,
+            expires_at: message.expires_at,
             destination: message.destination,
-            taken_on,
+            accepted,
             attempts: open.map_or(message.attempts, |(number, _)| number),
-            risk: message.risk,
-            open_call: open.map(|(_, call)| call),
+            possible_execution: message.possible_execution,
+            call_in_flight: open.map(|(_, call)| call),
         };
-        self.hand_in(input);
+        self.handle(input);
     }
 
-    /// A new process takes over: it is given the list, what was learnt, the bans and all that is open.
+    /// A new process takes over: it gets the list, the learned state, the bans and all open messages.
     fn take_over(&mut self) {
-        let fresh = Subject::new(&self.scenario.profile, self.generator.next());
-        let earlier = std::mem::replace(&mut self.subject, fresh);
+        let successor = Subject::new(&self.scenario.profile, self.generator.next());
+        let predecessor = std::mem::replace(&mut self.subject, successor);
         self.wake_at = i64::MAX;
         self.last_call = None;
-        // With those that are gone: calls may still be out there.
+        // With the removed endpoints: calls to them may still be in flight.
         let list = self.endpoints.values().copied().collect();
-        self.hand_in(Input::WholeList(list));
-        self.subject.learn_from(&earlier, self.now);
+        self.handle(Input::ListSnapshot(list));
+        self.subject.learn_from(&predecessor, self.now);
         for endpoint in self.banned.clone() {
-            self.hand_in(Input::Ban(endpoint));
+            self.handle(Input::Ban(endpoint));
         }
-        let ids: Vec<(u64, bool)> = self.messages.iter().map(|(id, m)| (*id, m.over)).collect();
-        for (id, over) in ids {
-            if !over {
-                self.hand_in_message(id, true);
-            } else if let Some((attempt, call)) = self.open_call(id) {
-                self.hand_in(Input::StillOut(id, attempt, call));
+        let ids: Vec<(u64, bool)> = self.messages.iter().map(|(id, m)| (*id, m.finished)).collect();
+        for (id, finished) in ids {
+            if !finished {
+                self.submit_message(id, true);
+            } else if let Some((attempt, call)) = self.call_in_flight(id) {
+                self.handle(Input::InheritedAttempt(id, attempt, call));
             }
         }
     }
--- a/tests/support_history/scenario.rs
+++ b/tests/support_history/scenario.rs
@@ -1,4 +1,4 @@
-//! What the recorded histories of decisions differ in.
+//! The parameters of the recorded histories of decisions.
 
 use super::translation::Profile;
 
@@ -10,26 +10,26 @@
     pub endpoints: u64,
 }
 
-/// How often something happens, in turns of a thousand.
+/// How often something happens, in turns out of a thousand.
 #[derive(Clone, Copy)]
 pub struct Rates {
-    /// Messages are handed in, and up to so many at once.
+    /// Messages are submitted; `burst` is the largest number at once.
     pub submit: u64,
     pub burst: u64,
-    /// A destination changes how it fares.
-    pub mood: u64,
+    /// A destination changes its condition.
+    pub condition: u64,
     /// The list changes, or a subscription to it breaks.
     pub list: u64,
     pub list_broken: u64,
-    /// Operators take an endpoint out, or put the first of those back.
+    /// Operators ban an endpoint, or end the first of the bans.
     pub ban: u64,
     pub ban_end: u64,
-    /// Operators send the clients away, or welcome them again.
+    /// Operators drain the process, or resume it.
     pub drain: u64,
-    pub client_left: u64,
+    pub client_disconnected: u64,
     pub started: u64,
-    /// A message comes with a past, or a call of an earlier process is told of.
-    pub past: u64,
+    /// A submitted message has a history in a predecessor, possibly with a call that is still in flight.
+    pub history: u64,
 }
 
 /// One recorded history.
@@ -40,23 +40,23 @@
     pub profile: Profile,
     pub destinations: &'static [Destination],
     pub classes: &'static [usize],
-    /// How destinations fare, by chance.
-    pub moods: &'static [Mood],
+    /// The conditions that destinations get at random.
+    pub conditions: &'static [Condition],
     pub tenants: bool,
     pub rates: Rates,
-    /// A new process takes over once in so many turns; 0: never.
+    /// Turns between two take-overs by a new process; 0 means that there is none.
     pub take_over_every: usize,
     /// Numbers of the kinds of decision that must occur.
     pub must_occur: &'static [usize],
 }
 
-/// How a destination fares.
+/// The condition of a destination, which determines how calls to it end.
 #[derive(Clone, Copy)]
-pub enum Mood {
-    Well,
+pub enum Condition {
+    Healthy,
     Failing,
-    Limited,
-    Hanging,
-    Crowded,
+    RateLimited,
+    Unresponsive,
+    Overloaded,
     Unreachable,
 }
--- a/tests/support_history/translation.rs
+++ b/tests/support_history/translation.rs
@@ -11,12 +11,12 @@
 pub const SECOND: i64 = 1_000_000;
 
 /// Indices of the classes of [`settings`].
-pub const SAFE: usize = 0;
+pub const IDEMPOTENT: usize = 0;
 pub const KEYED: usize = 1;
 pub const KEYED_PER_ZONE: usize = 2;
-pub const UNSAFE: usize = 3;
-pub const SAFE_ORDERED: usize = 4;
-pub const UNSAFE_ORDERED: usize = 5;
+pub const NOT_IDEMPOTENT: usize = 3;
+pub const IDEMPOTENT_ORDERED: usize = 4;
+pub const NOT_IDEMPOTENT_ORDERED: usize = 5;
 /// Indices of the kinds of [`settings`].
 pub const SHARED: usize = 0;
 pub const SEPARATE: usize = 1;
@@ -29,14 +29,14 @@
 /// The settings in which scenarios differ.
 #[derive(Clone, Copy)]
 pub struct Profile {
-    pub senders: usize,
-    pub slots: usize,
-    pub open_cap: usize,
-    /// 0: none, 1: nominal, 2: rough.
+    pub sender_count: usize,
+    pub call_slots: usize,
+    pub max_open_messages: usize,
+    /// 0: off, 1: nominal, 2: approximate.
     pub weights: u8,
-    pub ask: bool,
+    pub poll_discovery: bool,
     pub cancel: bool,
-    pub halves: bool,
+    pub half_life_decay: bool,
 }
 
 pub fn settings(profile: &Profile) -> Settings {
@@ -65,16 +65,16 @@
         ],
         tenants: vec![Tenant { quota: 1.0 }, Tenant { quota: 5.0 }, Tenant { quota: 1e9 }],
         over_quota_weight: 0.25,
-        weight_decay: if profile.halves { WeightDecay::HalfLife } else { WeightDecay::Linear },
+        weight_decay: if profile.half_life_decay { WeightDecay::HalfLife } else { WeightDecay::Linear },
         zone: 0,
-        sender_count: profile.senders,
-        call_slots: profile.slots,
-        max_open_messages: profile.open_cap,
+        sender_count: profile.sender_count,
+        call_slots: profile.call_slots,
+        max_open_messages: profile.max_open_messages,
         max_attempts: 5,
         cancellation: profile.cancel,
         retry_after: true,
         max_retry_after: 3 * SECOND,
-        poll_discovery: profile.ask,
+        poll_discovery: profile.poll_discovery,
         max_list_age: SECOND,
         endpoint_weights: match profile.weights {
             0 => EndpointWeights::Off,
@@ -97,12 +97,12 @@
 pub enum Ending {
     Delivered,
     Error,
-    Full(Option<i64>),
+    Rejected(Option<i64>),
     TimedOut,
     ConnectFailed,
     Reset,
-    Spoilt,
-    Dead,
+    InvalidResponse,
+    StaleConnection,
     Cancelled,
     NotSent,
 }
@@ -111,12 +111,12 @@
     match ending {
         Ending::Delivered => Outcome::Delivered,
         Ending::Error => Outcome::Error,
-        Ending::Full(wait) => Outcome::Rejected { retry_after: wait },
+        Ending::Rejected(wait) => Outcome::Rejected { retry_after: wait },
         Ending::TimedOut => Outcome::TimedOut,
         Ending::ConnectFailed => Outcome::ConnectFailed,
         Ending::Reset => Outcome::Reset,
-        Ending::Spoilt => Outcome::InvalidResponse,
-        Ending::Dead => Outcome::StaleConnection,
+        Ending::InvalidResponse => Outcome::InvalidResponse,
+        Ending::StaleConnection => Outcome::StaleConnection,
         Ending::Cancelled => Outcome::Cancelled,
         Ending::NotSent => Outcome::NotSent,
     }
@@ -130,7 +130,7 @@
     Deleted,
 }
 
-/// One endpoint and what the list says of it.
+/// One endpoint and its entry in the list.
 #[derive(Clone, Copy)]
 pub struct Endpoint {
     pub id: u64,
@@ -156,26 +156,26 @@
     }
 }
 
-/// A call of an earlier process: its number, its endpoint and when it was sent.
-pub type OpenCall = (u64, u64, i64);
+/// A call of a predecessor that is still in flight: its number, its endpoint and when it was sent.
+pub type CallInFlight = (u64, u64, i64);
 
-fn inherited_call((call, endpoint, sent_at): OpenCall) -> InheritedCall {
+fn inherited_call((call, endpoint, sent_at): CallInFlight) -> InheritedCall {
     InheritedCall { call, endpoint, sent_at }
 }
 
-/// What the histories hand in; see the events of the package.
+/// The inputs of the histories; see the events of the package.
 pub enum Input {
     Submit {
         id: u64,
         class: usize,
         tenant: Option<usize>,
         key: Option<String>,
-        give_up_at: i64,
+        expires_at: i64,
         destination: u64,
-        taken_on: bool,
+        accepted: bool,
         attempts: usize,
-        risk: Option<(i64, usize)>,
-        open_call: Option<OpenCall>,
+        possible_execution: Option<(i64, usize)>,
+        call_in_flight: Option<CallInFlight>,
     },
     Ended {
         id: u64,
@@ -183,21 +183,21 @@
         ending: Ending,
         elapsed: i64,
         finished: bool,
-        /// The outer option: a report was made; the inner one: it tells a limit.
+        /// The outer option is set if there is a report, the inner one if the report has a limit.
         report: Option<Option<f64>>,
         unsent: bool,
         wait: Option<i64>,
     },
-    Started(u64),
-    ClientLeft(u64),
-    WholeList(Vec<Endpoint>),
-    ListChanges(Vec<Endpoint>),
+    ResponseStarted(u64),
+    ClientDisconnected(u64),
+    ListSnapshot(Vec<Endpoint>),
+    ListUpdate(Vec<Endpoint>),
     Ban(u64),
     BanEnded(u64),
-    StillOut(u64, usize, OpenCall),
+    InheritedAttempt(u64, usize, CallInFlight),
     Drain,
     Resume,
-    ListBroken,
+    WatchFailed,
     Wake,
     TurnEnd,
 }
@@ -209,20 +209,21 @@
             class,
             tenant,
             key,
-            give_up_at,
+            expires_at,
             destination,
-            taken_on,
+            accepted,
             attempts,
-            risk,
-            open_call,
+            possible_execution,
+            call_in_flight,
         } => {
             let history = MessageHistory {
-                accepted: taken_on,
+                accepted,
                 attempts,
-                possible_execution: risk.map(|(sent_at, zone)| PossibleExecution { sent_at, zone }),
-                in_flight: open_call.map(inherited_call),
+                possible_execution: possible_execution
+                    .map(|(sent_at, zone)| PossibleExecution { sent_at, zone }),
+                in_flight: call_in_flight.map(inherited_call),
             };
-            Event::Submit(Submission { id, class, tenant, key, expires_at: give_up_at, destination, history })
+            Event::Submit(Submission { id, class, tenant, key, expires_at, destination, history })
         }
         Input::Ended { id, attempt, ending, elapsed, finished, report, unsent, wait } => {
             let (outcome, report) = (outcome(ending), report.map(|limit| LoadReport { limit }));
@@ -237,18 +238,18 @@
                 retry_after: wait,
             })
         }
-        Input::Started(id) => Event::ResponseStarted { id },
-        Input::ClientLeft(id) => Event::ClientDisconnected { id },
-        Input::WholeList(endpoints) => Event::ListSnapshot(endpoints.iter().map(entry).collect()),
-        Input::ListChanges(endpoints) => Event::ListUpdate(endpoints.iter().map(entry).collect()),
+        Input::ResponseStarted(id) => Event::ResponseStarted { id },
+        Input::ClientDisconnected(id) => Event::ClientDisconnected { id },
+        Input::ListSnapshot(endpoints) => Event::ListSnapshot(endpoints.iter().map(entry).collect()),
+        Input::ListUpdate(endpoints) => Event::ListUpdate(endpoints.iter().map(entry).collect()),
         Input::Ban(endpoint) => Event::BanStarted { endpoint },
         Input::BanEnded(endpoint) => Event::BanEnded { endpoint },
-        Input::StillOut(id, attempt, call) => {
+        Input::InheritedAttempt(id, attempt, call) => {
             Event::InheritedAttempt { id, attempt, call: inherited_call(call) }
         }
         Input::Drain => Event::Drain,
         Input::Resume => Event::Resume,
-        Input::ListBroken => Event::WatchFailed,
+        Input::WatchFailed => Event::WatchFailed,
         Input::Wake => Event::Wake,
         Input::TurnEnd => Event::TurnEnd,
     }
@@ -257,28 +258,28 @@
 /// What the package decided; see its actions.
 #[derive(Clone, Copy)]
 pub enum Decision {
-    Send { id: u64, endpoint: u64, timeout: i64, latest: i64 },
-    Refuse { id: u64, wait: i64 },
+    Send { id: u64, endpoint: u64, timeout: i64, send_before: i64 },
+    Reject { id: u64, wait: i64 },
     Fail { id: u64 },
     Cancel { id: u64, attempt: usize },
-    Close { endpoint: u64 },
+    CloseIdleConnections { endpoint: u64 },
     Wake { at: i64 },
     Subscribe,
-    Admit(bool),
+    AcceptClients(bool),
 }
 
 fn decision(action: &Action) -> Decision {
     match *action {
         Action::Send { id, endpoint, timeout, send_before } => {
-            Decision::Send { id, endpoint, timeout, latest: send_before }
+            Decision::Send { id, endpoint, timeout, send_before }
         }
-        Action::Reject { id, retry_after: wait } => Decision::Refuse { id, wait },
+        Action::Reject { id, retry_after: wait } => Decision::Reject { id, wait },
         Action::Fail { id } => Decision::Fail { id },
         Action::Cancel { id, attempt } => Decision::Cancel { id, attempt },
-        Action::CloseIdleConnections { endpoint } => Decision::Close { endpoint },
+        Action::CloseIdleConnections { endpoint } => Decision::CloseIdleConnections { endpoint },
         Action::Wake { at } => Decision::Wake { at },
         Action::Subscribe => Decision::Subscribe,
-        Action::AcceptClients(open) => Decision::Admit(open),
+        Action::AcceptClients(open) => Decision::AcceptClients(open),
     }
 }
 
@@ -292,20 +293,20 @@
         Subject { balancer: Balancer::new(settings(profile), seed) }
     }
 
-    pub fn hand_in(&mut self, now: i64, input: Input) -> Vec<Decision> {
+    pub fn handle(&mut self, now: i64, input: Input) -> Vec<Decision> {
         let mut actions = Vec::new();
         self.balancer.on_event(now, event(input), &mut actions);
         actions.iter().map(decision).collect()
     }
 
-    /// Gives all that `earlier` has learned to this one.
-    pub fn learn_from(&mut self, earlier: &Subject, now: i64) {
-        for learned in earlier.balancer.learned(now) {
+    /// Passes on all that `predecessor` has learned.
+    pub fn learn_from(&mut self, predecessor: &Subject, now: i64) {
+        for learned in predecessor.balancer.learned(now) {
             self.balancer.on_event(now, Event::Learned(learned), &mut Vec::new());
         }
     }
 
-    /// Adds what the module tells of itself to the digest.
+    /// Adds the module's backlog and learned state to the digest.
     pub fn encode_state(&self, now: i64, digest: &mut Digest) {
         self.balancer.backlog(now).iter().for_each(|backlog| encode_backlog(backlog, digest));
         self.balancer.learned(now).iter().for_each(|learned| encode_learned(learned, digest));
@@ -328,29 +329,29 @@
 pub fn tag(decision: &Decision) -> usize {
     match decision {
         Decision::Send { .. } => 1,
-        Decision::Refuse { .. } => 2,
+        Decision::Reject { .. } => 2,
         Decision::Fail { .. } => 3,
         Decision::Cancel { .. } => 4,
-        Decision::Close { .. } => 5,
+        Decision::CloseIdleConnections { .. } => 5,
         Decision::Wake { .. } => 6,
         Decision::Subscribe => 7,
-        Decision::Admit(_) => 8,
+        Decision::AcceptClients(_) => 8,
     }
 }
 
 pub fn encode_decision(now: i64, decision: &Decision, digest: &mut Digest) {
     add(digest, &[now, tag(decision) as i64]);
     match *decision {
-        Decision::Send { id, endpoint, timeout, latest } => {
-            add(digest, &[id as i64, endpoint as i64, timeout, latest]);
+        Decision::Send { id, endpoint, timeout, send_before } => {
+            add(digest, &[id as i64, endpoint as i64, timeout, send_before]);
         }
-        Decision::Refuse { id, wait } => add(digest, &[id as i64, wait]),
+        Decision::Reject { id, wait } => add(digest, &[id as i64, wait]),
         Decision::Fail { id } => add(digest, &[id as i64]),
         Decision::Cancel { id, attempt } => add(digest, &[id as i64, attempt as i64]),
-        Decision::Close { endpoint } => add(digest, &[endpoint as i64]),
+        Decision::CloseIdleConnections { endpoint } => add(digest, &[endpoint as i64]),
         Decision::Wake { at } => add(digest, &[at]),
         Decision::Subscribe => {}
-        Decision::Admit(open) => add(digest, &[i64::from(open)]),
+        Decision::AcceptClients(open) => add(digest, &[i64::from(open)]),
     }
 }
 
