--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -1,205 +1,209 @@
-//! A new version of the real program takes over from the one that serves.
+//! A successor takes over from a running process.
 
 mod support;
 
-use serde_json::{Value, json};
+use serde_json::json;
 use std::time::{Duration, Instant};
-use support::{Discovery, Forwarder, RawCall, SOON, Stub, endpoint, request};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use support::{EVENT_TIMEOUT, Fixture, POLL_INTERVAL, QUIET_PERIOD, RawConnection};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpStream, UnixStream};
 use tokio::time::{sleep, timeout};
 
-const QUIET: Duration = Duration::from_millis(150);
-
-struct World {
-    discovery: Discovery,
-    endpoint: Stub,
-    forwarder: Forwarder,
-}
-
-async fn world() -> World {
-    world_with(|_| {}).await
-}
-
-async fn world_with(change: impl FnOnce(&mut Value)) -> World {
-    let (discovery, stub) = (Discovery::start().await, Stub::start().await);
-    let known = [
-        endpoint("t", stub.addr, 7, "plain", "in_service"),
-        endpoint("u", stub.addr, 8, "plain", "in_service"),
-    ];
-    let forwarder = Forwarder::start_inheriting(&discovery, &known, change).await;
-    World { discovery, endpoint: stub, forwarder }
-}
-
 #[tokio::test]
-async fn a_call_that_is_out_goes_on_and_its_end_reaches_the_new_version() {
-    let mut w = world().await;
-    w.forwarder.hand_in("unsafe", "out", 20_000).await;
-    let out = w.endpoint.next().await;
-    w.forwarder.hand_in("keyed", "failing", 20_000).await;
-    let failing = w.endpoint.next().await;
-    let mut old = w.forwarder.upgrade().await;
-    // Nothing is sent twice, and the new version serves.
-    w.forwarder.hand_in("keyed", "new", 20_000).await;
-    let new = w.endpoint.next().await;
+async fn a_call_in_flight_continues_and_its_outcome_reaches_the_successor() {
+    let mut fixture = Fixture::start_inheriting(|_| {}).await;
+    fixture.forwarder.submit("unsafe", "out", 20_000).await;
+    let call_in_flight = fixture.endpoint.next_call().await;
+    fixture.forwarder.submit("keyed", "failing", 20_000).await;
+    let failing = fixture.endpoint.next_call().await;
+    let mut predecessor = fixture.forwarder.upgrade().await;
+    // Nothing is sent twice, and the successor serves.
+    fixture.forwarder.submit("keyed", "new", 20_000).await;
+    let new = fixture.endpoint.next_call().await;
     assert_eq!(new.header("req-id"), "new");
-    new.answer(200);
-    out.answer(200);
-    w.forwarder.until_delivered("unsafe", "out").await;
-    failing.answer(500);
-    let again = w.endpoint.next().await;
-    assert_eq!(again.header("req-id"), "failing");
-    again.answer(200);
-    w.forwarder.until_delivered("keyed", "failing").await;
-    old.terminate();
-    assert!(old.exited().await.success());
-    assert!(w.endpoint.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
+    new.respond(200);
+    call_in_flight.respond(200);
+    fixture.forwarder.until_delivered("unsafe", "out").await;
+    failing.respond(500);
+    let retry = fixture.endpoint.next_call().await;
+    assert_eq!(retry.header("req-id"), "failing");
+    retry.respond(200);
+    fixture.forwarder.until_delivered("keyed", "failing").await;
+    predecessor.terminate();
+    assert!(predecessor.exit_status().await.success());
+    assert!(fixture.endpoint.is_quiet(QUIET_PERIOD).await && fixture.discovery.is_quiet(QUIET_PERIOD).await);
 }
 
 #[tokio::test]
-async fn calls_that_are_still_out_when_the_old_version_ends_may_have_run() {
+async fn calls_in_flight_when_the_predecessor_ends_may_have_been_executed() {
     for kill in [true, false] {
-        let mut w = world().await;
-        w.forwarder.hand_in("unsafe", "unsafe", 20_000).await;
-        let one = w.endpoint.next().await;
-        w.forwarder.hand_in("keyed", "keyed", 20_000).await;
-        let other = w.endpoint.next().await;
-        let mut old = w.forwarder.upgrade().await;
+        let mut fixture = Fixture::start_inheriting(|_| {}).await;
+        fixture.forwarder.submit("unsafe", "unsafe", 20_000).await;
+        let one = fixture.endpoint.next_call().await;
+        fixture.forwarder.submit("keyed", "keyed", 20_000).await;
+        let other = fixture.endpoint.next_call().await;
+        let mut predecessor = fixture.forwarder.upgrade().await;
         if kill {
-            old.kill();
+            predecessor.kill();
         } else {
-            old.terminate();
+            predecessor.terminate();
         }
-        // Each connection is closed before its message ends or goes again.
+        // Each connection is closed before its message fails or is retried.
         one.closed().await;
         other.closed().await;
-        assert_eq!(w.discovery.notice().await, json!({"message": "unsafe", "outcome": "given_up"}));
-        let again = w.endpoint.next().await;
-        assert_eq!(again.header("req-id"), "keyed");
-        again.answer(200);
-        w.forwarder.until_delivered("keyed", "keyed").await;
+        assert_eq!(fixture.discovery.notice().await, json!({"message": "unsafe", "outcome": "given_up"}));
+        let retry = fixture.endpoint.next_call().await;
+        assert_eq!(retry.header("req-id"), "keyed");
+        retry.respond(200);
+        fixture.forwarder.until_delivered("keyed", "keyed").await;
         if !kill {
-            assert!(old.exited().await.success());
+            assert!(predecessor.exit_status().await.success());
         }
-        assert!(w.endpoint.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
+        assert!(
+            fixture.endpoint.is_quiet(QUIET_PERIOD).await && fixture.discovery.is_quiet(QUIET_PERIOD).await
+        );
     }
 }
 
 #[tokio::test]
-async fn bans_and_waits_bind_the_new_version_and_a_drain_ends_with_the_old() {
-    let mut w = world().await;
-    assert_eq!(w.forwarder.call("disable-server u").await, "ACK u left out\n");
-    w.forwarder.hand_in("unsafe", "m", 20_000).await;
-    let call = w.endpoint.next().await;
-    let told = Instant::now();
-    call.answer_with(200, &[("Wait-Ms", "1500")], "");
-    // The old version has heard of the wait once it knows the message delivered.
-    w.forwarder.until_delivered("unsafe", "m").await;
-    w.forwarder.hand_in("keyed", "n", 20_000).await;
-    assert_eq!(w.forwarder.call("drain").await, "ACK draining\n");
-    let _old = w.forwarder.upgrade().await;
-    w.endpoint.next().await.answer(200);
-    assert!(told.elapsed() >= Duration::from_millis(1500), "{:?}", told.elapsed());
-    assert_eq!(w.forwarder.call("enable-server u").await, "ACK u put back\n");
+async fn bans_and_waits_apply_to_the_successor_and_a_drain_ends_with_the_predecessor() {
+    let mut fixture = Fixture::start_inheriting(|_| {}).await;
+    assert_eq!(fixture.forwarder.admin_command("disable-server u").await, "ACK u left out\n");
+    fixture.forwarder.submit("unsafe", "m", 20_000).await;
+    let call = fixture.endpoint.next_call().await;
+    let responded_at = Instant::now();
+    call.respond_with(200, &[("Wait-Ms", "1500")], "");
+    // The predecessor knows of the wait once it knows that the message is delivered.
+    fixture.forwarder.until_delivered("unsafe", "m").await;
+    fixture.forwarder.submit("keyed", "n", 20_000).await;
+    assert_eq!(fixture.forwarder.admin_command("drain").await, "ACK draining\n");
+    let _predecessor = fixture.forwarder.upgrade().await;
+    fixture.endpoint.next_call().await.respond(200);
+    assert!(responded_at.elapsed() >= Duration::from_millis(1500), "{:?}", responded_at.elapsed());
+    assert_eq!(fixture.forwarder.admin_command("enable-server u").await, "ACK u put back\n");
 }
 
 #[tokio::test]
-async fn a_request_half_read_by_the_old_version_is_answered_by_the_new() {
-    let mut w = world().await;
-    let mut client = RawCall(TcpStream::connect(w.forwarder.addr).await.expect("it listens"));
-    client.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await;
-    let mut first = [0; 12];
-    timeout(SOON, client.0.read_exact(&mut first)).await.expect("an answer").expect("it is open");
+async fn a_request_partially_read_by_the_predecessor_is_handled_by_the_successor() {
+    let mut fixture = Fixture::start_inheriting(|_| {}).await;
+    let mut client = RawConnection::open_with_first_request(fixture.forwarder.address).await;
     client.write("POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Id: half\r\nReq-Owner: acme\r\n").await;
-    let _old = w.forwarder.upgrade().await;
+    let _predecessor = fixture.forwarder.upgrade().await;
     client.write("Req-Deadline-Ms: 9000\r\nIdempotency-Key: k\r\n").await;
     client.write("Envelope: dest=7\r\nContent-Length: 2\r\n\r\nhi").await;
-    let answer = client.rest().await;
-    assert!(answer.contains("HTTP/1.1 202") && answer.contains("connection: close"), "{answer}");
-    let call = w.endpoint.next().await;
+    let reply = client.read_to_end().await.text;
+    assert!(reply.contains("HTTP/1.1 202") && reply.contains("connection: close"), "{reply}");
+    let call = fixture.endpoint.next_call().await;
     assert_eq!((call.header("req-id"), &call.body[..]), ("half", &b"hi"[..]));
-    call.answer(200);
-    w.forwarder.until_delivered("keyed", "half").await;
+    call.respond(200);
+    fixture.forwarder.until_delivered("keyed", "half").await;
 }
 
-/// Connections that stop half way through a request.
-async fn crowd(w: &World, count: usize) -> Vec<TcpStream> {
-    let mut crowd = Vec::new();
+/// Opens connections with partial requests.
+async fn open_partial_requests(fixture: &Fixture, count: usize) -> Vec<TcpStream> {
+    let mut clients = Vec::new();
     for _ in 0..count {
-        let mut stream = TcpStream::connect(w.forwarder.addr).await.expect("it listens");
-        // One for which there is no room is closed.
+        let mut stream = TcpStream::connect(fixture.forwarder.address).await.expect("it listens");
+        // One beyond the connection limit is closed.
         let _ = stream.write_all(b"POST /keyed HTTP/1.1\r\nHost: a\r\n").await;
-        crowd.push(stream);
+        clients.push(stream);
     }
-    crowd
+    clients
 }
 
 #[tokio::test]
-async fn two_processes_beset_by_crowds_keep_to_the_descriptors_of_one() {
+async fn two_processes_with_many_clients_stay_within_the_descriptor_limit_of_one() {
     let limit = 192;
-    let mut w = world_with(|c| c["limits"]["sockets"] = json!(limit)).await;
-    let _first = crowd(&w, 150).await;
-    let old = w.forwarder.upgrade().await;
-    let _second = crowd(&w, 150).await;
-    // Once somebody is served beside the crowd, the new version has accepted all that came before.
-    let mut most = 0;
+    let mut fixture =
+        Fixture::start_inheriting(|configuration| configuration["limits"]["sockets"] = json!(limit)).await;
+    let _first = open_partial_requests(&fixture, 150).await;
+    let predecessor = fixture.forwarder.upgrade().await;
+    let _second = open_partial_requests(&fixture, 150).await;
+    // Once another client is served, the successor has accepted all connections that came before.
+    let mut descriptors = 0;
     let served = async {
-        while request(w.forwarder.addr, "GET", "/-/ready", &[], b"").await.is_none_or(|r| r.status() != 200) {
-            most = most.max(old.descriptors() + w.forwarder.descriptors());
-            sleep(Duration::from_millis(5)).await;
+        while !fixture.forwarder.responds_ready().await {
+            descriptors = descriptors.max(predecessor.descriptors() + fixture.forwarder.descriptors());
+            sleep(POLL_INTERVAL).await;
         }
     };
-    timeout(SOON, served).await.expect("the crowd shuts nobody out");
-    most = most.max(old.descriptors() + w.forwarder.descriptors());
-    assert!((60..limit).contains(&most), "{most}");
+    timeout(EVENT_TIMEOUT, served).await.expect("another client is served");
+    descriptors = descriptors.max(predecessor.descriptors() + fixture.forwarder.descriptors());
+    assert!((60..limit).contains(&descriptors), "{descriptors}");
 }
 
-/// A process that asks to take over and hears what the journal does not hold, but never says that it owns it.
-async fn asks(w: &World) -> (BufReader<UnixStream>, String) {
-    let mut heir =
-        BufReader::new(UnixStream::connect(w.forwarder.state("handover")).await.expect("it listens"));
-    heir.write_all(b"\"TakeOver\"\n").await.expect("it is open");
-    let mut rest = String::new();
-    timeout(SOON, heir.read_line(&mut rest)).await.expect("an answer").expect("it is open");
-    (heir, rest)
+/// Asks to take over as a successor would, and returns the state that the journal does not hold, but never
+/// confirms the ownership.
+async fn request_take_over(fixture: &Fixture) -> (BufReader<UnixStream>, String) {
+    let mut successor = BufReader::new(
+        UnixStream::connect(fixture.forwarder.state_file("handover")).await.expect("it listens"),
+    );
+    successor.write_all(b"\"TakeOver\"\n").await.expect("it is open");
+    let mut state = String::new();
+    timeout(EVENT_TIMEOUT, successor.read_line(&mut state)).await.expect("a reply").expect("it is open");
+    (successor, state)
 }
 
 #[tokio::test]
-async fn a_new_version_that_dies_before_it_owns_all_changes_nothing() {
-    let mut w = world().await;
-    w.forwarder.hand_in("keyed", "out", 20_000).await;
-    let out = w.endpoint.next().await;
-    // One that dies, one that falls silent, and then a real one.
-    let (heir, rest) = asks(&w).await;
-    assert!(rest.contains("\"out\""), "{rest}");
-    drop(heir);
-    assert_eq!(w.forwarder.hand_in("keyed", "next", 20_000).await.status(), 202);
-    w.endpoint.next().await.answer(200);
-    let (_silent, _) = asks(&w).await;
-    out.answer(200);
-    let late = w.forwarder.hand_in("keyed", "late", 20_000).await;
+async fn a_successor_that_ends_before_it_owns_the_journal_changes_nothing() {
+    let mut fixture = Fixture::start_inheriting(|_| {}).await;
+    fixture.forwarder.submit("keyed", "out", 20_000).await;
+    let call_in_flight = fixture.endpoint.next_call().await;
+    // One that ends, one that falls silent, and then a real one.
+    let (successor, state) = request_take_over(&fixture).await;
+    assert!(state.contains("\"out\""), "{state}");
+    drop(successor);
+    assert_eq!(fixture.forwarder.submit("keyed", "next", 20_000).await.status(), 202);
+    fixture.endpoint.next_call().await.respond(200);
+    let (_silent, _) = request_take_over(&fixture).await;
+    call_in_flight.respond(200);
+    let late = fixture.forwarder.submit("keyed", "late", 20_000).await;
     assert_eq!(late.status(), 202);
-    w.endpoint.next().await.answer(200);
-    w.forwarder.until_delivered("keyed", "out").await;
-    let mut old = w.forwarder.upgrade().await;
-    old.terminate();
-    assert!(old.exited().await.success());
-    w.forwarder.until_delivered("keyed", "late").await;
-    assert!(w.endpoint.is_quiet(QUIET).await && w.discovery.is_quiet(QUIET).await);
+    fixture.endpoint.next_call().await.respond(200);
+    fixture.forwarder.until_delivered("keyed", "out").await;
+    let mut predecessor = fixture.forwarder.upgrade().await;
+    predecessor.terminate();
+    assert!(predecessor.exit_status().await.success());
+    fixture.forwarder.until_delivered("keyed", "late").await;
+    assert!(fixture.endpoint.is_quiet(QUIET_PERIOD).await && fixture.discovery.is_quiet(QUIET_PERIOD).await);
 }
 
 #[tokio::test]
-async fn noise_on_the_channel_harms_nobody() {
-    let mut w = world().await;
+async fn invalid_frames_on_the_channel_change_nothing() {
+    let mut fixture = Fixture::start_inheriting(|_| {}).await;
     for noise in ["", "\n", "noise\n", "\"Owned\"\n", "{\"Ended\":[", "\"TakeOver\""] {
-        let mut heir = UnixStream::connect(w.forwarder.state("handover")).await.expect("it listens");
-        heir.write_all(noise.as_bytes()).await.expect("it is open");
+        let mut successor =
+            UnixStream::connect(fixture.forwarder.state_file("handover")).await.expect("it listens");
+        successor.write_all(noise.as_bytes()).await.expect("it is open");
+    }
+    // One that sends an invalid frame after it has received the state.
+    let (mut successor, _) = request_take_over(&fixture).await;
+    successor.write_all(b"{\"Owned\n").await.expect("it is open");
+    fixture.forwarder.submit("keyed", "m", 20_000).await;
+    fixture.endpoint.next_call().await.respond(200);
+    fixture.forwarder.until_delivered("keyed", "m").await;
+    assert_eq!(fixture.forwarder.admin_command("ready").await, "ACK ready\n");
+}
+
+#[tokio::test]
+async fn a_message_submitted_to_the_predecessor_after_the_successor_has_died_is_rejected() {
+    let Fixture { discovery: _discovery, endpoint: _endpoint, mut forwarder } =
+        Fixture::start_inheriting(|_| {}).await;
+    let mut clients = Vec::new();
+    for id in ["a", "b"] {
+        let mut client = RawConnection::open_with_first_request(forwarder.address).await;
+        client
+            .write(&format!("POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Owner: acme\r\n"))
+            .await;
+        clients.push(client);
+    }
+    let predecessor = forwarder.upgrade().await;
+    forwarder.kill();
+    // The first may arrive before the predecessor notices the end of its successor, the second does not.
+    for mut client in clients {
+        client.write("Req-Deadline-Ms: 9000\r\nIdempotency-Key: k\r\n").await;
+        client.write("Envelope: dest=7\r\nContent-Length: 2\r\n\r\nhi").await;
+        assert!(client.read_to_end().await.text.contains("HTTP/1.1 503"));
     }
-    // One that goes on with noise when it has been told all.
-    let (mut heir, _) = asks(&w).await;
-    heir.write_all(b"{\"Owned\n").await.expect("it is open");
-    w.forwarder.hand_in("keyed", "m", 20_000).await;
-    w.endpoint.next().await.answer(200);
-    w.forwarder.until_delivered("keyed", "m").await;
-    assert_eq!(w.forwarder.call("ready").await, "ACK ready\n");
+    drop(predecessor);
 }
