--- /dev/null
+++ b/src/decision/admission.rs
@@ -0,0 +1,102 @@
+//! Admission of messages, load shedding, and final answers other than deliveries.
+
+use super::Balancer;
+use super::parameters::{Parameters, SECOND};
+use crate::interface::{Action, Idempotency, MessageId, Micros, Submission, Tenant};
+use crate::sender_state::{Message, MessageState};
+
+/// Messages are shed once fewer than this part of `max_open_messages` (as a divisor) is left.
+const SHEDDING_RESERVE_DIVISOR: usize = 32;
+/// Cost of rejecting a new message relative to that of rejecting one that was accepted earlier.
+const NEW_MESSAGE_COST: f64 = 0.7;
+
+impl Balancer {
+    pub(super) fn submit(&mut self, now: Micros, submission: Submission, actions: &mut Vec<Action>) {
+        let (id, class, history) = (submission.id, submission.class, submission.history);
+        if self.state.messages.get(id).is_some() {
+            return;
+        }
+        if let Some(retry_after) = self.reject_at_once(&submission) {
+            return actions.push(Action::Reject { id, retry_after });
+        }
+        let message = self.new_message(now, submission);
+        self.state.messages.insert(message);
+        self.schedule_give_up(id);
+        let (attempts, state) = (history.attempts, &mut self.state);
+        if history.in_flight.is_some_and(|call| state.inherit_attempt(id, attempts, class, call)) {
+            return;
+        }
+        if self.has_no_attempt_left(&self.state.messages[id]) {
+            return self.reject(now, id, actions);
+        }
+        self.state.enqueue_in_order(now, id);
+        let max_open = self.parameters.settings.max_open_messages;
+        if !history.accepted && self.state.messages.len() + max_open / SHEDDING_RESERVE_DIVISOR > max_open {
+            self.shed_load(now, id, actions);
+        }
+    }
+
+    /// The Retry-After of a message that is not admitted. Nothing is stored for destinations that were never
+    /// listed: clients may name any number of them.
+    fn reject_at_once(&self, submission: &Submission) -> Option<Micros> {
+        let Parameters { settings, .. } = &self.parameters;
+        if settings.classes.get(submission.class).is_none() {
+            return Some(0);
+        }
+        let listed = self.state.directory.destinations.contains_key(&submission.destination);
+        let wait = settings.max_retry_after.min(self.parameters.objective_part(1));
+        (!listed && !submission.history.accepted).then_some(wait)
+    }
+
+    fn new_message(&mut self, now: Micros, mut submission: Submission) -> Message {
+        let class = &self.parameters.settings.classes[submission.class];
+        // A client that waits for less than the objective is served on time until it leaves.
+        let beyond_objective = class.deadline - class.latency_objective;
+        let patient = submission.expires_at - now > class.latency_objective;
+        let due = submission.expires_at - if patient { beyond_objective } else { 0 };
+        submission.key = submission.key.filter(|_| class.ordered);
+        let over_quota = submission.tenant.is_some_and(|tenant| self.is_over_quota(now, tenant));
+        Message::new(submission, over_quota, due, now)
+    }
+
+    /// Counts a message of a tenant. Returns true if the tenant is over this sender's share of its quota.
+    fn is_over_quota(&mut self, now: Micros, tenant: usize) -> bool {
+        let Parameters { settings, warm_up, share, .. } = &self.parameters;
+        let Some(Tenant { quota }) = settings.tenants.get(tenant) else { return false };
+        let submitted = &mut self.state.tenant_submissions[tenant];
+        submitted.add(now, *warm_up);
+        submitted.get(now, *warm_up) * SECOND / warm_up > quota * share
+    }
+
+    /// Near the bound on open messages, rejects the one with the least value left. Of the messages in a
+    /// queue, the new one is rejected if it is there, otherwise the first.
+    fn shed_load(&mut self, now: Micros, new: MessageId, actions: &mut Vec<Action>) {
+        let costs = self.state.messages.queues().all().filter_map(|queue| {
+            let (_, first) = *queue.first()?;
+            let holds_new = queue.iter().any(|(_, id)| *id == new);
+            let (id, cost) = if holds_new { (new, NEW_MESSAGE_COST) } else { (first, 1.0) };
+            Some((self.value(&self.state.messages[id], now) * cost / queue.len() as f64, id))
+        });
+        if let Some((_, id)) = costs.min_by(|a, b| a.0.total_cmp(&b.0)) {
+            self.reject(now, id, actions);
+        }
+    }
+
+    /// Gives the final answer: a rejection if submitting the message again does no harm, otherwise a failure.
+    pub(super) fn reject(&mut self, now: Micros, id: MessageId, actions: &mut Vec<Action>) {
+        let Some(message) = self.state.messages.get(id) else { return };
+        let (class, destination) = (message.submission.class, message.submission.destination);
+        self.state.class_results[class].record_loss(now, self.parameters.warm_up);
+        let settings = &self.parameters.settings;
+        let idempotent = settings.classes[class].idempotency == Idempotency::Idempotent;
+        let executed = message.possible_execution.is_some() && !idempotent;
+        if message.state == MessageState::InFlight || executed {
+            actions.push(Action::Fail { id });
+        } else {
+            let known = self.state.directory.destinations.get(&destination);
+            let wait = known.map_or(0, |known| known.route.limiter.wait_until - now);
+            actions.push(Action::Reject { id, retry_after: wait.clamp(0, settings.max_retry_after) });
+        }
+        self.state.forget(now, id);
+    }
+}
--- /dev/null
+++ b/src/decision/circuit_breaker.rs
@@ -0,0 +1,76 @@
+//! The circuit breaker of a route: outages, the probe calls during them, and the warm-up after them.
+
+use super::parameters::{Parameters, SECOND, UNEVEN_SHARE_FACTOR};
+use crate::estimators::random_unit;
+use crate::interface::Micros;
+use crate::sender_state::{BreakerState, Route};
+
+/// Calls overdue at a time from which a destination counts as hanging.
+const HANGING_CALLS: usize = 2;
+
+impl Route {
+    /// A hanging destination sends no responses: it is recognized by the age of the calls in flight.
+    pub(super) fn detect_hang(&mut self, now: Micros, parameters: &Parameters) {
+        if self.overdue_calls(now, parameters) >= HANGING_CALLS {
+            self.open_breaker(now, parameters);
+        }
+    }
+
+    pub(super) fn open_breaker(&mut self, now: Micros, parameters: &Parameters) {
+        self.record_healthy_rate(now, parameters);
+        if !self.breaker.is_open() {
+            self.schedule_probe(now, parameters);
+        }
+    }
+
+    /// Remembers the rate of healthy times: what the destination bears during its recovery is measured by it.
+    pub(super) fn record_healthy_rate(&mut self, now: Micros, parameters: &Parameters) {
+        if self.breaker.state == BreakerState::Closed {
+            let share = self.own_share(parameters) / UNEVEN_SHARE_FACTOR;
+            self.breaker.healthy_rate = self.own_rate(now, parameters).max(share).max(parameters.min_rate);
+        }
+    }
+
+    /// Keeps the breaker open until the next probe. Probes stay within the capacity right after an outage.
+    pub(super) fn schedule_probe(&mut self, now: Micros, parameters: &Parameters) {
+        let settings = &parameters.settings;
+        let rate = settings.overload_factor * settings.initial_capacity * self.breaker.healthy_rate;
+        let shortest = parameters.latency_objective / 16.0;
+        let longest = parameters.warm_up / 4.0 / parameters.share;
+        let interval = (SECOND / rate.max(parameters.min_rate / 4.0)).clamp(shortest, longest);
+        // Many senders learn of an outage, or of its end, together: their probes are placed at random.
+        let offset = if self.breaker.is_open() { 0.5 } else { 0.0 };
+        let many_senders = parameters.has_many_senders();
+        let fraction = if many_senders { offset + random_unit(&mut self.seed) } else { 1.0 };
+        let next_probe = now.max(self.limiter.wait_until) + (interval * fraction) as Micros;
+        self.breaker.state = BreakerState::Open { next_probe };
+    }
+
+    /// A delivery ends an outage, and closes the breaker once the warm-up time has passed.
+    pub(super) fn recover(&mut self, now: Micros, parameters: &Parameters) {
+        match self.breaker.state {
+            BreakerState::Open { .. } => {
+                self.start_warm_up(now);
+                self.health.forget_failures();
+            }
+            BreakerState::WarmingUp { since } if (now - since) as f64 > parameters.warm_up => {
+                self.breaker.state = BreakerState::Closed;
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn start_warm_up(&mut self, now: Micros) {
+        self.breaker.state = BreakerState::WarmingUp { since: now };
+        self.limiter.next_call_at = now;
+    }
+
+    /// Calls per second that a destination bears while it warms up; `None` in the other states.
+    pub(super) fn warm_up_rate(&self, now: Micros, parameters: &Parameters) -> Option<f64> {
+        let BreakerState::WarmingUp { since } = self.breaker.state else { return None };
+        let settings = &parameters.settings;
+        let progress = ((now - since) as f64 / parameters.warm_up).min(1.0);
+        let capacity = settings.initial_capacity + (1.0 - settings.initial_capacity) * progress;
+        Some((settings.overload_factor * capacity * self.breaker.healthy_rate).max(parameters.min_rate / 4.0))
+    }
+}
--- /dev/null
+++ b/src/decision/endpoint_choice.rs
@@ -0,0 +1,89 @@
+//! The choice among the endpoints of a destination.
+
+use super::Balancer;
+use super::parameters::Parameters;
+use crate::interface::{DestinationId, EndpointId, MessageId, Micros};
+use crate::sender_state::{Destination, Endpoint, RouteId};
+
+/// Where many senders share a limit, messages gather for one call for the latency objective divided by this.
+const GATHERING_OBJECTIVE_DIVISOR: Micros = 3;
+
+/// The best call to a destination.
+#[derive(Clone, Copy)]
+pub(super) struct Candidate {
+    /// What the call would earn per unit of time that it holds its slot.
+    pub value_rate: f64,
+    pub route: RouteId,
+    pub message: MessageId,
+}
+
+impl Balancer {
+    /// The best call to a destination now, or else the time at which to look again.
+    pub(super) fn candidate(&self, destination: DestinationId, now: Micros) -> Result<Candidate, Micros> {
+        let (parameters, directory) = (&self.parameters, &self.state.directory);
+        let known = &directory.destinations[&destination];
+        // A call takes one slot and earns the value of all the messages in it.
+        let queued = self.state.messages.queues().len(destination);
+        let messages_per_call = queued.min(known.kind.batch.max(1)) as f64;
+        let is_full = queued >= known.kind.batch;
+        let gathered_at = if is_full { Micros::MIN } else { self.gathered_at(destination, known) };
+        let mut look_again_at = Micros::MAX;
+        for endpoint in self.endpoints_by_cost(known, now) {
+            let route_id = RouteId { destination, endpoint };
+            let (route, endpoint) = (directory.route(route_id), &directory.endpoints[&endpoint]);
+            let mut ready_at = route.ready_at();
+            if !route.breaker.is_open() {
+                ready_at = ready_at.max(gathered_at);
+            }
+            if !endpoint.idle_connections.has_usable(now, parameters.settings.idle_timeout) {
+                ready_at = ready_at.max(endpoint.connect_rejections.backoff_until);
+            }
+            if ready_at > now {
+                look_again_at = look_again_at.min(ready_at);
+            } else if let Some(choice) = self.best_message(route_id, now) {
+                let latency = route.latency.usual.get().max(route.latency.recent.get());
+                let slot_time = latency.max(parameters.latency_objective / 32.0);
+                let value_rate = choice.value * messages_per_call / slot_time;
+                return Ok(Candidate { value_rate, route: route_id, message: choice.id });
+            } else {
+                look_again_at = look_again_at.min(now + parameters.objective_part(16));
+            }
+        }
+        Err(look_again_at)
+    }
+
+    /// The endpoints of a destination, the lowest expected response time first.
+    fn endpoints_by_cost(&self, destination: &Destination, now: Micros) -> Vec<EndpointId> {
+        let endpoints = destination.endpoints.iter().map(|id| (*id, &self.state.directory.endpoints[id]));
+        let mut costs: Vec<(f64, EndpointId)> =
+            endpoints.map(|(id, endpoint)| (self.expected_time(destination, endpoint, now), id)).collect();
+        costs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        costs.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// A call in flight and another zone count as one latency each, a new connection as half of one.
+    fn expected_time(&self, destination: &Destination, endpoint: &Endpoint, now: Micros) -> f64 {
+        let Parameters { latency_objective, settings, .. } = &self.parameters;
+        let (measured, usual) = (endpoint.latency.get(), destination.route.latency.usual.get());
+        let latency = if measured > 0.0 { measured } else { usual.max(latency_objective / 16.0) };
+        let new_connection = !endpoint.idle_connections.has_usable(now, settings.idle_timeout);
+        let half_latencies = 2.0
+            + 2.0 * endpoint.calls_in_flight as f64
+            + f64::from(new_connection)
+            + f64::from(endpoint.zone != settings.zone) * 2.0;
+        latency / 2.0 * half_latencies + if now < endpoint.avoid_until { *latency_objective } else { 0.0 }
+    }
+
+    /// When the queued messages have gathered long enough: within the objective a delay costs nothing, and a
+    /// call with few messages takes the place of a full one of another sender.
+    fn gathered_at(&self, id: DestinationId, destination: &Destination) -> Micros {
+        if !self.parameters.has_many_senders() || destination.route.limiter.limit.is_none() {
+            return Micros::MIN;
+        }
+        let gathered = self.state.messages.queues().of(id).filter_map(|(key, queue)| {
+            let objective = self.parameters.settings.classes[key.class].latency_objective;
+            Some(queue.first()?.0 - objective + objective / GATHERING_OBJECTIVE_DIVISOR)
+        });
+        gathered.min().unwrap_or(Micros::MIN)
+    }
+}
--- /dev/null
+++ b/src/decision/health.rs
@@ -0,0 +1,84 @@
+//! The health of a route, as recent outcomes, latencies and the age of the calls in flight show it.
+
+use super::parameters::{Parameters, SECOND};
+use crate::estimators::DecayingCounter;
+use crate::interface::{DestinationId, Micros};
+use crate::sender_state::{BreakerState, Directory, Latency, Route};
+
+/// Successes that are assumed beforehand, so that few samples do not condemn a destination.
+const PRIOR_SUCCESSES: f64 = 3.0;
+/// Fraction of failures from which a destination is degraded.
+const DEGRADED_FAILURE_SHARE: f64 = 0.2;
+/// Decayed count of failures from which an outage is assumed, if they outnumber the successes.
+const OUTAGE_FAILURES: f64 = 2.5;
+/// Gain of one delivery in the long-term average latency (tens of calls).
+pub(super) const USUAL_LATENCY_GAIN: f64 = 0.05;
+/// Gain of one delivery in the short-term average latency (a few calls).
+pub(super) const RECENT_LATENCY_GAIN: f64 = 0.3;
+/// A route is slow once its recent latency exceeds this multiple of the usual one.
+const SLOW_FACTOR: f64 = 3.0;
+/// Calls in flight for this multiple of the latency are overdue.
+const OVERDUE_FACTOR: f64 = 4.0;
+/// Where call slots are short, a call may be overdue after the latency objective divided by this.
+const SHORT_SLOTS_OBJECTIVE_DIVISOR: f64 = 8.0;
+
+impl Latency {
+    /// Age from which a call is overdue by the usual latency.
+    pub(super) fn overdue_age(&self, parameters: &Parameters) -> Micros {
+        (OVERDUE_FACTOR * self.usual.get()).max(parameters.latency_objective / 2.0) as Micros
+    }
+
+    /// Age from which a call is overdue by the usual and by the recent latency.
+    pub(super) fn lost_age(&self, parameters: &Parameters) -> Micros {
+        self.overdue_age(parameters).max((OVERDUE_FACTOR * self.recent.get()) as Micros)
+    }
+
+    /// Age from which a call is overdue where messages wait for its slot.
+    pub(super) fn overdue_age_with_short_slots(&self, parameters: &Parameters) -> Micros {
+        let latency = self.usual.get().max(self.recent.get());
+        let least = parameters.latency_objective / SHORT_SLOTS_OBJECTIVE_DIVISOR;
+        let age = (OVERDUE_FACTOR * latency).max(least) as Micros;
+        if latency > 0.0 { age } else { self.overdue_age(parameters) }
+    }
+}
+
+impl Route {
+    /// Whether the failures amount to an outage. A sender with few calls needs fewer failures.
+    pub(super) fn failures_show_outage(&self, now: Micros, parameters: &Parameters) -> bool {
+        let failures = self.health.failures.get(now, parameters.outcome_decay);
+        let expected = self.own_rate(now, parameters) * parameters.outcome_decay / SECOND / 2.0;
+        let enough = OUTAGE_FAILURES.min(expected.max(OUTAGE_FAILURES * parameters.share));
+        failures >= enough && failures > self.health.successes.get(now, parameters.outcome_decay)
+    }
+
+    /// Whether calls fail after they may have been executed, which loses messages that allow one execution.
+    pub(super) fn loses_calls(&self, now: Micros, parameters: &Parameters) -> bool {
+        self.is_frequent(&self.health.possible_executions, now, parameters)
+    }
+
+    fn is_frequent(&self, failures: &DecayingCounter, now: Micros, parameters: &Parameters) -> bool {
+        let failures = failures.get(now, parameters.outcome_decay);
+        let successes = self.health.successes.get(now, parameters.outcome_decay);
+        failures / (failures + successes + PRIOR_SUCCESSES) > DEGRADED_FAILURE_SHARE
+    }
+
+    /// Number of overdue calls, without those sent so long before the last delivery that they are lost.
+    pub(super) fn overdue_calls(&self, now: Micros, parameters: &Parameters) -> usize {
+        let age = self.latency.overdue_age(parameters);
+        self.count_calls_older_than(now, age, self.last_delivery - age)
+    }
+
+    fn is_degraded(&self, now: Micros, parameters: &Parameters) -> bool {
+        self.breaker.state != BreakerState::Closed
+            || self.latency.recent.get() > SLOW_FACTOR * self.latency.usual.get()
+            || self.is_frequent(&self.health.failures, now, parameters)
+            || self.overdue_calls(now, parameters) > 0
+    }
+}
+
+impl Directory {
+    /// Whether the lower cap on calls in flight applies to a destination.
+    pub(super) fn is_degraded(&self, id: DestinationId, now: Micros, parameters: &Parameters) -> bool {
+        self.routes(id).any(|route| route.is_degraded(now, parameters))
+    }
+}
--- /dev/null
+++ b/src/decision/outcome.rs
@@ -0,0 +1,119 @@
+//! Ends of attempts: accounting, further attempts, and what the outcome says about the endpoint.
+
+use super::Balancer;
+use super::health::RECENT_LATENCY_GAIN;
+use crate::interface::{Action, AttemptEnded, Micros, Outcome, PossibleExecution};
+use crate::sender_state::{Attempt, Message, MessageState};
+
+/// The first retry after a possible execution is delayed by the latency objective divided by this.
+const RETRY_DELAY_OBJECTIVE_DIVISOR: Micros = 16;
+/// How often the delay is doubled at most, by one for each further attempt.
+const MAX_RETRY_DELAY_DOUBLINGS: usize = 4;
+/// An endpoint whose call failed is avoided for the warm-up time divided by this.
+const AVOID_WARM_UP_DIVISOR: Micros = 4;
+
+impl Balancer {
+    pub(super) fn end_attempt(&mut self, now: Micros, end: &AttemptEnded, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.state.end_attempt(end.id, end.attempt) else { return };
+        self.heed_retry_after(now, &attempt, end);
+        if !self.state.calls.contains(attempt.call) {
+            self.end_call(now, &attempt, end);
+        }
+        self.pause_ordering(now, &attempt, end.outcome);
+        if end.finished || end.outcome == Outcome::Delivered {
+            self.state.class_results[attempt.class].record_delivery(now, self.parameters.warm_up);
+            self.state.forget(now, end.id);
+        } else if self.state.messages.get(end.id).is_some() {
+            self.retry(now, &attempt, end, actions);
+        }
+        if let Some(key) = &attempt.ordering_key {
+            self.state.release_next(now, key);
+        }
+    }
+
+    /// A Retry-After for one message holds for every message on the route, at once.
+    fn heed_retry_after(&mut self, now: Micros, attempt: &Attempt, end: &AttemptEnded) {
+        let of_outcome = if let Outcome::Rejected { retry_after } = end.outcome { retry_after } else { None };
+        if let Some(wait) = of_outcome.or(end.retry_after) {
+            let route = self.state.directory.route_mut(attempt.route);
+            route.limiter.hold_until(now + wait);
+        }
+    }
+
+    /// Pauses an ordering key after an attempt that may still be executed.
+    fn pause_ordering(&mut self, now: Micros, attempt: &Attempt, outcome: Outcome) {
+        let Some(key) = &attempt.ordering_key else { return };
+        if let Outcome::TimedOut | Outcome::Reset | Outcome::StaleConnection | Outcome::Cancelled = outcome {
+            self.state.ordering_keys.pause(key, now + self.parameters.settings.ordering_gap);
+        }
+    }
+
+    /// Whether no further attempt is allowed, by number or because a second execution would do harm.
+    pub(super) fn has_no_attempt_left(&self, message: &Message) -> bool {
+        let at_most_once = self.parameters.at_most_once(message.submission.class);
+        (at_most_once && message.possible_execution.is_some())
+            || message.attempts - message.unsent_attempts >= self.parameters.settings.max_attempts
+    }
+
+    /// Plans a further attempt, or gives the final answer if none is allowed.
+    fn retry(&mut self, now: Micros, attempt: &Attempt, end: &AttemptEnded, actions: &mut Vec<Action>) {
+        let id = end.id;
+        let message = self.state.messages.get_mut(id).expect("the caller has checked it");
+        if !end.outcome.never_executed() && message.possible_execution.is_none() {
+            let zone = self.state.directory.endpoints[&attempt.route.endpoint].zone;
+            message.possible_execution = Some(PossibleExecution { sent_at: attempt.sent_at, zone });
+        }
+        message.state = MessageState::Blocked;
+        message.unsent_attempts += usize::from(end.unsent);
+        self.schedule_give_up(id);
+        let message = &self.state.messages[id];
+        if now >= message.give_up_at || self.has_no_attempt_left(message) {
+            return self.reject(now, id, actions);
+        }
+        let doublings = (message.attempts - 1).min(MAX_RETRY_DELAY_DOUBLINGS);
+        let delay = self.parameters.objective_part(RETRY_DELAY_OBJECTIVE_DIVISOR) << doublings;
+        // A stale connection says nothing against another one. What the host held back is delayed.
+        let held_back_by_host = end.unsent && end.outcome == Outcome::NotSent;
+        let not_executed = end.outcome.never_executed() && !held_back_by_host;
+        if not_executed || end.outcome == Outcome::StaleConnection {
+            self.state.enqueue(now, id)
+        } else {
+            self.state.messages.delay(id, now + delay)
+        }
+    }
+
+    /// Draws the conclusions from a call, which ends with its last attempt.
+    fn end_call(&mut self, now: Micros, attempt: &Attempt, end: &AttemptEnded) {
+        let settings = &self.parameters.settings;
+        let answered = matches!(end.outcome, Outcome::Delivered | Outcome::Error | Outcome::Rejected { .. });
+        self.state.end_call(now, attempt, answered, settings.idle_timeout);
+        let route = self.state.directory.route_mut(attempt.route);
+        if let Some(rate) = route.allowed_rate(now, &self.parameters).filter(|_| end.unsent) {
+            route.limiter.take_back_call(rate);
+        }
+        let endpoint = self.state.directory.endpoint_mut(attempt.route.endpoint);
+        match end.outcome {
+            Outcome::Delivered => {
+                endpoint.latency.add(end.elapsed as f64, RECENT_LATENCY_GAIN);
+                endpoint.record_delivery(now, attempt.sent_at);
+            }
+            // The endpoint has delivered since: that says more than a response that was lost.
+            Outcome::Cancelled if attempt.lost => return,
+            Outcome::Rejected { .. }
+            | Outcome::NotSent
+            | Outcome::InvalidResponse
+            | Outcome::StaleConnection => {}
+            // Rejected at once: the endpoint is up, but its connection table is full.
+            Outcome::ConnectFailed if end.elapsed < settings.connect_timeout / 2 => {
+                return self.record_connect_rejection(now, attempt);
+            }
+            _ => endpoint.avoid_until = now + settings.warm_up_time / AVOID_WARM_UP_DIVISOR,
+        }
+        let batch = self.state.directory.destinations[&attempt.route.destination].kind.batch;
+        let route = self.state.directory.route_mut(attempt.route);
+        if let Some(limit) = end.report.and_then(|report| report.limit) {
+            route.record_reported_limit(limit, batch, &self.parameters);
+        }
+        route.record_outcome(now, end, &self.parameters);
+    }
+}
--- /dev/null
+++ b/src/decision/rate_limiter.rs
@@ -0,0 +1,120 @@
+//! The rate limit of a route: additive increase, multiplicative decrease, and backoff after rejections.
+
+use super::parameters::{Parameters, SECOND, UNEVEN_SHARE_FACTOR};
+use crate::estimators::random_unit;
+use crate::interface::Micros;
+use crate::sender_state::Route;
+
+/// Multiplicative decrease of the limit by a rejection.
+const DECREASE_FACTOR: f64 = 0.7;
+/// Additive increase of the limit per second, as a fraction of what the sender may count on.
+const INCREASE_PER_SECOND: f64 = 0.08;
+/// Calls that may be sent without spacing, as a time at the rate of the limit.
+pub(super) const BURST_SECONDS: f64 = 0.3;
+/// Where many senders share a limit, the longest backoff in intervals of one sender's share of it.
+const MAX_BACKOFF_INTERVALS: f64 = 4.0;
+/// This many rejections in a row without a Retry-After are an outage and not a limit.
+const OUTAGE_REJECTIONS: u32 = 4;
+/// A reported limit is plausible within this factor of the listed rate.
+const PLAUSIBLE_REPORT_FACTOR: f64 = 10.0;
+/// The rate (calls per second) that is assumed where none is listed, with the square of the factor.
+const UNLISTED_RATE: f64 = 10.0;
+
+impl Route {
+    /// Starts with a share of the listed rate, if there is one and no limit is known.
+    pub(super) fn start_limiter(&mut self, now: Micros, batch: usize, parameters: &Parameters) {
+        let listed_rate = self.limiter.listed_rate;
+        if listed_rate <= 0.0 || self.limiter.limit.is_some() {
+            return;
+        }
+        let share = if batch > 1 { 1.0 / parameters.senders() } else { 1.0 };
+        let many_senders = parameters.has_many_senders();
+        let limit = listed_rate * if many_senders { share.min(parameters.share) } else { share };
+        self.limiter.limit = Some(limit);
+        // Many senders start together, after a restart or with a new endpoint: not all may send at once.
+        if many_senders {
+            let first = random_unit(&mut self.seed) / limit.max(parameters.min_rate);
+            self.limiter.next_call_at = now + ((BURST_SECONDS + first) * SECOND) as Micros;
+        }
+    }
+
+    /// What this sender may count on of the limit for all senders or of the listed rate, which is rough.
+    pub(super) fn own_share(&self, parameters: &Parameters) -> f64 {
+        let limiter = &self.limiter;
+        limiter.reported_limit.unwrap_or(limiter.listed_rate / UNEVEN_SHARE_FACTOR) * parameters.share
+    }
+
+    /// Takes in a reported limit unless it is so small or so large that the rate would not get over it.
+    pub(super) fn record_reported_limit(&mut self, reported: f64, batch: usize, parameters: &Parameters) {
+        let limiter = &mut self.limiter;
+        let is_listed = limiter.listed_rate > 0.0;
+        let expected = if is_listed { limiter.listed_rate } else { UNLISTED_RATE };
+        let factor = if is_listed { PLAUSIBLE_REPORT_FACTOR } else { PLAUSIBLE_REPORT_FACTOR.powi(2) };
+        if !(expected / factor..=expected * factor).contains(&reported) {
+            return;
+        }
+        if limiter.reported_limit.is_none() {
+            limiter.limit = Some(if batch > 1 { reported / parameters.senders() } else { reported });
+        }
+        limiter.reported_limit = Some(reported);
+    }
+
+    /// Increases the limit with time, after a delivery. Frequent half-empty calls say nothing about it.
+    pub(super) fn increase_limit(&mut self, now: Micros, parameters: &Parameters) {
+        self.limiter.rejections = 0;
+        let Some(limit) = self.limiter.limit else { return };
+        if !self.limiter.last_call_full && SECOND / limit <= parameters.latency_objective / 4.0 {
+            return;
+        }
+        let elapsed = (now - self.limiter.limit_changed_at) as f64 / SECOND;
+        let elapsed = elapsed.clamp(0.0, parameters.warm_up / SECOND);
+        let scale = (limit + parameters.min_rate).max(self.own_share(parameters));
+        let increased = limit + elapsed * INCREASE_PER_SECOND * scale;
+        self.limiter.limit = Some(self.limiter.reported_limit.map_or(increased, |max| increased.min(max)));
+        self.limiter.limit_changed_at = now;
+    }
+
+    /// Decreases the limit, once for all calls sent before the first rejection of a wave was received. A
+    /// single call is no rate: many senders with rare calls would each go on far above their share.
+    pub(super) fn decrease_limit(&mut self, now: Micros, sent_at: Micros, parameters: &Parameters) {
+        if sent_at < self.limiter.last_rejection {
+            return;
+        }
+        self.limiter.rejections += 1;
+        self.limiter.last_rejection = now;
+        let share = self.own_share(parameters);
+        let is_shared = share > 0.0 && parameters.has_many_senders();
+        let floor = if is_shared { share / MAX_BACKOFF_INTERVALS } else { parameters.min_rate / 4.0 };
+        let confidence = 1.0 - 1.0 / self.calls.count(now, parameters.warm_up).max(1.0);
+        let sent = (self.own_rate(now, parameters) * confidence).max(share);
+        let base = self.limiter.limit.map_or(sent, |limit| limit.min(sent));
+        self.limiter.limit = Some((base * DECREASE_FACTOR).max(floor));
+        self.limiter.limit_changed_at = now;
+    }
+
+    /// Holds calls back after a rejection. A short Retry-After comes from a limit that other senders use up,
+    /// a long one from an outage.
+    pub(super) fn back_off(&mut self, now: Micros, retry_after: Option<Micros>, parameters: &Parameters) {
+        let wait = retry_after.unwrap_or(0).max(self.rejection_backoff(parameters));
+        self.limiter.hold_until(now + wait);
+        let many_rejections = self.limiter.rejections >= OUTAGE_REJECTIONS;
+        if retry_after.map_or(many_rejections, |wait| wait as f64 > parameters.warm_up / 4.0) {
+            self.open_breaker(now, parameters);
+        }
+    }
+
+    /// Each wave doubles the backoff, since rejected calls may use up the limit themselves.
+    fn rejection_backoff(&mut self, parameters: &Parameters) -> Micros {
+        let share = self.own_share(parameters);
+        let many_senders = parameters.has_many_senders();
+        let rate = self.limiter.limit.unwrap_or(parameters.min_rate).max(parameters.min_rate / 4.0);
+        let longest = if share > 0.0 && many_senders {
+            MAX_BACKOFF_INTERVALS * SECOND / share
+        } else {
+            parameters.latency_objective * (1.0 / parameters.share).min(4.0)
+        };
+        let doubled = SECOND / rate * f64::from(1u32 << self.limiter.rejections.min(4));
+        let jitter = if many_senders { 0.5 + random_unit(&mut self.seed) } else { 1.0 };
+        ((doubled / 2.0).min(longest) * jitter) as Micros
+    }
+}
--- /dev/null
+++ b/src/decision/selection.rs
@@ -0,0 +1,88 @@
+//! The value of messages, and the choice of a message for an endpoint.
+
+use super::Balancer;
+use crate::interface::{Idempotency, MessageId, Micros};
+use crate::sender_state::{Message, RouteId};
+
+/// A message that could be sent, and what its delivery would earn.
+#[derive(Clone, Copy)]
+pub(super) struct MessageChoice {
+    pub id: MessageId,
+    pub value: f64,
+    due: Micros,
+}
+
+impl Balancer {
+    /// Later it is too late for an answer, or the destination may have forgotten the idempotency key.
+    pub(super) fn sendable_until(&self, message: &Message) -> Micros {
+        let submission = &message.submission;
+        let known = self.state.directory.destinations.get(&submission.destination);
+        let latency = known.map_or(0.0, |known| known.route.latency.usual.get());
+        let latest = submission.expires_at - (latency / 2.0) as Micros - 3 * self.parameters.tick;
+        match (self.parameters.settings.classes[submission.class].idempotency, message.possible_execution) {
+            (Idempotency::Keyed { key_lifetime, .. }, Some(first)) => {
+                latest.min(first.sent_at + key_lifetime - self.parameters.tick)
+            }
+            _ => latest,
+        }
+    }
+
+    fn is_sendable(&self, message: &Message, zone: usize, now: Micros) -> bool {
+        let idempotency = self.parameters.settings.classes[message.submission.class].idempotency;
+        message.is_key_known_in(zone, idempotency) && now < self.sendable_until(message)
+    }
+
+    /// What the delivery of a message at a time would earn.
+    pub(super) fn value(&self, message: &Message, at: Micros) -> f64 {
+        // A message that was accepted before a restart was promised an attempt: it is tried first.
+        if message.is_accepted_and_untried() {
+            return f64::MAX;
+        }
+        let settings = &self.parameters.settings;
+        let class = &settings.classes[message.submission.class];
+        let remaining = message.remaining_weight(at, class, settings.weight_decay);
+        // Every class counts, the one with the worst result most: a class that loses messages gains priority.
+        let results = &self.state.class_results[message.submission.class];
+        let [delivered, ended] = [&results.delivered, &results.ended]
+            .map(|counter| counter.get(at, self.parameters.warm_up) + 1.0);
+        class.priority_weight.max(0.0).sqrt()
+            * remaining
+            * (ended / delivered).powi(2)
+            * if message.over_quota { settings.over_quota_weight } else { 1.0 }
+    }
+
+    /// The message that earns most at an endpoint: of each queue, the first message that will be delivered on
+    /// time and the first of all are considered. Of equal ones, the one that is due first is taken.
+    pub(super) fn best_message(&self, route_id: RouteId, now: Micros) -> Option<MessageChoice> {
+        let route = self.state.directory.route(route_id);
+        let zone = self.state.directory.endpoints[&route_id.endpoint].zone;
+        let delivered_at = now + route.latency.usual.get() as Micros;
+        let probe = route.breaker.is_open();
+        let wait_for_recovery = !probe && route.loses_calls(now, &self.parameters);
+        let at_most_once = |class: usize| self.parameters.at_most_once(class);
+        let queues = self.state.messages.queues();
+        let repeatable_queued = queues.of(route_id.destination).any(|(key, _)| !at_most_once(key.class));
+        let mut best: Option<MessageChoice> = None;
+        for (key, queue) in queues.of(route_id.destination) {
+            // A probe may be lost: if possible it is a message that may be attempted again.
+            if probe && repeatable_queued && at_most_once(key.class) {
+                continue;
+            }
+            let on_time = queue.range((delivered_at, 0)..).next();
+            for &(due, id) in on_time.into_iter().chain(queue.first()) {
+                let message = &self.state.messages[id];
+                // Where calls are lost, a message that allows one execution waits for a recovery.
+                let may_wait = delivered_at + self.parameters.objective_part(4) < message.due;
+                if wait_for_recovery && may_wait && at_most_once(key.class) {
+                    continue;
+                }
+                let value = self.value(message, delivered_at);
+                let better = best.is_none_or(|b| value > b.value || (value == b.value && due < b.due));
+                if better && self.is_sendable(message, zone, now) {
+                    best = Some(MessageChoice { id, value, due });
+                }
+            }
+        }
+        best
+    }
+}
--- /dev/null
+++ b/src/decision/sending.rs
@@ -0,0 +1,45 @@
+//! Sending: a call to an endpoint and the messages that travel in it.
+
+use super::Balancer;
+use super::endpoint_choice::Candidate;
+use crate::interface::{Action, MessageId, Micros};
+use crate::sender_state::Attempt;
+
+/// Timeout of messages that may be attempted again, as a multiple of the usual latency.
+const TIMEOUT_LATENCIES: f64 = 10.0;
+/// The least timeout of messages that may be attempted again, in latency objectives.
+const MIN_TIMEOUT_OBJECTIVES: f64 = 2.0;
+
+impl Balancer {
+    /// Sends one call: the chosen message and, as far as there is room, others for the same destination.
+    pub(super) fn send(&mut self, now: Micros, candidate: Candidate, actions: &mut Vec<Action>) {
+        let Candidate { route: route_id, message, .. } = candidate;
+        let call = self.state.calls.next_call();
+        let batch = self.state.directory.destinations[&route_id.destination].kind.batch;
+        let mut next = Some(message);
+        let mut messages = 0;
+        while let Some(id) = next.filter(|_| messages < batch.max(1)) {
+            self.start_attempt(now, id, Attempt::new(call, route_id, now), actions);
+            messages += 1;
+            next = self.best_message(route_id, now).map(|choice| choice.id);
+        }
+        self.state.directory.endpoint_mut(route_id.endpoint).record_call();
+        let route = self.state.directory.route_mut(route_id);
+        route.record_call(call, now, messages >= batch, &self.parameters);
+    }
+
+    fn start_attempt(&mut self, now: Micros, id: MessageId, attempt: Attempt, actions: &mut Vec<Action>) {
+        let (route_id, objective) = (attempt.route, self.parameters.latency_objective);
+        let route = self.state.directory.route(route_id);
+        let retry_timeout = TIMEOUT_LATENCIES * route.latency.usual.get().max(objective / 16.0);
+        let retry_timeout = retry_timeout.max(MIN_TIMEOUT_OBJECTIVES * objective) as Micros;
+        self.state.start_attempt(id, attempt);
+        let message = &self.state.messages[id];
+        let time_left = (message.submission.expires_at - now).max(1);
+        // A message that allows one execution is given all the time that it has.
+        let at_most_once = self.parameters.at_most_once(message.submission.class);
+        let timeout = if at_most_once { time_left } else { retry_timeout.min(time_left) };
+        let send_before = self.sendable_until(message);
+        actions.push(Action::Send { id, endpoint: route_id.endpoint, timeout, send_before });
+    }
+}
--- /dev/null
+++ b/src/estimators/rate_estimator.rs
@@ -0,0 +1,42 @@
+//! An estimate of the rate of recent events.
+
+use super::DecayingCounter;
+use crate::interface::Micros;
+
+const MICROS_PER_SECOND: f64 = 1e6;
+
+/// Estimates the rate of recent events from a decaying count, corrected for the time before the first one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RateEstimator {
+    since: Micros,
+    events: DecayingCounter,
+}
+
+impl RateEstimator {
+    /// An estimator that has observed since a time and has this decayed count now.
+    pub(crate) fn of(since: Micros, count: f64, now: Micros) -> RateEstimator {
+        RateEstimator { since, events: DecayingCounter::of(count, now) }
+    }
+
+    /// How long it has observed, in microseconds.
+    pub(crate) fn age(&self, now: Micros) -> Micros {
+        now - self.since
+    }
+
+    /// Decayed count of the events.
+    pub(crate) fn count(&self, now: Micros, time_constant: f64) -> f64 {
+        self.events.get(now, time_constant)
+    }
+
+    /// Counts one more event.
+    pub(crate) fn add(&mut self, now: Micros, time_constant: f64) {
+        self.events.add(now, time_constant);
+    }
+
+    /// Events per second. The estimator counts as at least `min_age` (microseconds) old.
+    pub(crate) fn per_second(&self, now: Micros, time_constant: f64, min_age: f64) -> f64 {
+        let age = (self.age(now) as f64).max(min_age);
+        self.count(now, time_constant) * MICROS_PER_SECOND
+            / (time_constant * (1.0 - (-age / time_constant).exp()))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod forwarder;
 pub mod interface;
 mod key_value;
+mod sender_state;
 mod settings_reader;
 pub mod simulator;
 
--- /dev/null
+++ b/src/sender_state/directory.rs
@@ -0,0 +1,243 @@
+//! The destinations and endpoints that the sender knows.
+
+use super::idle_connections::IdleConnections;
+use super::route::Route;
+use crate::estimators::MovingAverage;
+use crate::interface::{DestinationId, DestinationKind, EndpointEntry, EndpointId, EndpointState, Micros};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Where a call goes: a destination and one of its endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RouteId {
+    /// The destination.
+    pub(crate) destination: DestinationId,
+    /// The endpoint.
+    pub(crate) endpoint: EndpointId,
+}
+
+/// A destination.
+pub(crate) struct Destination {
+    /// Its kind.
+    pub(crate) kind: DestinationKind,
+    /// Endpoints that new calls may be sent to.
+    pub(crate) endpoints: BTreeSet<EndpointId>,
+    /// What is known about it, unless its routes are separate.
+    pub(crate) route: Route,
+}
+
+/// An endpoint.
+pub(crate) struct Endpoint {
+    /// The destination that it belongs to.
+    pub(crate) destination: DestinationId,
+    /// Index of its zone.
+    pub(crate) zone: usize,
+    /// Calls to it that are in flight.
+    pub(crate) calls_in_flight: usize,
+    /// Average latency of its recent deliveries, in microseconds.
+    pub(crate) latency: MovingAverage,
+    /// Idle connections to it.
+    pub(crate) idle_connections: IdleConnections,
+    /// Other endpoints are preferred until then.
+    pub(crate) avoid_until: Micros,
+    /// The endpoint list has it in service.
+    pub(crate) serving: bool,
+    /// When the latest of its calls that were delivered was sent.
+    pub(crate) last_delivered_call_sent_at: Micros,
+    /// Connections that it rejected.
+    pub(crate) connect_rejections: ConnectRejections,
+    /// What is known about it where routes are separate.
+    pub(crate) route: Route,
+}
+
+/// Connection attempts that an endpoint rejected at once.
+pub(crate) struct ConnectRejections {
+    /// Waves of them in a row.
+    pub(crate) waves: u32,
+    /// When the first rejection of the last wave was received.
+    pub(crate) last: Micros,
+    /// No new connection is tried until then.
+    pub(crate) backoff_until: Micros,
+}
+
+impl Endpoint {
+    /// An endpoint about which nothing is known.
+    pub(crate) fn new(now: Micros, destination: DestinationId, seed: &mut u64) -> Self {
+        Endpoint {
+            destination,
+            zone: 0,
+            calls_in_flight: 0,
+            latency: MovingAverage::default(),
+            idle_connections: IdleConnections::default(),
+            avoid_until: now,
+            serving: false,
+            last_delivered_call_sent_at: Micros::MIN,
+            connect_rejections: ConnectRejections { waves: 0, last: 0, backoff_until: now },
+            route: Route::new(now, seed),
+        }
+    }
+}
+
+impl Endpoint {
+    /// Takes note of a call that is sent.
+    pub(crate) fn record_call(&mut self) {
+        self.calls_in_flight += 1;
+        self.idle_connections.take();
+    }
+
+    /// Takes note of the delivery of a call, which ends what failures have caused.
+    pub(crate) fn record_delivery(&mut self, now: Micros, sent_at: Micros) {
+        self.avoid_until = now;
+        self.last_delivered_call_sent_at = self.last_delivered_call_sent_at.max(sent_at);
+        self.connect_rejections.waves = 0;
+    }
+}
+
+/// All known destinations and endpoints. Those that appear in a message queue or an attempt are always known.
+#[derive(Default)]
+pub(crate) struct Directory {
+    /// All destinations that have been listed or that messages are queued for.
+    pub(crate) destinations: BTreeMap<DestinationId, Destination>,
+    /// All endpoints that are listed or were removed not long ago.
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Endpoints that the list no longer holds, and since when.
+    pub(crate) removed: BTreeMap<EndpointId, Micros>,
+    /// Endpoints that operators have disabled, listed or not.
+    pub(crate) banned: BTreeSet<EndpointId>,
+}
+
+impl Directory {
+    /// A destination, which is added if it is not known.
+    pub(crate) fn destination_or_new(
+        &mut self,
+        id: DestinationId,
+        now: Micros,
+        seed: &mut u64,
+    ) -> &mut Destination {
+        self.destinations.entry(id).or_insert_with(|| Destination {
+            kind: DestinationKind::default(),
+            endpoints: BTreeSet::new(),
+            route: Route::new(now, seed),
+        })
+    }
+
+    /// The route of a call: waits, limits and health hold for a destination, or for each of its routes.
+    pub(crate) fn route(&self, id: RouteId) -> &Route {
+        match &self.destinations[&id.destination] {
+            destination if destination.kind.separate_routes => &self.endpoints[&id.endpoint].route,
+            destination => &destination.route,
+        }
+    }
+
+    /// Like [`Directory::route`].
+    pub(crate) fn route_mut(&mut self, id: RouteId) -> &mut Route {
+        let known = self.destinations.get_mut(&id.destination).expect("destinations of calls are known");
+        if !known.kind.separate_routes {
+            return &mut known.route;
+        }
+        &mut self.endpoints.get_mut(&id.endpoint).expect("endpoints of calls are known").route
+    }
+
+    /// An endpoint that calls are sent to.
+    pub(crate) fn endpoint_mut(&mut self, endpoint: EndpointId) -> &mut Endpoint {
+        self.endpoints.get_mut(&endpoint).expect("endpoints of calls are known")
+    }
+
+    /// Where calls to a destination may go.
+    pub(crate) fn route_ids(&self, destination: DestinationId) -> Vec<RouteId> {
+        let endpoints = self.destinations[&destination].endpoints.iter();
+        endpoints.map(|endpoint| RouteId { destination, endpoint: *endpoint }).collect()
+    }
+
+    /// The route of a known destination and, where routes are separate, those of its endpoints.
+    pub(crate) fn routes(&self, id: DestinationId) -> impl Iterator<Item = &Route> {
+        self.destinations.get(&id).into_iter().flat_map(|destination| {
+            let separate = destination.endpoints.iter().filter(|_| destination.kind.separate_routes);
+            separate.map(|id| &self.endpoints[id].route).chain([&destination.route])
+        })
+    }
+
+    /// Applies one entry of the list, and returns its route. Only endpoints in service get new calls.
+    pub(crate) fn update(
+        &mut self,
+        now: Micros,
+        entry: &EndpointEntry,
+        kind: DestinationKind,
+        seed: &mut u64,
+    ) -> &mut Route {
+        self.destination_or_new(entry.destination, now, seed).kind = kind;
+        let new = || Endpoint::new(now, entry.destination, seed);
+        let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(new);
+        endpoint.destination = entry.destination;
+        endpoint.zone = entry.zone;
+        endpoint.serving = entry.state == EndpointState::Serving;
+        let usable = endpoint.serving && !self.banned.contains(&entry.endpoint);
+        self.set_usable(entry.endpoint, usable);
+        if entry.state == EndpointState::Deleted {
+            self.removed.entry(entry.endpoint).or_insert(now);
+        } else {
+            self.removed.remove(&entry.endpoint);
+        }
+        self.route_mut(RouteId { destination: entry.destination, endpoint: entry.endpoint })
+    }
+
+    /// Forgets endpoints that were removed longer ago than `retention` (microseconds), once no call is in
+    /// flight there and no wait holds. If one is listed again before, its waits and outages still hold. What
+    /// is known about its destination stays.
+    pub(crate) fn forget_removed(&mut self, now: Micros, retention: Micros) {
+        let endpoints = &mut self.endpoints;
+        self.removed.retain(|id, removed_at| {
+            let forget_at = *removed_at + retention;
+            let keep = endpoints.get(id).is_some_and(|endpoint| {
+                endpoint.calls_in_flight > 0 || now < endpoint.route.limiter.wait_until.max(forget_at)
+            });
+            if !keep {
+                endpoints.remove(id);
+            }
+            keep
+        });
+    }
+
+    /// Bans an endpoint: no new call may be sent to it. Returns its route if it is known and was not banned.
+    pub(crate) fn start_ban(&mut self, id: EndpointId) -> Option<&mut Route> {
+        if !self.banned.insert(id) {
+            return None;
+        }
+        let destination = self.endpoints.get(&id)?.destination;
+        self.set_usable(id, false);
+        Some(self.route_mut(RouteId { destination, endpoint: id }))
+    }
+
+    /// Ends the ban of an endpoint, and forgets its connections. Returns it if it is known and was banned.
+    pub(crate) fn end_ban(&mut self, id: EndpointId) -> Option<&mut Endpoint> {
+        if !self.banned.remove(&id) {
+            return None;
+        }
+        let serving = self.endpoints.get(&id)?.serving;
+        if serving {
+            self.set_usable(id, true);
+        }
+        let endpoint = self.endpoint_mut(id);
+        endpoint.idle_connections.clear();
+        Some(endpoint)
+    }
+
+    /// Sets whether new calls may be sent to an endpoint.
+    fn set_usable(&mut self, id: EndpointId, usable: bool) {
+        let destination = self.endpoints[&id].destination;
+        let destination =
+            self.destinations.get_mut(&destination).expect("destinations of endpoints are known");
+        if usable {
+            destination.endpoints.insert(id);
+        } else {
+            destination.endpoints.remove(&id);
+        }
+    }
+
+    /// Marks every endpoint as removed; the entries of a snapshot are applied afterwards.
+    pub(crate) fn remove_all(&mut self, now: Micros) {
+        self.destinations.values_mut().for_each(|destination| destination.endpoints.clear());
+        for id in self.endpoints.keys() {
+            self.removed.entry(*id).or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/sender_state/mod.rs
@@ -0,0 +1,25 @@
+//! What a sender keeps track of: its messages, calls, destinations and endpoints.
+//!
+//! This module holds records and keeps them consistent with each other. It decides nothing:
+//! [`crate::Balancer`] does, in the decision module, which adds methods with its rules to the types of
+//! [`route`].
+
+mod calls;
+mod class_results;
+mod directory;
+mod idle_connections;
+mod learned_state;
+mod message;
+mod message_queues;
+mod message_table;
+mod multiset;
+mod ordering_keys;
+mod route;
+mod schedule;
+mod state;
+
+pub(crate) use calls::Attempt;
+pub(crate) use directory::{Destination, Directory, Endpoint, RouteId};
+pub(crate) use message::{Message, MessageState};
+pub(crate) use route::{BreakerState, Latency, Route};
+pub(crate) use state::SenderState;
--- /dev/null
+++ b/src/sender_state/route.rs
@@ -0,0 +1,169 @@
+//! What is known about a route: a destination as a whole, or one endpoint of it where routes are separate.
+
+use crate::estimators::{DecayingCounter, MovingAverage, RateEstimator, random_unit};
+use crate::interface::{Micros, Outcome};
+use std::collections::BTreeMap;
+
+/// Microseconds in a second.
+const SECOND: f64 = 1e6;
+
+/// The state of a circuit breaker.
+#[derive(Clone, Copy, Default, PartialEq)]
+pub(crate) enum BreakerState {
+    /// Calls are sent as usual.
+    #[default]
+    Closed,
+    /// The destination is considered down: only probe calls are sent, none before `next_probe`.
+    Open {
+        /// The earliest time of the next probe.
+        next_probe: Micros,
+    },
+    /// The destination has recovered, and has its full capacity only after the warm-up time.
+    WarmingUp {
+        /// When it recovered.
+        since: Micros,
+    },
+}
+
+/// The circuit breaker of a route.
+#[derive(Default)]
+pub(crate) struct CircuitBreaker {
+    /// Its state.
+    pub(crate) state: BreakerState,
+    /// Calls per second of this sender that the destination accepted before the outage; 0 if unknown.
+    pub(crate) healthy_rate: f64,
+}
+
+impl CircuitBreaker {
+    /// Whether the destination is considered down.
+    pub(crate) fn is_open(&self) -> bool {
+        matches!(self.state, BreakerState::Open { .. })
+    }
+}
+
+/// Decayed counts of the outcomes of calls.
+#[derive(Default)]
+pub(crate) struct Health {
+    /// Deliveries.
+    pub(crate) successes: DecayingCounter,
+    /// Failures that say something about the destination.
+    pub(crate) failures: DecayingCounter,
+    /// The failures that may have been executed.
+    pub(crate) possible_executions: DecayingCounter,
+}
+
+impl Health {
+    /// Counts a failure. `time_constant` is in microseconds.
+    pub(crate) fn record_failure(&mut self, now: Micros, outcome: Outcome, time_constant: f64) {
+        self.failures.add(now, time_constant);
+        if !outcome.never_executed() {
+            self.possible_executions.add(now, time_constant);
+        }
+    }
+
+    /// Failures before a recovery say nothing about the time after it.
+    pub(crate) fn forget_failures(&mut self) {
+        self.failures = DecayingCounter::default();
+        self.possible_executions = DecayingCounter::default();
+    }
+}
+
+/// Average latencies of deliveries, in microseconds.
+#[derive(Default)]
+pub(crate) struct Latency {
+    /// The long-term average.
+    pub(crate) usual: MovingAverage,
+    /// The short-term average.
+    pub(crate) recent: MovingAverage,
+}
+
+/// The limits of a route, and when its next call is due. Rates are in calls per second.
+#[derive(Default)]
+pub(crate) struct RateLimiter {
+    /// What this sender may send at present, if it is limited.
+    pub(crate) limit: Option<f64>,
+    /// What the destination reported to allow for all senders.
+    pub(crate) reported_limit: Option<f64>,
+    /// What the endpoint list says for all senders; 0 if it says nothing.
+    pub(crate) listed_rate: f64,
+    /// When the next evenly spaced call is due.
+    pub(crate) next_call_at: Micros,
+    /// End of the longest wait that the destination asked for or that was chosen as backoff.
+    pub(crate) wait_until: Micros,
+    /// The last call carried as many messages as a call may.
+    pub(crate) last_call_full: bool,
+    /// Rejections since the last delivery; those of one wave count once.
+    pub(crate) rejections: u32,
+    /// When the first rejection of the last wave was received.
+    pub(crate) last_rejection: Micros,
+    /// When the limit was changed.
+    pub(crate) limit_changed_at: Micros,
+}
+
+impl RateLimiter {
+    /// Takes note of a call that is sent now: the next one is due an interval (seconds) later.
+    pub(crate) fn record_call(&mut self, now: Micros, calls_per_second: f64) {
+        self.next_call_at = self.next_call_at.max(now) + (SECOND / calls_per_second) as Micros;
+    }
+
+    /// Takes back a call that was never sent: the next one takes its place.
+    pub(crate) fn take_back_call(&mut self, calls_per_second: f64) {
+        self.next_call_at -= (SECOND / calls_per_second) as Micros;
+    }
+
+    /// No call may be sent until then.
+    pub(crate) fn hold_until(&mut self, until: Micros) {
+        self.wait_until = self.wait_until.max(until);
+    }
+}
+
+/// What is known about a destination, or about one of its endpoints where routes are separate.
+pub(crate) struct Route {
+    /// Whether calls are sent at all.
+    pub(crate) breaker: CircuitBreaker,
+    /// How calls end.
+    pub(crate) health: Health,
+    /// How long calls take.
+    pub(crate) latency: Latency,
+    /// How often calls may be sent.
+    pub(crate) limiter: RateLimiter,
+    /// How often calls were sent.
+    pub(crate) calls: RateEstimator,
+    /// When each call that is still in flight was sent.
+    pub(crate) in_flight: BTreeMap<u64, Micros>,
+    /// When the last delivery was received.
+    pub(crate) last_delivery: Micros,
+    /// State of the random numbers of this route.
+    pub(crate) seed: u64,
+}
+
+impl Route {
+    /// Number of calls in flight that are older than an age and were sent at `since` or later. Calls are
+    /// looked at in their order, up to the first one that does not count.
+    pub(crate) fn count_calls_older_than(&self, now: Micros, age: Micros, since: Micros) -> usize {
+        let counts = |sent_at: &&Micros| now - **sent_at > age && **sent_at >= since;
+        self.in_flight.values().take_while(counts).count()
+    }
+
+    /// A route about which nothing is known. Its random numbers are derived from `seed`.
+    pub(crate) fn new(now: Micros, seed: &mut u64) -> Self {
+        random_unit(seed);
+        let limiter = RateLimiter {
+            next_call_at: now,
+            wait_until: now,
+            last_rejection: now,
+            limit_changed_at: now,
+            ..RateLimiter::default()
+        };
+        Route {
+            breaker: CircuitBreaker::default(),
+            health: Health::default(),
+            latency: Latency::default(),
+            limiter,
+            calls: RateEstimator::of(now, 0.0, now),
+            in_flight: BTreeMap::new(),
+            last_delivery: now,
+            seed: *seed,
+        }
+    }
+}
--- /dev/null
+++ b/src/sender_state/state.rs
@@ -0,0 +1,166 @@
+//! The state of one sender: all its records, and the operations that concern several of them.
+
+use super::calls::{Attempt, CallTable};
+use super::class_results::ClassResults;
+use super::directory::{Directory, RouteId};
+use super::message::MessageState;
+use super::message_table::MessageTable;
+use super::ordering_keys::OrderingKeys;
+use crate::estimators::DecayingCounter;
+use crate::interface::{EndpointId, InheritedCall, MessageId, Micros, Settings};
+use std::collections::BTreeSet;
+
+/// The state of one sender.
+pub(crate) struct SenderState {
+    /// State of the random numbers; never 0.
+    pub(crate) seed: u64,
+    /// Destinations and endpoints.
+    pub(crate) directory: Directory,
+    /// Messages without a final answer.
+    pub(crate) messages: MessageTable,
+    /// The messages with ordering keys.
+    pub(crate) ordering_keys: OrderingKeys,
+    /// Calls in flight.
+    pub(crate) calls: CallTable,
+    /// Recent submissions of each tenant.
+    pub(crate) tenant_submissions: Vec<DecayingCounter>,
+    /// How the messages of each class fare.
+    pub(crate) class_results: Vec<ClassResults>,
+    /// Until then the connection tables of endpoints are assumed to be full.
+    pub(crate) connection_tables_full_until: Micros,
+    /// Endpoints where a call ended in this turn.
+    pub(crate) used_endpoints: BTreeSet<EndpointId>,
+    /// When to subscribe to the endpoint list, if that is to be done.
+    pub(crate) subscribe_at: Option<Micros>,
+    /// Failures of the subscription in a row.
+    pub(crate) subscription_failures: u32,
+    /// The wake-up that was requested from the host; the maximum if there is none.
+    wake_at: Micros,
+}
+
+impl SenderState {
+    /// The state of a sender that knows nothing but its settings.
+    pub(crate) fn new(settings: &Settings, seed: u64) -> Self {
+        SenderState {
+            seed: seed | 1,
+            directory: Directory::default(),
+            messages: MessageTable::default(),
+            ordering_keys: OrderingKeys::default(),
+            calls: CallTable::default(),
+            tenant_submissions: vec![DecayingCounter::default(); settings.tenants.len()],
+            class_results: vec![ClassResults::default(); settings.classes.len()],
+            connection_tables_full_until: Micros::MIN,
+            used_endpoints: BTreeSet::new(),
+            subscribe_at: settings.poll_discovery.then_some(Micros::MIN),
+            subscription_failures: 0,
+            wake_at: Micros::MAX,
+        }
+    }
+
+    /// Puts a message into its queue. Its destination is recorded even if it is not listed yet.
+    pub(crate) fn enqueue(&mut self, now: Micros, id: MessageId) {
+        let destination = self.messages.enqueue(id);
+        self.directory.destination_or_new(destination, now, &mut self.seed);
+    }
+
+    /// Removes a message that needs nothing more, if it is open. Its attempts in flight remain.
+    pub(crate) fn forget(&mut self, now: Micros, id: MessageId) {
+        let Some(message) = self.messages.remove(id) else { return };
+        if let Some(key) = message.submission.key {
+            self.ordering_keys.remove(&key, id);
+            self.release_next(now, &key);
+        }
+    }
+
+    /// Releases the first message with an ordering key once no attempt of those before it is in flight and
+    /// the pause of the key is over.
+    pub(crate) fn release_next(&mut self, now: Micros, key: &str) {
+        let Some((id, paused_until)) = self.ordering_keys.next(key, now) else { return };
+        if self.messages[id].state != MessageState::Blocked {
+            return;
+        }
+        if now < paused_until {
+            self.messages.delay(id, paused_until);
+        } else {
+            self.enqueue(now, id);
+        }
+    }
+
+    /// Puts a message into its queue, or behind the others with its ordering key.
+    pub(crate) fn enqueue_in_order(&mut self, now: Micros, id: MessageId) {
+        let Some(key) = self.messages[id].submission.key.clone() else { return self.enqueue(now, id) };
+        self.ordering_keys.push(&key, id);
+        self.release_next(now, &key);
+    }
+
+    /// Records an attempt that is sent. It gets the class and the ordering key of its message.
+    pub(crate) fn start_attempt(&mut self, id: MessageId, attempt: Attempt) {
+        let message = self.messages.start_attempt(id);
+        let ordering_key = message.submission.key.clone();
+        if let Some(key) = &ordering_key {
+            self.ordering_keys.start_attempt(key);
+        }
+        let attempt = Attempt { class: message.submission.class, ordering_key, ..attempt };
+        self.calls.insert(id, message.attempts - 1, attempt);
+    }
+
+    /// Records that an attempt has ended, and returns it if it was in flight.
+    pub(crate) fn end_attempt(&mut self, id: MessageId, number: usize) -> Option<Attempt> {
+        let attempt = self.calls.remove(id, number)?;
+        if let Some(key) = &attempt.ordering_key {
+            self.ordering_keys.end_attempt(key);
+        }
+        Some(attempt)
+    }
+
+    /// Records that a call has ended. If it was answered, its connection is idle now.
+    pub(crate) fn end_call(&mut self, now: Micros, attempt: &Attempt, answered: bool, idle_timeout: Micros) {
+        let route = self.directory.route_mut(attempt.route);
+        route.in_flight.remove(&attempt.call);
+        let endpoint = self.directory.endpoint_mut(attempt.route.endpoint);
+        endpoint.calls_in_flight = endpoint.calls_in_flight.saturating_sub(1);
+        if answered {
+            endpoint.idle_connections.add(now, idle_timeout);
+            self.used_endpoints.insert(attempt.route.endpoint);
+        }
+    }
+
+    /// Records an attempt of a predecessor that is in flight. Returns false if its endpoint is not known.
+    pub(crate) fn inherit_attempt(
+        &mut self,
+        id: MessageId,
+        number: usize,
+        class: usize,
+        inherited: InheritedCall,
+    ) -> bool {
+        let InheritedCall { call, endpoint, sent_at } = inherited;
+        let Some(known) = self.directory.endpoints.get_mut(&endpoint) else { return false };
+        let route = RouteId { destination: known.destination, endpoint };
+        if !self.calls.contains(call) {
+            known.calls_in_flight += 1;
+            self.directory.route_mut(route).in_flight.insert(call, sent_at);
+        }
+        self.calls.insert(id, number, Attempt { class, ..Attempt::new(call, route, sent_at) });
+        self.messages.set_in_flight(id, number + 1);
+        true
+    }
+
+    /// Records that the host has delivered a wake-up.
+    pub(crate) fn record_wake(&mut self, now: Micros) {
+        if now >= self.wake_at {
+            self.wake_at = Micros::MAX;
+        }
+    }
+
+    /// The wake-up that is to be requested from the host, unless an earlier one is pending: the earliest of
+    /// the timers and `at`.
+    pub(crate) fn next_wake(&mut self, now: Micros, at: Micros) -> Option<Micros> {
+        let timers = [self.messages.next_timer(), self.subscribe_at];
+        let at = timers.into_iter().flatten().fold(at, Micros::min).max(now + 1);
+        if at >= self.wake_at || at == Micros::MAX {
+            return None;
+        }
+        self.wake_at = at;
+        Some(at)
+    }
+}
