Split the tests of the decision module into one file a subject

tests/rules.rs held 49 tests on everything, with names in words of its own. Now each subject has a file (decision_admission, _cancellation, _concurrency, _connections, _endpoint_list, _health, _ordering, _rate_limit, _restart, _retry, _selection) and each test a name of its case and expected result. Every assertion stands as before (147 lines with assert, panic or expect, before and after).

tests/common: Rig is SenderHarness (advance, submit_ordered, end_attempt, with_seed); submission and attempt_ended replace the long literals. tests/properties.rs: the referee is a RuleChecker with one check a function and Step a struct; the random steps are the same. Six faults put in by hand: five are caught by it, the sixth (an ordering key released too early) by decision_ordering only, as before by rules.rs only.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A hand-driven sender for the module tests.
+//! A sender that a test drives by hand: it submits messages, ends attempts and lets time pass.
 #![allow(dead_code, missing_docs)]
 
 use message_forwarder::Balancer;
@@ -7,18 +7,26 @@
 pub const MS: Micros = 1_000;
 pub const SEC: Micros = 1_000_000;
 
+/// How long clients wait for an answer.
+pub const CLIENT_TIMEOUT: Micros = 16 * SEC;
+/// Resolution of the timers in tests.
+pub const TICK: Micros = 5 * MS;
+/// Index of the class of [`settings`] whose messages are ordered.
+pub const ORDERED_CLASS: usize = 3;
+
 pub fn class(idempotency: Idempotency) -> Class {
     Class {
         idempotency,
         latency_objective: 3 * SEC,
-        deadline: 16 * SEC,
+        deadline: CLIENT_TIMEOUT,
         priority_weight: 1.0,
         late_weight_fraction: 0.3,
         ordered: false,
     }
 }
 
-/// Classes: 0 safe, 1 keyed (life 5 s), 2 unsafe, 3 safe and ordered. Kinds: 0 plain, 1 routes apart, 2 batches.
+/// Classes: 0 idempotent, 1 with idempotency keys that live for 5 s, 2 not idempotent, 3 idempotent and ordered.
+/// Kinds of destinations: 0 shared limits, 1 separate routes, 2 shared limits and calls of up to 20 messages.
 pub fn settings() -> Settings {
     let ordered = Class { ordered: true, ..class(Idempotency::Idempotent) };
     Settings {
@@ -40,7 +48,7 @@
         max_retry_after: 3 * SEC,
         sender_count: 2,
         idle_timeout: 5 * SEC,
-        min_turn_interval: 5 * MS,
+        min_turn_interval: TICK,
         overload_factor: 2.0,
         overload_window: 3 * SEC,
         initial_capacity: 0.2,
@@ -50,23 +58,63 @@
     }
 }
 
+/// The settings of one of many senders, which must not act in step.
+pub fn many_senders() -> Settings {
+    Settings { sender_count: 50, connect_timeout: SEC, ..settings() }
+}
+
+/// An endpoint in service.
 pub fn entry(endpoint: EndpointId, destination: DestinationId, kind: usize) -> EndpointEntry {
     EndpointEntry { endpoint, destination, zone: 0, kind, state: EndpointState::Serving, weight: 1.0 }
 }
 
-pub struct Rig {
+/// A new message.
+pub fn submission(id: MessageId, class: usize, destination: DestinationId, expires_at: Micros) -> Submission {
+    Submission {
+        id,
+        class,
+        tenant: None,
+        key: None,
+        expires_at,
+        destination,
+        history: MessageHistory::default(),
+    }
+}
+
+/// The end of an attempt that was sent and about which the destination reported nothing.
+pub fn attempt_ended(id: MessageId, attempt: usize, outcome: Outcome, elapsed: Micros) -> AttemptEnded {
+    AttemptEnded {
+        id,
+        attempt,
+        outcome,
+        elapsed,
+        finished: outcome == Outcome::Delivered,
+        report: None,
+        retry_after: None,
+        unsent: false,
+    }
+}
+
+/// A sender and its clock.
+pub struct SenderHarness {
     pub sender: Balancer,
     pub now: Micros,
 }
 
-impl Rig {
+impl SenderHarness {
+    /// A sender that knows an endpoint list.
     pub fn new(settings: Settings, entries: Vec<EndpointEntry>) -> Self {
-        let mut rig = Rig { sender: Balancer::new(settings, 7), now: 100 * SEC };
-        rig.turn(vec![Event::ListSnapshot(entries)]);
-        rig
+        Self::with_seed(settings, 7, entries)
+    }
+
+    /// The same with a seed of its own.
+    pub fn with_seed(settings: Settings, seed: u64, entries: Vec<EndpointEntry>) -> Self {
+        let mut harness = SenderHarness { sender: Balancer::new(settings, seed), now: 100 * SEC };
+        harness.turn(vec![Event::ListSnapshot(entries)]);
+        harness
     }
 
-    /// Hands in events at the present time, ends the turn and returns the actions but for alarms.
+    /// Passes in events at the present time, ends the turn and returns the actions but for wake-ups.
     pub fn turn(&mut self, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
         for event in events.into_iter().chain([Event::TurnEnd]) {
@@ -76,12 +124,12 @@
         actions
     }
 
-    /// Lets time pass in steps, with an alarm at each, and returns all actions with their times.
-    pub fn pass(&mut self, span: Micros) -> Vec<(Micros, Action)> {
-        let end = self.now + span;
+    /// Lets time pass in ticks, with a wake-up at each, and returns all actions with their times.
+    pub fn advance(&mut self, duration: Micros) -> Vec<(Micros, Action)> {
+        let end = self.now + duration;
         let mut all = Vec::new();
         while self.now < end {
-            self.now = (self.now + 5 * MS).min(end);
+            self.now = (self.now + TICK).min(end);
             let now = self.now;
             all.extend(self.turn(vec![Event::Wake]).into_iter().map(|a| (now, a)));
         }
@@ -89,46 +137,28 @@
     }
 
     pub fn submit(&mut self, id: MessageId, class: usize, destination: DestinationId) -> Vec<Action> {
-        let expires_at = self.now + 16 * SEC;
-        self.turn(vec![Event::Submit(Submission {
-            id,
-            class,
-            tenant: None,
-            key: None,
-            expires_at,
-            destination,
-            history: MessageHistory::default(),
-        })])
+        let expires_at = self.now + CLIENT_TIMEOUT;
+        self.turn(vec![Event::Submit(submission(id, class, destination, expires_at))])
     }
 
-    pub fn keyed(&mut self, id: MessageId, key: &str, destination: DestinationId) -> Vec<Action> {
-        let (key, expires_at) = (Some(key.to_owned()), self.now + 16 * SEC);
-        self.turn(vec![Event::Submit(Submission {
-            id,
-            class: 3,
-            tenant: None,
-            key,
-            expires_at,
-            destination,
-            history: MessageHistory::default(),
-        })])
+    /// Submits a message with an ordering key.
+    pub fn submit_ordered(&mut self, id: MessageId, key: &str, destination: DestinationId) -> Vec<Action> {
+        let message = submission(id, ORDERED_CLASS, destination, self.now + CLIENT_TIMEOUT);
+        self.turn(vec![Event::Submit(Submission { key: Some(key.to_owned()), ..message })])
     }
 
-    pub fn ended(&mut self, id: MessageId, attempt: usize, outcome: Outcome, elapsed: Micros) -> Vec<Action> {
-        let finished = outcome == Outcome::Delivered;
-        self.turn(vec![Event::AttemptEnded(AttemptEnded {
-            id,
-            attempt,
-            outcome,
-            elapsed,
-            finished,
-            report: None,
-            retry_after: None,
-            unsent: false,
-        })])
+    pub fn end_attempt(
+        &mut self,
+        id: MessageId,
+        attempt: usize,
+        outcome: Outcome,
+        elapsed: Micros,
+    ) -> Vec<Action> {
+        self.turn(vec![Event::AttemptEnded(attempt_ended(id, attempt, outcome, elapsed))])
     }
 }
 
+/// The attempts among the actions: message and endpoint.
 pub fn sends(actions: &[Action]) -> Vec<(MessageId, EndpointId)> {
     let send = |a: &Action| match a {
         Action::Send { id, endpoint, .. } => Some((*id, *endpoint)),
@@ -137,6 +167,7 @@
     actions.iter().filter_map(send).collect()
 }
 
+/// The attempts among the actions: time, message and endpoint.
 pub fn timed_sends(actions: &[(Micros, Action)]) -> Vec<(Micros, MessageId, EndpointId)> {
     let send = |(at, a): &(Micros, Action)| match a {
         Action::Send { id, endpoint, .. } => Some((*at, *id, *endpoint)),
--- /dev/null
+++ b/tests/decision_restart.rs
@@ -0,0 +1,51 @@
+//! Messages of a predecessor.
+
+mod common;
+use common::*;
+use message_forwarder::interface::*;
+
+/// Submits a message that a predecessor accepted, with its history.
+fn resumed(class: usize, history: MessageHistory) -> Vec<Action> {
+    let mut harness = SenderHarness::new(settings(), vec![entry(1, 1, 0)]);
+    let sent_ago =
+        |first: PossibleExecution| PossibleExecution { sent_at: harness.now - first.sent_at, ..first };
+    let history = MessageHistory { possible_execution: history.possible_execution.map(sent_ago), ..history };
+    let expires_at = harness.now + 9 * SEC;
+    harness.turn(vec![Event::Submit(Submission { history, ..submission(1, class, 1, expires_at) })])
+}
+
+#[test]
+fn resumed_message_keeps_its_attempts_and_its_possible_execution() {
+    let history = |attempts, ago: Option<Micros>| MessageHistory {
+        attempts,
+        possible_execution: ago.map(|sent_at| PossibleExecution { sent_at, zone: 0 }),
+        ..MessageHistory::default()
+    };
+    let is_sent = |actions: &[Action]| !sends(actions).is_empty();
+    let fails = |actions: &[Action]| actions.contains(&Action::Fail { id: 1 });
+    // Not executed: it is retried while it has attempts left, and then rejected.
+    assert!(is_sent(&resumed(2, history(3, None))));
+    let exhausted = resumed(2, history(6, None));
+    assert!(!is_sent(&exhausted) && exhausted.iter().any(|a| matches!(a, Action::Reject { id: 1, .. })));
+    // Possibly executed: never retried, retried within the lifetime of the key, or always, as its class allows.
+    assert!(fails(&resumed(2, history(1, Some(SEC)))));
+    assert!(is_sent(&resumed(1, history(1, Some(SEC)))));
+    assert!(fails(&resumed(1, history(1, Some(6 * SEC)))));
+    assert!(is_sent(&resumed(0, history(1, Some(6 * SEC)))));
+}
+
+#[test]
+fn untried_message_of_a_predecessor_is_sent_before_new_ones() {
+    let mut harness = SenderHarness::new(Settings { call_slots: 1, ..settings() }, vec![entry(10, 1, 0)]);
+    harness.submit(0, 0, 1);
+    harness.submit(1, 0, 1);
+    // Both are late: by its value each would be sent after the new one.
+    for (id, attempts) in [(2, 0), (3, 1)] {
+        let history = MessageHistory { accepted: true, attempts, ..MessageHistory::default() };
+        let expires_at = harness.now + 2 * SEC;
+        harness.now += 5 * MS;
+        harness.turn(vec![Event::Submit(Submission { history, ..submission(id, 0, 1, expires_at) })]);
+    }
+    let next = sends(&harness.end_attempt(0, 0, Outcome::Delivered, 10 * MS));
+    assert_eq!(next, vec![(2, 10)]);
+}
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,4 +1,4 @@
-//! The six rules over random legal events: a small referee that knows the rules and no policy.
+//! The six rules of the decision module over random legal events: a checker that knows the rules and no decision.
 
 mod common;
 use common::*;
@@ -8,230 +8,264 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// One step: how much time passes, what happens, and two numbers that choose of what and how.
-type Step = (u16, u8, u8, u8);
+/// Calls that the sender under test may have in flight.
+const CALL_SLOTS: usize = 4;
 
+/// One step of a test case.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    /// Time before the step, in milliseconds.
+    gap: u16,
+    /// What happens.
+    kind: u8,
+    /// Which message or endpoint is affected.
+    choice: u8,
+    /// How it is affected.
+    variant: u8,
+}
+
+/// What the checker knows about a message.
 #[derive(Default)]
-struct Msg {
+struct MessageRecord {
     class: usize,
     destination: DestinationId,
     key: Option<String>,
     expires_at: Micros,
+    /// Endpoint and time of each attempt.
     sent: Vec<(EndpointId, Micros)>,
-    out: BTreeSet<usize>,
+    /// Numbers of the attempts in flight.
+    in_flight: BTreeSet<usize>,
+    /// When the first attempt that may have been executed was sent.
     possible_execution: Option<Micros>,
-    rest_until: Micros,
-    over: bool,
+    /// Messages with the same ordering key must not be sent before this time.
+    paused_until: Micros,
+    answered: bool,
 }
 
-struct Referee {
-    s: Settings,
+/// Identifies what a Retry-After holds for: a destination, or a route where routes are separate.
+type RouteKey = u64;
+
+struct RuleChecker {
+    settings: Settings,
     sender: Balancer,
     now: Micros,
-    messages: BTreeMap<MessageId, Msg>,
+    messages: BTreeMap<MessageId, MessageRecord>,
     serving: BTreeSet<EndpointId>,
-    waits: BTreeMap<u64, Micros>,
-    calls: usize,
+    wait_until: BTreeMap<RouteKey, Micros>,
+    calls_in_flight: usize,
 }
 
-/// Destinations 1 (plain), 2 (routes apart) with endpoints 10, 11 and 20, 21.
-fn dest_of(endpoint: EndpointId) -> DestinationId {
+/// Destination 1 has shared limits and the endpoints 10 and 11, destination 2 separate routes and 20 and 21.
+fn destination_of(endpoint: EndpointId) -> DestinationId {
     endpoint / 10
 }
 
-/// Where a wait binds: the destination, or the route.
-fn scope_of(endpoint: EndpointId) -> u64 {
-    if dest_of(endpoint) == 2 { endpoint } else { dest_of(endpoint) }
+fn route_of(endpoint: EndpointId) -> RouteKey {
+    if destination_of(endpoint) == 2 { endpoint } else { destination_of(endpoint) }
 }
 
-impl Referee {
+impl RuleChecker {
+    fn new() -> Self {
+        let settings = Settings { call_slots: CALL_SLOTS, ..settings() };
+        RuleChecker {
+            sender: Balancer::new(settings.clone(), 5),
+            settings,
+            now: 50 * SEC,
+            messages: BTreeMap::new(),
+            serving: BTreeSet::from([10, 11, 20, 21]),
+            wait_until: BTreeMap::new(),
+            calls_in_flight: 0,
+        }
+    }
+
+    /// Passes in an event, ends the turn and checks all actions.
     fn turn(&mut self, event: Event) -> Result<(), TestCaseError> {
         let mut actions = Vec::new();
-        let told = self.waits.clone();
         self.sender.on_event(self.now, event, &mut actions);
         self.sender.on_event(self.now, Event::TurnEnd, &mut actions);
         for action in actions {
             match action {
-                Action::Send { id, endpoint, .. } => self.send(id, endpoint, &told)?,
-                Action::Reject { id, .. } => {
-                    let m = self.messages.get_mut(&id).unwrap();
-                    prop_assert!(!m.over, "second answer");
-                    let safe = self.s.classes[m.class].idempotency == Idempotency::Idempotent;
-                    prop_assert!(
-                        safe || (m.possible_execution.is_none() && m.out.is_empty()),
-                        "refused what may have run"
-                    );
-                    m.over = true;
-                }
-                Action::Fail { id } => {
-                    let m = self.messages.get_mut(&id).unwrap();
-                    prop_assert!(!m.over, "second answer");
-                    m.over = true;
-                }
+                Action::Send { id, endpoint, .. } => self.check_send(id, endpoint)?,
+                Action::Reject { id, .. } => self.check_rejection(id)?,
+                Action::Fail { id } => self.record_answer(id)?,
                 _ => {}
             }
         }
-        for m in self.messages.values() {
-            prop_assert!(m.over || self.now <= m.expires_at + 20 * MS, "no answer in time");
+        for message in self.messages.values() {
+            let in_time = self.now <= message.expires_at + 20 * MS;
+            prop_assert!(message.answered || in_time, "no answer in time");
         }
         Ok(())
     }
 
-    fn send(
-        &mut self,
-        id: MessageId,
-        endpoint: EndpointId,
-        told: &BTreeMap<u64, Micros>,
-    ) -> Result<(), TestCaseError> {
-        let mut earlier = self.messages.range(..id);
-        let m = &self.messages[&id];
-        if m.key.is_some() {
-            let open = |e: &Msg| !e.over || !e.out.is_empty() || self.now < e.rest_until;
-            prop_assert!(!earlier.any(|(_, e)| e.key == m.key && open(e)), "out of its turn");
-        }
-        prop_assert!(!m.over, "sent after its end");
-        prop_assert_eq!(dest_of(endpoint), m.destination);
-        prop_assert!(self.serving.contains(&endpoint), "sent to a draining endpoint");
-        prop_assert!(m.out.is_empty() && m.sent.len() < self.s.max_attempts);
-        prop_assert!(self.now >= told.get(&scope_of(endpoint)).copied().unwrap_or(0), "wait not heeded");
-        match self.s.classes[m.class].idempotency {
+    fn check_rejection(&mut self, id: MessageId) -> Result<(), TestCaseError> {
+        let message = &self.messages[&id];
+        let idempotent = self.settings.classes[message.class].idempotency == Idempotency::Idempotent;
+        let not_executed = message.possible_execution.is_none() && message.in_flight.is_empty();
+        prop_assert!(idempotent || not_executed, "rejected a message that may have been executed");
+        self.record_answer(id)
+    }
+
+    fn record_answer(&mut self, id: MessageId) -> Result<(), TestCaseError> {
+        let message = self.messages.get_mut(&id).unwrap();
+        prop_assert!(!message.answered, "second answer");
+        message.answered = true;
+        Ok(())
+    }
+
+    fn check_send(&mut self, id: MessageId, endpoint: EndpointId) -> Result<(), TestCaseError> {
+        self.check_order(id)?;
+        self.check_executions(id)?;
+        let message = &self.messages[&id];
+        prop_assert!(!message.answered, "sent after its answer");
+        prop_assert_eq!(destination_of(endpoint), message.destination);
+        prop_assert!(self.serving.contains(&endpoint), "sent to an endpoint that is not in service");
+        prop_assert!(message.in_flight.is_empty() && message.sent.len() < self.settings.max_attempts);
+        let wait_until = self.wait_until.get(&route_of(endpoint)).copied().unwrap_or(0);
+        prop_assert!(self.now >= wait_until, "Retry-After not respected");
+        self.calls_in_flight += 1;
+        prop_assert!(self.calls_in_flight <= self.settings.call_slots, "more calls than slots");
+        let now = self.now;
+        let message = self.messages.get_mut(&id).unwrap();
+        message.in_flight.insert(message.sent.len());
+        message.sent.push((endpoint, now));
+        Ok(())
+    }
+
+    fn check_order(&self, id: MessageId) -> Result<(), TestCaseError> {
+        let message = &self.messages[&id];
+        let may_be_executed = |earlier: &MessageRecord| {
+            !earlier.answered || !earlier.in_flight.is_empty() || self.now < earlier.paused_until
+        };
+        let mut same_key = self.messages.range(..id).filter(|(_, earlier)| earlier.key == message.key);
+        let out_of_order = message.key.is_some() && same_key.any(|(_, earlier)| may_be_executed(earlier));
+        prop_assert!(!out_of_order, "sent out of order");
+        Ok(())
+    }
+
+    fn check_executions(&self, id: MessageId) -> Result<(), TestCaseError> {
+        let message = &self.messages[&id];
+        match self.settings.classes[message.class].idempotency {
             Idempotency::NotIdempotent => {
-                prop_assert!(m.possible_execution.is_none(), "unsafe, and it may have run")
+                prop_assert!(message.possible_execution.is_none(), "it may be executed twice")
             }
             Idempotency::Keyed { key_lifetime, .. } => {
-                prop_assert!(
-                    m.possible_execution.is_none_or(|first| self.now <= first + key_lifetime),
-                    "key forgotten"
-                )
+                let known = message.possible_execution.is_none_or(|first| self.now <= first + key_lifetime);
+                prop_assert!(known, "its key may be forgotten")
             }
             Idempotency::Idempotent => {}
         }
-        self.calls += 1;
-        prop_assert!(self.calls <= self.s.call_slots, "more calls than slots");
-        let now = self.now;
-        let m = self.messages.get_mut(&id).unwrap();
-        m.out.insert(m.sent.len());
-        m.sent.push((endpoint, now));
         Ok(())
     }
 
-    fn step(&mut self, (gap, what, which, how): Step) -> Result<(), TestCaseError> {
-        // Alarms ring at every tick in between, as they would.
-        let end = self.now + Micros::from(gap) * MS;
+    fn step(&mut self, step: Step) -> Result<(), TestCaseError> {
+        self.advance(Micros::from(step.gap) * MS)?;
+        match step.kind % 8 {
+            0..3 => self.submit(step),
+            3..7 => self.end_some_attempt(step),
+            _ => self.change_endpoint(step),
+        }
+    }
+
+    /// Lets time pass with a wake-up at each tick.
+    fn advance(&mut self, duration: Micros) -> Result<(), TestCaseError> {
+        let end = self.now + duration;
         while self.now < end {
-            self.now = (self.now + 5 * MS).min(end);
+            self.now = (self.now + TICK).min(end);
             self.turn(Event::Wake)?;
         }
-        match what % 8 {
-            0..3 => {
-                let id = self.messages.len() as MessageId;
-                let (class, destination) = (usize::from(which) % 4, u64::from(how) % 2 + 1);
-                let key = (class == 3).then(|| format!("k{}", how % 3));
-                let expires_at = self.now + 16 * SEC;
-                self.messages
-                    .insert(id, Msg { class, destination, key: key.clone(), expires_at, ..Msg::default() });
-                self.turn(Event::Submit(Submission {
-                    id,
-                    class,
-                    tenant: None,
-                    key,
-                    expires_at,
-                    destination,
-                    history: MessageHistory::default(),
-                }))
-            }
-            3..7 => {
-                let open: Vec<_> =
-                    self.messages.iter().flat_map(|(id, m)| m.out.iter().map(|a| (*id, *a))).collect();
-                if open.is_empty() {
-                    return Ok(());
-                }
-                let (id, attempt) = open[usize::from(which) % open.len()];
-                self.end(id, attempt, how)
-            }
-            _ => {
-                let endpoint = [10, 11, 20, 21][usize::from(which) % 4];
-                let state = [EndpointState::Serving, EndpointState::Draining, EndpointState::Deleted]
-                    [usize::from(how) % 3];
-                match state {
-                    EndpointState::Serving => self.serving.insert(endpoint),
-                    _ => self.serving.remove(&endpoint),
-                };
-                let kind = usize::from(dest_of(endpoint) == 2);
-                self.turn(Event::ListUpdate(vec![EndpointEntry {
-                    state,
-                    ..entry(endpoint, dest_of(endpoint), kind)
-                }]))
-            }
+        Ok(())
+    }
+
+    fn submit(&mut self, step: Step) -> Result<(), TestCaseError> {
+        let id = self.messages.len() as MessageId;
+        let (class, destination) = (usize::from(step.choice) % 4, u64::from(step.variant) % 2 + 1);
+        let key = (class == ORDERED_CLASS).then(|| format!("k{}", step.variant % 3));
+        let expires_at = self.now + CLIENT_TIMEOUT;
+        let record =
+            MessageRecord { class, destination, key: key.clone(), expires_at, ..MessageRecord::default() };
+        self.messages.insert(id, record);
+        let message = submission(id, class, destination, expires_at);
+        self.turn(Event::Submit(Submission { key, ..message }))
+    }
+
+    fn end_some_attempt(&mut self, step: Step) -> Result<(), TestCaseError> {
+        let attempts_of = |(id, message): (&MessageId, &MessageRecord)| {
+            message.in_flight.iter().map(|attempt| (*id, *attempt)).collect::<Vec<_>>()
+        };
+        let in_flight: Vec<(MessageId, usize)> = self.messages.iter().flat_map(attempts_of).collect();
+        if in_flight.is_empty() {
+            return Ok(());
         }
+        let (id, attempt) = in_flight[usize::from(step.choice) % in_flight.len()];
+        self.end_attempt(id, attempt, outcome(step.variant))
     }
 
-    fn end(&mut self, id: MessageId, attempt: usize, how: u8) -> Result<(), TestCaseError> {
-        let outcome = match how % 8 {
-            0 | 1 => Outcome::Delivered,
-            2 => Outcome::Error,
-            3 => Outcome::Rejected { retry_after: None },
-            4 => Outcome::Rejected { retry_after: Some(Micros::from(how) * 10 * MS) },
-            5 => Outcome::TimedOut,
-            6 => Outcome::ConnectFailed,
-            _ => Outcome::Reset,
+    fn change_endpoint(&mut self, step: Step) -> Result<(), TestCaseError> {
+        let endpoint = [10, 11, 20, 21][usize::from(step.choice) % 4];
+        let states = [EndpointState::Serving, EndpointState::Draining, EndpointState::Deleted];
+        let state = states[usize::from(step.variant) % 3];
+        match state {
+            EndpointState::Serving => self.serving.insert(endpoint),
+            _ => self.serving.remove(&endpoint),
         };
+        let kind = usize::from(destination_of(endpoint) == 2);
+        let entry = EndpointEntry { state, ..entry(endpoint, destination_of(endpoint), kind) };
+        self.turn(Event::ListUpdate(vec![entry]))
+    }
+
+    fn end_attempt(&mut self, id: MessageId, attempt: usize, outcome: Outcome) -> Result<(), TestCaseError> {
         let now = self.now;
-        let m = self.messages.get_mut(&id).unwrap();
-        m.out.remove(&attempt);
-        self.calls -= 1;
-        let (endpoint, sent) = m.sent[attempt];
-        m.over |= outcome == Outcome::Delivered;
+        let message = self.messages.get_mut(&id).unwrap();
+        message.in_flight.remove(&attempt);
+        self.calls_in_flight -= 1;
+        let (endpoint, sent_at) = message.sent[attempt];
+        message.answered |= outcome == Outcome::Delivered;
         if !outcome.never_executed() {
-            m.possible_execution = m.possible_execution.or(Some(sent));
+            message.possible_execution = message.possible_execution.or(Some(sent_at));
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Reset) {
-            m.rest_until = now + self.s.ordering_gap;
+            message.paused_until = now + self.settings.ordering_gap;
         }
         if let Outcome::Rejected { retry_after: Some(wait) } = outcome {
-            let until = self.waits.entry(scope_of(endpoint)).or_insert(0);
-            *until = (*until).max(now + wait);
+            let wait_until = self.wait_until.entry(route_of(endpoint)).or_insert(0);
+            *wait_until = (*wait_until).max(now + wait);
         }
-        let finished = m.over;
-        self.turn(Event::AttemptEnded(AttemptEnded {
-            id,
-            attempt,
-            outcome,
-            elapsed: now - sent,
-            finished,
-            report: None,
-            retry_after: None,
-            unsent: false,
-        }))
+        let finished = message.answered;
+        let ended = attempt_ended(id, attempt, outcome, now - sent_at);
+        self.turn(Event::AttemptEnded(AttemptEnded { finished, ..ended }))
+    }
+}
+
+fn outcome(variant: u8) -> Outcome {
+    match variant % 8 {
+        0 | 1 => Outcome::Delivered,
+        2 => Outcome::Error,
+        3 => Outcome::Rejected { retry_after: None },
+        4 => Outcome::Rejected { retry_after: Some(Micros::from(variant) * 10 * MS) },
+        5 => Outcome::TimedOut,
+        6 => Outcome::ConnectFailed,
+        _ => Outcome::Reset,
     }
 }
 
 #[test]
-fn the_rules_hold_over_random_events() {
+fn rules_hold_over_random_events() {
     let config = Config { cases: 64, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
-    let steps = prop::collection::vec((0u16..400, any::<u8>(), any::<u8>(), any::<u8>()), 1..150);
+    let step = (0u16..400, any::<u8>(), any::<u8>(), any::<u8>());
+    let step = step.prop_map(|(gap, kind, choice, variant)| Step { gap, kind, choice, variant });
     TestRunner::new_with_rng(config, rng)
-        .run(&steps, |steps| {
-            let s = Settings { call_slots: 4, ..settings() };
-            let serving = BTreeSet::from([10, 11, 20, 21]);
-            let mut referee = Referee {
-                sender: Balancer::new(s.clone(), 5),
-                s,
-                now: 50 * SEC,
-                messages: BTreeMap::new(),
-                serving,
-                waits: BTreeMap::new(),
-                calls: 0,
-            };
+        .run(&prop::collection::vec(step, 1..150), |steps| {
+            let mut checker = RuleChecker::new();
             let list = vec![entry(10, 1, 0), entry(11, 1, 0), entry(20, 2, 1), entry(21, 2, 1)];
-            referee.turn(Event::ListSnapshot(list))?;
+            checker.turn(Event::ListSnapshot(list))?;
             for step in steps {
-                referee.step(step)?;
+                checker.step(step)?;
             }
-            // All is answered by the end.
-            referee.step((20_000, 7, 0, 0))?;
-            prop_assert!(referee.messages.values().all(|m| m.over), "a message was lost");
+            // All messages are answered by the end.
+            checker.step(Step { gap: 20_000, kind: 7, choice: 0, variant: 0 })?;
+            prop_assert!(checker.messages.values().all(|message| message.answered), "a message was lost");
             Ok(())
         })
         .unwrap();
