Keep what follows a delivery in the decision module and one definition of SECOND

The end of avoidance and of connection backoff after a delivery stood in sender_state, which decides nothing; both are in decision/outcome.rs again. SECOND was defined three times, now once in estimators.

--- a/src/decision/circuit_breaker.rs
+++ b/src/decision/circuit_breaker.rs
@@ -1,7 +1,7 @@
 //! The circuit breaker of a route: outages, the probe calls during them, and the warm-up after them.
 
-use super::parameters::{Parameters, SECOND, UNEVEN_SHARE_FACTOR};
-use crate::estimators::random_unit;
+use super::parameters::{Parameters, UNEVEN_SHARE_FACTOR};
+use crate::estimators::{SECOND, random_unit};
 use crate::interface::Micros;
 use crate::sender_state::{BreakerState, Route};
 
--- a/src/decision/connections.rs
+++ b/src/decision/connections.rs
@@ -1,8 +1,7 @@
 //! Full connection tables: backoff of new connections, and idle connections that are closed to make room.
 
 use super::Balancer;
-use super::parameters::SECOND;
-use crate::estimators::random_unit;
+use crate::estimators::{SECOND, random_unit};
 use crate::interface::{Action, Micros};
 use crate::sender_state::{Attempt, RouteId};
 
--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -1,7 +1,7 @@
 //! The health of a route, as recent outcomes, latencies and the age of the calls in flight show it.
 
-use super::parameters::{Parameters, SECOND};
-use crate::estimators::DecayingCounter;
+use super::parameters::Parameters;
+use crate::estimators::{DecayingCounter, SECOND};
 use crate::interface::{DestinationId, Micros};
 use crate::sender_state::{BreakerState, Directory, Latency, Route};
 
--- a/src/decision/outcome.rs
+++ b/src/decision/outcome.rs
@@ -95,7 +95,9 @@
         match end.outcome {
             Outcome::Delivered => {
                 endpoint.latency.add(end.elapsed as f64, RECENT_LATENCY_GAIN);
-                endpoint.record_delivery(now, attempt.sent_at);
+                endpoint.avoid_until = now;
+                endpoint.connect_rejections.waves = 0;
+                endpoint.record_delivery(attempt.sent_at);
             }
             // The endpoint has delivered since: that says more than a response that was lost.
             Outcome::Cancelled if attempt.lost => return,
--- a/src/decision/parameters.rs
+++ b/src/decision/parameters.rs
@@ -1,9 +1,8 @@
 //! The settings of a sender and the quantities that follow from them alone.
 
+use crate::estimators::SECOND;
 use crate::interface::{Idempotency, Micros, Settings};
 
-/// Microseconds in a second.
-pub(super) const SECOND: f64 = 1e6;
 /// Senders are loaded unevenly: one may count on this multiple of its even share of what all of them share.
 pub(super) const UNEVEN_SHARE_FACTOR: f64 = 2.0;
 /// Time constant of the decay of outcomes, as a fraction of the warm-up time.
--- a/src/decision/rate_limiter.rs
+++ b/src/decision/rate_limiter.rs
@@ -1,7 +1,7 @@
 //! The rate limit of a route: additive increase, multiplicative decrease, and backoff after rejections.
 
-use super::parameters::{Parameters, SECOND, UNEVEN_SHARE_FACTOR};
-use crate::estimators::random_unit;
+use super::parameters::{Parameters, UNEVEN_SHARE_FACTOR};
+use crate::estimators::{SECOND, random_unit};
 use crate::interface::Micros;
 use crate::sender_state::Route;
 
--- a/src/estimators/mod.rs
+++ b/src/estimators/mod.rs
@@ -9,3 +9,6 @@
 pub(crate) use moving_average::MovingAverage;
 pub(crate) use random::random_unit;
 pub(crate) use rate_estimator::RateEstimator;
+
+/// Microseconds in a second.
+pub(crate) const SECOND: f64 = 1e6;
--- a/src/estimators/rate_estimator.rs
+++ b/src/estimators/rate_estimator.rs
@@ -1,10 +1,8 @@
 //! An estimate of the rate of recent events.
 
-use super::DecayingCounter;
+use super::{DecayingCounter, SECOND};
 use crate::interface::Micros;
 
-const MICROS_PER_SECOND: f64 = 1e6;
-
 /// Estimates the rate of recent events from a decaying count, corrected for the time before the first one.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RateEstimator {
@@ -36,7 +34,6 @@
     /// Events per second. The estimator counts as at least `min_age` (microseconds) old.
     pub(crate) fn per_second(&self, now: Micros, time_constant: f64, min_age: f64) -> f64 {
         let age = (self.age(now) as f64).max(min_age);
-        self.count(now, time_constant) * MICROS_PER_SECOND
-            / (time_constant * (1.0 - (-age / time_constant).exp()))
+        self.count(now, time_constant) * SECOND / (time_constant * (1.0 - (-age / time_constant).exp()))
     }
 }
--- a/src/sender_state/directory.rs
+++ b/src/sender_state/directory.rs
@@ -75,20 +75,16 @@
             route: Route::new(now, seed),
         }
     }
-}
 
-impl Endpoint {
     /// Takes note of a call that is sent.
     pub(crate) fn record_call(&mut self) {
         self.calls_in_flight += 1;
         self.idle_connections.take();
     }
 
-    /// Takes note of the delivery of a call, which ends what failures have caused.
-    pub(crate) fn record_delivery(&mut self, now: Micros, sent_at: Micros) {
-        self.avoid_until = now;
+    /// Takes note of the delivery of a call.
+    pub(crate) fn record_delivery(&mut self, sent_at: Micros) {
         self.last_delivered_call_sent_at = self.last_delivered_call_sent_at.max(sent_at);
-        self.connect_rejections.waves = 0;
     }
 }
 
@@ -100,9 +96,9 @@
     /// All endpoints that are listed or were removed not long ago.
     pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Endpoints that the list no longer holds, and since when.
-    pub(crate) removed: BTreeMap<EndpointId, Micros>,
+    removed: BTreeMap<EndpointId, Micros>,
     /// Endpoints that operators have disabled, listed or not.
-    pub(crate) banned: BTreeSet<EndpointId>,
+    banned: BTreeSet<EndpointId>,
 }
 
 impl Directory {
--- a/src/sender_state/route.rs
+++ b/src/sender_state/route.rs
@@ -1,12 +1,9 @@
 //! What is known about a route: a destination as a whole, or one endpoint of it where routes are separate.
 
-use crate::estimators::{DecayingCounter, MovingAverage, RateEstimator, random_unit};
+use crate::estimators::{DecayingCounter, MovingAverage, RateEstimator, SECOND, random_unit};
 use crate::interface::{Micros, Outcome};
 use std::collections::BTreeMap;
 
-/// Microseconds in a second.
-const SECOND: f64 = 1e6;
-
 /// The state of a circuit breaker.
 #[derive(Clone, Copy, Default, PartialEq)]
 pub(crate) enum BreakerState {
