--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -4,11 +4,17 @@
 
 use serde_json::json;
 use std::time::{Duration, Instant};
-use support::{EVENT_TIMEOUT, Fixture, POLL_INTERVAL, QUIET_PERIOD, RawConnection};
+use support::{
+    DiscoveryStub, EVENT_TIMEOUT, Fixture, ForwarderProcess, FullListener, POLL_INTERVAL, QUIET_PERIOD,
+    RawConnection, plain_endpoint,
+};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpStream, UnixStream};
 use tokio::time::{sleep, timeout};
 
+/// Longer than a retry of the successor and the repetition of its connection attempt take.
+const RETRY_PERIOD: Duration = Duration::from_secs(2);
+
 #[tokio::test]
 async fn a_call_in_flight_continues_and_its_outcome_reaches_the_successor() {
     let mut fixture = Fixture::start_inheriting(|_| {}).await;
@@ -207,3 +213,22 @@
     }
     drop(predecessor);
 }
+
+/// The predecessor decided the call, and its connection was not established yet.
+#[tokio::test]
+async fn a_call_withheld_at_a_take_over_is_sent_once() {
+    let (discovery, endpoint) = (DiscoveryStub::start().await, FullListener::start().await);
+    let known_endpoints = [plain_endpoint("t", endpoint.address, 7)];
+    let mut forwarder = ForwarderProcess::start_inheriting(&discovery, &known_endpoints, |config| {
+        config["settings"]["limits"]["connectTimeout"] = json!(20_000.0);
+    })
+    .await;
+    assert_eq!(forwarder.submit("unsafe", "m", 20_000).await.status(), 202);
+    let mut predecessor = forwarder.upgrade().await;
+    predecessor.terminate();
+    assert!(predecessor.exit_status().await.success());
+    endpoint.accept_queued().await;
+    timeout(EVENT_TIMEOUT, endpoint.wait_for_write()).await.expect("the successor sends the message");
+    let second_write = timeout(RETRY_PERIOD, endpoint.wait_for_write()).await;
+    assert!(second_write.is_err(), "a second attempt was sent while the first was in flight");
+}
