--- a/src/decision/outcome.rs
+++ b/src/decision/outcome.rs
@@ -76,9 +76,9 @@
         let held_back_by_host = end.unsent && end.outcome == Outcome::NotSent;
         let not_executed = end.outcome.never_executed() && !held_back_by_host;
         if not_executed || end.outcome == Outcome::StaleConnection {
-            self.state.enqueue(now, id)
+            self.state.enqueue(now, id);
         } else {
-            self.state.messages.delay(id, now + delay)
+            self.state.messages.delay(id, now + delay);
         }
     }
 
--- a/src/decision/parameters.rs
+++ b/src/decision/parameters.rs
@@ -10,23 +10,23 @@
 
 /// The settings and what follows from them alone. Durations are in microseconds.
 pub(super) struct Parameters {
-    pub settings: Settings,
+    pub(super) settings: Settings,
     /// The shortest latency objective of all classes.
-    pub latency_objective: f64,
+    pub(super) latency_objective: f64,
     /// How long a destination warms up after an outage.
-    pub warm_up: f64,
+    pub(super) warm_up: f64,
     /// Time constant of the decay of outcomes.
-    pub outcome_decay: f64,
+    pub(super) outcome_decay: f64,
     /// Fraction of what all senders share that this one may count on.
-    pub share: f64,
+    pub(super) share: f64,
     /// The slowest useful rate in calls per second: one per objective, or two per objective of all senders.
-    pub min_rate: f64,
+    pub(super) min_rate: f64,
     /// Resolution of the timers of the host.
-    pub tick: Micros,
+    pub(super) tick: Micros,
 }
 
 impl Parameters {
-    pub fn new(mut settings: Settings) -> Self {
+    pub(super) fn new(mut settings: Settings) -> Self {
         settings.max_retry_after = if settings.retry_after { settings.max_retry_after.max(0) } else { 0 };
         let objectives = settings.classes.iter().map(|class| class.latency_objective);
         let shortest = objectives.filter(|objective| *objective > 0).min();
@@ -45,27 +45,27 @@
     }
 
     /// Whether limits are shared with so many senders that they must not act in step.
-    pub fn has_many_senders(&self) -> bool {
+    pub(super) fn has_many_senders(&self) -> bool {
         self.share < 0.5
     }
 
     /// Number of senders, for shares.
-    pub fn senders(&self) -> f64 {
+    pub(super) fn senders(&self) -> f64 {
         self.settings.sender_count.max(1) as f64
     }
 
     /// The latency objective divided by a whole number, in whole microseconds.
-    pub fn objective_part(&self, divisor: Micros) -> Micros {
+    pub(super) fn objective_part(&self, divisor: Micros) -> Micros {
         self.latency_objective as Micros / divisor
     }
 
     /// Whether messages of a class must never be executed twice.
-    pub fn at_most_once(&self, class: usize) -> bool {
+    pub(super) fn at_most_once(&self, class: usize) -> bool {
         self.settings.classes[class].idempotency == Idempotency::NotIdempotent
     }
 
     /// Additional age that a call must have before it is cancelled if that loses a message.
-    pub fn cancellation_reserve(&self, at_most_once: bool) -> Micros {
+    pub(super) fn cancellation_reserve(&self, at_most_once: bool) -> Micros {
         if at_most_once { self.objective_part(2) } else { 0 }
     }
 }
--- a/src/forwarder/configuration/mod.rs
+++ b/src/forwarder/configuration/mod.rs
@@ -70,6 +70,10 @@
 
 impl Config {
     /// Reads the configuration file named by `BALANCER_CONFIG`, and the environment.
+    ///
+    /// # Errors
+    ///
+    /// A variable is missing or invalid, or the file cannot be read, parsed or understood.
     pub fn from_env() -> Result<Self, ConfigError> {
         let mut config = Config::read(&required_path(CONFIG_VARIABLE)?, required_path(STATE_VARIABLE)?)?;
         if let Some(admin) = admin_from_env()? {
--- a/src/forwarder/discovery/mod.rs
+++ b/src/forwarder/discovery/mod.rs
@@ -22,7 +22,7 @@
 /// Timeout of connecting to the service.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Follows the endpoint list until the runtime stops to receive events.
+/// Follows the endpoint list until the runtime stops receiving events.
 ///
 /// `revision` is the revision of the list that the runtime already has, if it has one. `address` changes when
 /// operators move the service. All lists are sent to `events` in the order in which they arrived; the runtime
--- a/src/forwarder/discovery/poll.rs
+++ b/src/forwarder/discovery/poll.rs
@@ -34,7 +34,7 @@
         ListPoller { address, connected_address, client, events, pacer }
     }
 
-    /// Polls until the runtime stops to receive events. The first poll is delayed only if a list is known
+    /// Polls until the runtime stops receiving events. The first poll is delayed only if a list is known
     /// already.
     pub(super) async fn run(mut self, list_is_known: bool) {
         let mut delay = if list_is_known { self.pacer.first_delay() } else { Duration::ZERO };
--- a/src/forwarder/discovery/watch.rs
+++ b/src/forwarder/discovery/watch.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::timeout;
 
-/// How long the service waits for a change before it responds. Short: a service that has stopped to respond
+/// How long the service waits for a change before it responds. Short: a service that has stopped responding
 /// is only noticed after this time, and the sender is held to know a change a few seconds after it was made.
 const WATCH_DURATION: Duration = Duration::from_secs(2);
 /// How much longer than the service may wait its response may take.
@@ -54,7 +54,7 @@
         ListWatcher { address, connected_address, client, known_revision, events, backoff }
     }
 
-    /// Watches until the runtime stops to receive events.
+    /// Watches until the runtime stops receiving events.
     pub(super) async fn run(mut self) {
         loop {
             self.follow_address();
--- a/src/forwarder/http/mod.rs
+++ b/src/forwarder/http/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use observed_read::poll_read_observed;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
@@ -27,7 +27,7 @@
 /// takes too long.
 pub(crate) async fn body(incoming: Incoming, max_bytes: usize) -> Option<Bytes> {
     let collected = timeout(RESPONSE_COMPLETION_TIMEOUT, Limited::new(incoming, max_bytes).collect()).await;
-    collected.ok()?.ok().map(|body| body.to_bytes())
+    collected.ok()?.ok().map(Collected::to_bytes)
 }
 
 /// Sets the `Host` header, which HTTP/1.1 requires.
--- a/src/forwarder/inherited_listener.rs
+++ b/src/forwarder/inherited_listener.rs
@@ -35,6 +35,10 @@
 /// The inherited listener, in non-blocking mode; `None` if the environment names none.
 ///
 /// It must be called only once, and before any descriptor is opened that could have the same number.
+///
+/// # Errors
+///
+/// `BALANCER_FD` does not name a descriptor of a listening TCP socket.
 pub fn listener() -> Result<Option<TcpListener>, InheritError> {
     let value = env::var(DESCRIPTOR_VARIABLE).unwrap_or_default();
     if value.is_empty() {
--- a/src/forwarder/notices/mod.rs
+++ b/src/forwarder/notices/mod.rs
@@ -28,11 +28,10 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Sends each batch until it is acknowledged, and reports that to the runtime, until the runtime closes
-/// `batches` or stops to receive events.
+/// `batches` or stops receiving events.
 ///
-/// The runtime holds the other ends of both bounded channels. It queues notices while a batch is being sent,
-/// so that
-/// `batches` needs a capacity of one only.
+/// The runtime holds the other ends of both bounded channels. It queues notices while a batch is being sent, so
+/// that `batches` needs a capacity of one only.
 pub(crate) async fn send_all(
     address: watch::Receiver<SocketAddr>,
     mut batches: Receiver<Vec<Notice>>,
--- a/src/forwarder/runtime/upgrade/predecessor.rs
+++ b/src/forwarder/runtime/upgrade/predecessor.rs
@@ -6,7 +6,9 @@
 use crate::forwarder::messages::call_report::AttemptResult;
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::forwarder::runtime::Runtime;
-use crate::forwarder::upgrade::{EndedAttempt, ForwardedRequest, Frame, PeerEvent, PeerRole, UpgradeError};
+use crate::forwarder::upgrade::{
+    EndedAttempt, ForwardedRequest, Frame, PeerChannel, PeerEvent, PeerRole, UpgradeError,
+};
 use crate::interface::{Micros, Outcome};
 use crate::settings_reader::index;
 use base64::Engine;
@@ -90,7 +92,7 @@
 
     /// Submits a message of a client that is connected to the predecessor, which passes the reply on.
     fn submit_forwarded(&mut self, now: Micros, request: u64, forwarded: ForwardedRequest) {
-        let Some(predecessor) = self.predecessor.as_ref().map(|channel| channel.sender()) else { return };
+        let Some(predecessor) = self.predecessor.as_ref().map(PeerChannel::sender) else { return };
         let (reply, received) = oneshot::channel();
         let Some(message) = self.decode_forwarded(forwarded, reply) else {
             // The predecessor may have ended.
--- a/src/settings_reader.rs
+++ b/src/settings_reader.rs
@@ -1,6 +1,8 @@
 //! Reads the settings of a sender, and load reports, from `name=value` fields.
 
-use crate::interface::*;
+use crate::interface::{
+    Class, DestinationKind, EndpointWeights, Idempotency, LoadReport, Micros, Settings, Tenant, WeightDecay,
+};
 use crate::key_value::{FieldError, Fields};
 
 /// Name of the value in a load report that carries the rate limit.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,17 +4,17 @@
 use message_forwarder::Balancer;
 use message_forwarder::interface::*;
 
-pub const MS: Micros = 1_000;
-pub const SEC: Micros = 1_000_000;
+pub(crate) const MS: Micros = 1_000;
+pub(crate) const SEC: Micros = 1_000_000;
 
 /// How long clients wait for an answer.
-pub const CLIENT_TIMEOUT: Micros = 16 * SEC;
+pub(crate) const CLIENT_TIMEOUT: Micros = 16 * SEC;
 /// Resolution of the timers in tests.
-pub const TICK: Micros = 5 * MS;
+pub(crate) const TICK: Micros = 5 * MS;
 /// Index of the class of [`settings`] whose messages are ordered.
-pub const ORDERED_CLASS: usize = 3;
+pub(crate) const ORDERED_CLASS: usize = 3;
 
-pub fn class(idempotency: Idempotency) -> Class {
+pub(crate) fn class(idempotency: Idempotency) -> Class {
     Class {
         idempotency,
         latency_objective: 3 * SEC,
@@ -27,7 +27,7 @@
 
 /// Classes: 0 idempotent, 1 with idempotency keys that live for 5 s, 2 not idempotent, 3 idempotent and ordered.
 /// Kinds of destinations: 0 shared limits, 1 separate routes, 2 shared limits and calls of up to 20 messages.
-pub fn settings() -> Settings {
+pub(crate) fn settings() -> Settings {
     let ordered = Class { ordered: true, ..class(Idempotency::Idempotent) };
     Settings {
         classes: vec![
@@ -59,17 +59,22 @@
 }
 
 /// The settings of one of many senders, which must not act in step.
-pub fn many_senders() -> Settings {
+pub(crate) fn many_senders() -> Settings {
     Settings { sender_count: 50, connect_timeout: SEC, ..settings() }
 }
 
 /// An endpoint in service.
-pub fn entry(endpoint: EndpointId, destination: DestinationId, kind: usize) -> EndpointEntry {
+pub(crate) fn entry(endpoint: EndpointId, destination: DestinationId, kind: usize) -> EndpointEntry {
     EndpointEntry { endpoint, destination, zone: 0, kind, state: EndpointState::Serving, weight: 1.0 }
 }
 
 /// A new message.
-pub fn submission(id: MessageId, class: usize, destination: DestinationId, expires_at: Micros) -> Submission {
+pub(crate) fn submission(
+    id: MessageId,
+    class: usize,
+    destination: DestinationId,
+    expires_at: Micros,
+) -> Submission {
     Submission {
         id,
         class,
@@ -82,7 +87,12 @@
 }
 
 /// The end of an attempt that was sent and about which the destination reported nothing.
-pub fn attempt_ended(id: MessageId, attempt: usize, outcome: Outcome, elapsed: Micros) -> AttemptEnded {
+pub(crate) fn attempt_ended(
+    id: MessageId,
+    attempt: usize,
+    outcome: Outcome,
+    elapsed: Micros,
+) -> AttemptEnded {
     AttemptEnded {
         id,
         attempt,
@@ -96,26 +106,26 @@
 }
 
 /// A sender and its clock.
-pub struct SenderHarness {
+pub(crate) struct SenderHarness {
     pub sender: Balancer,
     pub now: Micros,
 }
 
 impl SenderHarness {
     /// A sender that knows an endpoint list.
-    pub fn new(settings: Settings, entries: Vec<EndpointEntry>) -> Self {
+    pub(crate) fn new(settings: Settings, entries: Vec<EndpointEntry>) -> Self {
         Self::with_seed(settings, 7, entries)
     }
 
     /// The same with a seed of its own.
-    pub fn with_seed(settings: Settings, seed: u64, entries: Vec<EndpointEntry>) -> Self {
+    pub(crate) fn with_seed(settings: Settings, seed: u64, entries: Vec<EndpointEntry>) -> Self {
         let mut harness = SenderHarness { sender: Balancer::new(settings, seed), now: 100 * SEC };
         harness.turn(vec![Event::ListSnapshot(entries)]);
         harness
     }
 
     /// Passes in events at the present time, ends the turn and returns the actions but for wake-ups.
-    pub fn turn(&mut self, events: Vec<Event>) -> Vec<Action> {
+    pub(crate) fn turn(&mut self, events: Vec<Event>) -> Vec<Action> {
         let mut actions = Vec::new();
         for event in events.into_iter().chain([Event::TurnEnd]) {
             self.sender.on_event(self.now, event, &mut actions);
@@ -125,7 +135,7 @@
     }
 
     /// Lets time pass in ticks, with a wake-up at each, and returns all actions with their times.
-    pub fn advance(&mut self, duration: Micros) -> Vec<(Micros, Action)> {
+    pub(crate) fn advance(&mut self, duration: Micros) -> Vec<(Micros, Action)> {
         let end = self.now + duration;
         let mut all = Vec::new();
         while self.now < end {
@@ -136,18 +146,23 @@
         all
     }
 
-    pub fn submit(&mut self, id: MessageId, class: usize, destination: DestinationId) -> Vec<Action> {
+    pub(crate) fn submit(&mut self, id: MessageId, class: usize, destination: DestinationId) -> Vec<Action> {
         let expires_at = self.now + CLIENT_TIMEOUT;
         self.turn(vec![Event::Submit(submission(id, class, destination, expires_at))])
     }
 
     /// Submits a message with an ordering key.
-    pub fn submit_ordered(&mut self, id: MessageId, key: &str, destination: DestinationId) -> Vec<Action> {
+    pub(crate) fn submit_ordered(
+        &mut self,
+        id: MessageId,
+        key: &str,
+        destination: DestinationId,
+    ) -> Vec<Action> {
         let message = submission(id, ORDERED_CLASS, destination, self.now + CLIENT_TIMEOUT);
         self.turn(vec![Event::Submit(Submission { key: Some(key.to_owned()), ..message })])
     }
 
-    pub fn end_attempt(
+    pub(crate) fn end_attempt(
         &mut self,
         id: MessageId,
         attempt: usize,
@@ -159,7 +174,7 @@
 }
 
 /// The attempts among the actions: message and endpoint.
-pub fn sends(actions: &[Action]) -> Vec<(MessageId, EndpointId)> {
+pub(crate) fn sends(actions: &[Action]) -> Vec<(MessageId, EndpointId)> {
     let send = |a: &Action| match a {
         Action::Send { id, endpoint, .. } => Some((*id, *endpoint)),
         _ => None,
@@ -168,7 +183,7 @@
 }
 
 /// The attempts among the actions: time, message and endpoint.
-pub fn timed_sends(actions: &[(Micros, Action)]) -> Vec<(Micros, MessageId, EndpointId)> {
+pub(crate) fn timed_sends(actions: &[(Micros, Action)]) -> Vec<(Micros, MessageId, EndpointId)> {
     let send = |(at, a): &(Micros, Action)| match a {
         Action::Send { id, endpoint, .. } => Some((*at, *id, *endpoint)),
         _ => None,
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -51,7 +51,7 @@
     let call_in_flight = fixture.endpoint.next_call().await;
     // A file that is no configuration: the earlier one stays in force.
     fixture.forwarder.reload(|configuration| {
-        *configuration = json!({"name": configuration["name"], "kept": *configuration})
+        *configuration = json!({"name": configuration["name"], "kept": *configuration});
     });
     let mut second = EndpointStub::start().await;
     fixture.discovery.push_changes(2, vec![plain_endpoint("u", second.address, 8)]);
@@ -96,7 +96,7 @@
     let (discovery, old, mut new) =
         (DiscoveryStub::start().await, RawEndpoint::start().await, EndpointStub::start().await);
     let forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
-        configuration["discovery"] = json!(old.address.to_string())
+        configuration["discovery"] = json!(old.address.to_string());
     })
     .await;
     let mut watch = old.accept().await;
@@ -129,7 +129,7 @@
     let mut service = EndpointStub::start().await;
     let discovery = DiscoveryStub::start().await;
     let _forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
-        configuration["discovery"] = json!(service.address.to_string())
+        configuration["discovery"] = json!(service.address.to_string());
     })
     .await;
     for _ in 0..3 {
@@ -189,7 +189,7 @@
         endpoint("u", other.address, 7, "plain", "asleep"),
     ];
     let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
-        configuration["discovery"] = json!(service.address.to_string())
+        configuration["discovery"] = json!(service.address.to_string());
     })
     .await;
     // Nothing is sent to an endpoint in an unknown state.
--- a/tests/endpoint_connections.rs
+++ b/tests/endpoint_connections.rs
@@ -45,7 +45,7 @@
         (DiscoveryStub::start().await, EndpointStub::start().await, FullListener::start().await);
     let known = [plain_endpoint("t", stub.address, 7), plain_endpoint("u", full.address, 7)];
     let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
-        configuration["settings"]["limits"]["connectTimeout"] = json!(9000)
+        configuration["settings"]["limits"]["connectTimeout"] = json!(9000);
     })
     .await;
     forwarder.submit("keyed", "a", 20_000).await;
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use serde_json::json;
-use support::{EVENT_TIMEOUT, Fixture, QUIET_PERIOD};
+use support::{EVENT_TIMEOUT, Fixture, QUIET_PERIOD, ReceivedCall};
 use tokio::time::timeout;
 
 #[tokio::test]
@@ -45,7 +45,7 @@
     fixture.forwarder.submit("unsafe", "m", 9000).await;
     fixture.endpoint.next_call().await.respond(500);
     let first = fixture.discovery.next_notice_call().await.body_then(|call| call.respond(500));
-    let second = fixture.discovery.next_notice_call().await.body_then(|call| call.disconnect());
+    let second = fixture.discovery.next_notice_call().await.body_then(ReceivedCall::disconnect);
     assert_eq!(first, second);
     // A process that ends before the acknowledgement leaves the notice to its successor.
     fixture.discovery.next_notice_call().await.closed_after(|| fixture.forwarder.kill()).await;
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -147,11 +147,11 @@
         let message = &self.messages[&id];
         match self.settings.classes[message.class].idempotency {
             Idempotency::NotIdempotent => {
-                prop_assert!(message.possible_execution.is_none(), "it may be executed twice")
+                prop_assert!(message.possible_execution.is_none(), "it may be executed twice");
             }
             Idempotency::Keyed { key_lifetime, .. } => {
                 let known = message.possible_execution.is_none_or(|first| self.now <= first + key_lifetime);
-                prop_assert!(known, "its key may be forgotten")
+                prop_assert!(known, "its key may be forgotten");
             }
             Idempotency::Idempotent => {}
         }
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -220,7 +220,7 @@
     assert_eq!(forwarder.submit("unsafe", "m", 28_000).await.status(), 202);
     forwarder.kill();
     forwarder.configure(|configuration| {
-        configuration["known"]["targets"] = json!([plain_endpoint("t", stub.address, 7)])
+        configuration["known"]["targets"] = json!([plain_endpoint("t", stub.address, 7)]);
     });
     forwarder.restart().await;
     tokio::select! {
--- a/tests/simulator_adapter_history.rs
+++ b/tests/simulator_adapter_history.rs
@@ -49,6 +49,7 @@
 /// Kinds by destination, from destination 1 on.
 const KINDS: [&str; 4] = ["shop", "bank", "depot", "shop"];
 const ENDPOINTS_PER_DESTINATION: u64 = 3;
+const ALL_ENDPOINTS: u64 = KINDS.len() as u64 * ENDPOINTS_PER_DESTINATION;
 
 /// A call that was sent and has not returned.
 struct Call {
@@ -183,20 +184,16 @@
     /// Writes a catalog, of all endpoints or for a patch of a few, and the list that refers to it.
     fn send_list(&mut self, index: usize, mode: &str, frame: &mut String) {
         self.sheet += 1;
-        let rows = if mode == "patch" { 1 + self.generator.below(3) } else { self.all_endpoints() };
+        let rows = if mode == "patch" { 1 + self.generator.below(3) } else { ALL_ENDPOINTS };
         writeln!(frame, "CATALOG sheet={} entries={rows}", self.sheet).unwrap();
         for row in 0..rows {
-            let place = if mode == "patch" { self.generator.below(self.all_endpoints()) } else { row };
+            let place = if mode == "patch" { self.generator.below(ALL_ENDPOINTS) } else { row };
             self.write_row(place, mode != "patch", frame);
         }
         let sheet = self.sheet;
         writeln!(frame, "ENDPOINTS forwarder={index} serial={sheet} mode={mode} sheet={sheet}").unwrap();
     }
 
-    fn all_endpoints(&self) -> u64 {
-        KINDS.len() as u64 * ENDPOINTS_PER_DESTINATION
-    }
-
     fn write_row(&mut self, place: u64, mostly_serving: bool, frame: &mut String) {
         let destination = 1 + place / ENDPOINTS_PER_DESTINATION;
         let endpoint = destination * 10 + place % ENDPOINTS_PER_DESTINATION;
--- a/tests/support/discovery_stub.rs
+++ b/tests/support/discovery_stub.rs
@@ -9,14 +9,14 @@
 use tokio::time::timeout;
 
 /// A discovery service that holds each watch until the test pushes a list, and passes notices to the test.
-pub struct DiscoveryStub {
+pub(crate) struct DiscoveryStub {
     pub address: SocketAddr,
     lists: mpsc::UnboundedSender<Value>,
     notice_calls: mpsc::UnboundedReceiver<ReceivedCall>,
 }
 
 impl DiscoveryStub {
-    pub async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
         let stub = EndpointStub::start().await;
         let address = stub.address;
         let (lists, list_receiver) = mpsc::unbounded_channel();
@@ -26,12 +26,12 @@
     }
 
     /// Sends changed records, as the response to the present or the next watch.
-    pub fn push_changes(&self, revision: u64, endpoints: Vec<Value>) {
+    pub(crate) fn push_changes(&self, revision: u64, endpoints: Vec<Value>) {
         self.push(revision, false, endpoints);
     }
 
     /// Sends the complete list in the same way.
-    pub fn push_complete_list(&self, revision: u64, endpoints: Vec<Value>) {
+    pub(crate) fn push_complete_list(&self, revision: u64, endpoints: Vec<Value>) {
         self.push(revision, true, endpoints);
     }
 
@@ -40,7 +40,7 @@
     }
 
     /// The next call with notices, which the test has to respond to.
-    pub async fn next_notice_call(&mut self) -> ReceivedCall {
+    pub(crate) async fn next_notice_call(&mut self) -> ReceivedCall {
         timeout(EVENT_TIMEOUT, self.notice_calls.recv())
             .await
             .expect("a notice comes")
@@ -48,7 +48,7 @@
     }
 
     /// The notices of the next batch, which is acknowledged.
-    pub async fn notices(&mut self) -> Vec<Value> {
+    pub(crate) async fn notices(&mut self) -> Vec<Value> {
         let call = self.next_notice_call().await;
         assert_eq!(call.path, "/v1/notices");
         let text = call.body_then(|call| call.respond(204));
@@ -57,14 +57,14 @@
     }
 
     /// The only notice of the next batch, which is acknowledged.
-    pub async fn notice(&mut self) -> Value {
+    pub(crate) async fn notice(&mut self) -> Value {
         let mut notices = self.notices().await;
         assert_eq!(notices.len(), 1, "{notices:?}");
         notices.remove(0)
     }
 
     /// Whether no notice comes for this long.
-    pub async fn is_quiet(&mut self, span: Duration) -> bool {
+    pub(crate) async fn is_quiet(&mut self, span: Duration) -> bool {
         timeout(span, self.notice_calls.recv()).await.is_err()
     }
 }
@@ -92,17 +92,17 @@
 }
 
 /// An endpoint list, as discovery sends it.
-pub fn endpoint_list(revision: u64, complete: bool, endpoints: Vec<Value>) -> Value {
+pub(crate) fn endpoint_list(revision: u64, complete: bool, endpoints: Vec<Value>) -> Value {
     json!({"rev": revision, "all": complete, "targets": endpoints})
 }
 
 /// A record of the endpoint list.
-pub fn endpoint(uid: &str, address: SocketAddr, destination: u64, kind: &str, state: &str) -> Value {
+pub(crate) fn endpoint(uid: &str, address: SocketAddr, destination: u64, kind: &str, state: &str) -> Value {
     json!({"uid": uid, "endpoint": address.to_string(), "az": "a", "model": kind, "pod_group": destination,
            "state": state, "capacity_hint": 50.0, "boot_ms": 0})
 }
 
 /// A record of an endpoint in service whose calls carry one message each.
-pub fn plain_endpoint(uid: &str, address: SocketAddr, destination: u64) -> Value {
+pub(crate) fn plain_endpoint(uid: &str, address: SocketAddr, destination: u64) -> Value {
     endpoint(uid, address, destination, "plain", "in_service")
 }
--- a/tests/support/endpoint_stub.rs
+++ b/tests/support/endpoint_stub.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 /// A call that a stub received. Until the test responds, its connection stays silent.
-pub struct ReceivedCall {
+pub(crate) struct ReceivedCall {
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
@@ -29,15 +29,15 @@
 
 impl ReceivedCall {
     /// The value of a header; empty if there is none.
-    pub fn header(&self, name: &str) -> &str {
+    pub(crate) fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 
-    pub fn respond(self, status: u16) {
+    pub(crate) fn respond(self, status: u16) {
         self.respond_with(status, &[], "");
     }
 
-    pub fn respond_with(self, status: u16, headers: &[(&str, &str)], body: &str) {
+    pub(crate) fn respond_with(self, status: u16, headers: &[(&str, &str)], body: &str) {
         let mut response = Response::builder().status(status);
         for (name, value) in headers {
             response = response.header(*name, *value);
@@ -46,31 +46,31 @@
     }
 
     /// Closes the connection without a response.
-    pub fn disconnect(self) {
+    pub(crate) fn disconnect(self) {
         let _ = self.response.send(None);
     }
 
     /// Passes the call to `handle` and returns its body.
-    pub fn body_then(self, handle: impl FnOnce(Self)) -> Bytes {
+    pub(crate) fn body_then(self, handle: impl FnOnce(Self)) -> Bytes {
         let body = self.body.clone();
         handle(self);
         body
     }
 
     /// Does something that makes the caller close the connection, and waits for that.
-    pub async fn closed_after(self, act: impl FnOnce()) {
+    pub(crate) async fn closed_after(self, act: impl FnOnce()) {
         act();
         self.closed().await;
     }
 
     /// Waits until the caller has closed the connection.
-    pub async fn closed(mut self) {
+    pub(crate) async fn closed(mut self) {
         timeout(EVENT_TIMEOUT, self.response.closed()).await.expect("the caller closes the connection");
     }
 }
 
 /// An HTTP endpoint that passes each call to the test.
-pub struct EndpointStub {
+pub(crate) struct EndpointStub {
     pub address: SocketAddr,
     calls: mpsc::UnboundedReceiver<ReceivedCall>,
     connections: Arc<AtomicUsize>,
@@ -78,7 +78,7 @@
 }
 
 impl EndpointStub {
-    pub async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("it is bound");
         let (call_sender, calls) = mpsc::unbounded_channel();
@@ -94,12 +94,12 @@
     }
 
     /// The number of connections accepted so far.
-    pub fn connections(&self) -> usize {
+    pub(crate) fn connections(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
     }
 
     /// Stops listening, and returns the address, where connections are refused from now on.
-    pub async fn stop(self) -> SocketAddr {
+    pub(crate) async fn stop(self) -> SocketAddr {
         self.accept_task.abort();
         while TcpStream::connect(self.address).await.is_ok() {
             sleep(Duration::from_millis(1)).await;
@@ -107,17 +107,17 @@
         self.address
     }
 
-    pub async fn next_call(&mut self) -> ReceivedCall {
+    pub(crate) async fn next_call(&mut self) -> ReceivedCall {
         timeout(EVENT_TIMEOUT, self.calls.recv()).await.expect("a call comes").expect("the stub listens")
     }
 
     /// The next call, however long it takes; `None` once no more can come.
-    pub async fn receive_call(&mut self) -> Option<ReceivedCall> {
+    pub(crate) async fn receive_call(&mut self) -> Option<ReceivedCall> {
         self.calls.recv().await
     }
 
     /// Whether no call comes for this long.
-    pub async fn is_quiet(&mut self, span: Duration) -> bool {
+    pub(crate) async fn is_quiet(&mut self, span: Duration) -> bool {
         timeout(span, self.calls.recv()).await.is_err()
     }
 }
--- a/tests/support/fixture.rs
+++ b/tests/support/fixture.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 /// A forwarder that knows one endpoint, `t`, of destination 7.
-pub struct Fixture<E = EndpointStub> {
+pub(crate) struct Fixture<E = EndpointStub> {
     pub discovery: DiscoveryStub,
     pub endpoint: E,
     pub forwarder: ForwarderProcess,
@@ -15,12 +15,12 @@
 
 impl Fixture {
     /// Starts with the usual configuration; calls carry one message each.
-    pub async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
         Fixture::start_with("plain", |_| {}).await
     }
 
     /// Starts with an endpoint of this kind, and with a configuration that `change` may edit.
-    pub async fn start_with(kind: &str, change: impl FnOnce(&mut Value)) -> Self {
+    pub(crate) async fn start_with(kind: &str, change: impl FnOnce(&mut Value)) -> Self {
         let (discovery, stub) = (DiscoveryStub::start().await, EndpointStub::start().await);
         let known_endpoints = [endpoint("t", stub.address, 7, kind, "in_service")];
         let forwarder = ForwarderProcess::start(&discovery, &known_endpoints, change).await;
@@ -29,7 +29,7 @@
 
     /// Starts on a listening socket that successors inherit, with a second endpoint at the same address: `u`
     /// of destination 8.
-    pub async fn start_inheriting(change: impl FnOnce(&mut Value)) -> Self {
+    pub(crate) async fn start_inheriting(change: impl FnOnce(&mut Value)) -> Self {
         let (discovery, stub) = (DiscoveryStub::start().await, EndpointStub::start().await);
         let known_endpoints = [plain_endpoint("t", stub.address, 7), plain_endpoint("u", stub.address, 8)];
         let forwarder = ForwarderProcess::start_inheriting(&discovery, &known_endpoints, change).await;
@@ -39,7 +39,7 @@
 
 impl Fixture<RawEndpoint> {
     /// Starts with an endpoint whose responses the test writes byte for byte.
-    pub async fn start_raw(kind: &str, change: impl FnOnce(&mut Value)) -> Self {
+    pub(crate) async fn start_raw(kind: &str, change: impl FnOnce(&mut Value)) -> Self {
         let (discovery, raw) = (DiscoveryStub::start().await, RawEndpoint::start().await);
         let known_endpoints = [endpoint("t", raw.address, 7, kind, "in_service")];
         let forwarder = ForwarderProcess::start(&discovery, &known_endpoints, change).await;
--- a/tests/support/forwarder_config.rs
+++ b/tests/support/forwarder_config.rs
@@ -5,7 +5,7 @@
 
 /// A configuration with the classes `keyed` and `unsafe`, the kinds `plain` (one message in a call) and
 /// `several` (up to 20), and the tenant `acme`.
-pub fn configuration(
+pub(super) fn configuration(
     listen: SocketAddr,
     admin: SocketAddr,
     discovery: SocketAddr,
@@ -37,11 +37,11 @@
 }
 
 /// Allows one call in flight.
-pub fn one_call_slot(configuration: &mut Value) {
+pub(crate) fn one_call_slot(configuration: &mut Value) {
     configuration["settings"]["familyInfo"]["slots"] = json!(1);
 }
 
 /// Makes turns so long that messages submitted together fall into one, and so travel in one call.
-pub fn long_turns(configuration: &mut Value) {
+pub(crate) fn long_turns(configuration: &mut Value) {
     configuration["settings"]["round"] = json!(400.0);
 }
--- a/tests/support/forwarder_process.rs
+++ b/tests/support/forwarder_process.rs
@@ -22,7 +22,7 @@
 static STARTED: AtomicUsize = AtomicUsize::new(0);
 
 /// The forwarder, with a directory of its own. Dropped, it is killed and its directory removed.
-pub struct ForwarderProcess {
+pub(crate) struct ForwarderProcess {
     /// Where clients connect.
     pub address: SocketAddr,
     /// Where operators connect.
@@ -35,7 +35,7 @@
 
 impl ForwarderProcess {
     /// Starts it with a configuration that `change` may edit, and waits until it is ready.
-    pub async fn start(
+    pub(crate) async fn start(
         discovery: &DiscoveryStub,
         known_endpoints: &[Value],
         change: impl FnOnce(&mut Value),
@@ -44,7 +44,7 @@
     }
 
     /// The same, on a listening socket that it and its successors inherit.
-    pub async fn start_inheriting(
+    pub(crate) async fn start_inheriting(
         discovery: &DiscoveryStub,
         known_endpoints: &[Value],
         change: impl FnOnce(&mut Value),
@@ -83,19 +83,19 @@
     }
 
     /// Whether it responds to a readiness check that it is ready.
-    pub async fn responds_ready(&self) -> bool {
+    pub(crate) async fn responds_ready(&self) -> bool {
         let response = request(self.address, "GET", "/-/ready", &[], b"").await;
         response.is_some_and(|response| response.status() == 200)
     }
 
     /// Starts it again after it has ended.
-    pub async fn restart(&mut self) {
+    pub(crate) async fn restart(&mut self) {
         self.process = spawn(&self.directory, self.listener.as_ref(), None);
         self.wait_until_ready().await;
     }
 
     /// Starts a successor beside this process, and waits until it reports that it is ready.
-    pub async fn upgrade(&mut self) -> Predecessor {
+    pub(crate) async fn upgrade(&mut self) -> Predecessor {
         self.admin_address = {
             let _no_fork = lock_fork();
             let listener = TcpListener::bind((self.admin_address.ip(), 0)).expect("a free port");
@@ -115,54 +115,54 @@
     }
 
     /// The number of descriptors that it has open.
-    pub fn descriptors(&self) -> usize {
+    pub(crate) fn descriptors(&self) -> usize {
         descriptors(&self.process)
     }
 
     /// A file in the state directory.
-    pub fn state_file(&self, name: &str) -> PathBuf {
+    pub(crate) fn state_file(&self, name: &str) -> PathBuf {
         self.directory.join("state").join(name)
     }
 
-    pub fn journal_file(&self) -> PathBuf {
+    pub(crate) fn journal_file(&self) -> PathBuf {
         self.state_file("journal")
     }
 
     /// Sends an operator's command and returns the line of the reply.
-    pub async fn admin_command(&self, line: &str) -> String {
+    pub(crate) async fn admin_command(&self, line: &str) -> String {
         let mut connection = RawConnection::open(self.admin_address).await;
         connection.write(&format!("{line}\n")).await;
         connection.read_to_end().await.text
     }
 
     /// Sends SIGKILL.
-    pub fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         kill(&mut self.process);
     }
 
     /// Sends SIGTERM.
-    pub fn terminate(&self) {
+    pub(crate) fn terminate(&self) {
         signal(&self.process, "-TERM");
     }
 
     /// Sends SIGSTOP: it finds all that happens from now on at once when it is continued.
-    pub fn pause(&self) {
+    pub(crate) fn pause(&self) {
         signal(&self.process, "-STOP");
     }
 
     /// Sends SIGCONT.
-    pub fn unpause(&self) {
+    pub(crate) fn unpause(&self) {
         signal(&self.process, "-CONT");
     }
 
     /// Edits the configuration file and sends SIGHUP.
-    pub fn reload(&self, change: impl FnOnce(&mut Value)) {
+    pub(crate) fn reload(&self, change: impl FnOnce(&mut Value)) {
         self.configure(change);
         signal(&self.process, "-HUP");
     }
 
     /// Edits the configuration file.
-    pub fn configure(&self, change: impl FnOnce(&mut Value)) {
+    pub(crate) fn configure(&self, change: impl FnOnce(&mut Value)) {
         let path = self.directory.join("config.json");
         let text = fs::read(&path).expect("it was written");
         let mut configuration = serde_json::from_slice(&text).expect("it is JSON");
@@ -171,17 +171,17 @@
     }
 
     /// Waits until it has ended.
-    pub async fn exit_status(&mut self) -> ExitStatus {
+    pub(crate) async fn exit_status(&mut self) -> ExitStatus {
         exit_status(&mut self.process).await
     }
 
     /// Submits a message for destination 7.
-    pub async fn submit(&self, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
+    pub(crate) async fn submit(&self, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
         self.submit_to(7, class, id, deadline_ms).await
     }
 
     /// Submits a message for another destination.
-    pub async fn submit_to(
+    pub(crate) async fn submit_to(
         &self,
         destination: u64,
         class: &str,
@@ -192,7 +192,7 @@
     }
 
     /// Submits the same message until the reply says that it was delivered.
-    pub async fn until_delivered(&self, class: &str, id: &str) {
+    pub(crate) async fn until_delivered(&self, class: &str, id: &str) {
         let delivered = async {
             while self.submit(class, id, 1000).await.status() != 200 {
                 sleep(POLL_INTERVAL).await;
@@ -211,26 +211,26 @@
 }
 
 /// A process that a successor has taken over from. Dropped, it is killed.
-pub struct Predecessor(Child);
+pub(crate) struct Predecessor(Child);
 
 impl Predecessor {
     /// Sends SIGTERM.
-    pub fn terminate(&self) {
+    pub(crate) fn terminate(&self) {
         signal(&self.0, "-TERM");
     }
 
     /// Sends SIGKILL.
-    pub fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         kill(&mut self.0);
     }
 
     /// Waits until it has ended.
-    pub async fn exit_status(&mut self) -> ExitStatus {
+    pub(crate) async fn exit_status(&mut self) -> ExitStatus {
         exit_status(&mut self.0).await
     }
 
     /// The number of descriptors that it has open.
-    pub fn descriptors(&self) -> usize {
+    pub(crate) fn descriptors(&self) -> usize {
         descriptors(&self.0)
     }
 }
--- a/tests/support/http_client.rs
+++ b/tests/support/http_client.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 /// Sends one request on a connection of its own; `None` if no response came.
-pub async fn request(
+pub(crate) async fn request(
     address: SocketAddr,
     method: &str,
     path: &str,
@@ -29,7 +29,7 @@
 }
 
 /// Submits a message with the key `key-<id>` and the body `\0body of <id>`.
-pub async fn submit(
+pub(super) async fn submit(
     address: SocketAddr,
     destination: u64,
     class: &str,
@@ -49,7 +49,7 @@
 }
 
 /// The text of a request that submits a keyed message with the body `hi` to destination 7.
-pub fn submission_text(id: &str) -> String {
+pub(crate) fn submission_text(id: &str) -> String {
     format!(
         "POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 9000\r\n\
          Idempotency-Key: {id}\r\nEnvelope: dest=7\r\nContent-Length: 2\r\n\r\nhi"
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,19 +11,19 @@
 mod raw_connection;
 mod reserved_addresses;
 
-pub use discovery_stub::{DiscoveryStub, endpoint, endpoint_list, plain_endpoint};
-pub use endpoint_stub::{EndpointStub, ReceivedCall};
-pub use fixture::Fixture;
-pub use forwarder_config::{long_turns, one_call_slot};
-pub use forwarder_process::{ForwarderProcess, Predecessor};
-pub use http_client::{request, submission_text};
-pub use raw_connection::{FullListener, RawConnection, RawEndpoint};
+pub(crate) use discovery_stub::{DiscoveryStub, endpoint, endpoint_list, plain_endpoint};
+pub(crate) use endpoint_stub::{EndpointStub, ReceivedCall};
+pub(crate) use fixture::Fixture;
+pub(crate) use forwarder_config::{long_turns, one_call_slot};
+pub(crate) use forwarder_process::{ForwarderProcess, Predecessor};
+pub(crate) use http_client::{request, submission_text};
+pub(crate) use raw_connection::{FullListener, RawConnection, RawEndpoint};
 
 use std::time::Duration;
 
 /// Longer than anything that a test waits for should take.
-pub const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long nothing must happen where nothing is expected.
-pub const QUIET_PERIOD: Duration = Duration::from_millis(150);
+pub(crate) const QUIET_PERIOD: Duration = Duration::from_millis(150);
 /// How often a condition is checked that a test waits for.
-pub const POLL_INTERVAL: Duration = Duration::from_millis(5);
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(5);
--- a/tests/support/raw_connection.rs
+++ b/tests/support/raw_connection.rs
@@ -9,44 +9,44 @@
 use tokio::time::timeout;
 
 /// An endpoint whose responses the test writes byte for byte.
-pub struct RawEndpoint {
+pub(crate) struct RawEndpoint {
     pub address: SocketAddr,
     listener: TcpListener,
 }
 
 impl RawEndpoint {
-    pub async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         RawEndpoint { address: listener.local_addr().expect("it is bound"), listener }
     }
 
     /// The next connection.
-    pub async fn accept(&self) -> RawConnection {
+    pub(crate) async fn accept(&self) -> RawConnection {
         let accepted = timeout(EVENT_TIMEOUT, self.listener.accept()).await.expect("a connection comes");
         RawConnection { stream: accepted.expect("it listens").0 }
     }
 }
 
 /// A connection of the forwarder to an endpoint, or of a client to the forwarder.
-pub struct RawConnection {
+pub(crate) struct RawConnection {
     pub stream: TcpStream,
 }
 
 /// What came until a connection ended.
 #[derive(Debug)]
-pub struct ReadToEnd {
+pub(crate) struct ReadToEnd {
     pub text: String,
     /// Set if the connection was reset rather than closed.
     pub error: Option<io::Error>,
 }
 
 impl RawConnection {
-    pub async fn open(address: SocketAddr) -> Self {
+    pub(crate) async fn open(address: SocketAddr) -> Self {
         RawConnection { stream: TcpStream::connect(address).await.expect("it listens") }
     }
 
     /// Opens a connection to a forwarder and makes it a kept one by a first request.
-    pub async fn open_with_first_request(address: SocketAddr) -> Self {
+    pub(crate) async fn open_with_first_request(address: SocketAddr) -> Self {
         let mut connection = RawConnection::open(address).await;
         connection.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await;
         let head = connection.read_head().await;
@@ -54,12 +54,12 @@
         connection
     }
 
-    pub async fn write(&mut self, text: &str) {
+    pub(crate) async fn write(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.expect("it is open");
     }
 
     /// Reads up to the end of a head: a request or a response without a body.
-    pub async fn read_head(&mut self) -> String {
+    pub(crate) async fn read_head(&mut self) -> String {
         let mut text = Vec::new();
         while !text.ends_with(b"\r\n\r\n") {
             let mut byte = [0; 1];
@@ -71,7 +71,7 @@
     }
 
     /// Reads one request with a `content-length`, and returns its text.
-    pub async fn read_request(&mut self) -> String {
+    pub(crate) async fn read_request(&mut self) -> String {
         let mut text = Vec::new();
         let request = async {
             loop {
@@ -88,7 +88,7 @@
     }
 
     /// Reads until the other side closes or resets the connection.
-    pub async fn read_to_end(&mut self) -> ReadToEnd {
+    pub(crate) async fn read_to_end(&mut self) -> ReadToEnd {
         let mut text = Vec::new();
         let result = timeout(EVENT_TIMEOUT, self.stream.read_to_end(&mut text)).await.expect("it is closed");
         ReadToEnd { text: String::from_utf8_lossy(&text).into_owned(), error: result.err() }
@@ -102,7 +102,7 @@
 }
 
 /// A listener whose queue is full: connections to it are not established until the test accepts some.
-pub struct FullListener {
+pub(crate) struct FullListener {
     pub address: SocketAddr,
     pub listener: TcpListener,
     /// The connections that fill the queue.
@@ -110,7 +110,7 @@
 }
 
 impl FullListener {
-    pub async fn start() -> Self {
+    pub(crate) async fn start() -> Self {
         let socket = TcpSocket::new_v4().expect("a socket");
         socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
         let listener = socket.listen(1).expect("it listens");
@@ -123,14 +123,14 @@
     }
 
     /// Accepts the connections that fill the queue, so that others can be established.
-    pub async fn accept_queued(&self) {
+    pub(crate) async fn accept_queued(&self) {
         for _ in 0..self.queued.len() {
             self.listener.accept().await.expect("one was queued");
         }
     }
 
     /// Waits until something is written on a connection that is accepted from now on.
-    pub async fn wait_for_write(&self) {
+    pub(crate) async fn wait_for_write(&self) {
         loop {
             let (mut stream, _) = self.listener.accept().await.expect("it listens");
             if stream.read(&mut [0; 64]).await.is_ok_and(|length| length > 0) {
--- a/tests/support/reserved_addresses.rs
+++ b/tests/support/reserved_addresses.rs
@@ -10,14 +10,14 @@
 static FORK_LOCK: Mutex<()> = Mutex::new(());
 
 /// Waits until no other test holds the lock.
-pub fn lock_fork() -> MutexGuard<'static, ()> {
+pub(super) fn lock_fork() -> MutexGuard<'static, ()> {
     // A test that panicked while it held the lock has left nothing half done.
     FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Free ports of an IP address that no other test uses, so that nobody else takes them before the forwarder
 /// does.
-pub struct ReservedAddresses {
+pub(super) struct ReservedAddresses {
     pub address: SocketAddr,
     pub admin_address: SocketAddr,
     /// The listener at `address`, if it is to be inherited.
@@ -25,7 +25,7 @@
 }
 
 impl ReservedAddresses {
-    pub fn reserve(number: usize, keep_listener: bool) -> Self {
+    pub(super) fn reserve(number: usize, keep_listener: bool) -> Self {
         let pid = process::id();
         let any_port = format!("127.{}.{}.{}:0", 1 + pid / 250 % 250, 1 + pid % 250, 1 + number);
         let _no_fork = lock_fork();
--- a/tests/support_history/calls.rs
+++ b/tests/support_history/calls.rs
@@ -9,7 +9,7 @@
 
 /// How a call will end.
 #[derive(Clone, Copy)]
-pub struct Plan {
+pub(crate) struct Plan {
     pub ending: Ending,
     pub duration: i64,
     pub report: Option<Option<f64>>,
@@ -19,7 +19,7 @@
 
 impl Plan {
     /// Draws the end of a call to a destination in this condition.
-    pub fn draw(generator: &mut Generator, condition: Condition, timeout: i64) -> Plan {
+    pub(crate) fn draw(generator: &mut Generator, condition: Condition, timeout: i64) -> Plan {
         let share = generator.below(100);
         let quick = generator.between(5 * MILLISECOND, 90 * MILLISECOND);
         let slow = generator.between(SECOND / 2, 4 * SECOND);
--- a/tests/support_history/driver.rs
+++ b/tests/support_history/driver.rs
@@ -48,7 +48,7 @@
     plan: Plan,
 }
 
-pub struct History<'a> {
+pub(crate) struct History<'a> {
     scenario: &'a Scenario,
     subject: Subject,
     generator: Generator,
@@ -68,7 +68,7 @@
 }
 
 impl<'a> History<'a> {
-    pub fn new(scenario: &'a Scenario) -> Self {
+    pub(crate) fn new(scenario: &'a Scenario) -> Self {
         let mut generator = Generator::new(scenario.seed);
         let mut endpoints = BTreeMap::new();
         for destination in scenario.destinations {
@@ -102,7 +102,7 @@
     }
 
     /// Runs the whole history.
-    pub fn run(mut self) -> Recording {
+    pub(crate) fn run(mut self) -> Recording {
         let mut checkpoints = Vec::new();
         let list = self.complete_list();
         self.handle(Input::ListSnapshot(list));
--- a/tests/support_history/mod.rs
+++ b/tests/support_history/mod.rs
@@ -3,19 +3,19 @@
 //! Nothing here names a type of the package, and nothing here depends on one.
 
 /// Turns (or frames) between two checkpoints of a digest.
-pub const CHECKPOINT_EVERY: usize = 500;
+pub(crate) const CHECKPOINT_EVERY: usize = 500;
 
 /// A splitmix64 generator: the same seed gives the same numbers on every machine.
-pub struct Generator {
+pub(crate) struct Generator {
     state: u64,
 }
 
 impl Generator {
-    pub fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64) -> Self {
         Generator { state: seed }
     }
 
-    pub fn next(&mut self) -> u64 {
+    pub(crate) fn next(&mut self) -> u64 {
         self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.state;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -24,49 +24,49 @@
     }
 
     /// A number below `bound`, which must not be 0.
-    pub fn below(&mut self, bound: u64) -> u64 {
+    pub(crate) fn below(&mut self, bound: u64) -> u64 {
         self.next() % bound
     }
 
     /// A number from `low` up to but not including `high`.
-    pub fn between(&mut self, low: i64, high: i64) -> i64 {
+    pub(crate) fn between(&mut self, low: i64, high: i64) -> i64 {
         low + self.below((high - low) as u64) as i64
     }
 
     /// True in so many cases of a thousand.
-    pub fn per_mille(&mut self, share: u64) -> bool {
+    pub(crate) fn per_mille(&mut self, share: u64) -> bool {
         self.below(1000) < share
     }
 
-    pub fn pick<T: Copy>(&mut self, from: &[T]) -> T {
+    pub(crate) fn pick<T: Copy>(&mut self, from: &[T]) -> T {
         from[self.below(from.len() as u64) as usize]
     }
 }
 
 /// A 64-bit FNV-1a digest.
-pub struct Digest {
+pub(crate) struct Digest {
     value: u64,
 }
 
 impl Digest {
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Digest { value: 0xcbf2_9ce4_8422_2325 }
     }
 
-    pub fn add_bytes(&mut self, bytes: &[u8]) {
+    pub(crate) fn add_bytes(&mut self, bytes: &[u8]) {
         for byte in bytes {
             self.value = (self.value ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
         }
     }
 
     /// The digest of all bytes so far.
-    pub fn value(&self) -> u64 {
+    pub(crate) fn value(&self) -> u64 {
         self.value
     }
 }
 
 /// What a history is expected to come to.
-pub struct Expected {
+pub(crate) struct Expected {
     /// How many actions (or reply lines) there are in all.
     pub count: usize,
     /// The digest at each checkpoint; the last is that of the whole history.
@@ -74,7 +74,7 @@
 }
 
 /// What a history came to.
-pub struct Recording {
+pub(crate) struct Recording {
     pub name: &'static str,
     pub count: usize,
     pub checkpoints: Vec<u64>,
@@ -82,7 +82,7 @@
 
 impl Recording {
     /// Panics with the first checkpoint that differs, and with the values found in the form of the source.
-    pub fn assert_equals(&self, expected: &Expected) {
+    pub(crate) fn assert_equals(&self, expected: &Expected) {
         let pairs = self.checkpoints.iter().zip(expected.checkpoints);
         let equal = pairs.take_while(|(found, recorded)| found == recorded).count();
         let whole = equal == self.checkpoints.len() && equal == expected.checkpoints.len();
--- a/tests/support_history/scenario.rs
+++ b/tests/support_history/scenario.rs
@@ -4,7 +4,7 @@
 
 /// A destination of a scenario; its endpoints are numbered from `10 * id`.
 #[derive(Clone, Copy)]
-pub struct Destination {
+pub(crate) struct Destination {
     pub id: u64,
     pub kind: usize,
     pub endpoints: u64,
@@ -12,7 +12,7 @@
 
 /// How often something happens, in turns out of a thousand.
 #[derive(Clone, Copy)]
-pub struct Rates {
+pub(crate) struct Rates {
     /// Messages are submitted; `burst` is the largest number at once.
     pub submit: u64,
     pub burst: u64,
@@ -33,7 +33,7 @@
 }
 
 /// One recorded history.
-pub struct Scenario {
+pub(crate) struct Scenario {
     pub name: &'static str,
     pub seed: u64,
     pub turns: usize,
@@ -52,7 +52,7 @@
 
 /// The condition of a destination, which determines how calls to it end.
 #[derive(Clone, Copy)]
-pub enum Condition {
+pub(crate) enum Condition {
     Healthy,
     Failing,
     RateLimited,
--- a/tests/support_history/translation.rs
+++ b/tests/support_history/translation.rs
@@ -7,28 +7,28 @@
 use message_forwarder::Balancer;
 use message_forwarder::interface::*;
 
-pub const MILLISECOND: i64 = 1_000;
-pub const SECOND: i64 = 1_000_000;
+pub(crate) const MILLISECOND: i64 = 1_000;
+pub(crate) const SECOND: i64 = 1_000_000;
 
 /// Indices of the classes of [`settings`].
-pub const IDEMPOTENT: usize = 0;
-pub const KEYED: usize = 1;
-pub const KEYED_PER_ZONE: usize = 2;
-pub const NOT_IDEMPOTENT: usize = 3;
-pub const IDEMPOTENT_ORDERED: usize = 4;
-pub const NOT_IDEMPOTENT_ORDERED: usize = 5;
+pub(crate) const IDEMPOTENT: usize = 0;
+pub(crate) const KEYED: usize = 1;
+pub(crate) const KEYED_PER_ZONE: usize = 2;
+pub(crate) const NOT_IDEMPOTENT: usize = 3;
+pub(crate) const IDEMPOTENT_ORDERED: usize = 4;
+pub(crate) const NOT_IDEMPOTENT_ORDERED: usize = 5;
 /// Indices of the kinds of [`settings`].
-pub const SHARED: usize = 0;
-pub const SEPARATE: usize = 1;
-pub const BATCHED: usize = 2;
+pub(crate) const SHARED: usize = 0;
+pub(crate) const SEPARATE: usize = 1;
+pub(crate) const BATCHED: usize = 2;
 /// Messages of one call to a destination of the kind [`BATCHED`].
-pub const BATCH: usize = 20;
+pub(crate) const BATCH: usize = 20;
 /// Tenants of [`settings`].
-pub const TENANTS: u64 = 3;
+pub(crate) const TENANTS: u64 = 3;
 
 /// The settings in which scenarios differ.
 #[derive(Clone, Copy)]
-pub struct Profile {
+pub(crate) struct Profile {
     pub sender_count: usize,
     pub call_slots: usize,
     pub max_open_messages: usize,
@@ -39,7 +39,7 @@
     pub half_life_decay: bool,
 }
 
-pub fn settings(profile: &Profile) -> Settings {
+pub(crate) fn settings(profile: &Profile) -> Settings {
     let class = |idempotency, priority_weight, ordered| Class {
         idempotency,
         latency_objective: 2 * SECOND,
@@ -94,7 +94,7 @@
 
 /// How an attempt ends.
 #[derive(Clone, Copy, PartialEq)]
-pub enum Ending {
+pub(crate) enum Ending {
     Delivered,
     Error,
     Rejected(Option<i64>),
@@ -124,7 +124,7 @@
 
 /// State of an endpoint in the list.
 #[derive(Clone, Copy, PartialEq)]
-pub enum Listed {
+pub(crate) enum Listed {
     Serving,
     Draining,
     Deleted,
@@ -132,7 +132,7 @@
 
 /// One endpoint and its entry in the list.
 #[derive(Clone, Copy)]
-pub struct Endpoint {
+pub(crate) struct Endpoint {
     pub id: u64,
     pub destination: u64,
     pub kind: usize,
@@ -157,14 +157,14 @@
 }
 
 /// A call of a predecessor that is still in flight: its number, its endpoint and when it was sent.
-pub type CallInFlight = (u64, u64, i64);
+pub(crate) type CallInFlight = (u64, u64, i64);
 
 fn inherited_call((call, endpoint, sent_at): CallInFlight) -> InheritedCall {
     InheritedCall { call, endpoint, sent_at }
 }
 
 /// The inputs of the histories; see the events of the package.
-pub enum Input {
+pub(crate) enum Input {
     Submit {
         id: u64,
         class: usize,
@@ -257,7 +257,7 @@
 
 /// What the package decided; see its actions.
 #[derive(Clone, Copy)]
-pub enum Decision {
+pub(crate) enum Decision {
     Send { id: u64, endpoint: u64, timeout: i64, send_before: i64 },
     Reject { id: u64, wait: i64 },
     Fail { id: u64 },
@@ -284,30 +284,30 @@
 }
 
 /// The decision module under test.
-pub struct Subject {
+pub(crate) struct Subject {
     balancer: Balancer,
 }
 
 impl Subject {
-    pub fn new(profile: &Profile, seed: u64) -> Self {
+    pub(crate) fn new(profile: &Profile, seed: u64) -> Self {
         Subject { balancer: Balancer::new(settings(profile), seed) }
     }
 
-    pub fn handle(&mut self, now: i64, input: Input) -> Vec<Decision> {
+    pub(crate) fn handle(&mut self, now: i64, input: Input) -> Vec<Decision> {
         let mut actions = Vec::new();
         self.balancer.on_event(now, event(input), &mut actions);
         actions.iter().map(decision).collect()
     }
 
     /// Passes on all that `predecessor` has learned.
-    pub fn learn_from(&mut self, predecessor: &Subject, now: i64) {
+    pub(crate) fn learn_from(&mut self, predecessor: &Subject, now: i64) {
         for learned in predecessor.balancer.learned(now) {
             self.balancer.on_event(now, Event::Learned(learned), &mut Vec::new());
         }
     }
 
     /// Adds the module's backlog and learned state to the digest.
-    pub fn encode_state(&self, now: i64, digest: &mut Digest) {
+    pub(crate) fn encode_state(&self, now: i64, digest: &mut Digest) {
         self.balancer.backlog(now).iter().for_each(|backlog| encode_backlog(backlog, digest));
         self.balancer.learned(now).iter().for_each(|learned| encode_learned(learned, digest));
     }
@@ -326,7 +326,7 @@
 }
 
 /// The number of a kind of decision, from 1 to 8.
-pub fn tag(decision: &Decision) -> usize {
+pub(crate) fn tag(decision: &Decision) -> usize {
     match decision {
         Decision::Send { .. } => 1,
         Decision::Reject { .. } => 2,
@@ -339,7 +339,7 @@
     }
 }
 
-pub fn encode_decision(now: i64, decision: &Decision, digest: &mut Digest) {
+pub(crate) fn encode_decision(now: i64, decision: &Decision, digest: &mut Digest) {
     add(digest, &[now, tag(decision) as i64]);
     match *decision {
         Decision::Send { id, endpoint, timeout, send_before } => {
