--- a/src/forwarder/endpoint_client/call.rs
+++ b/src/forwarder/endpoint_client/call.rs
@@ -8,6 +8,7 @@
 use super::write_guard::WriteGuard;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::http::Connection;
+use crate::forwarder::messages::attempt::AttemptKey;
 use crate::forwarder::messages::call_report::{AttemptResult, CallReport, ConnectionUsage};
 use crate::interface::{EndpointId, MessageId, Outcome};
 use bytes::Bytes;
@@ -38,6 +39,13 @@
     pub(crate) send_before: Instant,
 }
 
+impl CallItem {
+    /// The attempt that is made in the call.
+    pub(crate) fn key(&self) -> AttemptKey {
+        AttemptKey { id: self.id, attempt: self.attempt }
+    }
+}
+
 /// A call to make.
 pub(crate) struct OutboundCall {
     /// The endpoint to call.
@@ -61,8 +69,8 @@
 
 /// A command to a call in flight.
 pub(crate) enum CallCommand {
-    /// Cancel this attempt of this message.
-    Cancel(MessageId, usize),
+    /// Cancel this attempt.
+    Cancel(AttemptKey),
     /// End the call. One of its messages has failed and its client is notified: that message must not be
     /// delivered after all, and a single message cannot be removed from a call on the wire.
     Abandon,
--- a/src/forwarder/endpoint_client/pending_items.rs
+++ b/src/forwarder/endpoint_client/pending_items.rs
@@ -53,9 +53,7 @@
     /// Carries out a command of the runtime.
     pub(super) fn apply(&mut self, command: CallCommand, guard: &WriteGuard) {
         match command {
-            CallCommand::Cancel(id, attempt) => {
-                self.end_where(Outcome::Cancelled, |item| (item.id, item.attempt) == (id, attempt));
-            }
+            CallCommand::Cancel(key) => self.end_where(Outcome::Cancelled, |item| item.key() == key),
             CallCommand::Abandon => self.end_where(Outcome::TimedOut, |_| true),
             // Establishing the connection may take long. A call decided before the destination asked for a wait
             // must not be written during that wait.
--- a/src/forwarder/endpoint_client/write_guard/mod.rs
+++ b/src/forwarder/endpoint_client/write_guard/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::forwarder::clock::unix_now;
 use crate::forwarder::journal::{JournalError, Record, SharedJournal};
+use crate::forwarder::messages::attempt::AttemptRef;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::time::Instant;
 
@@ -11,8 +12,8 @@
 /// The guard is shared by the call and the runtime, which run on one thread.
 pub(crate) struct WriteGuard {
     journal: SharedJournal,
-    /// The attempts to record: id of the message and number of the attempt.
-    attempts: Vec<(String, usize)>,
+    /// The attempts to record.
+    attempts: Vec<AttemptRef>,
     /// The call must not be written at or after this time.
     send_before: Instant,
     /// The zone of the endpoint, which is recorded with the attempts.
@@ -24,11 +25,11 @@
 }
 
 impl WriteGuard {
-    /// A guard for a call of these `attempts` (id of the message and number of the attempt) to an endpoint in
-    /// `zone`. The call must not be written at or after `send_before`.
+    /// A guard for a call of these `attempts` to an endpoint in `zone`. The call must not be written at or after
+    /// `send_before`.
     pub(crate) fn new(
         journal: SharedJournal,
-        attempts: Vec<(String, usize)>,
+        attempts: Vec<AttemptRef>,
         send_before: Instant,
         zone: String,
     ) -> Self {
@@ -72,7 +73,7 @@
 
     fn record_attempts(&self) -> Result<(), JournalError> {
         let now = unix_now();
-        let record = |(message, attempt): &(String, usize)| {
+        let record = |AttemptRef { message, attempt }: &AttemptRef| {
             Record::attempt_started(message.clone(), *attempt, now, self.zone.clone())
         };
         let records: Vec<Record> = self.attempts.iter().map(record).collect();
--- a/src/forwarder/endpoint_client/write_guard/tests.rs
+++ b/src/forwarder/endpoint_client/write_guard/tests.rs
@@ -9,9 +9,8 @@
     fs::create_dir_all(&folder).expect("a temporary folder");
     let (journal, _) = Journal::open(&folder, 1 << 20, unix_now()).expect("it opens");
     let journal = SharedJournal::new(journal);
-    let guard = |send_before| {
-        WriteGuard::new(journal.clone(), vec![("m".to_owned(), 0)], send_before, "a".to_owned())
-    };
+    let attempts = vec![AttemptRef { message: "m".to_owned(), attempt: 0 }];
+    let guard = |send_before| WriteGuard::new(journal.clone(), attempts.clone(), send_before, "a".to_owned());
     let now = Instant::now();
     // No timer has fired.
     let late = guard(now);
--- a/src/forwarder/journal/mod.rs
+++ b/src/forwarder/journal/mod.rs
@@ -17,7 +17,9 @@
 mod stored_record;
 
 pub use error::JournalError;
-pub(crate) use records::{AcceptedMessage, FinalOutcome, Record, RecoveredAttempt, RecoveredMessage};
+pub(crate) use records::{
+    AcceptedMessage, FinalOutcome, Record, RecoveredAttempt, RecoveredMessage, RememberedOutcome,
+};
 
 use capacity::Capacity;
 use encoding::{Frames, encode, starts_with_complete_frame};
@@ -153,10 +155,9 @@
         }
     }
 
-    /// How a message ended, if this is still remembered, and until when (Unix ms) it is worth remembering.
-    pub(crate) fn final_outcome(&self, message: &str) -> Option<(FinalOutcome, u64)> {
-        let remembered = self.retained.outcomes.get(message)?;
-        Some((remembered.outcome, remembered.until_unix_ms))
+    /// How a message ended, if this is still remembered.
+    pub(crate) fn final_outcome(&self, message: &str) -> Option<RememberedOutcome> {
+        self.retained.outcomes.get(message)
     }
 
     /// Ids of the endpoints that operators have disabled.
--- a/src/forwarder/journal/records.rs
+++ b/src/forwarder/journal/records.rs
@@ -129,11 +129,11 @@
 
 /// The outcome of a message, remembered so that a client that submits the message again gets the same reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct RememberedOutcome {
+pub(crate) struct RememberedOutcome {
     /// How the message ended.
-    pub(super) outcome: FinalOutcome,
+    pub(crate) outcome: FinalOutcome,
     /// Until when this is worth remembering, in Unix milliseconds.
-    pub(super) until_unix_ms: u64,
+    pub(crate) until_unix_ms: u64,
 }
 
 /// An attempt of a recovered message.
--- a/src/forwarder/messages/call_report.rs
+++ b/src/forwarder/messages/call_report.rs
@@ -1,5 +1,6 @@
 //! What a finished call reports to the runtime.
 
+use super::attempt::AttemptKey;
 use crate::forwarder::http::Connection;
 use crate::interface::{EndpointId, LoadReport, MessageId, Micros, Outcome};
 use std::io;
@@ -23,6 +24,13 @@
     pub(crate) unsent: bool,
 }
 
+impl AttemptResult {
+    /// The attempt that ended.
+    pub(crate) fn key(&self) -> AttemptKey {
+        AttemptKey { id: self.id, attempt: self.attempt }
+    }
+}
+
 /// The end of a call: its attempts, and its connection if it can be reused.
 pub(crate) struct CallReport {
     /// The endpoint that was called.
--- a/src/forwarder/runtime/call_in_flight.rs
+++ b/src/forwarder/runtime/call_in_flight.rs
@@ -1,20 +1,12 @@
 //! A call in flight and the commands to it.
 
 use crate::forwarder::endpoint_client::{CallCommand, WriteGuard};
-use crate::forwarder::upgrade::{AttemptRef, Frame};
-use crate::interface::{EndpointId, MessageId, Micros};
+use crate::forwarder::messages::attempt::{AttemptKey, AttemptRef};
+use crate::forwarder::upgrade::Frame;
+use crate::interface::{EndpointId, Micros};
 use std::sync::Arc;
 use tokio::sync::mpsc::Sender;
 
-/// Identifies an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) struct AttemptKey {
-    /// The message.
-    pub(super) id: MessageId,
-    /// Number of the attempt.
-    pub(super) attempt: usize,
-}
-
 /// A call in flight.
 pub(super) struct CallInFlight {
     pub(super) endpoint: EndpointId,
@@ -83,16 +75,15 @@
 
 impl AttemptCommand {
     /// The command to a call of this process.
-    pub(super) fn to_call(self, AttemptKey { id, attempt }: AttemptKey) -> CallCommand {
+    pub(super) fn to_call(self, key: AttemptKey) -> CallCommand {
         match self {
-            AttemptCommand::Cancel => CallCommand::Cancel(id, attempt),
+            AttemptCommand::Cancel => CallCommand::Cancel(key),
             AttemptCommand::Abandon => CallCommand::Abandon,
         }
     }
 
     /// The frame for the process that makes the call.
-    pub(super) fn to_frame(self, message: String, attempt: usize) -> Frame {
-        let attempt = AttemptRef { message, attempt };
+    pub(super) fn to_frame(self, attempt: AttemptRef) -> Frame {
         match self {
             AttemptCommand::Cancel => Frame::CancelAttempt(attempt),
             AttemptCommand::Abandon => Frame::AbandonMessage(attempt),
--- a/src/forwarder/runtime/call_reports.rs
+++ b/src/forwarder/runtime/call_reports.rs
@@ -1,7 +1,6 @@
 //! Handles the results of calls.
 
 use super::Runtime;
-use super::call_in_flight::AttemptKey;
 use super::calls::EndedAttempt;
 use crate::forwarder::clock::unix_now;
 use crate::forwarder::http::Connection;
@@ -55,8 +54,7 @@
         reuse: IdleReuse,
     ) {
         let Some(first) = results.first() else { return };
-        let key = AttemptKey { id: first.id, attempt: first.attempt };
-        if let Some(idle_for) = self.calls.idle_time_of(key) {
+        if let Some(idle_for) = self.calls.idle_time_of(first.key()) {
             self.idle_connections.record_reuse(now, endpoint, idle_for, reuse);
         }
     }
@@ -70,8 +68,9 @@
 
     /// Handles the end of an attempt, whichever process made it.
     pub(super) fn end_attempt(&mut self, now: Micros, address: SocketAddr, result: AttemptResult) {
-        let key = AttemptKey { id: result.id, attempt: result.attempt };
-        let Some(EndedAttempt { sent_at, call_ended, .. }) = self.calls.end_attempt(key) else { return };
+        let Some(EndedAttempt { sent_at, call_ended, .. }) = self.calls.end_attempt(result.key()) else {
+            return;
+        };
         let latency = Duration::from_micros(u64::try_from(now - sent_at).unwrap_or(0));
         self.metrics.record_attempt(address, result.outcome, latency, call_ended);
         self.journal_attempt_end(&result);
--- a/src/forwarder/runtime/calls.rs
+++ b/src/forwarder/runtime/calls.rs
@@ -1,7 +1,8 @@
 //! The calls in flight and the attempts that travel in them.
 
-use super::call_in_flight::{AttemptCommand, AttemptKey, CallInFlight, CallProcess};
+use super::call_in_flight::{AttemptCommand, CallInFlight, CallProcess};
 use crate::forwarder::endpoint_client::{CallCommand, WriteGuard};
+use crate::forwarder::messages::attempt::{AttemptKey, AttemptRef};
 use crate::forwarder::upgrade::PeerChannel;
 use crate::interface::{EndpointId, InheritedCall, Micros};
 use std::collections::HashMap;
@@ -20,6 +21,13 @@
     message: String,
 }
 
+impl AttemptInFlight {
+    /// Identifies this attempt, whose number is `attempt`, to another process.
+    fn reference(&self, attempt: usize) -> AttemptRef {
+        AttemptRef { message: self.message.clone(), attempt }
+    }
+}
+
 /// An attempt that this process starts.
 pub(super) struct StartedAttempt {
     pub(super) key: AttemptKey,
@@ -49,12 +57,11 @@
 }
 
 /// An attempt whose call may have been written, for the hand-over.
-pub(super) struct WrittenAttempt<'a> {
+pub(super) struct WrittenAttempt {
     pub(super) call: CallId,
     pub(super) endpoint: EndpointId,
     pub(super) sent_at: Micros,
-    pub(super) message: &'a str,
-    pub(super) attempt: usize,
+    pub(super) attempt: AttemptRef,
 }
 
 /// Owns the attempts and calls in flight.
@@ -151,10 +158,10 @@
 
     /// The attempt in flight with this number of the message with this client's id.
     pub(super) fn find(&self, message: &str, attempt: usize) -> Option<AttemptKey> {
+        let is_wanted =
+            |key: &AttemptKey, flight: &AttemptInFlight| key.attempt == attempt && flight.message == message;
         let mut attempts = self.attempts.iter();
-        attempts
-            .find(|(key, flight)| key.attempt == attempt && flight.message == message)
-            .map(|(key, _)| *key)
+        attempts.find(|(key, flight)| is_wanted(key, flight)).map(|(key, _)| *key)
     }
 
     /// The endpoint that an attempt was sent to.
@@ -182,7 +189,7 @@
         let Some(call) = self.calls.get(&attempt.call) else { return };
         match (&call.process, predecessor) {
             (CallProcess::Predecessor, Some(predecessor)) => {
-                predecessor.send(command.to_frame(attempt.message.clone(), key.attempt));
+                predecessor.send(command.to_frame(attempt.reference(key.attempt)));
             }
             _ => call.command(command.to_call(key)),
         }
@@ -202,24 +209,23 @@
     }
 
     /// The attempts whose calls may have been written.
-    pub(super) fn written_attempts(&self) -> impl Iterator<Item = WrittenAttempt<'_>> {
+    pub(super) fn written_attempts(&self) -> impl Iterator<Item = WrittenAttempt> {
         self.attempts.iter().filter_map(|(key, flight)| {
             let call = self.calls.get(&flight.call).filter(|call| call.may_be_written())?;
             Some(WrittenAttempt {
                 call: flight.call,
                 endpoint: call.endpoint,
                 sent_at: flight.sent_at,
-                message: &flight.message,
-                attempt: key.attempt,
+                attempt: flight.reference(key.attempt),
             })
         })
     }
 
-    /// The message and the number of each attempt that the predecessor has in flight.
-    pub(super) fn attempts_of_predecessor(&self) -> impl Iterator<Item = (&str, usize)> {
+    /// The attempts that the predecessor has in flight.
+    pub(super) fn attempts_of_predecessor(&self) -> impl Iterator<Item = AttemptRef> {
         self.attempts.iter().filter_map(|(key, flight)| {
             let call = self.calls.get(&flight.call)?;
-            matches!(call.process, CallProcess::Predecessor).then_some((flight.message.as_str(), key.attempt))
+            matches!(call.process, CallProcess::Predecessor).then(|| flight.reference(key.attempt))
         })
     }
 }
--- a/src/forwarder/runtime/calls/tests.rs
+++ b/src/forwarder/runtime/calls/tests.rs
@@ -41,7 +41,8 @@
 #[test]
 fn calls_of_the_predecessor_count_as_written() {
     let calls = with_inherited_call(&["m-1"]);
-    let written: Vec<&str> = calls.written_attempts().map(|attempt| attempt.message).collect();
+    let written: Vec<String> = calls.written_attempts().map(|written| written.attempt.message).collect();
     assert_eq!(written, ["m-1"]);
-    assert_eq!(calls.attempts_of_predecessor().collect::<Vec<_>>(), [("m-1", 0)]);
+    let attempt = AttemptRef { message: "m-1".to_owned(), attempt: 0 };
+    assert_eq!(calls.attempts_of_predecessor().collect::<Vec<_>>(), [attempt]);
 }
--- a/src/forwarder/runtime/client_requests.rs
+++ b/src/forwarder/runtime/client_requests.rs
@@ -42,11 +42,11 @@
 
     /// The reply to a message that is complete, accepted already, or one too many.
     fn immediate_reply(&self, client_id: &str) -> Option<ClientReply> {
-        let final_outcome = self.journal.lock().final_outcome(client_id);
-        match final_outcome {
-            Some((FinalOutcome::Delivered, _)) => Some(ClientReply::Delivered),
-            Some((FinalOutcome::Failed, _)) => Some(ClientReply::Failed),
-            Some((FinalOutcome::Rejected, _)) => Some(ClientReply::Rejected(None)),
+        let remembered = self.journal.lock().final_outcome(client_id);
+        match remembered.map(|remembered| remembered.outcome) {
+            Some(FinalOutcome::Delivered) => Some(ClientReply::Delivered),
+            Some(FinalOutcome::Failed) => Some(ClientReply::Failed),
+            Some(FinalOutcome::Rejected) => Some(ClientReply::Rejected(None)),
             None if self.messages.by_client_id(client_id).is_some() => Some(ClientReply::Accepted),
             None if self.messages.len() >= self.settings.max_open_messages => {
                 Some(ClientReply::Rejected(None))
--- a/src/forwarder/runtime/final_answers.rs
+++ b/src/forwarder/runtime/final_answers.rs
@@ -1,10 +1,11 @@
 //! Final answers of the decision module to messages that were not delivered.
 
 use super::Runtime;
-use super::call_in_flight::{AttemptCommand, AttemptKey};
+use super::call_in_flight::AttemptCommand;
 use super::open_messages::OpenMessage;
 use crate::forwarder::clock::unix_now;
 use crate::forwarder::journal::Record;
+use crate::forwarder::messages::attempt::AttemptKey;
 use crate::forwarder::messages::client_request::ClientReply;
 use crate::forwarder::messages::notice::{Notice, NoticeOutcome};
 use crate::forwarder::metrics::DropReason;
--- a/src/forwarder/runtime/notice_queue.rs
+++ b/src/forwarder/runtime/notice_queue.rs
@@ -54,8 +54,9 @@
             if self.messages.by_client_id(&message).is_some_and(|again| again.accepted) {
                 continue;
             }
-            let remember_until = self.journal.lock().final_outcome(&message).map_or(0, |(_, until)| until);
-            let completed = Record::completed(message, outcome.into(), remember_until);
+            let remembered = self.journal.lock().final_outcome(&message);
+            let remember_until_unix_ms = remembered.map_or(0, |remembered| remembered.until_unix_ms);
+            let completed = Record::completed(message, outcome.into(), remember_until_unix_ms);
             self.journal.lock().enqueue(&completed, unix_ms);
         }
     }
--- a/src/forwarder/runtime/outbound_calls.rs
+++ b/src/forwarder/runtime/outbound_calls.rs
@@ -1,11 +1,12 @@
 //! Starts the calls that the decision module asked for.
 
 use super::Runtime;
-use super::call_in_flight::{AttemptKey, command_capacity};
+use super::call_in_flight::command_capacity;
 use super::calls::{StartedAttempt, StartedCall};
 use super::endpoints::Endpoint;
 use super::idle_connections::ReusedConnection;
 use crate::forwarder::endpoint_client::{self, CallItem, OutboundCall, WriteGuard};
+use crate::forwarder::messages::attempt::AttemptRef;
 use crate::interface::{AttemptEnded, EndpointId, Event, Idempotency, MessageId, Micros, Outcome};
 use crate::settings_reader::index;
 use std::sync::Arc;
@@ -132,7 +133,7 @@
 
     /// Lets the call journal its attempts right before it is written.
     fn write_guard(&self, endpoint: &Endpoint, items: &[CallItem]) -> WriteGuard {
-        let attempts = items.iter().map(|item| (item.message.clone(), item.attempt)).collect();
+        let attempts = items.iter().map(attempt_ref).collect();
         let send_before = items.iter().map(|item| item.send_before).min().unwrap_or_else(Instant::now);
         WriteGuard::new(self.journal.clone(), attempts, send_before, endpoint.zone.clone())
     }
@@ -164,6 +165,9 @@
 }
 
 fn started_attempt(item: &CallItem) -> StartedAttempt {
-    let key = AttemptKey { id: item.id, attempt: item.attempt };
-    StartedAttempt { key, message: item.message.clone() }
+    StartedAttempt { key: item.key(), message: item.message.clone() }
+}
+
+fn attempt_ref(item: &CallItem) -> AttemptRef {
+    AttemptRef { message: item.message.clone(), attempt: item.attempt }
 }
--- a/src/forwarder/runtime/recovery.rs
+++ b/src/forwarder/runtime/recovery.rs
@@ -1,12 +1,12 @@
 //! Recovers the messages of an earlier process from the journal, and what a predecessor has handed over.
 
 use super::Runtime;
-use super::call_in_flight::AttemptKey;
 use super::client_requests::SubmissionDetails;
 use super::final_answers::FinalAnswer;
 use super::open_messages::OpenMessage;
 use crate::forwarder::clock::unix_now;
 use crate::forwarder::journal::{AcceptedMessage, RecoveredAttempt, RecoveredMessage};
+use crate::forwarder::messages::attempt::{AttemptKey, AttemptRef};
 use crate::forwarder::messages::notice::Notice;
 use crate::forwarder::upgrade::HandoffState;
 use crate::interface::{Event, InheritedCall, MessageHistory, Micros, PossibleExecution};
@@ -16,18 +16,19 @@
 /// Age of an attempt whose time was lost: no destination remembers an idempotency key for so long.
 const UNKNOWN_ATTEMPT_AGE_MICROS: Micros = 1 << 55;
 
-/// Attempts that the predecessor has in flight, by message and number.
+/// The attempts that the predecessor has in flight, and their calls.
 #[derive(Default)]
-pub(super) struct InheritedAttempts(BTreeMap<(String, usize), InheritedCall>);
+pub(super) struct InheritedAttempts(BTreeMap<AttemptRef, InheritedCall>);
 
 impl InheritedAttempts {
-    pub(super) fn insert(&mut self, message: String, attempt: usize, call: InheritedCall) {
-        self.0.insert((message, attempt), call);
+    pub(super) fn insert(&mut self, attempt: AttemptRef, call: InheritedCall) {
+        self.0.insert(attempt, call);
     }
 
-    /// Takes the last one of so many attempts of a message, if it is in flight.
+    /// Takes the last attempt of a message that had `attempts` of them, if it is in flight.
     fn take_last(&mut self, message: &str, attempts: usize) -> Option<InheritedCall> {
-        self.0.remove(&(message.to_owned(), attempts.checked_sub(1)?))
+        let last = AttemptRef { message: message.to_owned(), attempt: attempts.checked_sub(1)? };
+        self.0.remove(&last)
     }
 }
 
@@ -127,7 +128,7 @@
 
     /// The calls of these attempts still take slots, although their messages are complete.
     fn track_attempts_of_complete_messages(&mut self, now: Micros, inherited: InheritedAttempts) {
-        for ((message, attempt), call) in inherited.0 {
+        for (AttemptRef { message, attempt }, call) in inherited.0 {
             let id = self.messages.assign_number();
             self.calls.add_inherited_attempt(AttemptKey { id, attempt }, call, message);
             self.decisions.notify(now, Event::InheritedAttempt { id, attempt, call });
--- a/src/forwarder/runtime/turn.rs
+++ b/src/forwarder/runtime/turn.rs
@@ -1,13 +1,14 @@
 //! The steps of a turn, in which this process owns the messages.
 
 use super::Runtime;
-use super::call_in_flight::{AttemptCommand, AttemptKey};
+use super::call_in_flight::AttemptCommand;
 use super::final_answers::FinalAnswer;
 use super::outbound_calls::PlannedAttempt;
 use super::upgrade::Successor;
 use crate::forwarder::clock::unix_now;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::journal::{FinalOutcome, Record};
+use crate::forwarder::messages::attempt::AttemptKey;
 use crate::forwarder::messages::client_request::ClientReply;
 use crate::forwarder::metrics::DropReason;
 use crate::interface::{Action, Event, MessageId, Micros};
--- a/src/forwarder/runtime/upgrade/forwarding.rs
+++ b/src/forwarder/runtime/upgrade/forwarding.rs
@@ -4,12 +4,13 @@
 use super::successor::Successor;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::admin_command::{AdminCommand, AdminError, AdminRequest};
+use crate::forwarder::messages::attempt::AttemptRef;
 use crate::forwarder::messages::call_report::{AttemptResult, CallReport};
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::forwarder::runtime::Runtime;
-use crate::forwarder::runtime::call_in_flight::{AttemptCommand, AttemptKey};
+use crate::forwarder::runtime::call_in_flight::AttemptCommand;
 use crate::forwarder::upgrade::{
-    AttemptRef, EndedAttempt, ForwardedRequest, Frame, PeerEvent, PeerRole, UpgradeError,
+    EndedAttempt, ForwardedRequest, Frame, PeerEvent, PeerEventKind, PeerRole, UpgradeError,
 };
 use crate::interface::Outcome;
 use base64::Engine;
@@ -45,11 +46,11 @@
             RuntimeEvent::ClientRequest(request) => self.forward_client_request(request),
             RuntimeEvent::CallEnded(report) => Some(self.forward_call_report(report)),
             RuntimeEvent::AdminRequest(request) => self.forward_admin_request(request),
-            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Predecessor, frame, .. }) => {
-                Some(self.forward_ends_of_predecessor(frame))
+            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Predecessor, kind, .. }) => {
+                Some(self.forward_ends_of_predecessor(kind))
             }
-            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Successor, frame, channel_id }) => {
-                self.handle_successor_event(channel_id, frame);
+            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Successor, channel_id, kind }) => {
+                self.handle_successor_event(channel_id, kind);
                 None
             }
             RuntimeEvent::Terminate => {
@@ -105,8 +106,8 @@
     }
 
     fn end_forwarded_attempt(&mut self, result: AttemptResult) -> Option<EndedAttempt> {
-        let AttemptResult { id, attempt, outcome, finished, report, retry_after, unsent } = result;
-        let ended = self.calls.end_attempt(AttemptKey { id, attempt })?;
+        let ended = self.calls.end_attempt(result.key())?;
+        let AttemptResult { attempt, outcome, finished, report, retry_after, unsent, .. } = result;
         // Cancelled because this process ends, which says nothing about the endpoint.
         let is_cancelled_by_shutdown =
             outcome == Outcome::Cancelled && self.lifecycle.is_past_call_completion();
@@ -123,11 +124,11 @@
     }
 
     /// The ends of attempts that this process' own predecessor reports, or that are lost as it has ended.
-    fn forward_ends_of_predecessor(&mut self, frame: Option<Frame>) -> Frame {
-        let ended = match frame {
-            Some(Frame::AttemptsEnded(ended)) => ended,
-            Some(_) => Vec::new(),
-            None => self.attempts_lost_with_predecessor(),
+    fn forward_ends_of_predecessor(&mut self, kind: PeerEventKind) -> Frame {
+        let ended = match kind {
+            PeerEventKind::FrameReceived(Frame::AttemptsEnded(ended)) => ended,
+            PeerEventKind::FrameReceived(_) => Vec::new(),
+            PeerEventKind::ChannelClosed => self.attempts_lost_with_predecessor(),
         };
         for EndedAttempt { message, attempt, .. } in &ended {
             if let Some(key) = self.calls.find(message, *attempt) {
@@ -143,13 +144,13 @@
     }
 
     /// Handles a frame or the end of the successor that owns the messages.
-    fn handle_successor_event(&mut self, channel: u64, frame: Option<Frame>) {
+    fn handle_successor_event(&mut self, channel: u64, kind: PeerEventKind) {
         let is_current =
             matches!(&self.successor, Successor::Owner(successor) if successor.channel.id == channel);
-        match frame {
+        match kind {
             _ if !is_current => {}
-            Some(frame) => self.handle_successor_frame(frame),
-            None => self.handle_successor_end(),
+            PeerEventKind::FrameReceived(frame) => self.handle_successor_frame(frame),
+            PeerEventKind::ChannelClosed => self.handle_successor_end(),
         }
     }
 
--- a/src/forwarder/runtime/upgrade/handoff.rs
+++ b/src/forwarder/runtime/upgrade/handoff.rs
@@ -4,7 +4,7 @@
 use crate::forwarder::runtime::Runtime;
 use crate::forwarder::runtime::calls::CallId;
 use crate::forwarder::runtime::recovery::InheritedAttempts;
-use crate::forwarder::upgrade::{AttemptRef, HandoffState, InFlightCall, LearnedEntry};
+use crate::forwarder::upgrade::{HandoffState, InFlightCall, LearnedEntry};
 use crate::interface::{Event, InheritedCall, LearnedState, Micros};
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering::Relaxed;
@@ -31,7 +31,7 @@
                 age_us,
                 attempts: Vec::new(),
             });
-            call.attempts.push(AttemptRef { message: written.message.to_owned(), attempt: written.attempt });
+            call.attempts.push(written.attempt);
         }
         calls.into_values().collect()
     }
@@ -74,8 +74,8 @@
             let Some(endpoint) = self.endpoints.number_of(&uid) else { continue };
             let call = self.calls.add_inherited_call(endpoint, attempts.len());
             let call = InheritedCall { call, endpoint, sent_at: now - age_us };
-            for AttemptRef { message, attempt } in attempts {
-                inherited.insert(message, attempt, call);
+            for attempt in attempts {
+                inherited.insert(attempt, call);
             }
         }
         inherited
--- a/src/forwarder/runtime/upgrade/predecessor.rs
+++ b/src/forwarder/runtime/upgrade/predecessor.rs
@@ -3,11 +3,12 @@
 
 use super::successor::Successor;
 use crate::forwarder::messages::admin_command::AdminCommand;
+use crate::forwarder::messages::attempt::AttemptRef;
 use crate::forwarder::messages::call_report::AttemptResult;
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::forwarder::runtime::Runtime;
 use crate::forwarder::upgrade::{
-    EndedAttempt, ForwardedRequest, Frame, PeerChannel, PeerEvent, PeerRole, UpgradeError,
+    EndedAttempt, ForwardedRequest, Frame, PeerChannel, PeerEvent, PeerEventKind, PeerRole, UpgradeError,
 };
 use crate::interface::{Micros, Outcome};
 use crate::settings_reader::index;
@@ -21,12 +22,16 @@
 impl Runtime {
     /// Handles a frame or the end of another process while this one owns the messages.
     pub(in crate::forwarder::runtime) fn handle_peer_event(&mut self, now: Micros, event: PeerEvent) {
-        match (event.role, event.frame) {
-            (PeerRole::Predecessor, Some(frame)) => self.handle_predecessor_frame(now, frame),
-            (PeerRole::Predecessor, None) => self.handle_predecessor_end(now),
-            (PeerRole::Successor, None) => self.drop_request_to_take_over(event.channel_id),
-            // From a channel that was given up.
-            (PeerRole::Successor, Some(_)) => {}
+        match (event.role, event.kind) {
+            (PeerRole::Predecessor, PeerEventKind::FrameReceived(frame)) => {
+                self.handle_predecessor_frame(now, frame);
+            }
+            (PeerRole::Predecessor, PeerEventKind::ChannelClosed) => self.handle_predecessor_end(now),
+            (PeerRole::Successor, PeerEventKind::ChannelClosed) => {
+                self.drop_request_to_take_over(event.channel_id);
+            }
+            // From a successor that has not taken over: its channel is no longer used.
+            (PeerRole::Successor, PeerEventKind::FrameReceived(_)) => {}
         }
     }
 
@@ -58,8 +63,8 @@
     /// The ends of all attempts that the predecessor has in flight, if it has ended itself. They say nothing about
     /// the endpoints.
     pub(super) fn attempts_lost_with_predecessor(&self) -> Vec<EndedAttempt> {
-        let lost = |(message, attempt): (&str, usize)| EndedAttempt {
-            message: message.to_owned(),
+        let lost = |AttemptRef { message, attempt }| EndedAttempt {
+            message,
             attempt,
             outcome: Outcome::StaleConnection,
             finished: false,
--- a/src/forwarder/runtime/upgrade/successor.rs
+++ b/src/forwarder/runtime/upgrade/successor.rs
@@ -2,7 +2,7 @@
 
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::runtime::Runtime;
-use crate::forwarder::upgrade::{Frame, PeerChannel, PeerEvent, PeerRole};
+use crate::forwarder::upgrade::{Frame, PeerChannel, PeerEvent, PeerEventKind, PeerRole};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -72,11 +72,11 @@
         };
         let channel = self.channel.id;
         self.events.retain(|event| match event {
-            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Successor, channel_id, frame })
+            RuntimeEvent::Peer(PeerEvent { role: PeerRole::Successor, channel_id, kind })
                 if !progress.confirmed && *channel_id == channel =>
             {
-                progress.confirmed = matches!(frame, Some(Frame::Owned));
-                progress.overdue |= frame.is_none();
+                progress.confirmed = matches!(kind, PeerEventKind::FrameReceived(Frame::Owned));
+                progress.overdue |= matches!(kind, PeerEventKind::ChannelClosed);
                 false
             }
             RuntimeEvent::Terminate => {
--- a/src/forwarder/upgrade/channel.rs
+++ b/src/forwarder/upgrade/channel.rs
@@ -28,8 +28,17 @@
     pub(crate) role: PeerRole,
     /// The channel. Events of a channel that was dropped may still be queued.
     pub(crate) channel_id: u64,
-    /// The frame that was received. `None` if the channel is closed; it is the last event of the channel.
-    pub(crate) frame: Option<Frame>,
+    /// What happened.
+    pub(crate) kind: PeerEventKind,
+}
+
+/// What happened on a [`PeerChannel`].
+#[derive(Debug)]
+pub(crate) enum PeerEventKind {
+    /// The other process sent a frame.
+    FrameReceived(Frame),
+    /// The other process has ended, or what it sent could not be read. This is the last event of the channel.
+    ChannelClosed,
 }
 
 /// A channel to another process. When it is dropped, it stops receiving; the connection is closed once the
@@ -98,21 +107,26 @@
     events: Sender<E>,
 ) {
     loop {
-        let frame = match reader.receive().await {
-            Ok(frame) => Some(frame),
-            Err(UpgradeError::Closed) => None,
-            Err(error) => {
-                eprintln!("upgrade: {error}");
-                None
-            }
-        };
-        let is_closed = frame.is_none();
+        let kind = next_event(&mut reader).await;
+        let is_closed = matches!(kind, PeerEventKind::ChannelClosed);
         if is_closed {
             sleep(DISCONNECT_DELAY).await;
         }
-        let event = PeerEvent { role, channel_id, frame };
+        let event = PeerEvent { role, channel_id, kind };
         if events.send(event.into()).await.is_err() || is_closed {
             return;
         }
     }
 }
+
+/// Waits for the next frame. An invalid one closes the channel.
+async fn next_event(reader: &mut FrameReader) -> PeerEventKind {
+    match reader.receive().await {
+        Ok(frame) => PeerEventKind::FrameReceived(frame),
+        Err(UpgradeError::Closed) => PeerEventKind::ChannelClosed,
+        Err(error) => {
+            eprintln!("upgrade: {error}");
+            PeerEventKind::ChannelClosed
+        }
+    }
+}
--- a/src/forwarder/upgrade/format_tests.rs
+++ b/src/forwarder/upgrade/format_tests.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::forwarder::messages::admin_command::AdminCommand;
+use crate::forwarder::messages::attempt::AttemptRef;
 use crate::forwarder::messages::client_request::ClientReply;
 use crate::forwarder::messages::endpoint_list::{EndpointRecord, LifecycleState};
 use crate::interface::{HealthState, LearnedState, LoadReport, Outcome};
--- a/src/forwarder/upgrade/frames.rs
+++ b/src/forwarder/upgrade/frames.rs
@@ -4,6 +4,7 @@
 //! A new field needs a default.
 
 use crate::forwarder::messages::admin_command::{AdminCommand, AdminReply};
+use crate::forwarder::messages::attempt::AttemptRef;
 use crate::forwarder::messages::client_request::ClientReply;
 use crate::forwarder::messages::endpoint_list::EndpointRecord;
 use crate::interface::{LearnedState, LoadReport, Outcome};
@@ -102,28 +103,6 @@
     pub(crate) attempts: Vec<AttemptRef>,
 }
 
-/// Names an attempt. Its JSON form is an array.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(from = "(String, usize)", into = "(String, usize)")]
-pub(crate) struct AttemptRef {
-    /// The id that the client gave to the message.
-    pub(crate) message: String,
-    /// Number of the attempt, from 0.
-    pub(crate) attempt: usize,
-}
-
-impl From<(String, usize)> for AttemptRef {
-    fn from((message, attempt): (String, usize)) -> Self {
-        AttemptRef { message, attempt }
-    }
-}
-
-impl From<AttemptRef> for (String, usize) {
-    fn from(attempt: AttemptRef) -> Self {
-        (attempt.message, attempt.attempt)
-    }
-}
-
 /// How an attempt of the predecessor ended.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct EndedAttempt {
