Name units, idempotency keys and the runtime's part in an upgrade plainly

Hard to read: runtime/upgrade and upgrade were two modules of one name, unix_now did not say its unit, key meant idempotency key beside AttemptKey, age_us stood beside Micros, and config and configuration were both used for one value. Now runtime/handover, unix_now_ms, idempotency_key (its JSON name stays), Micros in the frames, Duration in FinalAnswer, MICROS_PER_MILLISECOND, and config throughout.

--- a/src/bin/forwarder.rs
+++ b/src/bin/forwarder.rs
@@ -17,9 +17,9 @@
 fn run_until_done() -> Result<(), Box<dyn Error>> {
     // Adopted first: no other descriptor may be opened before that could take its number.
     let listener = inherited_listener()?;
-    let configuration = Config::from_env()?;
+    let config = Config::from_env()?;
     // The forwarder is given one core: more threads would only add overhead.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(run(configuration, listener))?;
+    runtime.block_on(run(config, listener))?;
     Ok(())
 }
--- a/src/forwarder/clock.rs
+++ b/src/forwarder/clock.rs
@@ -5,6 +5,6 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// The present Unix time in milliseconds; 0 if the clock is set to a time before 1970.
-pub(crate) fn unix_now() -> u64 {
+pub(crate) fn unix_now_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
--- a/src/forwarder/descriptor_budget.rs
+++ b/src/forwarder/descriptor_budget.rs
@@ -17,12 +17,12 @@
 
 impl DescriptorBudget {
     /// Sets descriptors aside for calls, operators and the process itself, and shares out the others.
-    pub(crate) fn new(configuration: &Config) -> Self {
+    pub(crate) fn new(config: &Config) -> Self {
         // The listener for operators takes one as well.
-        let operators = if configuration.admin.is_some() { admin::MAX_CONNECTIONS + 1 } else { 0 };
-        let calls = configuration.settings.call_slots;
+        let operators = if config.admin.is_some() { admin::MAX_CONNECTIONS + 1 } else { 0 };
+        let calls = config.settings.call_slots;
         let reserved = RESERVED_DESCRIPTORS.saturating_add(operators).saturating_add(calls);
-        let available = configuration.limits.sockets.saturating_sub(reserved);
+        let available = config.limits.sockets.saturating_sub(reserved);
         DescriptorBudget {
             client_connections: (available * 2 / 3).max(1),
             idle_connections: (available / 3).max(1),
--- a/src/forwarder/endpoint_client/call.rs
+++ b/src/forwarder/endpoint_client/call.rs
@@ -28,7 +28,7 @@
     /// The id that the client gave to the message.
     pub(crate) message: String,
     /// The idempotency key.
-    pub(crate) key: Option<String>,
+    pub(crate) idempotency_key: Option<String>,
     /// The payload.
     pub(crate) body: Bytes,
     /// The attempt times out at this time.
--- a/src/forwarder/endpoint_client/request/format_tests.rs
+++ b/src/forwarder/endpoint_client/request/format_tests.rs
@@ -12,7 +12,7 @@
         id: 1,
         attempt: 0,
         message: name.to_owned(),
-        key: key.map(str::to_owned),
+        idempotency_key: key.map(str::to_owned),
         body: Bytes::from_static(body),
         times_out_at: timeout,
         expires_at: timeout,
--- a/src/forwarder/endpoint_client/request/mod.rs
+++ b/src/forwarder/endpoint_client/request/mod.rs
@@ -57,7 +57,7 @@
     let mut request = Request::new(Full::new(item.body.clone()));
     *request.uri_mut() = Uri::from_static(SINGLE_PATH);
     request.headers_mut().insert("req-id", HeaderValue::from_str(&item.message).ok()?);
-    if let Some(key) = &item.key {
+    if let Some(key) = &item.idempotency_key {
         request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key).ok()?);
     }
     Some(request)
@@ -73,7 +73,7 @@
 }
 
 fn batch_item(item: &CallItem) -> BatchItem<'_> {
-    BatchItem { id: &item.message, key: item.key.as_deref(), body: STANDARD.encode(&item.body) }
+    BatchItem { id: &item.message, key: item.idempotency_key.as_deref(), body: STANDARD.encode(&item.body) }
 }
 
 #[cfg(test)]
--- a/src/forwarder/endpoint_client/write_guard/mod.rs
+++ b/src/forwarder/endpoint_client/write_guard/mod.rs
@@ -1,6 +1,6 @@
 //! The last check before a call is written, and its record in the journal.
 
-use crate::forwarder::clock::unix_now;
+use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::journal::{JournalError, Record, SharedJournal};
 use crate::forwarder::messages::attempt::AttemptRef;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -72,12 +72,12 @@
     }
 
     fn record_attempts(&self) -> Result<(), JournalError> {
-        let now = unix_now();
+        let now_unix_ms = unix_now_ms();
         let record = |AttemptRef { message, attempt }: &AttemptRef| {
-            Record::attempt_started(message.clone(), *attempt, now, self.zone.clone())
+            Record::attempt_started(message.clone(), *attempt, now_unix_ms, self.zone.clone())
         };
         let records: Vec<Record> = self.attempts.iter().map(record).collect();
-        self.journal.lock().commit(&records, now)
+        self.journal.lock().commit(&records, now_unix_ms)
     }
 }
 
--- a/src/forwarder/endpoint_client/write_guard/tests.rs
+++ b/src/forwarder/endpoint_client/write_guard/tests.rs
@@ -7,7 +7,7 @@
 fn late_or_withheld_call_is_neither_written_nor_recorded() {
     let folder = env::temp_dir().join(format!("guard-test-{}", process::id()));
     fs::create_dir_all(&folder).expect("a temporary folder");
-    let (journal, _) = Journal::open(&folder, 1 << 20, unix_now()).expect("it opens");
+    let (journal, _) = Journal::open(&folder, 1 << 20, unix_now_ms()).expect("it opens");
     let journal = SharedJournal::new(journal);
     let attempts = vec![AttemptRef { message: "m".to_owned(), attempt: 0 }];
     let guard = |send_before| WriteGuard::new(journal.clone(), attempts.clone(), send_before, "a".to_owned());
--- a/src/forwarder/journal/format_tests/digest.rs
+++ b/src/forwarder/journal/format_tests/digest.rs
@@ -62,7 +62,7 @@
         self.text(&message.class);
         self.optional_text(&message.tenant);
         self.number(message.destination);
-        self.optional_text(&message.key);
+        self.optional_text(&message.idempotency_key);
         self.number(message.deadline_unix_ms);
         self.text(&message.body);
     }
--- a/src/forwarder/journal/format_tests/fixture.rs
+++ b/src/forwarder/journal/format_tests/fixture.rs
@@ -15,7 +15,7 @@
         class: "auth-notice".to_owned(),
         tenant: tenant.map(str::to_owned),
         destination: 7,
-        key: key.map(str::to_owned),
+        idempotency_key: key.map(str::to_owned),
         deadline_unix_ms: FAR_FUTURE,
         body: body.into(),
     }
--- a/src/forwarder/journal/records.rs
+++ b/src/forwarder/journal/records.rs
@@ -17,7 +17,8 @@
     #[serde(rename = "dest")]
     pub(crate) destination: u64,
     /// The idempotency key.
-    pub(crate) key: Option<String>,
+    #[serde(rename = "key")]
+    pub(crate) idempotency_key: Option<String>,
     /// When the message expires, in Unix milliseconds.
     #[serde(rename = "deadline")]
     pub(crate) deadline_unix_ms: u64,
--- a/src/forwarder/journal/tests/mod.rs
+++ b/src/forwarder/journal/tests/mod.rs
@@ -52,7 +52,7 @@
         class: "auth-notice".into(),
         tenant: None,
         destination: 7,
-        key: Some("k".into()),
+        idempotency_key: Some("k".into()),
         deadline_unix_ms: NOW + 1000,
         body: body.into(),
     })
--- a/src/forwarder/messages/client_request.rs
+++ b/src/forwarder/messages/client_request.rs
@@ -16,7 +16,7 @@
     /// The destination.
     pub(crate) destination: u64,
     /// The idempotency key.
-    pub(crate) key: Option<String>,
+    pub(crate) idempotency_key: Option<String>,
     /// The payload, passed to the endpoint unchanged.
     pub(crate) body: Bytes,
     /// The client stops waiting at this time, and the message expires.
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -77,18 +77,18 @@
 /// # Errors
 ///
 /// See [`RunError`]. Nothing was taken over from a predecessor, except where the journal cannot be opened.
-pub async fn run(configuration: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
+pub async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
     // First of all: until its handler is installed, SIGHUP ends the process.
     let Signals { hangup, mut terminate } = Signals::install().map_err(RunError::Signals)?;
-    let descriptors = DescriptorBudget::new(&configuration);
+    let descriptors = DescriptorBudget::new(&config);
     // The runtime holds the receiver.
     let (events, mut event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let mut tasks = BackgroundTasks::default();
-    serve_operators(&configuration, &events, &mut tasks).await?;
+    serve_operators(&config, &events, &mut tasks).await?;
     // Before the take-over: a process that cannot serve clients must leave its predecessor alone.
-    let listener = client_listener(&configuration, inherited).await?;
+    let listener = client_listener(&config, inherited).await?;
     let ownership = tokio::select! {
-        ownership = acquire_ownership(&configuration, &mut event_queue) => ownership?,
+        ownership = acquire_ownership(&config, &mut event_queue) => ownership?,
         _ = terminate.recv() => return Ok(()),
     };
     let connection_counts = Arc::new(ConnectionCounts::default());
@@ -100,14 +100,14 @@
         events: events.clone(),
         connection_counts: connection_counts.clone(),
     };
-    let mut runtime = Runtime::start(&configuration, channels, ownership).await?;
-    listen_for_successors(&configuration, &events);
-    let discovery = start_platform_clients(&configuration, &events, notice_batches, &mut runtime, &mut tasks);
+    let mut runtime = Runtime::start(&config, channels, ownership).await?;
+    listen_for_successors(&config, &events);
+    let discovery = start_platform_clients(&config, &events, notice_batches, &mut runtime, &mut tasks);
     tasks.spawn(reload_configuration(hangup, discovery));
     tasks.spawn(forward_termination(terminate, events.clone()));
     // The runtime publishes its phase, the server and its connections follow it.
     let (phase_publisher, phase) = watch::channel(LifecyclePhase::Serving);
-    let handler = request_handler(configuration, events, phase, connection_counts);
+    let handler = request_handler(config, events, phase, connection_counts);
     let server = tokio::spawn(server::serve(listener, descriptors.client_connections, Arc::new(handler)));
     runtime.run(event_queue, phase_publisher, server).await;
     Ok(())
@@ -115,23 +115,23 @@
 
 /// Serves operators, if an address for them is configured.
 async fn serve_operators(
-    configuration: &Config,
+    config: &Config,
     events: &Sender<RuntimeEvent>,
     tasks: &mut BackgroundTasks,
 ) -> Result<(), RunError> {
-    if let Some(address) = configuration.admin {
+    if let Some(address) = config.admin {
         tasks.spawn(admin::serve(bind(address).await?, events.clone()));
     }
     Ok(())
 }
 
 async fn client_listener(
-    configuration: &Config,
+    config: &Config,
     inherited: Option<std::net::TcpListener>,
 ) -> Result<TcpListener, RunError> {
     match inherited {
         Some(listener) => TcpListener::from_std(listener).map_err(RunError::InheritedListener),
-        None => bind(configuration.listen).await,
+        None => bind(config.listen).await,
     }
 }
 
@@ -141,10 +141,10 @@
 
 /// Waits until this process owns the state folder.
 async fn acquire_ownership(
-    configuration: &Config,
+    config: &Config,
     event_queue: &mut Receiver<RuntimeEvent>,
 ) -> Result<Ownership, RunError> {
-    Ok(upgrade::acquire_ownership(&configuration.state, reject_admin_requests(event_queue)).await?)
+    Ok(upgrade::acquire_ownership(&config.state, reject_admin_requests(event_queue)).await?)
 }
 
 /// Replies to operators as long as another process owns the state. Never completes.
@@ -160,8 +160,8 @@
 
 /// Lets successors ask to take over. If that is impossible, the process serves all the same, and a successor waits
 /// until it has ended.
-fn listen_for_successors(configuration: &Config, events: &Sender<RuntimeEvent>) {
-    if let Err(error) = upgrade::listen_for_successors(&configuration.state, events.clone()) {
+fn listen_for_successors(config: &Config, events: &Sender<RuntimeEvent>) {
+    if let Err(error) = upgrade::listen_for_successors(&config.state, events.clone()) {
         eprintln!("upgrade: no successor can take over: {error}");
     }
 }
@@ -169,19 +169,19 @@
 /// Starts the tasks that follow the endpoint list and send notices. They end once a successor owns the messages.
 /// Returns where the address of the platform is published to them.
 fn start_platform_clients(
-    configuration: &Config,
+    config: &Config,
     events: &Sender<RuntimeEvent>,
     notice_batches: Receiver<Vec<Notice>>,
     runtime: &mut Runtime,
     tasks: &mut BackgroundTasks,
 ) -> watch::Sender<SocketAddr> {
-    let (publisher, address) = watch::channel(configuration.discovery);
+    let (publisher, address) = watch::channel(config.discovery);
     let discovery = tasks.spawn(discovery::follow(
         address.clone(),
         runtime.list_revision(),
         events.clone(),
-        configuration.settings.clone(),
-        configuration.seed,
+        config.settings.clone(),
+        config.seed,
     ));
     let notices = tasks.spawn(notices::send_all(address, notice_batches, events.clone()));
     runtime.abort_after_handover(discovery);
@@ -210,15 +210,15 @@
 }
 
 fn request_handler(
-    configuration: Config,
+    config: Config,
     events: Sender<RuntimeEvent>,
     phase: watch::Receiver<LifecyclePhase>,
     connection_counts: Arc<ConnectionCounts>,
 ) -> RequestHandler {
-    let body_kib = configuration.limits.memory_mb.max(1) * KIB_PER_MB / BODY_MEMORY_DIVISOR;
+    let body_kib = config.limits.memory_mb.max(1) * KIB_PER_MB / BODY_MEMORY_DIVISOR;
     RequestHandler {
-        setting_names: configuration.names,
-        settings: configuration.settings,
+        setting_names: config.names,
+        settings: config.settings,
         runtime: events,
         phase,
         connection_counts,
--- a/src/forwarder/runtime/call_reports.rs
+++ b/src/forwarder/runtime/call_reports.rs
@@ -2,7 +2,7 @@
 
 use super::Runtime;
 use super::calls::EndedAttempt;
-use crate::forwarder::clock::unix_now;
+use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::http::Connection;
 use crate::forwarder::journal::{FinalOutcome, Record};
 use crate::forwarder::messages::call_report::{AttemptResult, CallReport, IdleReuse};
@@ -89,7 +89,7 @@
 
     /// Notes the end of the attempt for the journal, and completes its message if that needs nothing more.
     fn journal_attempt_end(&mut self, result: &AttemptResult) {
-        let unix_ms = unix_now();
+        let now_unix_ms = unix_now_ms();
         let record = if result.finished
             && let Some(message) = self.messages.remove(result.id)
         {
@@ -102,6 +102,6 @@
         } else {
             return;
         };
-        self.journal.lock().enqueue(&record, unix_ms);
+        self.journal.lock().enqueue(&record, now_unix_ms);
     }
 }
--- a/src/forwarder/runtime/client_requests.rs
+++ b/src/forwarder/runtime/client_requests.rs
@@ -1,8 +1,9 @@
 //! Messages that clients submit.
 
 use super::Runtime;
+use super::clock::MICROS_PER_MILLISECOND;
 use super::open_messages::OpenMessage;
-use crate::forwarder::clock::unix_now;
+use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::journal::{AcceptedMessage, FinalOutcome};
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::forwarder::metrics::DropReason;
@@ -56,16 +57,17 @@
     }
 
     fn submit_new_message(&mut self, now: Micros, request: ClientRequest) {
-        let ClientRequest { id, class, tenant, destination, key, body, deadline, reply } = request;
+        let ClientRequest { id, class, tenant, destination, idempotency_key, body, deadline, reply } =
+            request;
         let expires_at = self.clock.micros(deadline.into());
-        let remaining_ms = u64::try_from((expires_at - now) / 1000).unwrap_or(0);
+        let remaining_ms = u64::try_from((expires_at - now) / MICROS_PER_MILLISECOND).unwrap_or(0);
         let content = AcceptedMessage {
             id,
             class: self.names.classes[class].clone(),
             tenant: tenant.map(|tenant| self.names.tenants[tenant].clone()),
             destination,
-            key,
-            deadline_unix_ms: unix_now() + remaining_ms,
+            idempotency_key,
+            deadline_unix_ms: unix_now_ms() + remaining_ms,
             body,
         };
         let number = self.messages.insert_submitted(OpenMessage::submitted(content, expires_at, reply));
--- a/src/forwarder/runtime/clock.rs
+++ b/src/forwarder/runtime/clock.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Microseconds in a millisecond.
+pub(super) const MICROS_PER_MILLISECOND: Micros = 1000;
+
 /// A monotonic clock in microseconds since the start of the process. Wall-clock time is used only for times that
 /// have to survive a restart.
 pub(super) struct Clock {
--- a/src/forwarder/runtime/final_answers.rs
+++ b/src/forwarder/runtime/final_answers.rs
@@ -2,8 +2,9 @@
 
 use super::Runtime;
 use super::call_in_flight::AttemptCommand;
+use super::clock::MICROS_PER_MILLISECOND;
 use super::open_messages::OpenMessage;
-use crate::forwarder::clock::unix_now;
+use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::journal::Record;
 use crate::forwarder::messages::attempt::AttemptKey;
 use crate::forwarder::messages::client_request::ClientReply;
@@ -17,17 +18,18 @@
 pub(super) enum FinalAnswer {
     /// It was not executed; submitting it again does no harm.
     Rejected {
-        /// How long the client should wait before it does so, in microseconds.
-        retry_after: Option<u64>,
+        /// How long the client should wait before it does so.
+        retry_after: Option<Duration>,
     },
     /// Given up; it may have been executed.
     Failed,
 }
 
 impl FinalAnswer {
-    /// A rejection; the client is told to wait unless `retry_after` is 0.
+    /// A rejection with a Retry-After, unless that is not positive.
     pub(super) fn rejected(retry_after: Micros) -> Self {
-        FinalAnswer::Rejected { retry_after: u64::try_from(retry_after).ok().filter(|micros| *micros > 0) }
+        let micros = u64::try_from(retry_after).ok().filter(|micros| *micros > 0);
+        FinalAnswer::Rejected { retry_after: micros.map(Duration::from_micros) }
     }
 
     fn drop_reason(self) -> DropReason {
@@ -39,9 +41,7 @@
 
     fn client_reply(self) -> ClientReply {
         match self {
-            FinalAnswer::Rejected { retry_after } => {
-                ClientReply::Rejected(retry_after.map(Duration::from_micros))
-            }
+            FinalAnswer::Rejected { retry_after } => ClientReply::Rejected(retry_after),
             FinalAnswer::Failed => ClientReply::Failed,
         }
     }
@@ -49,14 +49,18 @@
     fn notice_outcome(self) -> NoticeOutcome {
         match self {
             FinalAnswer::Rejected { retry_after } => {
-                let retry_in_ms = retry_after.map(|micros| micros.div_ceil(1000));
-                NoticeOutcome::Rejected { retry_in_ms }
+                NoticeOutcome::Rejected { retry_in_ms: retry_after.map(milliseconds_rounded_up) }
             }
             FinalAnswer::Failed => NoticeOutcome::Failed,
         }
     }
 }
 
+/// Rounded up, so that a client never submits its message too early.
+fn milliseconds_rounded_up(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros().div_ceil(MICROS_PER_MILLISECOND as u128)).unwrap_or(u64::MAX)
+}
+
 impl Runtime {
     /// Ends a message: by a reply to its client as long as that waits, later by a notice.
     pub(super) fn give_up(&mut self, id: MessageId, answer: FinalAnswer) {
@@ -78,7 +82,7 @@
     fn queue_notice(&mut self, message: OpenMessage, outcome: NoticeOutcome) {
         let client_id = message.content.id;
         let pending = Record::notice_pending(client_id.clone(), outcome, message.content.deadline_unix_ms);
-        self.journal.lock().enqueue(&pending, unix_now());
+        self.journal.lock().enqueue(&pending, unix_now_ms());
         self.notices.push(Notice { message: client_id, outcome });
     }
 
--- a/src/forwarder/runtime/upgrade/forwarding.rs
+++ b/src/forwarder/runtime/handover/forwarding.rs
@@ -76,7 +76,7 @@
             class: self.names.classes[request.class].clone(),
             tenant: request.tenant.map(|tenant| self.names.tenants[tenant].clone()),
             destination: request.destination,
-            key: request.key,
+            idempotency_key: request.idempotency_key,
             body: STANDARD.encode(&request.body),
             remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
         };
@@ -112,15 +112,7 @@
         let is_cancelled_by_shutdown =
             outcome == Outcome::Cancelled && self.lifecycle.is_past_call_completion();
         let outcome = if is_cancelled_by_shutdown { Outcome::StaleConnection } else { outcome };
-        Some(EndedAttempt {
-            message: ended.message,
-            attempt,
-            outcome,
-            finished,
-            report,
-            retry_after_us: retry_after,
-            unsent,
-        })
+        Some(EndedAttempt { message: ended.message, attempt, outcome, finished, report, retry_after, unsent })
     }
 
     /// The ends of attempts that this process' own predecessor reports, or that are lost as it has ended.
--- a/src/forwarder/runtime/upgrade/handoff.rs
+++ b/src/forwarder/runtime/handover/handoff.rs
@@ -25,10 +25,10 @@
         let mut calls: BTreeMap<CallId, InFlightCall> = BTreeMap::new();
         for written in self.calls.written_attempts() {
             let Some(endpoint) = self.endpoints.uid(written.endpoint) else { continue };
-            let age_us = now - written.sent_at;
+            let age = now - written.sent_at;
             let call = calls.entry(written.call).or_insert_with(|| InFlightCall {
                 endpoint,
-                age_us,
+                age,
                 attempts: Vec::new(),
             });
             call.attempts.push(written.attempt);
@@ -70,10 +70,10 @@
 
     fn restore_calls(&mut self, now: Micros, calls: Vec<InFlightCall>) -> InheritedAttempts {
         let mut inherited = InheritedAttempts::default();
-        for InFlightCall { endpoint: uid, age_us, attempts } in calls {
+        for InFlightCall { endpoint: uid, age, attempts } in calls {
             let Some(endpoint) = self.endpoints.number_of(&uid) else { continue };
             let call = self.calls.add_inherited_call(endpoint, attempts.len());
-            let call = InheritedCall { call, endpoint, sent_at: now - age_us };
+            let call = InheritedCall { call, endpoint, sent_at: now - age };
             for attempt in attempts {
                 inherited.insert(attempt, call);
             }
--- a/src/forwarder/runtime/upgrade/predecessor.rs
+++ b/src/forwarder/runtime/handover/predecessor.rs
@@ -69,7 +69,7 @@
             outcome: Outcome::StaleConnection,
             finished: false,
             report: None,
-            retry_after_us: None,
+            retry_after: None,
             unsent: false,
         };
         self.calls.attempts_of_predecessor().map(lost).collect()
@@ -82,8 +82,7 @@
     }
 
     fn end_inherited_attempt(&mut self, now: Micros, ended: EndedAttempt) {
-        let EndedAttempt { message, attempt, outcome, finished, report, retry_after_us: retry_after, unsent } =
-            ended;
+        let EndedAttempt { message, attempt, outcome, finished, report, retry_after, unsent } = ended;
         let Some(key) = self.calls.find(&message, attempt) else { return };
         let Some(endpoint) = self.calls.endpoint_of(key) else { return };
         if retry_after.is_some() {
@@ -124,7 +123,7 @@
             class: index(&self.names.classes, &forwarded.class)?,
             tenant,
             destination: forwarded.destination,
-            key: forwarded.key,
+            idempotency_key: forwarded.idempotency_key,
             body: STANDARD.decode(forwarded.body).ok()?.into(),
             deadline: Instant::now() + Duration::from_millis(forwarded.remaining_ms),
             reply,
--- a/src/forwarder/runtime/log.rs
+++ b/src/forwarder/runtime/log.rs
@@ -1,6 +1,7 @@
 //! The periodic log lines.
 
 use super::Runtime;
+use super::clock::MICROS_PER_MILLISECOND;
 use crate::interface::{DestinationBacklog, Micros};
 
 impl Runtime {
@@ -30,7 +31,7 @@
         backlog.degraded,
         backlog.outage,
         backlog.rate,
-        backlog.ready_in / 1000,
-        backlog.retry_after / 1000
+        backlog.ready_in / MICROS_PER_MILLISECOND,
+        backlog.retry_after / MICROS_PER_MILLISECOND
     );
 }
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -2,7 +2,7 @@
 //! reports the results to it. It makes no decisions of its own.
 //!
 //! Events are collected and handled in turns ([`turn`]). After an upgrade, events are forwarded to the process that
-//! has taken over ([`upgrade`]).
+//! has taken over ([`handover`]).
 
 mod admin;
 mod call_in_flight;
@@ -14,6 +14,7 @@
 mod endpoint_list;
 mod endpoints;
 mod final_answers;
+mod handover;
 mod idle_connections;
 mod log;
 mod notice_queue;
@@ -22,9 +23,8 @@
 mod recovery;
 mod shutdown;
 mod turn;
-mod upgrade;
 
-use crate::forwarder::clock::unix_now;
+use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::configuration::Config;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::journal::{Journal, JournalError, SharedJournal};
@@ -38,6 +38,7 @@
 use clock::Clock;
 use decisions::Decisions;
 use endpoints::Endpoints;
+use handover::{PendingReplies, Successor};
 use idle_connections::IdleConnectionPool;
 use notice_queue::NoticeQueue;
 use open_messages::OpenMessages;
@@ -49,7 +50,6 @@
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{Instant, sleep_until};
-use upgrade::{PendingReplies, Successor};
 
 /// The part of the disk limit that the journal uses. The rest allows for the rounding of file sizes.
 const JOURNAL_BYTES_PER_DISK_MB: f64 = 0.95e6;
@@ -113,7 +113,7 @@
         ownership: Ownership,
     ) -> Result<Self, JournalError> {
         let max_journal_bytes = (config.limits.disk_mb * JOURNAL_BYTES_PER_DISK_MB) as u64;
-        let (journal, recovered) = Journal::open(&config.state, max_journal_bytes, unix_now())?;
+        let (journal, recovered) = Journal::open(&config.state, max_journal_bytes, unix_now_ms())?;
         let inherited = match ownership.predecessor {
             // If it ended right after the hand-over, its calls ended with it, and the journal contains them.
             Some(predecessor) => predecessor.confirm_ownership(channels.events.clone()).await.ok(),
--- a/src/forwarder/runtime/notice_queue.rs
+++ b/src/forwarder/runtime/notice_queue.rs
@@ -1,7 +1,7 @@
 //! The notices that have to be sent.
 
 use super::Runtime;
-use crate::forwarder::clock::unix_now;
+use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::journal::Record;
 use crate::forwarder::messages::notice::Notice;
 use tokio::sync::mpsc::Sender;
@@ -48,7 +48,7 @@
 
     /// Completes messages in the journal whose notices the platform has acknowledged.
     pub(super) fn complete_notified(&mut self, notices: Vec<Notice>) {
-        let unix_ms = unix_now();
+        let now_unix_ms = unix_now_ms();
         for Notice { message, outcome } in notices {
             // Accepted again since: the end of the earlier submission must not complete this one in the journal.
             if self.messages.by_client_id(&message).is_some_and(|again| again.accepted) {
@@ -57,7 +57,7 @@
             let remembered = self.journal.lock().final_outcome(&message);
             let remember_until_unix_ms = remembered.map_or(0, |remembered| remembered.until_unix_ms);
             let completed = Record::completed(message, outcome.into(), remember_until_unix_ms);
-            self.journal.lock().enqueue(&completed, unix_ms);
+            self.journal.lock().enqueue(&completed, now_unix_ms);
         }
     }
 }
--- a/src/forwarder/runtime/open_messages/tests.rs
+++ b/src/forwarder/runtime/open_messages/tests.rs
@@ -9,7 +9,7 @@
         class: "class".to_owned(),
         tenant: None,
         destination: 7,
-        key: None,
+        idempotency_key: None,
         deadline_unix_ms: 0,
         body: Bytes::new(),
     };
--- a/src/forwarder/runtime/outbound_calls.rs
+++ b/src/forwarder/runtime/outbound_calls.rs
@@ -121,7 +121,7 @@
                 id: attempt.id,
                 attempt: attempt.attempt,
                 message: message.content.id.clone(),
-                key: message.content.key.clone(),
+                idempotency_key: message.content.idempotency_key.clone(),
                 body: message.content.body.clone(),
                 times_out_at: self.clock.instant(attempt.times_out_at),
                 expires_at: self.clock.instant(message.expires_at),
--- a/src/forwarder/runtime/recovery.rs
+++ b/src/forwarder/runtime/recovery.rs
@@ -2,9 +2,10 @@
 
 use super::Runtime;
 use super::client_requests::SubmissionDetails;
+use super::clock::MICROS_PER_MILLISECOND;
 use super::final_answers::FinalAnswer;
 use super::open_messages::OpenMessage;
-use crate::forwarder::clock::unix_now;
+use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::journal::{AcceptedMessage, RecoveredAttempt, RecoveredMessage};
 use crate::forwarder::messages::attempt::{AttemptKey, AttemptRef};
 use crate::forwarder::messages::notice::Notice;
@@ -36,13 +37,13 @@
 #[derive(Clone, Copy)]
 struct WallClock {
     now: Micros,
-    unix_ms: u64,
+    now_unix_ms: u64,
 }
 
 impl WallClock {
     fn to_micros(self, unix_ms: u64) -> Micros {
-        let from_now_ms = unix_ms as i64 - self.unix_ms as i64;
-        self.now.saturating_add(from_now_ms.saturating_mul(1000))
+        let from_now_ms = unix_ms as i64 - self.now_unix_ms as i64;
+        self.now.saturating_add(from_now_ms.saturating_mul(MICROS_PER_MILLISECOND))
     }
 }
 
@@ -75,7 +76,7 @@
         if let Some(outcome) = pending_notice {
             return self.notices.push(Notice { message: content.id, outcome });
         }
-        let wall_clock = WallClock { now, unix_ms: unix_now() };
+        let wall_clock = WallClock { now, now_unix_ms: unix_now_ms() };
         let expires_at = wall_clock.to_micros(content.deadline_unix_ms);
         let in_flight = inherited.take_last(&content.id, attempts.len());
         // What the attempt in flight may have done is reported when it ends.
--- a/src/forwarder/runtime/shutdown.rs
+++ b/src/forwarder/runtime/shutdown.rs
@@ -1,6 +1,6 @@
 //! The lifecycle of the process, and the time line of its graceful shutdown.
 
-use super::upgrade::Successor;
+use super::handover::Successor;
 use crate::forwarder::server::LifecyclePhase;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/src/forwarder/runtime/turn.rs
+++ b/src/forwarder/runtime/turn.rs
@@ -3,9 +3,9 @@
 use super::Runtime;
 use super::call_in_flight::AttemptCommand;
 use super::final_answers::FinalAnswer;
+use super::handover::Successor;
 use super::outbound_calls::PlannedAttempt;
-use super::upgrade::Successor;
-use crate::forwarder::clock::unix_now;
+use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::journal::{FinalOutcome, Record};
 use crate::forwarder::messages::attempt::AttemptKey;
@@ -95,9 +95,9 @@
     /// Writes the turn to the journal, then replies to clients and starts calls. If it cannot be written, no
     /// message is accepted and no call is started.
     fn commit(&mut self, now: Micros, attempts: Vec<PlannedAttempt>) {
-        let unix_ms = unix_now();
-        let Acceptance { ids, records, .. } = self.select_for_acceptance(unix_ms);
-        let written = self.journal.lock().commit(&records, unix_ms);
+        let now_unix_ms = unix_now_ms();
+        let Acceptance { ids, records, .. } = self.select_for_acceptance(now_unix_ms);
+        let written = self.journal.lock().commit(&records, now_unix_ms);
         if let Err(error) = written {
             eprintln!("runtime: {error}");
             ids.into_iter().for_each(|id| self.reject_submission(id));
@@ -109,14 +109,14 @@
     }
 
     /// Selects the submitted messages that fit into the journal and whose clients still wait; rejects the others.
-    fn select_for_acceptance(&mut self, unix_ms: u64) -> Acceptance {
+    fn select_for_acceptance(&mut self, now_unix_ms: u64) -> Acceptance {
         let mut selected = Acceptance::default();
         for id in self.messages.take_submitted() {
             let Some(message) = self.messages.get(id) else { continue };
             let messages = selected.ids.len() + 1;
             let body_bytes = selected.body_bytes + message.content.body.len();
             let is_acceptable = !message.is_abandoned_by_clients()
-                && self.journal.lock().has_capacity(messages, body_bytes, unix_ms);
+                && self.journal.lock().has_capacity(messages, body_bytes, now_unix_ms);
             if !is_acceptable {
                 self.reject_submission(id);
                 continue;
@@ -157,7 +157,7 @@
         let Some(message) = self.messages.remove(id) else { return };
         self.metrics.record_dropped(DropReason::ClientDisconnected);
         let completed = Record::completed(message.content.id, FinalOutcome::Rejected, 0);
-        self.journal.lock().enqueue(&completed, unix_now());
+        self.journal.lock().enqueue(&completed, unix_now_ms());
         self.decisions.defer(Event::ClientDisconnected { id });
     }
 }
--- a/src/forwarder/server/handler.rs
+++ b/src/forwarder/server/handler.rs
@@ -120,7 +120,7 @@
             class,
             tenant: headers.tenant,
             destination: headers.destination,
-            key: headers.key,
+            idempotency_key: headers.key,
             body,
             deadline: Instant::now() + headers.remaining,
             reply,
--- a/src/forwarder/upgrade/format_tests.rs
+++ b/src/forwarder/upgrade/format_tests.rs
@@ -67,10 +67,10 @@
         calls: vec![
             InFlightCall {
                 endpoint: "endpoint-1".to_owned(),
-                age_us: 1234,
+                age: 1234,
                 attempts: vec![attempt("m-1", 0), attempt("m-2", 3)],
             },
-            InFlightCall { endpoint: "endpoint-2".to_owned(), age_us: 0, attempts: vec![] },
+            InFlightCall { endpoint: "endpoint-2".to_owned(), age: 0, attempts: vec![] },
         ],
         client_connections: 5,
         learned: vec![
@@ -98,7 +98,7 @@
         outcome,
         finished: false,
         report: None,
-        retry_after_us: None,
+        retry_after: None,
         unsent: false,
     }
 }
@@ -112,7 +112,7 @@
             ..ended(Outcome::Rejected { retry_after: None })
         },
         EndedAttempt {
-            retry_after_us: Some(1_500_000),
+            retry_after: Some(1_500_000),
             ..ended(Outcome::Rejected { retry_after: Some(1_500_000) })
         },
         ended(Outcome::TimedOut),
@@ -131,7 +131,7 @@
         class: "auth-notice".to_owned(),
         tenant: tenant.map(str::to_owned),
         destination: u64::MAX,
-        key: key.map(str::to_owned),
+        idempotency_key: key.map(str::to_owned),
         body: "aGVsbG8=".to_owned(),
         remaining_ms: 2500,
     }
--- a/src/forwarder/upgrade/frames.rs
+++ b/src/forwarder/upgrade/frames.rs
@@ -7,7 +7,7 @@
 use crate::forwarder::messages::attempt::AttemptRef;
 use crate::forwarder::messages::client_request::ClientReply;
 use crate::forwarder::messages::endpoint_list::EndpointRecord;
-use crate::interface::{LearnedState, LoadReport, Outcome};
+use crate::interface::{LearnedState, LoadReport, Micros, Outcome};
 use serde::{Deserialize, Serialize};
 
 /// The number of a request that one process forwards to the other. The reply carries the same number.
@@ -96,9 +96,8 @@
     /// The discovery id of the endpoint.
     #[serde(rename = "target")]
     pub(crate) endpoint: String,
-    /// Microseconds since it was sent.
-    #[serde(rename = "age")]
-    pub(crate) age_us: i64,
+    /// How long ago it was sent.
+    pub(crate) age: Micros,
     /// The attempts that were sent in it.
     pub(crate) attempts: Vec<AttemptRef>,
 }
@@ -116,9 +115,9 @@
     pub(crate) finished: bool,
     /// What the endpoint reported about its rate limit.
     pub(crate) report: Option<LoadReport>,
-    /// A wait that the endpoint asked for, in microseconds.
+    /// The endpoint sent Retry-After: how long it wants no calls.
     #[serde(rename = "wait")]
-    pub(crate) retry_after_us: Option<i64>,
+    pub(crate) retry_after: Option<Micros>,
     /// Nothing of it was written.
     #[serde(default)]
     pub(crate) unsent: bool,
@@ -137,7 +136,8 @@
     #[serde(rename = "dest")]
     pub(crate) destination: u64,
     /// The idempotency key.
-    pub(crate) key: Option<String>,
+    #[serde(rename = "key")]
+    pub(crate) idempotency_key: Option<String>,
     /// The payload in Base64.
     pub(crate) body: String,
     /// Milliseconds until the client stops waiting.
