Separate the lifecycle from the successor, and give steps to their one owner

Hard to read: Lifecycle looked into Successor, requests that one process forwards to the other were encoded in one file and decoded in another, and recovery and hand-over imported each other.

--- a/src/forwarder/journal/format_tests.rs
+++ b/src/forwarder/journal/format_tests.rs
@@ -59,7 +59,7 @@
 fn assert_reads_as_the_fixture(journal: &Journal, messages: &[RecoveredMessage]) {
     assert_eq!(messages, expected_open_messages());
     assert_eq!(remembered_outcomes(journal), expected_outcomes());
-    assert_eq!(journal.banned_endpoints().iter().collect::<Vec<_>>(), ["endpoint-2", "endpoint-3"]);
+    assert_eq!(journal.retained.banned_endpoints.iter().collect::<Vec<_>>(), ["endpoint-2", "endpoint-3"]);
 }
 
 /// The digest of what is read from each of these files, and of how long they are once they were opened.
--- a/src/forwarder/journal/format_tests/digest.rs
+++ b/src/forwarder/journal/format_tests/digest.rs
@@ -89,8 +89,8 @@
             self.outcome(outcome);
             self.number(until);
         }
-        self.number(journal.banned_endpoints().len() as u64);
-        journal.banned_endpoints().iter().for_each(|uid| self.text(uid));
+        self.number(journal.retained.banned_endpoints.len() as u64);
+        journal.retained.banned_endpoints.iter().for_each(|uid| self.text(uid));
     }
 
     pub(super) fn value(&self) -> u64 {
--- a/src/forwarder/journal/mod.rs
+++ b/src/forwarder/journal/mod.rs
@@ -27,7 +27,6 @@
 use open_messages::RESERVED_BYTES_PER_MESSAGE;
 use replay::Replay;
 use retained::RetainedState;
-use std::collections::BTreeSet;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -160,9 +159,9 @@
         self.retained.outcomes.get(message)
     }
 
-    /// Ids of the endpoints that operators have disabled.
-    pub(crate) fn banned_endpoints(&self) -> &BTreeSet<String> {
-        &self.retained.banned_endpoints
+    /// Whether operators have disabled the endpoint with this id.
+    pub(crate) fn is_banned(&self, endpoint: &str) -> bool {
+        self.retained.banned_endpoints.contains(endpoint)
     }
 
     /// Whether all enqueued records have been written.
--- a/src/forwarder/runtime/admin.rs
+++ b/src/forwarder/runtime/admin.rs
@@ -55,7 +55,7 @@
     /// Starts or ends the ban of an endpoint. The ban is written to the journal before it takes effect. A repeated
     /// command changes nothing.
     fn set_banned(&mut self, now: Micros, uid: &str, banned: bool) -> AdminReply {
-        let is_banned = self.journal.lock().banned_endpoints().contains(uid);
+        let is_banned = self.journal.lock().is_banned(uid);
         if !is_banned && !self.endpoints.was_ever_listed(uid) {
             return Err(AdminError::UnknownEndpoint);
         }
--- a/src/forwarder/runtime/call_reports.rs
+++ b/src/forwarder/runtime/call_reports.rs
@@ -32,7 +32,7 @@
     /// address and there is room for it.
     fn keep_connection(&mut self, endpoint: EndpointId, address: SocketAddr, connection: Connection) {
         let Some(known) = self.endpoints.get(endpoint) else { return };
-        let is_banned = self.journal.lock().banned_endpoints().contains(&known.record.uid);
+        let is_banned = self.journal.lock().is_banned(&known.record.uid);
         let may_be_called =
             known.record.address == address && !self.endpoints.is_removed(endpoint) && !is_banned;
         if may_be_called && self.idle_connections.len() < self.max_idle_connections() {
--- a/src/forwarder/runtime/endpoint_list.rs
+++ b/src/forwarder/runtime/endpoint_list.rs
@@ -29,7 +29,7 @@
         if updated.address_changed || is_draining(record.state) {
             self.stop_using(endpoint);
         }
-        if self.journal.lock().banned_endpoints().contains(&record.uid) {
+        if self.journal.lock().is_banned(&record.uid) {
             self.decisions.notify(now, Event::BanStarted { endpoint });
         }
         if record.state == LifecycleState::Terminated {
--- a/src/forwarder/runtime/handover/forwarding.rs
+++ b/src/forwarder/runtime/handover/forwarding.rs
@@ -1,6 +1,8 @@
 //! This process after its hand-over: it completes its calls and forwards to the successor what clients and operators
 //! still send here.
 
+use super::forwarded_request;
+use super::predecessor::lost_attempts;
 use super::successor::Successor;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::admin_command::{AdminCommand, AdminError, AdminRequest};
@@ -9,14 +11,9 @@
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::forwarder::runtime::Runtime;
 use crate::forwarder::runtime::call_in_flight::AttemptCommand;
-use crate::forwarder::upgrade::{
-    EndedAttempt, ForwardedRequest, Frame, PeerEvent, PeerEventKind, PeerRole, UpgradeError,
-};
+use crate::forwarder::upgrade::{EndedAttempt, Frame, PeerEvent, PeerEventKind, PeerRole, UpgradeError};
 use crate::interface::Outcome;
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::Instant;
 
 impl Runtime {
     /// Forwards what still arrives here to the successor that owns the messages. Calls in flight are completed.
@@ -66,21 +63,12 @@
 
     /// Without a successor nobody can accept the message, and nothing was done with it.
     fn forward_client_request(&mut self, request: ClientRequest) -> Option<Frame> {
-        if self.has_successor_ended() {
+        if self.successor.has_ended() {
             let _ = request.reply.send(ClientReply::Rejected(None));
             return None;
         }
-        let remaining = request.deadline.saturating_duration_since(Instant::now());
-        let forwarded = ForwardedRequest {
-            id: request.id,
-            class: self.names.classes[request.class].clone(),
-            tenant: request.tenant.map(|tenant| self.names.tenants[tenant].clone()),
-            destination: request.destination,
-            idempotency_key: request.idempotency_key,
-            body: STANDARD.encode(&request.body),
-            remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-        };
-        Some(Frame::ClientRequest(self.pending_replies.add_client(request.reply), forwarded))
+        let (forwarded, reply) = forwarded_request::encode(request, &self.names);
+        Some(Frame::ClientRequest(self.pending_replies.add_client(reply), forwarded))
     }
 
     /// Replies to a readiness check at once; forwards other commands whose operators still wait.
@@ -92,7 +80,7 @@
         if reply.is_closed() {
             return None;
         }
-        if self.has_successor_ended() {
+        if self.successor.has_ended() {
             let _ = reply.send(Err(AdminError::SuccessorGone));
             return None;
         }
@@ -120,7 +108,7 @@
         let ended = match kind {
             PeerEventKind::FrameReceived(Frame::AttemptsEnded(ended)) => ended,
             PeerEventKind::FrameReceived(_) => Vec::new(),
-            PeerEventKind::ChannelClosed => self.attempts_lost_with_predecessor(),
+            PeerEventKind::ChannelClosed => lost_attempts(&self.calls),
         };
         for EndedAttempt { message, attempt, .. } in &ended {
             if let Some(key) = self.calls.find(message, *attempt) {
@@ -130,17 +118,12 @@
         Frame::AttemptsEnded(ended)
     }
 
-    /// Whether the successor that owned the messages has ended.
-    fn has_successor_ended(&self) -> bool {
-        matches!(&self.successor, Successor::Owner(successor) if successor.ended)
-    }
-
     /// Handles a frame or the end of the successor that owns the messages.
     fn handle_successor_event(&mut self, channel: u64, kind: PeerEventKind) {
-        let is_current =
-            matches!(&self.successor, Successor::Owner(successor) if successor.channel.id == channel);
+        if !self.successor.is_owner_on(channel) {
+            return;
+        }
         match kind {
-            _ if !is_current => {}
             PeerEventKind::FrameReceived(frame) => self.handle_successor_frame(frame),
             PeerEventKind::ChannelClosed => self.handle_successor_end(),
         }
--- a/src/forwarder/runtime/handover/handoff.rs
+++ b/src/forwarder/runtime/handover/handoff.rs
@@ -1,9 +1,9 @@
 //! The state that a process hands over to its successor beside the journal.
 
+use super::InheritedAttempts;
 use crate::forwarder::messages::endpoint_list::EndpointList;
 use crate::forwarder::runtime::Runtime;
 use crate::forwarder::runtime::calls::CallId;
-use crate::forwarder::runtime::recovery::InheritedAttempts;
 use crate::forwarder::upgrade::{HandoffState, InFlightCall, LearnedEntry};
 use crate::interface::{Event, InheritedCall, LearnedState, Micros};
 use std::collections::BTreeMap;
--- a/src/forwarder/runtime/handover/predecessor.rs
+++ b/src/forwarder/runtime/handover/predecessor.rs
@@ -1,21 +1,18 @@
 //! This process as the successor: it owns the journal while its predecessor still completes calls and serves
 //! clients.
 
-use super::successor::Successor;
+use super::forwarded_request;
 use crate::forwarder::messages::admin_command::AdminCommand;
 use crate::forwarder::messages::attempt::AttemptRef;
 use crate::forwarder::messages::call_report::AttemptResult;
-use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
+use crate::forwarder::messages::client_request::ClientReply;
 use crate::forwarder::runtime::Runtime;
+use crate::forwarder::runtime::calls::CallsInFlight;
 use crate::forwarder::upgrade::{
     EndedAttempt, ForwardedRequest, Frame, PeerChannel, PeerEvent, PeerEventKind, PeerRole, UpgradeError,
 };
 use crate::interface::{Micros, Outcome};
-use crate::settings_reader::index;
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -28,7 +25,7 @@
             }
             (PeerRole::Predecessor, PeerEventKind::ChannelClosed) => self.handle_predecessor_end(now),
             (PeerRole::Successor, PeerEventKind::ChannelClosed) => {
-                self.drop_request_to_take_over(event.channel_id);
+                self.successor.withdraw_request(event.channel_id);
             }
             // From a successor that has not taken over: its channel is no longer used.
             (PeerRole::Successor, PeerEventKind::FrameReceived(_)) => {}
@@ -47,34 +44,13 @@
 
     /// Attempts that the predecessor had in flight when it ended may have been executed.
     fn handle_predecessor_end(&mut self, now: Micros) {
-        let lost = self.attempts_lost_with_predecessor();
+        let lost = lost_attempts(&self.calls);
         eprintln!("upgrade: the predecessor ended, with {} attempts in flight", lost.len());
         self.end_inherited_attempts(now, lost);
         self.predecessor = None;
         self.connection_counts.predecessor.store(0, Relaxed);
     }
 
-    fn drop_request_to_take_over(&mut self, channel: u64) {
-        if matches!(&self.successor, Successor::Requested(requested) if requested.id == channel) {
-            self.successor = Successor::None;
-        }
-    }
-
-    /// The ends of all attempts that the predecessor has in flight, if it has ended itself. They say nothing about
-    /// the endpoints.
-    pub(super) fn attempts_lost_with_predecessor(&self) -> Vec<EndedAttempt> {
-        let lost = |AttemptRef { message, attempt }| EndedAttempt {
-            message,
-            attempt,
-            outcome: Outcome::StaleConnection,
-            finished: false,
-            report: None,
-            retry_after: None,
-            unsent: false,
-        };
-        self.calls.attempts_of_predecessor().map(lost).collect()
-    }
-
     fn end_inherited_attempts(&mut self, now: Micros, ended: Vec<EndedAttempt>) {
         for attempt in ended {
             self.end_inherited_attempt(now, attempt);
@@ -98,7 +74,7 @@
     fn submit_forwarded(&mut self, now: Micros, request: u64, forwarded: ForwardedRequest) {
         let Some(predecessor) = self.predecessor.as_ref().map(PeerChannel::sender) else { return };
         let (reply, received) = oneshot::channel();
-        let Some(message) = self.decode_forwarded(forwarded, reply) else {
+        let Some(message) = forwarded_request::decode(forwarded, &self.names, reply) else {
             // The predecessor may have ended.
             let _ = predecessor.send(Frame::ClientReply(request, ClientReply::Rejected(None)));
             return;
@@ -108,28 +84,6 @@
         self.submit(now, message);
     }
 
-    /// Decodes a forwarded message; nothing if it names an unknown class or tenant.
-    fn decode_forwarded(
-        &self,
-        forwarded: ForwardedRequest,
-        reply: oneshot::Sender<ClientReply>,
-    ) -> Option<ClientRequest> {
-        let tenant = match &forwarded.tenant {
-            Some(name) => Some(index(&self.names.tenants, name)?),
-            None => None,
-        };
-        Some(ClientRequest {
-            id: forwarded.id,
-            class: index(&self.names.classes, &forwarded.class)?,
-            tenant,
-            destination: forwarded.destination,
-            idempotency_key: forwarded.idempotency_key,
-            body: STANDARD.decode(forwarded.body).ok()?.into(),
-            deadline: Instant::now() + Duration::from_millis(forwarded.remaining_ms),
-            reply,
-        })
-    }
-
     /// Carries out a command of an operator who is connected to the predecessor.
     fn execute_forwarded_command(&mut self, now: Micros, request: u64, command: AdminCommand) {
         let reply = self.execute_admin_command(now, command);
@@ -149,3 +103,17 @@
     // The predecessor may have ended.
     let _ = predecessor.send(Frame::ClientReply(request, reply));
 }
+
+/// The ends of all attempts that the predecessor had in flight when it ended. They say nothing about the endpoints.
+pub(super) fn lost_attempts(calls: &CallsInFlight) -> Vec<EndedAttempt> {
+    let lost = |AttemptRef { message, attempt }| EndedAttempt {
+        message,
+        attempt,
+        outcome: Outcome::StaleConnection,
+        finished: false,
+        report: None,
+        retry_after: None,
+        unsent: false,
+    };
+    calls.attempts_of_predecessor().map(lost).collect()
+}
--- a/src/forwarder/runtime/handover/successor.rs
+++ b/src/forwarder/runtime/handover/successor.rs
@@ -2,6 +2,7 @@
 
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::runtime::Runtime;
+use crate::forwarder::runtime::shutdown::HandoverStage;
 use crate::forwarder::upgrade::{Frame, PeerChannel, PeerEvent, PeerEventKind, PeerRole};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -24,9 +25,30 @@
 }
 
 impl Successor {
-    /// Whether this process has handed over and does not own the messages any more.
-    pub(in crate::forwarder::runtime) fn has_received_handoff(&self) -> bool {
-        matches!(self, Successor::HandedOver(_) | Successor::Owner(_))
+    /// How far this process has handed over.
+    pub(in crate::forwarder::runtime) fn stage(&self) -> HandoverStage {
+        match self {
+            Successor::None | Successor::Requested(_) => HandoverStage::NotStarted,
+            Successor::HandedOver(_) => HandoverStage::AwaitingConfirmation,
+            Successor::Owner(owner) => HandoverStage::Complete { since: owner.since },
+        }
+    }
+
+    /// Whether the successor that owned the messages has ended.
+    pub(super) fn has_ended(&self) -> bool {
+        matches!(self, Successor::Owner(owner) if owner.ended)
+    }
+
+    /// Whether the successor on this channel owns the messages.
+    pub(super) fn is_owner_on(&self, channel_id: u64) -> bool {
+        matches!(self, Successor::Owner(owner) if owner.channel.id == channel_id)
+    }
+
+    /// Drops the request to take over that arrived on this channel, which is closed.
+    pub(super) fn withdraw_request(&mut self, channel_id: u64) {
+        if matches!(self, Successor::Requested(channel) if channel.id == channel_id) {
+            *self = Successor::None;
+        }
     }
 }
 
@@ -42,7 +64,7 @@
 /// A successor that owns all messages.
 pub(in crate::forwarder::runtime) struct OwningSuccessor {
     pub(super) channel: PeerChannel,
-    pub(in crate::forwarder::runtime) since: Instant,
+    since: Instant,
     /// It has ended since.
     pub(super) ended: bool,
 }
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -42,7 +42,7 @@
 use idle_connections::IdleConnectionPool;
 use notice_queue::NoticeQueue;
 use open_messages::OpenMessages;
-use shutdown::{Lifecycle, RemainingWork};
+use shutdown::{HandoverStage, Lifecycle, RemainingWork};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
@@ -222,7 +222,7 @@
         let now = Instant::now();
         let is_ending = self.lifecycle.is_terminating() || !matches!(self.successor, Successor::None);
         let latest = now + if is_ending { MAX_TURN_INTERVAL_WHILE_ENDING } else { MAX_TURN_INTERVAL };
-        if self.successor.has_received_handoff() {
+        if self.successor.stage() != HandoverStage::NotStarted {
             return latest;
         }
         if self.decisions.has_deferred() {
@@ -248,7 +248,7 @@
     }
 
     fn phase(&self) -> LifecyclePhase {
-        self.lifecycle.phase(&self.successor, self.calls.has_attempts(), !self.messages.is_empty())
+        self.lifecycle.phase(self.successor.stage(), self.calls.has_attempts(), !self.messages.is_empty())
     }
 
     fn is_complete(&self, is_server_finished: bool) -> bool {
@@ -257,6 +257,6 @@
             journal: !self.journal.lock().is_flushed(),
             calls_or_replies: !self.calls.is_empty() || !self.pending_replies.is_empty(),
         };
-        self.lifecycle.is_complete(&self.successor, &remaining)
+        self.lifecycle.is_complete(self.successor.stage(), &remaining)
     }
 }
--- a/src/forwarder/runtime/open_messages.rs
+++ b/src/forwarder/runtime/open_messages.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// The number of the next attempt, which counts as started from now on.
+    pub(super) fn assign_attempt_number(&mut self) -> usize {
+        let number = self.attempts;
+        self.attempts += 1;
+        number
+    }
+
     /// Number of the attempt that was started last.
     pub(super) fn last_attempt(&self) -> Option<usize> {
         self.attempts.checked_sub(1)
--- a/src/forwarder/runtime/outbound_calls.rs
+++ b/src/forwarder/runtime/outbound_calls.rs
@@ -3,7 +3,7 @@
 use super::Runtime;
 use super::call_in_flight::command_capacity;
 use super::calls::{StartedAttempt, StartedCall};
-use super::endpoints::Endpoint;
+use super::endpoints::{Endpoint, Endpoints};
 use super::idle_connections::ReusedConnection;
 use crate::forwarder::endpoint_client::{self, CallItem, OutboundCall, WriteGuard};
 use crate::forwarder::messages::attempt::AttemptRef;
@@ -44,8 +44,7 @@
         send_before: Micros,
     ) -> Option<PlannedAttempt> {
         let message = self.messages.get_mut(id)?;
-        let attempt = message.attempts;
-        message.attempts += 1;
+        let attempt = message.assign_attempt_number();
         let expires_at = message.expires_at;
         let times_out_at =
             if timeout == 0 { expires_at } else { now.saturating_add(timeout).min(expires_at) };
@@ -54,27 +53,11 @@
 
     /// Starts calls for the attempts of a turn.
     pub(super) fn start_calls(&mut self, now: Micros, attempts: Vec<PlannedAttempt>) {
-        for call in self.group_into_calls(attempts) {
+        for call in group_into_calls(attempts, &self.endpoints) {
             self.start_call(now, call);
         }
     }
 
-    /// Attempts to one endpoint travel together, up to what its kind of destination allows.
-    fn group_into_calls(&self, attempts: Vec<PlannedAttempt>) -> Vec<PlannedCall> {
-        let mut calls: Vec<PlannedCall> = Vec::new();
-        for attempt in attempts {
-            let endpoint = attempt.endpoint;
-            let max_batch = self.endpoints.max_batch(endpoint);
-            let has_room =
-                |call: &&mut PlannedCall| call.endpoint == endpoint && call.attempts.len() < max_batch;
-            match calls.iter_mut().rfind(has_room) {
-                Some(call) => call.attempts.push(attempt),
-                None => calls.push(PlannedCall { endpoint, attempts: vec![attempt] }),
-            }
-        }
-        calls
-    }
-
     fn start_call(&mut self, now: Micros, call: PlannedCall) {
         let endpoint = call.endpoint;
         let items = self.call_items(call);
@@ -164,6 +147,22 @@
     }
 }
 
+/// Attempts to one endpoint travel together, up to what its kind of destination allows.
+fn group_into_calls(attempts: Vec<PlannedAttempt>, endpoints: &Endpoints) -> Vec<PlannedCall> {
+    let mut calls: Vec<PlannedCall> = Vec::new();
+    for attempt in attempts {
+        let endpoint = attempt.endpoint;
+        let max_batch = endpoints.max_batch(endpoint);
+        let has_capacity =
+            |call: &&mut PlannedCall| call.endpoint == endpoint && call.attempts.len() < max_batch;
+        match calls.iter_mut().rfind(has_capacity) {
+            Some(call) => call.attempts.push(attempt),
+            None => calls.push(PlannedCall { endpoint, attempts: vec![attempt] }),
+        }
+    }
+    calls
+}
+
 fn started_attempt(item: &CallItem) -> StartedAttempt {
     StartedAttempt { key: item.key(), message: item.message.clone() }
 }
--- a/src/forwarder/runtime/recovery.rs
+++ b/src/forwarder/runtime/recovery.rs
@@ -4,35 +4,19 @@
 use super::client_requests::SubmissionDetails;
 use super::clock::MICROS_PER_MILLISECOND;
 use super::final_answers::FinalAnswer;
+use super::handover::InheritedAttempts;
 use super::open_messages::OpenMessage;
 use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::journal::{AcceptedMessage, RecoveredAttempt, RecoveredMessage};
 use crate::forwarder::messages::attempt::{AttemptKey, AttemptRef};
 use crate::forwarder::messages::notice::Notice;
 use crate::forwarder::upgrade::HandoffState;
-use crate::interface::{Event, InheritedCall, MessageHistory, Micros, PossibleExecution};
+use crate::interface::{Event, MessageHistory, Micros, PossibleExecution};
 use crate::settings_reader::index;
-use std::collections::BTreeMap;
 
 /// Age of an attempt whose time was lost: no destination remembers an idempotency key for so long.
 const UNKNOWN_ATTEMPT_AGE_MICROS: Micros = 1 << 55;
 
-/// The attempts that the predecessor has in flight, and their calls.
-#[derive(Default)]
-pub(super) struct InheritedAttempts(BTreeMap<AttemptRef, InheritedCall>);
-
-impl InheritedAttempts {
-    pub(super) fn insert(&mut self, attempt: AttemptRef, call: InheritedCall) {
-        self.0.insert(attempt, call);
-    }
-
-    /// Takes the last attempt of a message that had `attempts` of them, if it is in flight.
-    fn take_last(&mut self, message: &str, attempts: usize) -> Option<InheritedCall> {
-        let last = AttemptRef { message: message.to_owned(), attempt: attempts.checked_sub(1)? };
-        self.0.remove(&last)
-    }
-}
-
 /// Converts wall-clock times of the journal to the clock of this process.
 #[derive(Clone, Copy)]
 struct WallClock {
@@ -84,7 +68,7 @@
         let history = MessageHistory {
             accepted: true,
             attempts: ended.len(),
-            possible_execution: self.possible_execution(ended, in_doubt, wall_clock),
+            possible_execution: possible_execution(ended, in_doubt, &self.names.zones, wall_clock),
             in_flight,
         };
         let without_attempt = attempts.is_empty() && !in_doubt;
@@ -92,22 +76,6 @@
         self.resubmit(now, message, history);
     }
 
-    /// The first one of these attempts that may have been executed. Where records of a message are damaged, any
-    /// attempt at any time may be missing.
-    fn possible_execution(
-        &self,
-        attempts: &[RecoveredAttempt],
-        in_doubt: bool,
-        wall_clock: WallClock,
-    ) -> Option<PossibleExecution> {
-        if in_doubt {
-            return Some(PossibleExecution { sent_at: -UNKNOWN_ATTEMPT_AGE_MICROS, zone: usize::MAX });
-        }
-        let first = attempts.iter().find(|attempt| attempt.may_have_executed)?;
-        let zone = index(&self.names.zones, &first.zone).unwrap_or(usize::MAX);
-        Some(PossibleExecution { sent_at: wall_clock.to_micros(first.sent_at_unix_ms), zone })
-    }
-
     /// Submits a recovered message to the decision module.
     fn resubmit(&mut self, now: Micros, message: OpenMessage, history: MessageHistory) {
         let AcceptedMessage { id: client_id, class, tenant, destination, .. } = &message.content;
@@ -129,7 +97,7 @@
 
     /// The calls of these attempts still take slots, although their messages are complete.
     fn track_attempts_of_complete_messages(&mut self, now: Micros, inherited: InheritedAttempts) {
-        for (AttemptRef { message, attempt }, call) in inherited.0 {
+        for (AttemptRef { message, attempt }, call) in inherited.into_remaining() {
             let id = self.messages.assign_number();
             self.calls.add_inherited_attempt(AttemptKey { id, attempt }, call, message);
             self.decisions.notify(now, Event::InheritedAttempt { id, attempt, call });
@@ -137,6 +105,22 @@
     }
 }
 
+/// The first one of these attempts that may have been executed. Where records of a message are damaged, any attempt
+/// at any time may be missing.
+fn possible_execution(
+    attempts: &[RecoveredAttempt],
+    in_doubt: bool,
+    zones: &[String],
+    wall_clock: WallClock,
+) -> Option<PossibleExecution> {
+    if in_doubt {
+        return Some(PossibleExecution { sent_at: -UNKNOWN_ATTEMPT_AGE_MICROS, zone: usize::MAX });
+    }
+    let first = attempts.iter().find(|attempt| attempt.may_have_executed)?;
+    let zone = index(zones, &first.zone).unwrap_or(usize::MAX);
+    Some(PossibleExecution { sent_at: wall_clock.to_micros(first.sent_at_unix_ms), zone })
+}
+
 fn log_recovered(recovered: &[RecoveredMessage]) {
     if recovered.is_empty() {
         return;
--- a/src/forwarder/runtime/shutdown.rs
+++ b/src/forwarder/runtime/shutdown.rs
@@ -1,6 +1,5 @@
 //! The lifecycle of the process, and the time line of its graceful shutdown.
 
-use super::handover::Successor;
 use crate::forwarder::server::LifecyclePhase;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -17,6 +16,20 @@
 /// How long a process waits for SIGTERM once its successor owns everything and nothing is left to do here.
 const MAX_IDLE_AFTER_UPGRADE: Duration = Duration::from_secs(10);
 
+/// How far this process has handed over to a successor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HandoverStage {
+    /// This process owns the messages.
+    NotStarted,
+    /// It has handed over, and the successor has not confirmed that it owns the messages.
+    AwaitingConfirmation,
+    /// The successor owns the messages.
+    Complete {
+        /// When its confirmation was handled.
+        since: Instant,
+    },
+}
+
 /// What is still to be done before the process may end.
 pub(super) struct RemainingWork {
     /// Clients have open connections.
@@ -67,14 +80,14 @@
     /// are open.
     pub(super) fn phase(
         &self,
-        successor: &Successor,
+        handover: HandoverStage,
         has_attempts: bool,
         has_messages: bool,
     ) -> LifecyclePhase {
-        match successor {
-            Successor::HandedOver(_) => return LifecyclePhase::HandingOver,
-            Successor::Owner(_) => return LifecyclePhase::Stopped,
-            Successor::None | Successor::Requested(_) => {}
+        match handover {
+            HandoverStage::AwaitingConfirmation => return LifecyclePhase::HandingOver,
+            HandoverStage::Complete { .. } => return LifecyclePhase::Stopped,
+            HandoverStage::NotStarted => {}
         }
         match self.time_since_termination() {
             Some(elapsed) if may_stop_serving(elapsed, has_attempts, has_messages) => LifecyclePhase::Stopped,
@@ -85,14 +98,16 @@
     }
 
     /// Whether the process may end.
-    pub(super) fn is_complete(&self, successor: &Successor, remaining: &RemainingWork) -> bool {
+    pub(super) fn is_complete(&self, handover: HandoverStage, remaining: &RemainingWork) -> bool {
         let overdue = self.time_since_termination().is_some_and(|elapsed| elapsed > MAX_SHUTDOWN_TIME);
-        let done = match successor {
-            Successor::Owner(owner) => {
-                let may_end = self.is_terminating() || owner.since.elapsed() > MAX_IDLE_AFTER_UPGRADE;
+        let done = match handover {
+            HandoverStage::Complete { since } => {
+                let may_end = self.is_terminating() || since.elapsed() > MAX_IDLE_AFTER_UPGRADE;
                 may_end && !remaining.clients && !remaining.calls_or_replies
             }
-            _ => self.is_terminating() && !remaining.clients && !remaining.journal,
+            HandoverStage::NotStarted | HandoverStage::AwaitingConfirmation => {
+                self.is_terminating() && !remaining.clients && !remaining.journal
+            }
         };
         overdue || done
     }
--- a/src/forwarder/runtime/shutdown/tests.rs
+++ b/src/forwarder/runtime/shutdown/tests.rs
@@ -7,7 +7,7 @@
 const JOURNAL_REMAINS: RemainingWork = RemainingWork { journal: true, ..NOTHING_REMAINS };
 
 fn phase(lifecycle: &Lifecycle, has_attempts: bool, has_messages: bool) -> LifecyclePhase {
-    lifecycle.phase(&Successor::None, has_attempts, has_messages)
+    lifecycle.phase(HandoverStage::NotStarted, has_attempts, has_messages)
 }
 
 #[tokio::test(start_paused = true)]
@@ -58,12 +58,15 @@
 #[tokio::test(start_paused = true)]
 async fn the_process_ends_with_its_work_or_when_its_time_is_over() {
     let mut lifecycle = Lifecycle::new();
-    assert!(!lifecycle.is_complete(&Successor::None, &NOTHING_REMAINS), "nobody has asked it to end");
+    assert!(
+        !lifecycle.is_complete(HandoverStage::NotStarted, &NOTHING_REMAINS),
+        "nobody has asked it to end"
+    );
     lifecycle.terminate();
-    assert!(lifecycle.is_complete(&Successor::None, &NOTHING_REMAINS));
-    assert!(!lifecycle.is_complete(&Successor::None, &JOURNAL_REMAINS));
+    assert!(lifecycle.is_complete(HandoverStage::NotStarted, &NOTHING_REMAINS));
+    assert!(!lifecycle.is_complete(HandoverStage::NotStarted, &JOURNAL_REMAINS));
     advance(MAX_SHUTDOWN_TIME).await;
-    assert!(!lifecycle.is_complete(&Successor::None, &JOURNAL_REMAINS));
+    assert!(!lifecycle.is_complete(HandoverStage::NotStarted, &JOURNAL_REMAINS));
     advance(MILLISECOND).await;
-    assert!(lifecycle.is_complete(&Successor::None, &JOURNAL_REMAINS));
+    assert!(lifecycle.is_complete(HandoverStage::NotStarted, &JOURNAL_REMAINS));
 }
