--- a/src/forwarder/descriptor_budget.rs
+++ b/src/forwarder/descriptor_budget.rs
@@ -1,4 +1,4 @@
-//! How the descriptors of the process are shared out.
+//! The allocation of the descriptors of the process to its connections.
 
 use super::Config;
 use super::admin;
@@ -9,14 +9,14 @@
 /// How many descriptors connections of each sort may use, so that neither many clients nor many endpoints use up
 /// all of them.
 pub(crate) struct DescriptorBudget {
-    /// Connections of clients: two thirds of the descriptors that are not set aside.
+    /// Connections of clients: two thirds of the descriptors that are not reserved.
     pub(crate) client_connections: usize,
     /// Connections to endpoints that carry no call: the last third.
     pub(crate) idle_connections: usize,
 }
 
 impl DescriptorBudget {
-    /// Sets descriptors aside for calls, operators and the process itself, and shares out the others.
+    /// Reserves descriptors for calls, operators and the process itself, and allocates the others.
     pub(crate) fn new(config: &Config) -> Self {
         // The listener for operators takes one as well.
         let operators = if config.admin.is_some() { admin::MAX_CONNECTIONS + 1 } else { 0 };
--- a/src/forwarder/endpoint_client/call.rs
+++ b/src/forwarder/endpoint_client/call.rs
@@ -74,7 +74,7 @@
     /// End the call. One of its messages has failed and its client is notified: that message must not be
     /// delivered after all, and a single message cannot be removed from a call on the wire.
     Abandon,
-    /// The destination asked for a wait: nothing may be written from now on.
+    /// The call must not be written from now on, for instance because the destination sent a Retry-After.
     WithholdWrite,
 }
 
--- a/src/forwarder/endpoint_client/write_guard/mod.rs
+++ b/src/forwarder/endpoint_client/write_guard/mod.rs
@@ -8,7 +8,7 @@
 
 /// Decides whether a call may be written, and records its attempts in the journal just before the first byte.
 ///
-/// They are not recorded earlier: a successor process takes a recorded attempt for one that may have been executed.
+/// They are not recorded earlier: a successor treats a recorded attempt as one that may have been executed.
 /// The guard is shared by the call and the runtime, which run on one thread.
 pub(crate) struct WriteGuard {
     journal: SharedJournal,
--- a/src/forwarder/event.rs
+++ b/src/forwarder/event.rs
@@ -19,7 +19,7 @@
     NoticesAcknowledged(Vec<Notice>),
     /// An operator sent a command.
     AdminRequest(AdminRequest),
-    /// A newer process of this forwarder asks to take over.
+    /// A newer process of this forwarder requests to take over.
     TakeOverRequested(PeerChannel),
     /// Another process of this forwarder sent a frame, or has ended.
     Peer(PeerEvent),
--- a/src/forwarder/journal/capacity.rs
+++ b/src/forwarder/journal/capacity.rs
@@ -43,8 +43,8 @@
         Capacity { file_length: self.compacted_length, ..self }
     }
 
-    /// Whether a compaction would free enough to be worth its time. Near the bound, where it frees next to
-    /// nothing, one for each message would take up the processor when most messages are open.
+    /// Whether a compaction would free enough to be worth its time. Near the bound, where it frees very
+    /// little, a compaction for each accepted message would use up the processor while most messages are open.
     pub(super) fn is_compaction_worthwhile(&self) -> bool {
         self.file_length.saturating_sub(self.compacted_length) >= self.max_bytes / WORTHWHILE_DIVISOR
     }
--- a/src/forwarder/journal/encoding.rs
+++ b/src/forwarder/journal/encoding.rs
@@ -15,7 +15,7 @@
 /// How the JSON of each record starts.
 const JSON_START: &[u8] = b"{\"";
 
-/// Appends the frame of a record, and gives the length of the frame in bytes.
+/// Appends the frame of a record, and returns the length of the frame in bytes.
 pub(super) fn encode(record: &Record, buffer: &mut Vec<u8>) -> u64 {
     let start = buffer.len();
     let payload_start = start + HEADER_BYTES;
--- a/src/forwarder/journal/mod.rs
+++ b/src/forwarder/journal/mod.rs
@@ -62,7 +62,11 @@
 
 impl Journal {
     /// Opens the journal of the folder and replays it: damaged frames are skipped and a torn tail is cut off.
-    /// Gives the open messages too, in the order of their acceptance.
+    /// Also returns the open messages, in the order of their acceptance.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be opened, read or truncated.
     pub(crate) fn open(
         folder: &Path,
         max_bytes: u64,
@@ -109,15 +113,18 @@
         self.file.truncate()
     }
 
-    /// Adds a record that cannot be refused, such as the end of an attempt. It takes effect at once, and is
+    /// Adds a record that must not be lost, such as the end of an attempt. It takes effect at once, and is
     /// written by the next commit that succeeds.
     pub(crate) fn enqueue(&mut self, record: &Record, now_unix_ms: u64) {
         let size = encode(record, &mut self.pending);
         self.retained.apply(record, size, now_unix_ms);
     }
 
-    /// Writes the enqueued records and these. If it fails, these have no effect, and the enqueued ones stay
-    /// enqueued.
+    /// Writes the enqueued records and `records`.
+    ///
+    /// # Errors
+    ///
+    /// The journal is full or cannot be written. `records` have no effect then, and the others stay enqueued.
     pub(crate) fn commit(&mut self, records: &[Record], now_unix_ms: u64) -> Result<(), JournalError> {
         let enqueued_bytes = self.pending.len();
         let sizes: Vec<u64> = records.iter().map(|record| encode(record, &mut self.pending)).collect();
--- a/src/forwarder/journal/open_messages.rs
+++ b/src/forwarder/journal/open_messages.rs
@@ -25,6 +25,7 @@
 }
 
 impl OpenMessages {
+    /// Whether this message is open.
     pub(super) fn contains(&self, message: &str) -> bool {
         self.by_message.contains_key(message)
     }
--- a/src/forwarder/journal/outcomes.rs
+++ b/src/forwarder/journal/outcomes.rs
@@ -3,27 +3,30 @@
 use super::records::{FinalOutcome, RememberedOutcome};
 use std::collections::HashMap;
 
-/// Outcomes that are remembered at most.
+/// Upper bound of the outcomes that are remembered.
 const MAX_OUTCOMES: usize = 4096;
 /// Expired outcomes are dropped this often.
 const SWEEP_INTERVAL_MS: u64 = 1000;
 
-/// Remembers how messages ended, each until its time has passed. Expired outcomes are dropped from time to
-/// time, so that neither the memory nor the compacted file grows with the number of all messages ever sent.
+/// Remembers how messages ended, each outcome until it expires. Expired ones are dropped at intervals, so that
+/// neither the memory nor the compacted file grows with the number of all messages ever sent.
 pub(super) struct OutcomeCache {
     by_message: HashMap<String, RememberedOutcome>,
     last_sweep_unix_ms: u64,
 }
 
 impl OutcomeCache {
+    /// An empty cache; the first interval starts now.
     pub(super) fn new(now_unix_ms: u64) -> Self {
         OutcomeCache { by_message: HashMap::new(), last_sweep_unix_ms: now_unix_ms }
     }
 
+    /// The number of remembered outcomes, including expired ones that were not dropped yet.
     pub(super) fn len(&self) -> usize {
         self.by_message.len()
     }
 
+    /// The outcome of this message, if it is remembered.
     pub(super) fn get(&self, message: &str) -> Option<RememberedOutcome> {
         self.by_message.get(message).copied()
     }
@@ -46,7 +49,7 @@
         }
     }
 
-    /// Drops the outcomes whose time has passed.
+    /// Drops the expired outcomes.
     pub(super) fn drop_expired(&mut self, now_unix_ms: u64) {
         self.by_message.retain(|_, remembered| remembered.until_unix_ms > now_unix_ms);
     }
--- a/src/forwarder/journal/replay.rs
+++ b/src/forwarder/journal/replay.rs
@@ -60,7 +60,7 @@
         open.attempts.push(started);
     }
 
-    /// Marks the open messages as in doubt because records are missing here, and gives their number.
+    /// Marks the open messages as in doubt because records are missing here, and returns their number.
     pub(super) fn mark_in_doubt(&mut self) -> usize {
         self.open.values_mut().for_each(|open| open.in_doubt = true);
         self.open.len()
--- a/src/forwarder/journal/retained.rs
+++ b/src/forwarder/journal/retained.rs
@@ -16,6 +16,7 @@
 }
 
 impl RetainedState {
+    /// The state of an empty journal.
     pub(super) fn new(now_unix_ms: u64) -> Self {
         RetainedState {
             open_messages: OpenMessages::default(),
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -49,6 +49,7 @@
 const NOTICE_QUEUE_CAPACITY: usize = 1;
 /// The bodies of requests that have no reply yet may take the memory limit divided by this.
 const BODY_MEMORY_DIVISOR: usize = 8;
+/// Converts the memory limit, which is configured in MB, to the unit of the semaphore.
 const KIB_PER_MB: usize = 1024;
 
 /// Why the forwarder could not run.
@@ -78,14 +79,14 @@
 ///
 /// See [`RunError`]. Nothing was taken over from a predecessor, except where the journal cannot be opened.
 pub async fn run(config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), RunError> {
-    // First of all: until its handler is installed, SIGHUP ends the process.
+    // Before anything else: SIGHUP ends the process until its handler is installed.
     let Signals { hangup, mut terminate } = Signals::install().map_err(RunError::Signals)?;
     let descriptors = DescriptorBudget::new(&config);
     // The runtime holds the receiver.
     let (events, mut event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let mut tasks = BackgroundTasks::default();
     serve_operators(&config, &events, &mut tasks).await?;
-    // Before the take-over: a process that cannot serve clients must leave its predecessor alone.
+    // Before the take-over: a process that cannot serve clients must not end the service of its predecessor.
     let listener = client_listener(&config, inherited).await?;
     let ownership = tokio::select! {
         ownership = acquire_ownership(&config, &mut event_queue) => ownership?,
@@ -147,7 +148,7 @@
     Ok(upgrade::acquire_ownership(&config.state, reject_admin_requests(event_queue)).await?)
 }
 
-/// Replies to operators as long as another process owns the state. Never completes.
+/// Rejects the commands of operators while another process owns the state. Never completes.
 async fn reject_admin_requests(event_queue: &mut Receiver<RuntimeEvent>) -> Infallible {
     while let Some(event) = event_queue.recv().await {
         if let RuntimeEvent::AdminRequest(request) = event {
@@ -158,8 +159,8 @@
     std::future::pending().await
 }
 
-/// Lets successors ask to take over. If that is impossible, the process serves all the same, and a successor waits
-/// until it has ended.
+/// Accepts requests of successors to take over. If the socket cannot be created, the process serves without it, and
+/// a successor waits until this process has ended.
 fn listen_for_successors(config: &Config, events: &Sender<RuntimeEvent>) {
     if let Err(error) = upgrade::listen_for_successors(&config.state, events.clone()) {
         eprintln!("upgrade: no successor can take over: {error}");
@@ -202,7 +203,7 @@
     }
 }
 
-/// Passes SIGTERM on to the runtime.
+/// Forwards SIGTERM to the runtime.
 async fn forward_termination(mut terminate: Signal, events: Sender<RuntimeEvent>) {
     terminate.recv().await;
     // The runtime ends only with the process.
--- a/src/forwarder/runtime/call_in_flight.rs
+++ b/src/forwarder/runtime/call_in_flight.rs
@@ -14,7 +14,7 @@
     pub(super) attempts_left: usize,
     /// How long its connection had been idle before; 0 for a new connection.
     pub(super) idle_for: Micros,
-    /// It was told to write nothing more.
+    /// Whether it was forbidden to write anything more.
     pub(super) write_withheld: bool,
     pub(super) process: CallProcess,
 }
@@ -30,7 +30,7 @@
 }
 
 /// How many commands a call may get: each of its attempts is cancelled or abandoned at most once each, and the
-/// call is told once to write nothing more.
+/// call is forbidden once to write anything more.
 pub(super) fn command_capacity(attempts: usize) -> usize {
     2 * attempts + 1
 }
@@ -55,7 +55,7 @@
         let _ = commands.try_send(command);
     }
 
-    /// Tells the call to write nothing more. The capacity of its channel allows for one such command only.
+    /// Forbids the call to write anything from now on. The capacity of its channel allows for one such command only.
     pub(super) fn withhold_write(&mut self) {
         if !self.write_withheld {
             self.write_withheld = true;
--- a/src/forwarder/runtime/call_reports.rs
+++ b/src/forwarder/runtime/call_reports.rs
@@ -29,7 +29,7 @@
     }
 
     /// Keeps the connection of a call that has ended for later calls, if the endpoint may be called at this
-    /// address and there is room for it.
+    /// address and the pool has capacity.
     fn keep_connection(&mut self, endpoint: EndpointId, address: SocketAddr, connection: Connection) {
         let Some(known) = self.endpoints.get(endpoint) else { return };
         let is_banned = self.journal.lock().is_banned(&known.record.uid);
@@ -59,7 +59,7 @@
         }
     }
 
-    /// An endpoint has asked for a wait: calls to its destination that are not written yet must not be written.
+    /// Withholds the calls to the destination of this endpoint that are not written yet, after a Retry-After.
     pub(super) fn withhold_writes_to_destination_of(&mut self, endpoint: EndpointId) {
         let endpoints = &self.endpoints;
         let destination = endpoints.destination(endpoint);
@@ -87,7 +87,7 @@
         self.decisions.notify(now, Event::AttemptEnded(ended));
     }
 
-    /// Notes the end of the attempt for the journal, and completes its message if that needs nothing more.
+    /// Enqueues the end of the attempt for the journal, and completes its message if nothing is left to do for it.
     fn journal_attempt_end(&mut self, result: &AttemptResult) {
         let now_unix_ms = unix_now_ms();
         let record = if result.finished
--- a/src/forwarder/runtime/calls.rs
+++ b/src/forwarder/runtime/calls.rs
@@ -195,12 +195,12 @@
         }
     }
 
-    /// Tells all calls in flight to write nothing more.
+    /// Forbids all calls in flight to write anything from now on.
     pub(super) fn withhold_all_writes(&mut self) {
         self.calls.values_mut().for_each(CallInFlight::withhold_write);
     }
 
-    /// Tells the calls to these endpoints to write nothing more.
+    /// Forbids the calls to these endpoints to write anything from now on.
     pub(super) fn withhold_writes(&mut self, endpoints: impl Fn(EndpointId) -> bool) {
         self.calls
             .values_mut()
--- a/src/forwarder/runtime/decisions.rs
+++ b/src/forwarder/runtime/decisions.rs
@@ -3,7 +3,7 @@
 use crate::decision::Balancer;
 use crate::interface::{Action, DestinationBacklog, Event, LearnedState, Micros, Settings};
 
-/// Owns the [`Balancer`], the actions that it asked for and the wake-up time that it requested.
+/// Owns the [`Balancer`], the actions that it requested and the wake-up time that it requested.
 pub(super) struct Decisions {
     balancer: Balancer,
     /// Requested since the actions were last taken.
@@ -14,6 +14,7 @@
 }
 
 impl Decisions {
+    /// Starts the decision module. The same events and seed always yield the same actions.
     pub(super) fn new(settings: Settings, seed: u64) -> Self {
         Decisions {
             balancer: Balancer::new(settings, seed),
--- a/src/forwarder/runtime/endpoints.rs
+++ b/src/forwarder/runtime/endpoints.rs
@@ -44,10 +44,12 @@
 }
 
 impl Endpoints {
+    /// The endpoint with this number, unless it is forgotten.
     pub(super) fn get(&self, endpoint: EndpointId) -> Option<&Endpoint> {
         self.by_number.get(&endpoint)
     }
 
+    /// Whether the endpoint with this number is known, listed or removed.
     pub(super) fn contains(&self, endpoint: EndpointId) -> bool {
         self.by_number.contains_key(&endpoint)
     }
@@ -62,10 +64,12 @@
         self.get(endpoint).map(|known| known.record.uid.clone())
     }
 
+    /// The address under which an endpoint was last listed.
     pub(super) fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
         self.get(endpoint).map(|known| known.record.address)
     }
 
+    /// The destination that an endpoint belongs to.
     pub(super) fn destination(&self, endpoint: EndpointId) -> Option<DestinationId> {
         self.get(endpoint).map(|known| known.record.destination)
     }
@@ -85,6 +89,7 @@
         self.revision
     }
 
+    /// Sets the revision of the list.
     pub(super) fn set_revision(&mut self, revision: u64) {
         self.revision = Some(revision);
     }
@@ -130,6 +135,7 @@
         self.removed_at.remove(&endpoint);
     }
 
+    /// Whether an endpoint was removed from the list.
     pub(super) fn is_removed(&self, endpoint: EndpointId) -> bool {
         self.removed_at.contains_key(&endpoint)
     }
--- a/src/forwarder/runtime/final_answers.rs
+++ b/src/forwarder/runtime/final_answers.rs
@@ -62,7 +62,7 @@
 }
 
 impl Runtime {
-    /// Ends a message: by a reply to its client as long as that waits, later by a notice.
+    /// Ends a message that is not delivered: by a reply if it is not accepted yet, otherwise by a notice.
     pub(super) fn give_up(&mut self, id: MessageId, answer: FinalAnswer) {
         let Some(mut message) = self.messages.remove(id) else { return };
         if let Some(attempt) = message.last_attempt() {
--- a/src/forwarder/runtime/handover/forwarding.rs
+++ b/src/forwarder/runtime/handover/forwarding.rs
@@ -1,5 +1,5 @@
-//! This process after its hand-over: it completes its calls and forwards to the successor what clients and operators
-//! still send here.
+//! This process after its hand-over: it completes its calls in flight and forwards the requests of its clients and
+//! operators to the successor.
 
 use super::forwarded_request;
 use super::predecessor::lost_attempts;
@@ -16,7 +16,7 @@
 use std::sync::atomic::Ordering::Relaxed;
 
 impl Runtime {
-    /// Forwards what still arrives here to the successor that owns the messages. Calls in flight are completed.
+    /// Forwards the events of a turn to the successor that owns the messages. Calls in flight are completed here.
     pub(in crate::forwarder::runtime) fn forward_to_successor(&mut self, events: Vec<RuntimeEvent>) {
         if self.lifecycle.is_past_call_completion() {
             self.cancel_all_attempts();
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Without a successor nobody can accept the message, and nothing was done with it.
+    /// Forwards a message, or rejects it if the successor has ended: no process can accept it then.
     fn forward_client_request(&mut self, request: ClientRequest) -> Option<Frame> {
         if self.successor.has_ended() {
             let _ = request.reply.send(ClientReply::Rejected(None));
@@ -87,7 +87,7 @@
         Some(Frame::AdminCommand(self.pending_replies.add_operator(reply), command))
     }
 
-    /// The ends of a call that this process made. Its connection is closed, since no further call is made here.
+    /// The frame for a call that has ended here. Its connection is closed, since this process starts no more calls.
     fn forward_call_report(&mut self, report: CallReport) -> Frame {
         let results = report.results.into_iter();
         Frame::AttemptsEnded(results.filter_map(|result| self.end_forwarded_attempt(result)).collect())
@@ -96,14 +96,15 @@
     fn end_forwarded_attempt(&mut self, result: AttemptResult) -> Option<EndedAttempt> {
         let ended = self.calls.end_attempt(result.key())?;
         let AttemptResult { attempt, outcome, finished, report, retry_after, unsent, .. } = result;
-        // Cancelled because this process ends, which says nothing about the endpoint.
+        // Cancelled because this process ends, not because the endpoint was slow.
         let is_cancelled_by_shutdown =
             outcome == Outcome::Cancelled && self.lifecycle.is_past_call_completion();
         let outcome = if is_cancelled_by_shutdown { Outcome::StaleConnection } else { outcome };
         Some(EndedAttempt { message: ended.message, attempt, outcome, finished, report, retry_after, unsent })
     }
 
-    /// The ends of attempts that this process' own predecessor reports, or that are lost as it has ended.
+    /// The frame for attempts of this process' own predecessor: those that it reports as ended or, if it has ended
+    /// itself, all that it had in flight.
     fn forward_ends_of_predecessor(&mut self, kind: PeerEventKind) -> Frame {
         let ended = match kind {
             PeerEventKind::FrameReceived(Frame::AttemptsEnded(ended)) => ended,
--- a/src/forwarder/runtime/handover/handoff.rs
+++ b/src/forwarder/runtime/handover/handoff.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::Ordering::Relaxed;
 
 impl Runtime {
-    /// What the journal does not contain.
+    /// The state that the journal does not contain.
     pub(super) fn handoff_state(&self, now: Micros) -> HandoffState {
         HandoffState {
             revision: self.endpoints.revision().unwrap_or(0),
@@ -36,7 +36,8 @@
         calls.into_values().collect()
     }
 
-    /// Endpoints are named by the ids of discovery: the successor numbers them anew.
+    /// What the decision module has learned. Endpoints are identified by their discovery ids, because the successor
+    /// numbers them anew.
     fn learned_to_hand_over(&self, now: Micros) -> Vec<LearnedEntry> {
         let learned = self.decisions.learned(now).into_iter();
         let entry = |state: LearnedState| LearnedEntry {
@@ -46,8 +47,8 @@
         learned.map(entry).collect()
     }
 
-    /// Restores what the predecessor has handed over, and returns its attempts in flight. `open_messages` is
-    /// logged.
+    /// Restores the state of the predecessor, and returns its attempts in flight. `open_messages`, the number of
+    /// messages in the journal, is only logged.
     pub(in crate::forwarder::runtime) fn restore_handoff_state(
         &mut self,
         now: Micros,
@@ -81,7 +82,7 @@
         inherited
     }
 
-    /// Passes on what the predecessor had learned, unless it concerns an endpoint that is no longer listed.
+    /// Restores what the predecessor had learned, unless it concerns an endpoint that is no longer known.
     fn restore_learned(&mut self, now: Micros, uid: Option<&str>, state: LearnedState) {
         let endpoint = uid.and_then(|uid| self.endpoints.number_of(uid));
         if endpoint.is_some() == state.endpoint.is_some() {
--- a/src/forwarder/runtime/handover/pending_replies.rs
+++ b/src/forwarder/runtime/handover/pending_replies.rs
@@ -11,7 +11,7 @@
     Operator(oneshot::Sender<AdminReply>),
 }
 
-/// Owns the recipients of replies that the successor still owes, by the number of their request.
+/// Owns the recipients of replies that the successor has not sent yet, by the number of their request.
 #[derive(Default)]
 pub(in crate::forwarder::runtime) struct PendingReplies {
     recipients: HashMap<u64, Recipient>,
@@ -19,6 +19,7 @@
 }
 
 impl PendingReplies {
+    /// Whether no reply is awaited.
     pub(in crate::forwarder::runtime) fn is_empty(&self) -> bool {
         self.recipients.is_empty()
     }
@@ -39,14 +40,14 @@
         self.last_request
     }
 
-    /// Passes a reply on to the client of a request. The client may have disconnected.
+    /// Sends a reply to the client of a request. The client may have disconnected.
     pub(super) fn reply_to_client(&mut self, request: u64, reply: ClientReply) {
         if let Some(Recipient::Client(client)) = self.recipients.remove(&request) {
             let _ = client.send(reply);
         }
     }
 
-    /// Passes a reply on to the operator of a request, who may have disconnected.
+    /// Sends a reply to the operator of a request, who may have disconnected.
     pub(super) fn reply_to_operator(&mut self, request: u64, reply: AdminReply) {
         if let Some(Recipient::Operator(operator)) = self.recipients.remove(&request) {
             let _ = operator.send(reply);
--- a/src/forwarder/runtime/handover/predecessor.rs
+++ b/src/forwarder/runtime/handover/predecessor.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Attempts that the predecessor had in flight when it ended may have been executed.
+    /// Ends the attempts that the predecessor had in flight when it ended. They may have been executed.
     fn handle_predecessor_end(&mut self, now: Micros) {
         let lost = lost_attempts(&self.calls);
         eprintln!("upgrade: the predecessor ended, with {} attempts in flight", lost.len());
@@ -70,7 +70,7 @@
         self.end_attempt(now, address, result);
     }
 
-    /// Submits a message of a client that is connected to the predecessor, which passes the reply on.
+    /// Submits a message of a client that is connected to the predecessor. The reply is sent to the predecessor.
     fn submit_forwarded(&mut self, now: Micros, request: u64, forwarded: ForwardedRequest) {
         let Some(predecessor) = self.predecessor.as_ref().map(PeerChannel::sender) else { return };
         let (reply, received) = oneshot::channel();
@@ -80,7 +80,7 @@
             return;
         };
         // Ends with the reply, which is sent or dropped with the message.
-        tokio::spawn(pass_reply_on(request, received, predecessor));
+        tokio::spawn(send_reply_to_predecessor(request, received, predecessor));
         self.submit(now, message);
     }
 
@@ -93,8 +93,9 @@
     }
 }
 
-/// Sends the reply to a forwarded message to the predecessor. Without one the message was not accepted.
-async fn pass_reply_on(
+/// Sends the reply to a forwarded message to the predecessor. If the message was dropped without a reply, it was not
+/// accepted.
+async fn send_reply_to_predecessor(
     request: u64,
     reply: oneshot::Receiver<ClientReply>,
     predecessor: UnboundedSender<Frame>,
@@ -104,7 +105,8 @@
     let _ = predecessor.send(Frame::ClientReply(request, reply));
 }
 
-/// The ends of all attempts that the predecessor had in flight when it ended. They say nothing about the endpoints.
+/// The ends of all attempts that the predecessor had in flight when it ended. Their outcome is one
+/// that does not count against the endpoints.
 pub(super) fn lost_attempts(calls: &CallsInFlight) -> Vec<EndedAttempt> {
     let lost = |AttemptRef { message, attempt }| EndedAttempt {
         message,
--- a/src/forwarder/runtime/handover/successor.rs
+++ b/src/forwarder/runtime/handover/successor.rs
@@ -7,16 +7,17 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A successor confirms its ownership within this time after the hand-over. Later, whether it holds the lock
-/// decides.
+/// A successor must confirm its ownership within this time after the hand-over. If it does not, the hand-over has
+/// failed once the lock is free.
 const OWNERSHIP_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for writing the last frames before the process ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// A newer process that takes over from this one, as far as this one knows.
+/// What this process knows about a newer process that takes over from it.
 pub(in crate::forwarder::runtime) enum Successor {
+    /// No process has requested to take over.
     None,
-    /// It has asked to take over.
+    /// It has requested to take over.
     Requested(PeerChannel),
     /// It has received what the journal does not contain, and may take the lock.
     HandedOver(Handover),
@@ -52,12 +53,12 @@
     }
 }
 
-/// A hand-over that the successor has not confirmed. Until then this process handles no events: should the
-/// successor end before, this process goes on as if nobody had asked.
+/// A hand-over that the successor has not confirmed. Meanwhile this process handles no events: if the hand-over
+/// fails, it handles them as if there had been none.
 pub(in crate::forwarder::runtime) struct Handover {
     channel: PeerChannel,
     handed_over_at: Instant,
-    /// Events that have arrived since.
+    /// The events that have arrived since, in their order.
     events: Vec<RuntimeEvent>,
 }
 
@@ -65,11 +66,11 @@
 pub(in crate::forwarder::runtime) struct OwningSuccessor {
     pub(super) channel: PeerChannel,
     since: Instant,
-    /// It has ended since.
+    /// Whether it has ended since.
     pub(super) ended: bool,
 }
 
-/// How a hand-over stands.
+/// The state of an unconfirmed hand-over.
 #[derive(Default)]
 struct HandoverProgress {
     /// The successor has confirmed that it owns the messages.
@@ -81,12 +82,12 @@
 }
 
 impl Handover {
-    /// Keeps events until the hand-over is confirmed or has failed.
+    /// Defers events until the hand-over is confirmed or has failed.
     pub(in crate::forwarder::runtime) fn defer(&mut self, events: Vec<RuntimeEvent>) {
         self.events.extend(events);
     }
 
-    /// Looks at the events that have arrived, and drops those that concern the hand-over alone.
+    /// Derives the progress from the deferred events, and drops those that only concern the hand-over.
     fn progress(&mut self) -> HandoverProgress {
         let mut progress = HandoverProgress {
             overdue: self.handed_over_at.elapsed() > OWNERSHIP_TIMEOUT,
@@ -112,7 +113,7 @@
 }
 
 impl Runtime {
-    /// Hands over to a successor that has asked, once the turn is complete and stands in the journal.
+    /// Hands over to a successor that has requested it, once the turn is complete and written to the journal.
     pub(in crate::forwarder::runtime) fn hand_over_if_requested(&mut self) {
         let is_requested = matches!(self.successor, Successor::Requested(_));
         if !is_requested || !self.journal.lock().is_flushed() || self.decisions.has_deferred() {
@@ -141,8 +142,8 @@
             Successor::HandedOver(Handover { channel, handed_over_at: Instant::now(), events: Vec::new() });
     }
 
-    /// Looks whether the successor owns the messages now. One that has ended before, or that has not confirmed
-    /// while the lock is free, owns nothing: this process goes on.
+    /// Completes the hand-over if the successor has confirmed its ownership. If the successor has ended or has not
+    /// confirmed in time, and the lock is free, the hand-over has failed: this process is still the owner.
     pub(in crate::forwarder::runtime) fn check_handover(&mut self) {
         let Successor::HandedOver(handover) = &mut self.successor else { return };
         let progress = handover.progress();
@@ -157,14 +158,14 @@
             return;
         };
         if failed {
-            eprintln!("upgrade: the successor did not take over; going on");
+            eprintln!("upgrade: the successor did not take over; this process continues");
             self.take_turn(handover.events);
         } else {
             self.complete_handover(handover);
         }
     }
 
-    /// Gives up what the successor owns.
+    /// Releases what the successor owns, and forwards the deferred events to it.
     fn complete_handover(&mut self, Handover { channel, events, .. }: Handover) {
         self.successor = Successor::Owner(OwningSuccessor { channel, since: Instant::now(), ended: false });
         self.tasks_of_owner.drain(..).for_each(|task| task.abort());
--- a/src/forwarder/runtime/idle_connections.rs
+++ b/src/forwarder/runtime/idle_connections.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// An idle connection is closed this fraction of the idle timeout early, so that no request is written to it while
+/// An idle connection is closed early, by the idle timeout divided by this, so that no request is written to it while
 /// the other side closes it.
 const IDLE_TIMEOUT_MARGIN_DIVISOR: u32 = 8;
 
@@ -81,7 +81,7 @@
         self.count += 1;
     }
 
-    /// Records how a connection fared that was used again after it had been idle for this long.
+    /// Records whether a connection was still usable after it had been idle for this long.
     pub(super) fn record_reuse(
         &mut self,
         now: Micros,
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -51,13 +51,13 @@
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{Instant, sleep_until};
 
-/// The part of the disk limit that the journal uses. The rest allows for the rounding of file sizes.
+/// The journal may use this many bytes per MB of the disk limit. The rest allows for the rounding of file sizes.
 const JOURNAL_BYTES_PER_DISK_MB: f64 = 0.95e6;
-/// Turns are at least this long apart, in microseconds, whatever the settings say.
+/// Lower bound of the time between two turns, in microseconds, which the settings cannot reduce.
 const MIN_TURN_INTERVAL_MICROS: Micros = 1000;
-/// The next turn comes at the latest after this time.
+/// Upper bound of the time between two turns.
 const MAX_TURN_INTERVAL: Duration = Duration::from_secs(1);
-/// The same during a shutdown or an upgrade, whose progress depends on time.
+/// Upper bound of the time between two turns during a shutdown or an upgrade, whose progress depends on time.
 const MAX_TURN_INTERVAL_WHILE_ENDING: Duration = Duration::from_millis(20);
 
 /// What connects the runtime to the other parts of the program.
--- a/src/forwarder/runtime/notice_queue.rs
+++ b/src/forwarder/runtime/notice_queue.rs
@@ -6,7 +6,7 @@
 use crate::forwarder::messages::notice::Notice;
 use tokio::sync::mpsc::Sender;
 
-/// Notices in one request to the platform.
+/// Upper bound of the notices in one request to the platform.
 const MAX_NOTICES_PER_BATCH: usize = 64;
 
 /// Owns the notices that were not sent yet.
@@ -17,15 +17,17 @@
 }
 
 impl NoticeQueue {
+    /// An empty queue for the notice sender that receives `batches`.
     pub(super) fn new(batches: Sender<Vec<Notice>>) -> Self {
         NoticeQueue { pending: Vec::new(), batches }
     }
 
+    /// Adds a notice behind the others.
     pub(super) fn push(&mut self, notice: Notice) {
         self.pending.push(notice);
     }
 
-    /// Passes a batch to the notice sender, unless that still has one.
+    /// Passes a batch to the notice sender, unless its queue is full.
     fn send_batch(&mut self) {
         if self.pending.is_empty() {
             return;
@@ -38,8 +40,8 @@
 }
 
 impl Runtime {
-    /// Sends notices once everything stands in the journal: a client that was told to submit its message again
-    /// must not find it sent by the next process.
+    /// Sends notices if the journal has no unwritten records: a client that has been notified of a rejection may
+    /// submit its message again, and the next process must not deliver the rejected one as well.
     pub(super) fn send_notices(&mut self) {
         if self.journal.lock().is_flushed() {
             self.notices.send_batch();
@@ -50,8 +52,9 @@
     pub(super) fn complete_notified(&mut self, notices: Vec<Notice>) {
         let now_unix_ms = unix_now_ms();
         for Notice { message, outcome } in notices {
-            // Accepted again since: the end of the earlier submission must not complete this one in the journal.
-            if self.messages.by_client_id(&message).is_some_and(|again| again.accepted) {
+            // The client submitted it again, and it was accepted: the notice concerns the earlier submission and must
+            // not complete this one.
+            if self.messages.by_client_id(&message).is_some_and(|resubmitted| resubmitted.accepted) {
                 continue;
             }
             let remembered = self.journal.lock().final_outcome(&message);
--- a/src/forwarder/runtime/open_messages.rs
+++ b/src/forwarder/runtime/open_messages.rs
@@ -18,7 +18,7 @@
     pub(super) expires_at: Micros,
     /// Attempts that were started.
     pub(super) attempts: usize,
-    /// Whether it stands in the journal.
+    /// Whether it is recorded in the journal.
     pub(super) accepted: bool,
     /// An earlier process had accepted it without making an attempt.
     pub(super) recovered_without_attempt: bool,
@@ -110,22 +110,27 @@
 }
 
 impl OpenMessages {
+    /// The number of open messages.
     pub(super) fn len(&self) -> usize {
         self.by_number.len()
     }
 
+    /// Whether no message is open.
     pub(super) fn is_empty(&self) -> bool {
         self.by_number.is_empty()
     }
 
+    /// Whether the message with this number is open.
     pub(super) fn contains(&self, id: MessageId) -> bool {
         self.by_number.contains_key(&id)
     }
 
+    /// The open message with this number.
     pub(super) fn get(&self, id: MessageId) -> Option<&OpenMessage> {
         self.by_number.get(&id)
     }
 
+    /// The open message with this number.
     pub(super) fn get_mut(&mut self, id: MessageId) -> Option<&mut OpenMessage> {
         self.by_number.get_mut(&id)
     }
@@ -167,7 +172,7 @@
         std::mem::take(&mut self.submitted)
     }
 
-    /// Removes a message that needs nothing more.
+    /// Removes a message for which nothing is left to do.
     pub(super) fn remove(&mut self, id: MessageId) -> Option<OpenMessage> {
         let message = self.by_number.remove(&id)?;
         self.numbers.remove(&message.content.id);
--- a/src/forwarder/runtime/outbound_calls.rs
+++ b/src/forwarder/runtime/outbound_calls.rs
@@ -1,4 +1,4 @@
-//! Starts the calls that the decision module asked for.
+//! Starts the calls that the decision module requested.
 
 use super::Runtime;
 use super::call_in_flight::command_capacity;
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc::channel;
 use tokio::time::Instant;
 
-/// Shortest time that a connection gets to be established, in microseconds.
+/// Lower bound of the time to establish a connection, in microseconds.
 const MIN_CONNECT_TIMEOUT_MICROS: Micros = 1000;
 
 /// An attempt that was decided in this turn.
@@ -23,7 +23,7 @@
     attempt: usize,
     endpoint: EndpointId,
     times_out_at: Micros,
-    /// It must not be written later than this.
+    /// It must not be written at or after this time.
     send_before: Micros,
 }
 
@@ -34,7 +34,8 @@
 }
 
 impl Runtime {
-    /// Numbers an attempt of a message that is still open. A timeout of 0 means until the client stops waiting.
+    /// Assigns a number to an attempt. Returns `None` if its message is no longer open. With a `timeout` of 0 the
+    /// attempt times out when the client stops waiting.
     pub(super) fn plan_attempt(
         &mut self,
         now: Micros,
--- a/src/forwarder/runtime/recovery.rs
+++ b/src/forwarder/runtime/recovery.rs
@@ -14,7 +14,8 @@
 use crate::interface::{Event, MessageHistory, Micros, PossibleExecution};
 use crate::settings_reader::index;
 
-/// Age of an attempt whose time was lost: no destination remembers an idempotency key for so long.
+/// Assumed age of an attempt whose time is unknown, in microseconds. It exceeds the time for which any destination
+/// remembers an idempotency key.
 const UNKNOWN_ATTEMPT_AGE_MICROS: Micros = 1 << 55;
 
 /// Converts wall-clock times of the journal to the clock of this process.
@@ -32,7 +33,7 @@
 }
 
 impl Runtime {
-    /// Goes on from the journal, and from what the predecessor has handed over.
+    /// Restores the state of the journal and that of the predecessor.
     pub(super) fn recover(
         &mut self,
         now: Micros,
@@ -63,7 +64,7 @@
         let wall_clock = WallClock { now, now_unix_ms: unix_now_ms() };
         let expires_at = wall_clock.to_micros(content.deadline_unix_ms);
         let in_flight = inherited.take_last(&content.id, attempts.len());
-        // What the attempt in flight may have done is reported when it ends.
+        // Whether the attempt in flight was executed is reported when it ends.
         let ended = &attempts[..attempts.len() - usize::from(in_flight.is_some())];
         let history = MessageHistory {
             accepted: true,
@@ -95,7 +96,7 @@
         }
     }
 
-    /// The calls of these attempts still take slots, although their messages are complete.
+    /// Tracks attempts whose messages are complete: their calls still occupy call slots.
     fn track_attempts_of_complete_messages(&mut self, now: Micros, inherited: InheritedAttempts) {
         for (AttemptRef { message, attempt }, call) in inherited.into_remaining() {
             let id = self.messages.assign_number();
--- a/src/forwarder/runtime/shutdown.rs
+++ b/src/forwarder/runtime/shutdown.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// New clients are still served for this long after SIGTERM.
+/// New clients are served until this long after SIGTERM.
 const CLIENT_GRACE_PERIOD: Duration = Duration::from_millis(400);
 /// No call starts later than this after SIGTERM: it could still be in flight at the end, where it would have to
 /// count as possibly executed.
@@ -49,6 +49,7 @@
 }
 
 impl Lifecycle {
+    /// A process that serves clients.
     pub(super) fn new() -> Self {
         Lifecycle { terminated_at: None, accepts_clients: true }
     }
@@ -58,10 +59,12 @@
         self.terminated_at.get_or_insert_with(Instant::now);
     }
 
+    /// The decision module has decided whether clients are accepted.
     pub(super) fn set_accepts_clients(&mut self, accepts_clients: bool) {
         self.accepts_clients = accepts_clients;
     }
 
+    /// Whether SIGTERM was received.
     pub(super) fn is_terminating(&self) -> bool {
         self.terminated_at.is_some()
     }
@@ -117,7 +120,7 @@
     }
 }
 
-/// Whether nothing new is read from clients any more, this long after SIGTERM.
+/// Whether the server may stop reading requests, this long after SIGTERM.
 fn may_stop_serving(elapsed: Duration, has_attempts: bool, has_messages: bool) -> bool {
     let all_calls_ended = !has_attempts && (elapsed >= CALL_START_PERIOD || !has_messages);
     elapsed >= CALL_COMPLETION_PERIOD || (elapsed >= CLIENT_GRACE_PERIOD && all_calls_ended)
--- a/src/forwarder/runtime/turn.rs
+++ b/src/forwarder/runtime/turn.rs
@@ -42,7 +42,7 @@
             RuntimeEvent::AdminRequest(request) => self.handle_admin_request(now, request),
             RuntimeEvent::Terminate => self.lifecycle.terminate(),
             RuntimeEvent::TakeOverRequested(channel) => {
-                // Of two successors at a time, the later one has to ask again.
+                // While one successor takes over, another one has to retry.
                 if matches!(self.successor, Successor::None) {
                     self.successor = Successor::Requested(channel);
                 }
@@ -62,7 +62,8 @@
         self.idle_connections.close_expired(now);
     }
 
-    /// Attempts are decided at the end of a turn. Without it, none are.
+    /// Ends the turn for the module, which decides attempts only then. Near the end of a shutdown no call may start,
+    /// and the module is not notified.
     fn decide(&mut self, now: Micros) {
         if self.lifecycle.may_start_calls() {
             self.decisions.notify(now, Event::TurnEnd);
@@ -84,7 +85,7 @@
                 }
                 Action::CloseIdleConnections { endpoint } => self.idle_connections.close(endpoint),
                 Action::Wake { at } => self.decisions.request_wake(at),
-                // Discovery follows the list all the time.
+                // Discovery follows the endpoint list in any case.
                 Action::Subscribe => {}
                 Action::AcceptClients(accepts) => self.lifecycle.set_accepts_clients(accepts),
             }
@@ -128,7 +129,7 @@
         selected
     }
 
-    /// Tells the clients of a message that it is accepted, now that it stands in the journal.
+    /// Replies to the clients of a message that it is accepted. It has been written to the journal.
     fn accept(&mut self, id: MessageId) {
         let Some(message) = self.messages.get_mut(id) else { return };
         message.accepted = true;
@@ -138,8 +139,7 @@
         }
     }
 
-    /// A message was not accepted: its clients get a rejection unless they have disconnected, and the module
-    /// forgets it.
+    /// Rejects a message that cannot be accepted, and makes the module forget it.
     fn reject_submission(&mut self, id: MessageId) {
         let Some(mut message) = self.messages.remove(id) else { return };
         self.metrics.record_dropped(if message.is_abandoned_by_clients() {
@@ -151,8 +151,8 @@
         self.decisions.defer(Event::ClientDisconnected { id });
     }
 
-    /// All clients of a message disconnected before they were told that it is accepted: it is completed without
-    /// an attempt.
+    /// Completes an accepted message without an attempt, because all its clients disconnected before they got the
+    /// reply.
     fn withdraw_accepted(&mut self, id: MessageId) {
         let Some(message) = self.messages.remove(id) else { return };
         self.metrics.record_dropped(DropReason::ClientDisconnected);
--- a/src/forwarder/signals.rs
+++ b/src/forwarder/signals.rs
@@ -5,9 +5,9 @@
 
 /// The signals that the process handles, from the moment of [`Signals::install`] on.
 pub(crate) struct Signals {
-    /// SIGHUP: the configuration is to be read again.
+    /// SIGHUP: requests that the configuration be read again.
     pub(crate) hangup: Signal,
-    /// SIGTERM: the process is to end.
+    /// SIGTERM: requests a graceful shutdown.
     pub(crate) terminate: Signal,
 }
 
--- a/src/forwarder/upgrade/channel.rs
+++ b/src/forwarder/upgrade/channel.rs
@@ -8,8 +8,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-/// When the other process ends, its connections to endpoints may be closed a moment later than its channel.
-/// Its disconnection is reported after this time.
+/// The disconnection of the other process is reported this long after it was noticed, because the connections of
+/// that process to endpoints may be closed a moment later than the channel.
 const DISCONNECT_DELAY: Duration = Duration::from_millis(50);
 
 /// What the other process is to this one.
@@ -44,7 +44,7 @@
 /// A channel to another process. When it is dropped, it stops receiving; the connection is closed once the
 /// queued frames are written and every [`Self::sender`] is dropped.
 pub(crate) struct PeerChannel {
-    /// Tells the channels of one role apart.
+    /// Distinguishes the channels of one role.
     pub(crate) id: u64,
     /// The writer task holds the other end. The queue is unbounded, since the runtime must not wait for the
     /// other process.
@@ -56,7 +56,7 @@
 }
 
 impl PeerChannel {
-    /// Starts the tasks that read and write the connection. What is received goes to `events`.
+    /// Starts the tasks that read and write the connection. Received frames are sent to `events`.
     pub(super) fn start<E>(id: u64, role: PeerRole, stream: FramedStream, events: Sender<E>) -> Self
     where
         E: From<PeerEvent> + Send + 'static,
@@ -99,7 +99,7 @@
     }
 }
 
-/// Passes on the frames of the other process and, at the end, its disconnection.
+/// Sends the frames of the other process to `events` and, at the end, its disconnection.
 async fn read_frames<E: From<PeerEvent>>(
     mut reader: FrameReader,
     channel_id: u64,
--- a/src/forwarder/upgrade/frames.rs
+++ b/src/forwarder/upgrade/frames.rs
@@ -16,7 +16,7 @@
 /// A message from one process to the other.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Frame {
-    /// The successor asks to take over.
+    /// The successor requests to take over.
     TakeOver,
     /// The predecessor hands over what the journal does not contain, and releases the lock.
     #[serde(rename = "Rest")]
@@ -115,7 +115,7 @@
     pub(crate) finished: bool,
     /// What the endpoint reported about its rate limit.
     pub(crate) report: Option<LoadReport>,
-    /// The endpoint sent Retry-After: how long it wants no calls.
+    /// How long the endpoint must not be called, if it sent a Retry-After.
     #[serde(rename = "wait")]
     pub(crate) retry_after: Option<Micros>,
     /// Nothing of it was written.
--- a/src/forwarder/upgrade/framing.rs
+++ b/src/forwarder/upgrade/framing.rs
@@ -19,6 +19,7 @@
 }
 
 impl FramedStream {
+    /// Frames on this connection, in both directions.
     pub(super) fn new(stream: UnixStream) -> Self {
         let (read_half, write_half) = stream.into_split();
         FramedStream { reader: FrameReader(BufReader::new(read_half)), writer: FrameWriter(write_half) }
--- a/src/forwarder/upgrade/listener.rs
+++ b/src/forwarder/upgrade/listener.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// Waits for the request to take over, and passes the channel on.
+/// Waits for the request to take over, and sends the channel to `events`.
 async fn greet<E>(id: u64, mut stream: FramedStream, events: Sender<E>)
 where
     E: From<PeerEvent> + From<PeerChannel> + Send + 'static,
--- a/src/forwarder/upgrade/lock.rs
+++ b/src/forwarder/upgrade/lock.rs
@@ -16,7 +16,7 @@
 }
 
 impl StateLock {
-    /// Opens the lock of the folder without taking it.
+    /// Opens the lock of the folder without acquiring it.
     pub(crate) fn open(folder: &Path) -> Result<Self, UpgradeError> {
         let path = folder.join(FILE_NAME);
         match File::options().write(true).create(true).truncate(false).open(&path) {
@@ -25,7 +25,7 @@
         }
     }
 
-    /// Takes the lock if it is free. Gives whether this process holds it now.
+    /// Acquires the lock if it is free. Returns whether this process holds it now.
     pub(crate) fn try_acquire(&self) -> Result<bool, UpgradeError> {
         match self.file.try_lock() {
             Ok(()) => Ok(true),
--- a/src/forwarder/upgrade/take_over.rs
+++ b/src/forwarder/upgrade/take_over.rs
@@ -13,18 +13,18 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, sleep, timeout};
 
-/// The predecessor must hand over within this time: it ends its turn and writes its journal first.
+/// The predecessor must send its state within this time. It ends its turn and writes its journal first.
 const HANDOFF_TIMEOUT: Duration = Duration::from_secs(3);
 /// The predecessor, once it has handed over, must release the lock within this time.
 const LOCK_TIMEOUT: Duration = Duration::from_secs(2);
-/// How often the lock is tried after the predecessor has handed over.
+/// Pause between two attempts to acquire the lock after the predecessor has handed over.
 const LOCK_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Pause between two attempts to take over.
 const TAKE_OVER_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// There is one predecessor at most, so its channel needs no number of its own.
+/// The id of the channel to the predecessor. There is one predecessor at most.
 const PREDECESSOR_CHANNEL_ID: u64 = 0;
 
-/// What a process starts with.
+/// The ownership of the state folder, with which a process starts.
 pub(crate) struct Ownership {
     /// The lock, which this process holds.
     pub(crate) lock: StateLock,
@@ -39,9 +39,13 @@
 }
 
 impl Predecessor {
-    /// Confirms that this process owns the state now. Before that nothing may be written to the journal:
-    /// without the confirmation the predecessor goes on from the state that it knows. What it sends later
-    /// goes to `events`.
+    /// Confirms that this process owns the state now. Nothing may be written to the journal before: without the
+    /// confirmation the predecessor resumes with the state that it has in memory. Its later frames are sent to
+    /// `events`.
+    ///
+    /// # Errors
+    ///
+    /// The predecessor has ended.
     pub(crate) async fn confirm_ownership<E>(
         mut self,
         events: Sender<E>,
@@ -55,8 +59,12 @@
     }
 }
 
-/// Takes the lock of the folder, or takes over from the process that holds it. Retries until one of them
-/// succeeds; `meanwhile` runs as long as this takes.
+/// Acquires the lock of the folder, or takes over from the process that holds it. Retries until one of them
+/// succeeds, and polls `meanwhile` during that time.
+///
+/// # Errors
+///
+/// The lock cannot be opened or acquired for another reason than that it is held.
 pub(crate) async fn acquire_ownership(
     folder: &Path,
     meanwhile: impl Future<Output = Infallible>,
@@ -72,12 +80,12 @@
     Ok(Ownership { lock, predecessor })
 }
 
-/// Retries until the lock is held. Gives the predecessor, unless it ended without a handoff.
+/// Retries until this process holds the lock. Returns the predecessor, unless that ended without a handoff.
 async fn wait_for_ownership(folder: &Path, lock: &StateLock) -> Result<Option<Predecessor>, UpgradeError> {
     loop {
         match take_over(folder, lock).await {
             Ok(predecessor) => return Ok(Some(predecessor)),
-            Err(error) => eprintln!("upgrade: not yet: {error}"),
+            Err(error) => eprintln!("upgrade: take-over failed, retrying: {error}"),
         }
         sleep(TAKE_OVER_RETRY_DELAY).await;
         if lock.try_acquire()? {
@@ -86,7 +94,7 @@
     }
 }
 
-/// Asks the owner of the folder to hand over, and waits for its state and its lock.
+/// Requests a hand-over from the owner of the folder, and waits for its state and its lock.
 async fn take_over(folder: &Path, lock: &StateLock) -> Result<Predecessor, UpgradeError> {
     let mut stream = connect(folder).await?;
     stream.writer.send(&Frame::TakeOver).await?;
