--- a/src/forwarder/journal/capacity.rs
+++ b/src/forwarder/journal/capacity.rs
@@ -1,12 +1,12 @@
-//! Decides what still fits into the space of the journal, and when to compact its file.
+//! Decides whether new records fit into the journal, and when to compact its file.
 
 /// A file is not compacted because of its length while it is at most this long.
 pub(super) const MIN_COMPACTION_BYTES: u64 = 256 << 10;
 /// A file is compacted for its length once it is this many times as long as its compacted copy.
 const COMPACTION_RATIO: u64 = 3;
-/// Compaction is worth its time if it frees at least the space divided by this.
+/// Compaction is worthwhile if it frees at least `max_bytes` divided by this.
 const WORTHWHILE_DIVISOR: u64 = 16;
-/// A file is also compacted once it and its copy would leave less free than the space divided by this. Later
+/// A file is also compacted once it and its copy would leave less free than `max_bytes` divided by this. Later
 /// the copy would not fit beside it, and no message could be accepted until most of the open ones have ended.
 const COMPACTION_MARGIN_DIVISOR: u64 = 8;
 
@@ -43,7 +43,7 @@
         Capacity { file_length: self.compacted_length, ..self }
     }
 
-    /// Whether a compaction would free enough to be worth its time. Near the bound, where it frees very
+    /// Whether a compaction would free enough space. Near the bound, where it frees very
     /// little, a compaction for each accepted message would use up the processor while most messages are open.
     pub(super) fn is_compaction_worthwhile(&self) -> bool {
         self.file_length.saturating_sub(self.compacted_length) >= self.max_bytes / WORTHWHILE_DIVISOR
--- a/src/forwarder/journal/compaction.rs
+++ b/src/forwarder/journal/compaction.rs
@@ -1,4 +1,4 @@
-//! Compaction: the file is replaced by a copy that contains only the records that are still of use.
+//! Compaction: the file is replaced by a copy that contains only the records that are still needed.
 
 use super::Journal;
 use super::encoding::{Frames, encode};
--- a/src/forwarder/journal/file.rs
+++ b/src/forwarder/journal/file.rs
@@ -25,8 +25,7 @@
     /// [`Self::set_known_length`] is called.
     pub(super) fn open(folder: &Path) -> Result<(Self, Vec<u8>), JournalError> {
         let path = folder.join(FILE_NAME);
-        // A copy is left behind if the process ended while it compacted. The file itself is still complete
-        // then.
+        // A copy remains if the process ended during a compaction. The file itself is complete in that case.
         remove_if_present(path.with_extension(COPY_EXTENSION))?;
         let mut file = match OpenOptions::new().read(true).append(true).create(true).open(&path) {
             Ok(file) => file,
--- a/src/forwarder/journal/open_messages.rs
+++ b/src/forwarder/journal/open_messages.rs
@@ -1,4 +1,4 @@
-//! How much of the file belongs to messages that are still open.
+//! The bytes of the file that belong to open messages, and those that are reserved for them.
 
 use super::records::Record;
 use std::collections::HashMap;
@@ -40,7 +40,7 @@
         self.reserved
     }
 
-    /// Counts a record of an open message that takes up `size` bytes. An accepted message gets its reserve;
+    /// Counts a record of an open message whose frame has `size` bytes. An accepted message gets its reserve;
     /// every other record uses up some of it.
     pub(super) fn add(&mut self, message: &str, record: &Record, size: u64) {
         let bytes = self.by_message.entry(message.to_owned()).or_default();
@@ -54,7 +54,7 @@
         bytes.reserved = reserved;
     }
 
-    /// Frees what a message took up, once nothing is left to be done for it.
+    /// Frees the bytes of a message that is complete.
     pub(super) fn remove(&mut self, message: &str) {
         let bytes = self.by_message.remove(message).unwrap_or_default();
         self.written -= bytes.written;
--- a/src/forwarder/journal/records.rs
+++ b/src/forwarder/journal/records.rs
@@ -52,22 +52,22 @@
         /// Whether the endpoint may have executed it.
         may_have_executed: bool,
     },
-    /// A message was given up, and its notice has not been acknowledged.
+    /// A message failed or was rejected, and its notice has not been acknowledged.
     NoticePending {
         /// Id of the message.
         message: String,
         /// What the notice reports.
         outcome: NoticeOutcome,
-        /// Until when the outcome is worth remembering, in Unix milliseconds.
+        /// The outcome is remembered until this time, in Unix milliseconds.
         remember_until_unix_ms: u64,
     },
-    /// Nothing is left to be done for a message.
+    /// A message is complete: it needs no attempt and no notice.
     Completed {
         /// Id of the message.
         message: String,
         /// How it ended.
         outcome: FinalOutcome,
-        /// Until when the outcome is worth remembering, in Unix milliseconds.
+        /// The outcome is remembered until this time, in Unix milliseconds.
         remember_until_unix_ms: u64,
     },
     /// An operator disabled the endpoint with this id.
@@ -92,7 +92,7 @@
         Record::AttemptEnded { message, attempt, may_have_executed }
     }
 
-    /// A notice has to be sent; its outcome is worth remembering until this Unix time (ms).
+    /// A notice has to be sent; its outcome is remembered until this Unix time (ms).
     pub(crate) fn notice_pending(
         message: String,
         outcome: NoticeOutcome,
@@ -101,7 +101,7 @@
         Record::NoticePending { message, outcome, remember_until_unix_ms }
     }
 
-    /// The message is complete; its outcome is worth remembering until this Unix time (ms).
+    /// The message is complete; its outcome is remembered until this Unix time (ms).
     pub(crate) fn completed(message: String, outcome: FinalOutcome, remember_until_unix_ms: u64) -> Self {
         Record::Completed { message, outcome, remember_until_unix_ms }
     }
@@ -112,9 +112,9 @@
 pub(crate) enum FinalOutcome {
     /// An endpoint confirmed the delivery.
     Delivered,
-    /// It was given up and may have been executed.
+    /// It failed and may have been executed.
     Failed,
-    /// It was never executed; submitting it again does no harm.
+    /// It was never executed; it is safe to submit it again.
     #[serde(rename = "Refused")]
     Rejected,
 }
@@ -133,7 +133,7 @@
 pub(crate) struct RememberedOutcome {
     /// How the message ended.
     pub(crate) outcome: FinalOutcome,
-    /// Until when this is worth remembering, in Unix milliseconds.
+    /// It is remembered until this time, in Unix milliseconds.
     pub(crate) until_unix_ms: u64,
 }
 
@@ -155,7 +155,7 @@
     pub(crate) message: AcceptedMessage,
     /// Its attempts, by number.
     pub(crate) attempts: Vec<RecoveredAttempt>,
-    /// The message was given up and this has to be reported. No further attempt may be made.
+    /// The message failed or was rejected, and this notice has to be sent. No further attempt may be made.
     pub(crate) pending_notice: Option<NoticeOutcome>,
     /// A record that can no longer be read may have been about this message, so it may have been executed.
     pub(crate) in_doubt: bool,
--- a/src/forwarder/journal/retained.rs
+++ b/src/forwarder/journal/retained.rs
@@ -1,4 +1,4 @@
-//! Which records are still of use: those that a compacted file contains.
+//! The records that a compacted file still has to contain.
 
 use super::open_messages::OpenMessages;
 use super::outcomes::OutcomeCache;
@@ -8,7 +8,7 @@
 /// Estimated length of the record of an outcome or of a banned endpoint, in bytes.
 const ESTIMATED_RECORD_BYTES: u64 = 128;
 
-/// What the journal knows beside its file: open messages, outcomes and banned endpoints.
+/// The state of the journal in memory: open messages, outcomes and banned endpoints.
 pub(super) struct RetainedState {
     pub(super) open_messages: OpenMessages,
     pub(super) outcomes: OutcomeCache,
@@ -25,7 +25,7 @@
         }
     }
 
-    /// Applies a record that takes up `size` bytes.
+    /// Applies a record whose frame has `size` bytes.
     pub(super) fn apply(&mut self, record: &Record, size: u64, now_unix_ms: u64) {
         match record {
             Record::Accepted(message) => self.open_messages.add(&message.id, record, size),
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -43,11 +43,11 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 use upgrade::Ownership;
 
-/// Events that may wait for the runtime.
+/// Upper bound of the events that wait for the runtime.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
-/// Batches of notices that may wait for the notice sender.
+/// Upper bound of the batches of notices that wait for the notice sender.
 const NOTICE_QUEUE_CAPACITY: usize = 1;
-/// The bodies of requests that have no reply yet may take the memory limit divided by this.
+/// The bodies of requests without a reply may use the memory limit divided by this.
 const BODY_MEMORY_DIVISOR: usize = 8;
 /// Converts the memory limit, which is configured in MB, to the unit of the semaphore.
 const KIB_PER_MB: usize = 1024;
--- a/src/forwarder/runtime/admin.rs
+++ b/src/forwarder/runtime/admin.rs
@@ -1,4 +1,4 @@
-//! Carries out the commands of operators.
+//! Executes the commands of operators.
 
 use super::Runtime;
 use crate::forwarder::clock::unix_now_ms;
@@ -11,8 +11,8 @@
 use std::error::Error;
 
 impl Runtime {
-    /// Carries out a request. One whose operator has stopped waiting is dropped: what is not acknowledged in time
-    /// is not done.
+    /// Executes a request, unless its operator has stopped waiting: a command that cannot be acknowledged must
+    /// have no effect.
     pub(super) fn handle_admin_request(&mut self, now: Micros, request: AdminRequest) {
         if request.reply.is_closed() {
             return;
@@ -22,7 +22,7 @@
         let _ = request.reply.send(reply);
     }
 
-    /// Carries out a command and logs it.
+    /// Executes a command and logs it.
     pub(super) fn execute_admin_command(&mut self, now: Micros, command: AdminCommand) -> AdminReply {
         let reply = match &command {
             // Sent often by monitoring, and so not logged.
--- a/src/forwarder/runtime/call_in_flight.rs
+++ b/src/forwarder/runtime/call_in_flight.rs
@@ -29,7 +29,7 @@
     Predecessor,
 }
 
-/// How many commands a call may get: each of its attempts is cancelled or abandoned at most once each, and the
+/// Upper bound of the commands to a call: each of its attempts is cancelled or abandoned at most once each, and the
 /// call is forbidden once to write anything more.
 pub(super) fn command_capacity(attempts: usize) -> usize {
     2 * attempts + 1
@@ -51,7 +51,7 @@
             // Takes effect at once: the connection may be established before the task reads the command.
             guard.withhold();
         }
-        // A call that no longer receives commands has ended; its report is on its way.
+        // A call that no longer receives commands has ended; its report has been sent or will be.
         let _ = commands.try_send(command);
     }
 
@@ -69,7 +69,7 @@
 pub(super) enum AttemptCommand {
     /// Cancel the attempt.
     Cancel,
-    /// Its message was given up: abandon the call.
+    /// Abandon the call, because the message of the attempt has failed or was rejected.
     Abandon,
 }
 
--- a/src/forwarder/runtime/call_reports.rs
+++ b/src/forwarder/runtime/call_reports.rs
@@ -59,13 +59,6 @@
         }
     }
 
-    /// Withholds the calls to the destination of this endpoint that are not written yet, after a Retry-After.
-    pub(super) fn withhold_writes_to_destination_of(&mut self, endpoint: EndpointId) {
-        let endpoints = &self.endpoints;
-        let destination = endpoints.destination(endpoint);
-        self.calls.withhold_writes(|called| endpoints.destination(called) == destination);
-    }
-
     /// Handles the end of an attempt, whichever process made it.
     pub(super) fn end_attempt(&mut self, now: Micros, address: SocketAddr, result: AttemptResult) {
         let Some(EndedAttempt { sent_at, call_ended, .. }) = self.calls.end_attempt(result.key()) else {
--- a/src/forwarder/runtime/calls.rs
+++ b/src/forwarder/runtime/calls.rs
@@ -178,7 +178,7 @@
         self.calls.get(&self.attempts.get(&key)?.call)
     }
 
-    /// Sends a command to the call of an attempt in flight, by way of the predecessor if that makes the call.
+    /// Sends a command to the call of an attempt in flight, through the predecessor if that makes the call.
     pub(super) fn command(
         &self,
         key: AttemptKey,
--- a/src/forwarder/runtime/client_requests.rs
+++ b/src/forwarder/runtime/client_requests.rs
@@ -10,7 +10,7 @@
 use crate::interface::{DestinationId, Micros};
 use crate::interface::{Event, MessageHistory, MessageId, Submission};
 
-/// What the decision module needs to know about a message beside its number.
+/// What is announced to the decision module about a message, apart from its number.
 pub(super) struct SubmissionDetails {
     /// Index of its class.
     pub(super) class: usize,
@@ -41,7 +41,7 @@
         self.submit_new_message(now, request);
     }
 
-    /// The reply to a message that is complete, accepted already, or one too many.
+    /// The reply to a message that is complete or accepted already, or that exceeds the limit of open messages.
     fn immediate_reply(&self, client_id: &str) -> Option<ClientReply> {
         let remembered = self.journal.lock().final_outcome(client_id);
         match remembered.map(|remembered| remembered.outcome) {
--- a/src/forwarder/runtime/endpoint_list.rs
+++ b/src/forwarder/runtime/endpoint_list.rs
@@ -2,7 +2,7 @@
 
 use super::Runtime;
 use crate::forwarder::messages::endpoint_list::{EndpointList, EndpointRecord, LifecycleState};
-use crate::interface::{EndpointEntry, EndpointId, EndpointState, Event, Micros};
+use crate::interface::{EndpointEntry, EndpointState, Event, Micros};
 use crate::settings_reader::index;
 
 impl Runtime {
@@ -47,12 +47,6 @@
         }
     }
 
-    /// Stops new writes to an endpoint, both on idle connections and on those that are still being established.
-    pub(super) fn stop_using(&mut self, endpoint: EndpointId) {
-        self.idle_connections.close(endpoint);
-        self.calls.withhold_writes(|called| called == endpoint);
-    }
-
     fn forget_removed_endpoints(&mut self, now: Micros) {
         let calls = &self.calls;
         let forgotten = self.endpoints.forget_removed(now, |endpoint| calls.is_called(endpoint));
--- a/src/forwarder/runtime/endpoints.rs
+++ b/src/forwarder/runtime/endpoints.rs
@@ -8,7 +8,7 @@
 /// An endpoint that was removed from the list keeps its number for this long: listed again within it, it is the
 /// same endpoint.
 const REMOVED_RETENTION_MICROS: Micros = 30_000_000;
-/// Ids of forgotten endpoints that operators may still name.
+/// Upper bound of the remembered ids of forgotten endpoints, which operators may still disable and enable.
 const MAX_FORMER_IDS: usize = 1024;
 
 /// An endpoint that is listed, or was until lately.
--- a/src/forwarder/runtime/final_answers.rs
+++ b/src/forwarder/runtime/final_answers.rs
@@ -85,9 +85,4 @@
         self.journal.lock().enqueue(&pending, unix_now_ms());
         self.notices.push(Notice { message: client_id, outcome });
     }
-
-    /// Sends a command to the call of an attempt, whichever process makes it.
-    pub(super) fn command_attempt(&self, key: AttemptKey, command: AttemptCommand) {
-        self.calls.command(key, command, self.predecessor.as_ref());
-    }
 }
--- a/src/forwarder/runtime/handover/forwarding.rs
+++ b/src/forwarder/runtime/handover/forwarding.rs
@@ -31,12 +31,6 @@
         }
     }
 
-    fn cancel_all_attempts(&mut self) {
-        for key in self.calls.attempt_keys() {
-            self.command_attempt(key, AttemptCommand::Cancel);
-        }
-    }
-
     /// The frame for an event that the successor has to handle.
     fn forward_event(&mut self, event: RuntimeEvent) -> Option<Frame> {
         match event {
--- a/src/forwarder/runtime/handover/predecessor.rs
+++ b/src/forwarder/runtime/handover/predecessor.rs
@@ -84,7 +84,7 @@
         self.submit(now, message);
     }
 
-    /// Carries out a command of an operator who is connected to the predecessor.
+    /// Executes a command of an operator who is connected to the predecessor.
     fn execute_forwarded_command(&mut self, now: Micros, request: u64, command: AdminCommand) {
         let reply = self.execute_admin_command(now, command);
         if let Some(predecessor) = &self.predecessor {
--- a/src/forwarder/runtime/idle_connections.rs
+++ b/src/forwarder/runtime/idle_connections.rs
@@ -109,8 +109,8 @@
             .min(Duration::from_micros(proven_age.unsigned_abs()));
         let youngest = connections.idle.pop_if(|connection| connection.is_usable(max_age));
         if youngest.is_none() && !connections.idle.is_empty() {
-            // The call opens a connection in place of the oldest. The others may still carry calls that may be
-            // repeated.
+            // The call opens a new connection, which replaces the oldest idle one. The others may still
+            // carry calls of idempotent messages.
             connections.idle.remove(0);
         }
         youngest.map(|IdleConnection { since, connection }| ReusedConnection {
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -1,10 +1,11 @@
-//! The runtime: it owns the decision module, the messages and the journal, carries out what the module decides and
+//! The runtime: it owns the decision module, the messages and the journal, executes what the module decides and
 //! reports the results to it. It makes no decisions of its own.
 //!
 //! Events are collected and handled in turns ([`turn`]). After an upgrade, events are forwarded to the process that
 //! has taken over ([`handover`]).
 
 mod admin;
+mod call_commands;
 mod call_in_flight;
 mod call_reports;
 mod calls;
--- a/src/forwarder/runtime/turn.rs
+++ b/src/forwarder/runtime/turn.rs
@@ -22,7 +22,7 @@
 }
 
 impl Runtime {
-    /// Handles the events of a turn, lets the module decide and carries its decisions out.
+    /// Handles the events of a turn, lets the module decide and executes its decisions.
     pub(super) fn take_turn(&mut self, events: Vec<RuntimeEvent>) {
         let now = self.clock.now();
         self.decisions.notify_deferred(now);
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Lets the module decide and carries its decisions out: first the final answers, then the journal, then the
+    /// Lets the module decide and executes its decisions: first the final answers, then the journal, then the
     /// replies to clients, then the calls, then the notices.
     pub(super) fn finish_turn(&mut self, now: Micros) {
         self.decide(now);
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Carries the actions out, except for new attempts: these are returned, and start after the commit.
+    /// Executes the actions, except for new attempts: these are returned, and start after the commit.
     fn execute_actions(&mut self, now: Micros) -> Vec<PlannedAttempt> {
         let mut attempts = Vec::new();
         for action in self.decisions.take_actions() {
--- a/src/forwarder/upgrade/error.rs
+++ b/src/forwarder/upgrade/error.rs
@@ -39,7 +39,7 @@
     /// A frame cannot be converted to JSON.
     #[error("cannot encode a frame: {0}")]
     Encode(#[source] serde_json::Error),
-    /// What the other process sent is not a frame that this version knows.
+    /// The other process sent something that is no frame of this version.
     #[error("cannot decode a frame of the other process: {0}")]
     Decode(#[source] serde_json::Error),
     /// The channel was closed, perhaps within a frame.
--- a/src/forwarder/upgrade/listener.rs
+++ b/src/forwarder/upgrade/listener.rs
@@ -1,4 +1,4 @@
-//! Waits for processes that want to take over from this one.
+//! Accepts the connections of processes that request to take over from this one.
 
 use super::channel::{PeerChannel, PeerEvent, PeerRole};
 use super::error::UpgradeError;
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::{sleep, timeout};
 
-/// Name of the socket in the state folder. Earlier versions use the same.
+/// Name of the socket in the state folder. It is the same in all versions.
 const SOCKET_NAME: &str = "handover";
 /// A process that connects must send its first frame within this time.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
@@ -24,7 +24,7 @@
     folder.join(SOCKET_NAME)
 }
 
-/// Accepts processes that want to take over, as long as this process lives. The channel to each of them is
+/// Accepts processes that request to take over, until this process ends. The channel to each of them is
 /// sent to `events`, and so is what it sends later.
 pub(crate) fn listen_for_successors<E>(folder: &Path, events: Sender<E>) -> Result<(), UpgradeError>
 where
@@ -40,7 +40,7 @@
     }
 }
 
-/// Binds the socket in place of the one that the previous owner left behind.
+/// Binds the socket after removing that of the previous owner.
 fn bind(path: &Path) -> io::Result<UnixListener> {
     match fs::remove_file(path) {
         Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
--- a/src/forwarder/upgrade/mod.rs
+++ b/src/forwarder/upgrade/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A lock that one process at a time can hold decides who owns the journal and makes the calls. The successor
 //! connects to the owner, which sends what the journal does not contain and releases the lock. Afterwards the
-//! two processes exchange [`Frame`]s until the predecessor has completed its calls and its clients have left.
+//! two processes exchange [`Frame`]s until the predecessor has completed its calls and its clients have disconnected.
 //! This module provides the lock and the channel; the runtime acts on the frames.
 
 mod channel;
