--- a/src/forwarder/configuration/error.rs
+++ b/src/forwarder/configuration/error.rs
@@ -1,4 +1,4 @@
-//! Why a configuration cannot be used.
+//! The error of reading the configuration.
 
 use crate::key_value::FieldError;
 use std::io;
@@ -28,10 +28,10 @@
     Parse {
         /// The configuration file.
         path: PathBuf,
-        /// The cause, with the place in the file.
+        /// The cause, with its line and column in the file.
         source: serde_json::Error,
     },
-    /// The address for operators in the environment cannot be parsed.
+    /// The address for operators in the environment variable cannot be parsed.
     #[error("{variable}: {source}")]
     AdminAddress {
         /// The name of the environment variable.
@@ -52,7 +52,7 @@
     Settings {
         /// The configuration file.
         path: PathBuf,
-        /// The cause, with the key of the setting.
+        /// The cause, with the path of the setting within `settings`.
         source: FieldError,
     },
 }
--- a/src/forwarder/configuration/mod.rs
+++ b/src/forwarder/configuration/mod.rs
@@ -14,11 +14,12 @@
 use std::path::{Path, PathBuf};
 use std::{env, fs};
 
-/// Names the configuration file.
+/// Environment variable with the path of the configuration file.
 const CONFIG_VARIABLE: &str = "BALANCER_CONFIG";
-/// Names the directory that outlasts the process.
+/// Environment variable with the path of the state folder, which outlasts the process.
 const STATE_VARIABLE: &str = "BALANCER_STATE";
-/// Overrides the address for operators, since processes may share the file but not the address.
+/// Environment variable that overrides the address for operators. During an upgrade two processes share the
+/// configuration file, but they cannot share the address.
 const ADMIN_VARIABLE: &str = "BALANCER_ADMIN";
 
 /// Bounds on the resources of the process.
@@ -32,13 +33,13 @@
     pub(crate) disk_mb: f64,
 }
 
-/// The form of the configuration file.
+/// The configuration file, as it is written. Fields that the forwarder does not use are ignored.
 #[derive(Deserialize)]
 struct ConfigFile {
     listen: SocketAddr,
     discovery: SocketAddr,
     admin: Option<SocketAddr>,
-    /// Hexadecimal.
+    /// A hexadecimal number of at most 64 bits.
     seed: String,
     limits: ResourceLimits,
     #[serde(default, rename = "known")]
@@ -48,24 +49,24 @@
 
 /// The configuration of the forwarder.
 pub struct Config {
-    /// Where clients connect, unless a listener is inherited.
+    /// The address for clients, unless a listener is inherited.
     pub(crate) listen: SocketAddr,
-    /// The address of discovery and of the receiver of notices.
+    /// The address of the platform: of discovery and of the receiver of notices.
     pub(crate) discovery: SocketAddr,
-    /// Where operators connect, if anywhere.
+    /// The address for operators; `None` if operators are not served.
     pub(crate) admin: Option<SocketAddr>,
-    /// The directory that outlasts the process.
-    pub(crate) state: PathBuf,
+    /// The folder of the journal and of the files for upgrades. It outlasts the process.
+    pub(crate) state_folder: PathBuf,
     /// The seed of the decision module's random numbers.
     pub(crate) seed: u64,
     /// Bounds on the resources of the process.
     pub(crate) limits: ResourceLimits,
-    /// The endpoint list that this forwarder had last, if it had one.
-    pub(crate) known: Option<EndpointList>,
+    /// The endpoint list that was current when the file was written; `None` if it has none that can be parsed.
+    pub(crate) known_endpoints: Option<EndpointList>,
     /// The settings of the decision module.
     pub(crate) settings: Settings,
-    /// The names of what the settings number.
-    pub(crate) names: SettingNames,
+    /// The names that clients and discovery use in place of the indices in `settings`.
+    pub(crate) setting_names: SettingNames,
 }
 
 impl Config {
@@ -73,7 +74,7 @@
     ///
     /// # Errors
     ///
-    /// A variable is missing or invalid, or the file cannot be read, parsed or understood.
+    /// See [`ConfigError`].
     pub fn from_env() -> Result<Self, ConfigError> {
         let mut config = Config::read(&required_path(CONFIG_VARIABLE)?, required_path(STATE_VARIABLE)?)?;
         if let Some(admin) = admin_from_env()? {
@@ -82,10 +83,10 @@
         Ok(config)
     }
 
-    fn read(path: &Path, state: PathBuf) -> Result<Self, ConfigError> {
+    fn read(path: &Path, state_folder: PathBuf) -> Result<Self, ConfigError> {
         let file = ConfigFile::read(path)?;
-        let known = parse_known_endpoints(file.known_endpoints);
-        let (settings, names) = settings_from(&setting_pairs::flatten(&file.settings))
+        let known_endpoints = parse_known_endpoints(file.known_endpoints);
+        let (settings, setting_names) = settings_from(&setting_pairs::flatten(&file.settings))
             .map_err(|source| ConfigError::Settings { path: path.into(), source })?;
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|source| ConfigError::Seed { path: path.into(), source })?;
@@ -93,12 +94,12 @@
             listen: file.listen,
             discovery: file.discovery,
             admin: file.admin,
-            state,
+            state_folder,
             seed,
             limits: file.limits,
-            known,
+            known_endpoints,
             settings,
-            names,
+            setting_names,
         })
     }
 }
@@ -122,7 +123,8 @@
     parsed.map(Some).map_err(|source| ConfigError::AdminAddress { variable: ADMIN_VARIABLE, source })
 }
 
-/// An old endpoint list lets the forwarder send calls before discovery is reached, but it can do without one.
+/// Parses the endpoint list of the configuration file. An invalid list is no error: the forwarder only starts to send
+/// calls later, when it has received a list from discovery.
 fn parse_known_endpoints(document: Value) -> Option<EndpointList> {
     EndpointList::deserialize(document)
         .inspect_err(|error| eprintln!("configuration: no known endpoints: {error}"))
--- a/src/forwarder/configuration/setting_pairs/tests.rs
+++ b/src/forwarder/configuration/setting_pairs/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::flatten;
 use crate::interface::Idempotency;
 use crate::settings_reader::settings_from;
 
@@ -18,5 +18,6 @@
     assert_eq!(read.classes[0].idempotency, Idempotency::Keyed { key_lifetime: 15_000_000, per_zone: false });
     assert_eq!((read.classes[0].latency_objective, read.call_slots, read.zone), (3_000_000, 15, 1));
     assert_eq!((read.kinds[0].batch, read.kinds[1].separate_routes, read.cancellation), (20, true, true));
-    assert_eq!((names.classes, names.tenants), (vec!["auth-notice".into()], vec!["two_words".into()]));
+    assert!(names.classes.iter().eq(["auth-notice"]));
+    assert!(names.tenants.iter().eq(["two_words"]));
 }
--- a/src/forwarder/discovery/request.rs
+++ b/src/forwarder/discovery/request.rs
@@ -69,7 +69,7 @@
 async fn read_body(response: Response<Incoming>) -> Result<Bytes, CallError> {
     match response.status() {
         StatusCode::OK => {
-            http::body(response.into_body(), MAX_LIST_BYTES).await.ok_or(CallError::Interrupted)
+            http::read_complete_body(response.into_body(), MAX_LIST_BYTES).await.ok_or(CallError::Interrupted)
         }
         status => Err(CallError::Status(status)),
     }
--- a/src/forwarder/endpoint_client/exchange.rs
+++ b/src/forwarder/endpoint_client/exchange.rs
@@ -3,7 +3,7 @@
 use super::request::is_batch;
 use super::response::EndpointResponse;
 use super::write_guard::WriteGuard;
-use crate::forwarder::http::{Connection, RequestError};
+use crate::forwarder::http::{Connection, SendRequestError};
 use crate::forwarder::messages::call_report::{ConnectionUsage, IdleReuse};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -87,7 +87,7 @@
                     }
                     return EndpointResponse::read(response, is_batch).await;
                 }
-                Err(RequestError::NotWritten(unsent)) if on_reused_connection => {
+                Err(SendRequestError::NotWritten(unsent)) if on_reused_connection => {
                     request = unsent;
                     self.connection = None;
                 }
@@ -132,18 +132,18 @@
     /// What a request that failed says about the call.
     fn interpret_failure(
         &mut self,
-        error: &RequestError,
+        error: &SendRequestError,
         sent: &SentRequest,
     ) -> Result<EndpointResponse, NoResponse> {
         match error {
-            RequestError::NotWritten(_) => Err(NoResponse::NotConnected),
+            SendRequestError::NotWritten(_) => Err(NoResponse::NotConnected),
             _ if self.proves_delivery(sent) => Ok(EndpointResponse::status_only(StatusCode::OK)),
-            RequestError::InvalidResponse => Err(NoResponse::Invalid),
-            RequestError::Interrupted if sent.was_connection_stale() => {
+            SendRequestError::InvalidResponse => Err(NoResponse::Invalid),
+            SendRequestError::Interrupted if sent.was_connection_stale() => {
                 self.usage.reuse = Some(IdleReuse::Dead);
                 Err(NoResponse::StaleConnection)
             }
-            RequestError::Interrupted => Err(NoResponse::Interrupted),
+            SendRequestError::Interrupted => Err(NoResponse::Interrupted),
         }
     }
 
--- a/src/forwarder/endpoint_client/response.rs
+++ b/src/forwarder/endpoint_client/response.rs
@@ -3,15 +3,15 @@
 use super::exchange::NoResponse;
 use crate::forwarder::http;
 use crate::interface::{LoadReport, Micros};
-use crate::settings_reader::read_report;
+use crate::settings_reader::read_load_report;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::Deserialize;
 
 /// The longest body of a response that is read.
 const MAX_BODY_BYTES: usize = 64 << 10;
-/// The longest wait that is accepted from an endpoint. It is far longer than any wait that an endpoint means, and a
-/// value damaged on its way does not block a destination for good.
+/// The longest wait that is accepted from an endpoint. Endpoints never ask for so long a wait: the bound keeps a value
+/// that was damaged on its way from blocking a destination forever.
 const MAX_RETRY_AFTER_MS: f64 = 60_000.0;
 
 /// The response to a call.
@@ -20,13 +20,13 @@
     pub(super) status: StatusCode,
     /// No further call may be sent to the destination for this long.
     pub(super) retry_after: Option<Micros>,
-    /// The endpoint had no free slot for the call.
+    /// The endpoint rejected the call because it had no free slot.
     pub(super) no_slot: bool,
     /// What the endpoint reported about its rate limit.
     pub(super) load_report: Option<LoadReport>,
     /// The states of the messages of a batch. `None` if the call was no batch or its status is not 200.
     pub(super) item_states: Option<Vec<ItemState>>,
-    /// The body was read to its end, so that the connection can be reused.
+    /// The body was read to its end. Only then the connection can be reused.
     pub(super) is_complete: bool,
 }
 
@@ -83,10 +83,10 @@
     /// Reads a response to its end.
     ///
     /// A response that is not complete is invalid, whatever its status: the call may have been executed. The
-    /// exception is status 200 for a single message, which is true as soon as the status line has arrived.
+    /// exception is status 200 for a single message, which proves the delivery as soon as the status line has arrived.
     pub(super) async fn read(response: Response<Incoming>, is_batch: bool) -> Result<Self, NoResponse> {
         let mut read = EndpointResponse::from_head(response.status(), response.headers());
-        let body = http::body(response.into_body(), MAX_BODY_BYTES).await;
+        let body = http::read_complete_body(response.into_body(), MAX_BODY_BYTES).await;
         read.is_complete = body.is_some();
         let is_ok = read.status == StatusCode::OK;
         if is_batch && is_ok {
@@ -114,7 +114,7 @@
     }
 }
 
-/// Parses item by item: one that cannot be parsed is skipped and does not affect the others.
+/// Parses each item separately: one that cannot be parsed is skipped and does not affect the others.
 fn parse_item_states(body: &[u8]) -> Option<Vec<ItemState>> {
     let items: Vec<serde_json::Value> = serde_json::from_slice(body).ok()?;
     Some(items.into_iter().filter_map(|item| serde_json::from_value(item).ok()).collect())
@@ -129,8 +129,8 @@
     Some((milliseconds.min(MAX_RETRY_AFTER_MS) * 1000.0) as Micros)
 }
 
-/// Parses value by value: one that is no finite number is skipped and does not affect the others.
+/// Parses each value separately: one that is not a finite number is skipped and does not affect the others.
 fn parse_load_report(values: &str) -> Option<LoadReport> {
     let pairs = values.split(',').filter_map(|pair| pair.trim().split_once('='));
-    read_report(pairs.filter(|(_, value)| value.parse().is_ok_and(f64::is_finite)))
+    read_load_report(pairs.filter(|(_, value)| value.parse().is_ok_and(f64::is_finite)))
 }
--- a/src/forwarder/http/connection.rs
+++ b/src/forwarder/http/connection.rs
@@ -21,7 +21,7 @@
 
 /// Why a request has no response.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum RequestError {
+pub(crate) enum SendRequestError {
     /// No byte of the request was written. It is returned for use on another connection.
     #[error("the connection closed before the request was written")]
     NotWritten(Box<Request<Full<Bytes>>>),
@@ -96,21 +96,23 @@
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, RequestError> {
+    ) -> Result<Response<Incoming>, SendRequestError> {
         if self.sender.ready().await.is_err() {
-            return Err(RequestError::NotWritten(Box::new(request)));
+            return Err(SendRequestError::NotWritten(Box::new(request)));
         }
         self.progress.send_replace(ResponseProgress::NotStarted);
         let mut progress = self.progress.subscribe();
         let response = tokio::select! {
             biased;
             response = self.sender.try_send_request(request) => response,
-            () = head_overdue(&mut progress) => return Err(RequestError::InvalidResponse),
+            () = head_overdue(&mut progress) => return Err(SendRequestError::InvalidResponse),
         };
         response.map_err(|mut error| match error.take_message() {
-            Some(request) => RequestError::NotWritten(Box::new(request)),
-            None if error.error().is_parse() || self.has_response_started() => RequestError::InvalidResponse,
-            None => RequestError::Interrupted,
+            Some(request) => SendRequestError::NotWritten(Box::new(request)),
+            None if error.error().is_parse() || self.has_response_started() => {
+                SendRequestError::InvalidResponse
+            }
+            None => SendRequestError::Interrupted,
         })
     }
 
--- a/src/forwarder/http/mod.rs
+++ b/src/forwarder/http/mod.rs
@@ -7,7 +7,7 @@
 mod observed_read;
 mod response_status;
 
-pub(crate) use connection::{Connection, RequestError};
+pub(crate) use connection::{Connection, SendRequestError};
 pub(crate) use observed_read::poll_read_observed;
 
 use bytes::Bytes;
@@ -25,7 +25,7 @@
 
 /// Reads the complete body of a response. Returns `None` if the body is longer than `max_bytes`, ends early or
 /// takes too long.
-pub(crate) async fn body(incoming: Incoming, max_bytes: usize) -> Option<Bytes> {
+pub(crate) async fn read_complete_body(incoming: Incoming, max_bytes: usize) -> Option<Bytes> {
     let collected = timeout(RESPONSE_COMPLETION_TIMEOUT, Limited::new(incoming, max_bytes).collect()).await;
     collected.ok()?.ok().map(Collected::to_bytes)
 }
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -145,7 +145,7 @@
     config: &Config,
     event_queue: &mut Receiver<RuntimeEvent>,
 ) -> Result<Ownership, RunError> {
-    Ok(upgrade::acquire_ownership(&config.state, reject_admin_requests(event_queue)).await?)
+    Ok(upgrade::acquire_ownership(&config.state_folder, reject_admin_requests(event_queue)).await?)
 }
 
 /// Rejects the commands of operators while another process owns the state. Never completes.
@@ -162,7 +162,7 @@
 /// Accepts requests of successors to take over. If the socket cannot be created, the process serves without it, and
 /// a successor waits until this process has ended.
 fn listen_for_successors(config: &Config, events: &Sender<RuntimeEvent>) {
-    if let Err(error) = upgrade::listen_for_successors(&config.state, events.clone()) {
+    if let Err(error) = upgrade::listen_for_successors(&config.state_folder, events.clone()) {
         eprintln!("upgrade: no successor can take over: {error}");
     }
 }
@@ -218,7 +218,7 @@
 ) -> RequestHandler {
     let body_kib = config.limits.memory_mb.max(1) * KIB_PER_MB / BODY_MEMORY_DIVISOR;
     RequestHandler {
-        setting_names: config.names,
+        setting_names: config.setting_names,
         settings: config.settings,
         runtime: events,
         phase,
--- a/src/forwarder/runtime/endpoint_list.rs
+++ b/src/forwarder/runtime/endpoint_list.rs
@@ -3,7 +3,6 @@
 use super::Runtime;
 use crate::forwarder::messages::endpoint_list::{EndpointList, EndpointRecord, LifecycleState};
 use crate::interface::{EndpointEntry, EndpointState, Event, Micros};
-use crate::settings_reader::index;
 
 impl Runtime {
     /// Applies the list, or changes to it.
@@ -22,7 +21,7 @@
     }
 
     fn apply_record(&mut self, now: Micros, record: &EndpointRecord) -> EndpointEntry {
-        let kind = index(&self.names.kinds, &record.kind).unwrap_or(usize::MAX);
+        let kind = self.names.kinds.index_of(&record.kind).unwrap_or(usize::MAX);
         let max_batch = self.settings.kinds.get(kind).map_or(1, |kind| kind.batch.max(1));
         let updated = self.endpoints.update(record, max_batch);
         let endpoint = updated.endpoint;
@@ -40,7 +39,7 @@
         EndpointEntry {
             endpoint,
             destination: record.destination,
-            zone: index(&self.names.zones, &record.zone).unwrap_or(usize::MAX),
+            zone: self.names.zones.index_of(&record.zone).unwrap_or(usize::MAX),
             kind,
             state: endpoint_state(record.state),
             weight: record.weight,
--- a/src/forwarder/runtime/handover/forwarded_request.rs
+++ b/src/forwarder/runtime/handover/forwarded_request.rs
@@ -2,7 +2,7 @@
 
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::forwarder::upgrade::ForwardedRequest;
-use crate::settings_reader::{SettingNames, index};
+use crate::settings_reader::SettingNames;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use std::time::{Duration, Instant};
@@ -35,12 +35,12 @@
     reply: oneshot::Sender<ClientReply>,
 ) -> Option<ClientRequest> {
     let tenant = match &forwarded.tenant {
-        Some(name) => Some(index(&names.tenants, name)?),
+        Some(name) => Some(names.tenants.index_of(name)?),
         None => None,
     };
     Some(ClientRequest {
         id: forwarded.id,
-        class: index(&names.classes, &forwarded.class)?,
+        class: names.classes.index_of(&forwarded.class)?,
         tenant,
         destination: forwarded.destination,
         idempotency_key: forwarded.idempotency_key,
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -114,7 +114,7 @@
         ownership: Ownership,
     ) -> Result<Self, JournalError> {
         let max_journal_bytes = (config.limits.disk_mb * JOURNAL_BYTES_PER_DISK_MB) as u64;
-        let (journal, recovered) = Journal::open(&config.state, max_journal_bytes, unix_now_ms())?;
+        let (journal, recovered) = Journal::open(&config.state_folder, max_journal_bytes, unix_now_ms())?;
         let inherited = match ownership.predecessor {
             // If it ended right after the hand-over, its calls ended with it, and the journal contains them.
             Some(predecessor) => predecessor.confirm_ownership(channels.events.clone()).await.ok(),
@@ -125,7 +125,7 @@
         channels.connection_counts.predecessor.store(inherited_clients, Relaxed);
         let mut runtime = Runtime::new(config, channels, journal, ownership.lock, predecessor);
         let now = runtime.clock.now();
-        if let Some(known) = &config.known {
+        if let Some(known) = &config.known_endpoints {
             runtime.apply_endpoint_list(now, known);
         }
         runtime.recover(now, recovered, handoff);
@@ -142,7 +142,7 @@
     ) -> Self {
         let settings = config.settings.clone();
         Runtime {
-            names: config.names.clone(),
+            names: config.setting_names.clone(),
             clock: Clock::start(),
             decisions: Decisions::new(settings.clone(), config.seed),
             journal: SharedJournal::new(journal),
--- a/src/forwarder/runtime/outbound_calls.rs
+++ b/src/forwarder/runtime/outbound_calls.rs
@@ -8,7 +8,6 @@
 use crate::forwarder::endpoint_client::{self, CallItem, OutboundCall, WriteGuard};
 use crate::forwarder::messages::attempt::AttemptRef;
 use crate::interface::{AttemptEnded, EndpointId, Event, Idempotency, MessageId, Micros, Outcome};
-use crate::settings_reader::index;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::channel;
@@ -125,7 +124,9 @@
     /// Whether the message must never be executed twice. Without its class nothing may be assumed about it.
     fn is_not_idempotent(&self, id: MessageId) -> bool {
         let Some(message) = self.messages.get(id) else { return false };
-        index(&self.names.classes, &message.content.class)
+        self.names
+            .classes
+            .index_of(&message.content.class)
             .is_none_or(|class| self.settings.classes[class].idempotency == Idempotency::NotIdempotent)
     }
 
--- a/src/forwarder/runtime/recovery.rs
+++ b/src/forwarder/runtime/recovery.rs
@@ -12,7 +12,7 @@
 use crate::forwarder::messages::notice::Notice;
 use crate::forwarder::upgrade::HandoffState;
 use crate::interface::{Event, MessageHistory, Micros, PossibleExecution};
-use crate::settings_reader::index;
+use crate::settings_reader::NameList;
 
 /// Assumed age of an attempt whose time is unknown, in microseconds. It exceeds the time for which any destination
 /// remembers an idempotency key.
@@ -80,8 +80,8 @@
     /// Submits a recovered message to the decision module.
     fn resubmit(&mut self, now: Micros, message: OpenMessage, history: MessageHistory) {
         let AcceptedMessage { id: client_id, class, tenant, destination, .. } = &message.content;
-        let class = index(&self.names.classes, class);
-        let tenant = tenant.as_ref().and_then(|tenant| index(&self.names.tenants, tenant));
+        let class = self.names.classes.index_of(class);
+        let tenant = tenant.as_ref().and_then(|tenant| self.names.tenants.index_of(tenant));
         let (client_id, destination, expires_at) = (client_id.clone(), *destination, message.expires_at);
         let id = self.messages.insert(message);
         let Some(class) = class else {
@@ -111,14 +111,14 @@
 fn possible_execution(
     attempts: &[RecoveredAttempt],
     in_doubt: bool,
-    zones: &[String],
+    zones: &NameList,
     wall_clock: WallClock,
 ) -> Option<PossibleExecution> {
     if in_doubt {
         return Some(PossibleExecution { sent_at: -UNKNOWN_ATTEMPT_AGE_MICROS, zone: usize::MAX });
     }
     let first = attempts.iter().find(|attempt| attempt.may_have_executed)?;
-    let zone = index(zones, &first.zone).unwrap_or(usize::MAX);
+    let zone = zones.index_of(&first.zone).unwrap_or(usize::MAX);
     Some(PossibleExecution { sent_at: wall_clock.to_micros(first.sent_at_unix_ms), zone })
 }
 
--- a/src/forwarder/server/handler.rs
+++ b/src/forwarder/server/handler.rs
@@ -1,9 +1,9 @@
-//! Handling the requests of clients.
+//! Handles the requests of clients: readiness checks and submitted messages.
 
 use super::activity::ConnectionActivity;
 use super::lifecycle::{ConnectionCounts, LifecyclePhase};
 use super::reply::{HttpReply, OVERLOAD_RETRY_AFTER, close_after, encode_reply, status_reply};
-use super::request::{MessageHeaders, RequestError, body_length, parse_class, read_body};
+use super::request::{MessageHeaders, RequestRejection, body_length, parse_class, read_body};
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::client_request::{ClientReply, ClientRequest};
 use crate::interface::{Idempotency, Settings};
@@ -19,7 +19,7 @@
 
 /// The path of the readiness check.
 const READINESS_PATH: &str = "/-/ready";
-/// The unit in which the memory for bodies is counted.
+/// The bytes of a body that one permit of [`RequestHandler::body_memory`] allows.
 const BYTES_PER_BODY_PERMIT: u64 = 1024;
 
 /// The handler of all client requests, shared by all connections.
@@ -28,7 +28,7 @@
     pub(crate) setting_names: SettingNames,
     /// The settings.
     pub(crate) settings: Settings,
-    /// Where submitted messages go: the bounded event queue of the runtime.
+    /// The bounded event queue of the runtime, which submitted messages are passed to.
     pub(crate) runtime: Sender<RuntimeEvent>,
     /// The phase of the process, which the runtime sets.
     pub(crate) phase: watch::Receiver<LifecyclePhase>,
@@ -48,7 +48,7 @@
         activity.begin_request();
         let mut reply =
             self.route(request, activity).await.unwrap_or_else(|error| status_reply(error.status()));
-        // The end of an invalid request is in doubt: nothing behind it is read as another request.
+        // Where an invalid request ends is unknown: the bytes after it must not be read as another request.
         if reply.status().is_client_error() || self.phase() >= LifecyclePhase::Draining {
             close_after(&mut reply);
         }
@@ -60,20 +60,20 @@
         &self,
         request: Request<Incoming>,
         activity: &ConnectionActivity,
-    ) -> Result<HttpReply, RequestError> {
+    ) -> Result<HttpReply, RequestRejection> {
         let body_timeout = activity.remaining_request_time();
         if activity.has_ambiguous_framing() {
-            return Err(RequestError::AmbiguousFraming);
+            return Err(RequestRejection::AmbiguousFraming);
         }
         if request.headers().contains_key(TRANSFER_ENCODING) {
-            return Err(RequestError::LengthRequired);
+            return Err(RequestRejection::LengthRequired);
         }
         match (request.method(), request.uri().path()) {
             (&Method::GET, READINESS_PATH) => Ok(status_reply(self.readiness())),
             (&Method::POST, path) if path.len() > 1 => {
                 self.submit(request, body_timeout).await.map(encode_reply)
             }
-            _ => Err(RequestError::NotFound),
+            _ => Err(RequestRejection::NotFound),
         }
     }
 
@@ -94,13 +94,13 @@
         &self,
         request: Request<Incoming>,
         body_timeout: Duration,
-    ) -> Result<ClientReply, RequestError> {
+    ) -> Result<ClientReply, RequestRejection> {
         let (parts, body) = request.into_parts();
         let class = parse_class(parts.uri.path(), &self.setting_names.classes)?;
         let headers =
             MessageHeaders::parse(&parts.headers, &self.setting_names.tenants, self.is_key_required(class))?;
         let permits = body_length(&body)?.div_ceil(BYTES_PER_BODY_PERMIT) as u32;
-        // Held until the reply.
+        // Released when this function returns the reply.
         let Ok(_body_memory) = self.body_memory.try_acquire_many(permits) else {
             return Ok(ClientReply::Rejected(Some(OVERLOAD_RETRY_AFTER)));
         };
--- a/src/forwarder/server/request/tests.rs
+++ b/src/forwarder/server/request/tests.rs
@@ -17,6 +17,10 @@
     headers
 }
 
+fn names(names: &[&str]) -> NameList {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
 /// The valid headers, but with this value in place of that of the header `name`.
 fn with(name: &'static str, value: &str) -> HeaderMap {
     let mut headers = headers(&VALID);
@@ -24,9 +28,8 @@
     headers
 }
 
-fn parse(headers: &HeaderMap) -> Result<MessageHeaders, RequestError> {
-    let tenants = ["tenant-a".to_owned(), "tenant-b".to_owned()];
-    MessageHeaders::parse(headers, &tenants, true)
+fn parse(headers: &HeaderMap) -> Result<MessageHeaders, RequestRejection> {
+    MessageHeaders::parse(headers, &names(&["tenant-a", "tenant-b"]), true)
 }
 
 #[test]
@@ -41,7 +44,7 @@
     for (name, value) in VALID {
         let mut repeated = headers(&VALID);
         repeated.append(name, HeaderValue::from_str(value).expect("a header value"));
-        assert_eq!(parse(&repeated).err(), Some(RequestError::RepeatedHeader(name)));
+        assert_eq!(parse(&repeated).err(), Some(RequestRejection::RepeatedHeader(name)));
     }
 }
 
@@ -59,12 +62,12 @@
         (ENVELOPE_HEADER, "dest=x"),
         (ENVELOPE_HEADER, "destination=7"),
     ] {
-        assert_eq!(parse(&with(name, value)).err(), Some(RequestError::InvalidHeader(name)), "{value:?}");
+        assert_eq!(parse(&with(name, value)).err(), Some(RequestRejection::InvalidHeader(name)), "{value:?}");
     }
     for (name, _) in VALID {
         let mut incomplete = headers(&VALID);
         incomplete.remove(name);
-        assert_eq!(parse(&incomplete).err(), Some(RequestError::InvalidHeader(name)));
+        assert_eq!(parse(&incomplete).err(), Some(RequestRejection::InvalidHeader(name)));
     }
 }
 
@@ -73,7 +76,7 @@
     let mut minimal = headers(&VALID);
     minimal.remove(TENANT_HEADER);
     minimal.remove(KEY_HEADER);
-    let parsed = MessageHeaders::parse(&minimal, &[], false).expect("they are valid");
+    let parsed = MessageHeaders::parse(&minimal, &names(&[]), false).expect("they are valid");
     assert_eq!((parsed.tenant, parsed.key), (None, None));
 }
 
@@ -85,8 +88,8 @@
 
 #[test]
 fn class_is_the_only_segment_of_the_path() {
-    let classes = ["alert".to_owned(), "digest".to_owned()];
+    let classes = names(&["alert", "digest"]);
     assert_eq!(parse_class("/digest", &classes), Ok(1));
-    assert_eq!(parse_class("/other", &classes), Err(RequestError::UnknownClass));
-    assert_eq!(parse_class("/digest/other", &classes), Err(RequestError::NotFound));
+    assert_eq!(parse_class("/other", &classes), Err(RequestRejection::UnknownClass));
+    assert_eq!(parse_class("/digest/other", &classes), Err(RequestRejection::NotFound));
 }
--- a/src/key_value.rs
+++ b/src/key_value.rs
@@ -3,35 +3,46 @@
 use crate::interface::Micros;
 use std::str::FromStr;
 
-/// Bound on the absolute value of times that are parsed, in microseconds. The sum of a few of them cannot
+/// Bound on the absolute value of parsed times, in microseconds. It is so low that the sum of a few times cannot
 /// overflow.
-pub(crate) const MAX_ABSOLUTE_TIME: f64 = (1i64 << 55) as f64;
+pub(crate) const MAX_ABSOLUTE_TIME_MICROS: f64 = (1i64 << 55) as f64;
 
-/// A field that cannot be parsed.
+/// A field that cannot be parsed. The message names the line if the field was read from one, the field and the
+/// problem.
 #[derive(Debug, thiserror::Error)]
-#[error("line {line}: field {field}: {problem}")]
+#[error("{}field {field}: {problem}", line_prefix(*line))]
 pub struct FieldError {
-    line: u64,
+    line: Option<u64>,
     field: String,
     problem: String,
 }
 
-/// The fields of one line. Of fields with the same name, the first one counts.
+fn line_prefix(line: Option<u64>) -> String {
+    line.map(|line| format!("line {line}: ")).unwrap_or_default()
+}
+
+/// Fields with names and values. If several fields have the same name, the first one is used.
 pub(crate) struct Fields<'a> {
-    line: u64,
+    /// The number of the line that the fields were read from, for error messages. `None` for fields from the
+    /// configuration file.
+    line: Option<u64>,
+    /// Names and values.
     pairs: Vec<(&'a str, &'a str)>,
 }
 
 impl<'a> Fields<'a> {
-    /// Creates the fields of a line from names and values. `line` is the number of the line in error
-    /// messages.
-    pub(crate) fn new(line: u64, pairs: Vec<(&'a str, &'a str)>) -> Self {
-        Fields { line, pairs }
+    /// Creates fields from names and values that do not come from a line.
+    pub(crate) fn from_pairs(pairs: Vec<(&'a str, &'a str)>) -> Self {
+        Fields { line: None, pairs }
     }
 
-    /// Parses fields that are separated by spaces.
+    /// Parses the text of the line with the number `line`: `name=value` fields that are separated by spaces.
+    ///
+    /// # Errors
+    ///
+    /// A part of the text has no `=`.
     pub(crate) fn parse(line: u64, text: &'a str) -> Result<Self, FieldError> {
-        let mut fields = Fields::new(line, Vec::new());
+        let mut fields = Fields { line: Some(line), pairs: Vec::new() };
         for part in text.split(' ').filter(|part| !part.is_empty()) {
             let pair = part.split_once('=').ok_or_else(|| fields.invalid(part, "expected name=value"))?;
             fields.pairs.push(pair);
@@ -39,7 +50,7 @@
         Ok(fields)
     }
 
-    /// Returns an error about a field of this line.
+    /// Returns an error about one of these fields. `problem` describes what is wrong with it.
     pub(crate) fn invalid(&self, field: &str, problem: impl Into<String>) -> FieldError {
         FieldError { line: self.line, field: field.into(), problem: problem.into() }
     }
@@ -48,22 +59,22 @@
         self.invalid(field, "missing")
     }
 
-    /// Returns the value of a field, if the line has it.
+    /// Returns the value of a field, if it is present.
     pub(crate) fn get(&self, name: &str) -> Option<&'a str> {
         self.pairs.iter().find(|(other, _)| *other == name).map(|(_, value)| *value)
     }
 
-    /// Returns the value of a field that the line must have.
+    /// Returns the value of a field. It is an error if the field is absent.
     pub(crate) fn required(&self, name: &str) -> Result<&'a str, FieldError> {
         self.get(name).ok_or_else(|| self.missing(name))
     }
 
-    /// Parses a whole number that the line must have.
+    /// Parses a whole number. It is an error if the field is absent.
     pub(crate) fn integer(&self, name: &str) -> Result<u64, FieldError> {
         self.parsed(name)?.ok_or_else(|| self.missing(name))
     }
 
-    /// Parses a finite number, if the line has it.
+    /// Parses a finite number, if it is present.
     pub(crate) fn number(&self, name: &str) -> Result<Option<f64>, FieldError> {
         match self.parsed::<f64>(name)? {
             Some(number) if !number.is_finite() => Err(self.invalid(name, "not a finite number")),
@@ -71,15 +82,16 @@
         }
     }
 
-    /// Parses a time, if the line has it. It is written in milliseconds.
+    /// Parses a time that is written in milliseconds, if it is present.
     pub(crate) fn time(&self, name: &str) -> Result<Option<Micros>, FieldError> {
         let to_micros = |milliseconds: f64| {
-            (milliseconds * 1000.0).round().clamp(-MAX_ABSOLUTE_TIME, MAX_ABSOLUTE_TIME) as Micros
+            (milliseconds * 1000.0).round().clamp(-MAX_ABSOLUTE_TIME_MICROS, MAX_ABSOLUTE_TIME_MICROS)
+                as Micros
         };
         Ok(self.number(name)?.map(to_micros))
     }
 
-    /// Parses a time, written in milliseconds, that the line must have.
+    /// Parses a time that is written in milliseconds. It is an error if the field is absent.
     pub(crate) fn required_time(&self, name: &str) -> Result<Micros, FieldError> {
         self.time(name)?.ok_or_else(|| self.missing(name))
     }
--- a/src/settings_reader.rs
+++ b/src/settings_reader.rs
@@ -1,65 +1,110 @@
-//! Reads the settings of a sender, and load reports, from `name=value` fields.
+//! Parses the settings of a sender, and the load reports of endpoints, from `name=value` fields.
+//!
+//! The names of the fields are part of the configuration file and of the simulator's protocol, and must not change.
 
 use crate::interface::{
     Class, DestinationKind, EndpointWeights, Idempotency, LoadReport, Micros, Settings, Tenant, WeightDecay,
 };
 use crate::key_value::{FieldError, Fields};
+use std::ops::Index;
 
-/// Name of the value in a load report that carries the rate limit.
-const REPORTED_LIMIT: &str = "x1";
+/// Name of the value in a load report that holds the rate limit, in calls per second.
+const RATE_LIMIT_FIELD: &str = "x1";
 
-/// The names by which configurations and requests refer to what the interface numbers. The position of a name
-/// is its number.
+/// Names of one sort, for example of classes. The interface refers to each name by its index in this list.
+#[derive(Clone, Default)]
+pub(crate) struct NameList(Vec<String>);
+
+impl NameList {
+    /// Returns the index of a name, or `None` if the list does not contain it.
+    pub(crate) fn index_of(&self, name: &str) -> Option<usize> {
+        self.0.iter().position(|other| other == name)
+    }
+
+    /// Returns the names in the order of their indices.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &str> {
+        self.0.iter().map(String::as_str)
+    }
+
+    /// Returns whether the list contains no name.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl FromIterator<String> for NameList {
+    fn from_iter<I: IntoIterator<Item = String>>(names: I) -> Self {
+        NameList(names.into_iter().collect())
+    }
+}
+
+impl Extend<String> for NameList {
+    fn extend<I: IntoIterator<Item = String>>(&mut self, names: I) {
+        self.0.extend(names);
+    }
+}
+
+impl Index<usize> for NameList {
+    type Output = String;
+
+    fn index(&self, index: usize) -> &String {
+        &self.0[index]
+    }
+}
+
+/// The names that configurations and requests use where [`crate::interface`] uses indices.
 #[derive(Clone, Default)]
 pub(crate) struct SettingNames {
     /// The classes of messages.
-    pub(crate) classes: Vec<String>,
+    pub(crate) classes: NameList,
     /// The tenants.
-    pub(crate) tenants: Vec<String>,
+    pub(crate) tenants: NameList,
     /// The zones.
-    pub(crate) zones: Vec<String>,
+    pub(crate) zones: NameList,
     /// The kinds of destinations.
-    pub(crate) kinds: Vec<String>,
-    /// The values of a load report, in the order in which destinations send them.
-    pub(crate) report: Vec<String>,
-}
-
-/// Returns the number of a name.
-pub(crate) fn index(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|other| other == name)
+    pub(crate) kinds: NameList,
+    /// The values of a load report, in the order in which the simulator lists them.
+    pub(crate) report_fields: NameList,
 }
 
-/// Reads settings from paths and values of any origin.
+/// Reads settings from paths and values that do not come from a line of the simulator's protocol.
+///
+/// # Errors
+///
+/// See [`read_settings`].
 pub(crate) fn settings_from(pairs: &[(String, String)]) -> Result<(Settings, SettingNames), FieldError> {
     let pairs = pairs.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
-    read_settings(&SettingsReader { fields: &Fields::new(0, pairs) })
+    read_settings(&SettingsReader { fields: &Fields::from_pairs(pairs) })
 }
 
-/// Reads a load report from names and values. Returns `None` if a value is not a number.
-pub(crate) fn read_report<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> Option<LoadReport> {
+/// Reads a load report from names and values. Values with unknown names are ignored, but they must be numbers, too:
+/// returns `None` if a value is not a finite number.
+pub(crate) fn read_load_report<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> Option<LoadReport> {
     let mut report = LoadReport { limit: None };
     for (name, value) in values {
         let value = value.parse::<f64>().ok().filter(|value| value.is_finite())?;
-        if name == REPORTED_LIMIT {
+        if name == RATE_LIMIT_FIELD {
+            // Zero and negative values mean that there is no limit.
             report.limit = Some(value).filter(|limit| *limit > 0.0);
         }
     }
     Some(report)
 }
 
-/// Settings by path. Elements of a list have their position in the path, as in `classes.0.name`.
+/// Reads settings by their path. The path of an element of a list contains its index, as in `classes.0.name`.
 pub(crate) struct SettingsReader<'a> {
     /// The paths and values.
     pub(crate) fields: &'a Fields<'a>,
 }
 
 impl<'a> SettingsReader<'a> {
+    /// Reads values that are separated by commas; none if the setting is absent.
     fn list(&self, name: &str) -> Vec<&'a str> {
         let items = self.fields.get(name).unwrap_or_default().split(',');
         items.filter(|item| !item.is_empty()).collect()
     }
 
-    fn names(&self, name: &str) -> Vec<String> {
+    fn names(&self, name: &str) -> NameList {
         self.list(name).into_iter().map(str::to_owned).collect()
     }
 
@@ -85,23 +130,29 @@
     }
 }
 
-/// Reads the settings of a sender. An absent setting has its neutral value; the names and the idempotency of
-/// classes and the names of tenants must be present.
+/// Reads the settings of a sender. An absent setting gets its neutral value, see [`Settings::default`].
+///
+/// # Errors
+///
+/// A value cannot be parsed, or the name or idempotency of a class or the name of a tenant is missing.
 pub(crate) fn read_settings(reader: &SettingsReader) -> Result<(Settings, SettingNames), FieldError> {
-    let mut names = SettingNames {
+    let (class_names, classes) = read_classes(reader)?;
+    let (tenant_names, tenants) = read_tenants(reader)?;
+    let names = SettingNames {
+        classes: class_names,
+        tenants: tenant_names,
         zones: reader.names("zones"),
         kinds: reader.names("kinds"),
-        report: reader.names("report.fields"),
-        ..SettingNames::default()
+        report_fields: reader.names("report.fields"),
     };
     let fields = reader.fields;
     let settings = Settings {
-        classes: read_classes(reader, &mut names.classes)?,
-        tenants: read_tenants(reader, &mut names.tenants)?,
-        kinds: read_kinds(reader, names.kinds.len())?,
+        classes,
+        tenants,
+        kinds: read_kinds(reader, names.kinds.iter().count())?,
         over_quota_weight: reader.number_or("overShareWorth", 1.0)?,
         weight_decay: read_weight_decay(fields)?,
-        zone: fields.get("zone").and_then(|zone| index(&names.zones, zone)).unwrap_or(usize::MAX),
+        zone: fields.get("zone").and_then(|zone| names.zones.index_of(zone)).unwrap_or(usize::MAX),
         sender_count: reader.count_or("peersTotal", 1)?,
         call_slots: reader.count_or("familyInfo.slots", usize::MAX)?,
         max_open_messages: reader.count_or("limits.openCap", usize::MAX)?,
@@ -124,22 +175,25 @@
     Ok((settings, names))
 }
 
-fn read_classes(reader: &SettingsReader, names: &mut Vec<String>) -> Result<Vec<Class>, FieldError> {
-    (0..reader.count_or("classes.count", 0)?)
+/// Reads the classes and their names.
+fn read_classes(reader: &SettingsReader) -> Result<(NameList, Vec<Class>), FieldError> {
+    let named_classes = (0..reader.count_or("classes.count", 0)?)
         .map(|number| {
             let path = |setting: &str| format!("classes.{number}.{setting}");
             let idempotency = read_idempotency(reader, path)?;
-            names.push(reader.fields.required(&path("name"))?.to_owned());
-            Ok(Class {
+            let name = reader.fields.required(&path("name"))?.to_owned();
+            let class = Class {
                 idempotency,
                 latency_objective: reader.time(&path("goalTime"))?,
                 deadline: reader.time(&path("deadline"))?,
                 priority_weight: reader.number_or(&path("worth"), 1.0)?,
                 late_weight_fraction: reader.number_or(&path("lateShare"), 0.0)?,
                 ordered: reader.fields.flag(&path("sequential"))?,
-            })
+            };
+            Ok((name, class))
         })
-        .collect()
+        .collect::<Result<Vec<_>, FieldError>>()?;
+    Ok(named_classes.into_iter().unzip())
 }
 
 /// Reads the idempotency of the class whose settings are at `path`.
@@ -159,7 +213,8 @@
     }
 }
 
-/// Reads whether only endpoints of one zone share their memory of idempotency keys.
+/// Reads whether an idempotency key is known only to the endpoints of the zone that received it.
+/// See [`Idempotency::Keyed`].
 fn read_key_scope(fields: &Fields, path: &str) -> Result<bool, FieldError> {
     match fields.get(path) {
         Some("all") => Ok(false),
@@ -168,15 +223,19 @@
     }
 }
 
-fn read_tenants(reader: &SettingsReader, names: &mut Vec<String>) -> Result<Vec<Tenant>, FieldError> {
-    (0..reader.count_or("realms.count", 0)?)
+/// Reads the tenants and their names.
+fn read_tenants(reader: &SettingsReader) -> Result<(NameList, Vec<Tenant>), FieldError> {
+    let named_tenants = (0..reader.count_or("realms.count", 0)?)
         .map(|number| {
-            names.push(reader.fields.required(&format!("realms.{number}.name"))?.to_owned());
-            Ok(Tenant { quota: reader.number_or(&format!("realms.{number}.quotaRps"), f64::MAX)? })
+            let name = reader.fields.required(&format!("realms.{number}.name"))?.to_owned();
+            let quota = reader.number_or(&format!("realms.{number}.quotaRps"), f64::MAX)?;
+            Ok((name, Tenant { quota }))
         })
-        .collect()
+        .collect::<Result<Vec<_>, FieldError>>()?;
+    Ok(named_tenants.into_iter().unzip())
 }
 
+/// Reads the kinds of destinations. Each setting is a list with one value for each kind, in the order of the names.
 fn read_kinds(reader: &SettingsReader, count: usize) -> Result<Vec<DestinationKind>, FieldError> {
     let separate_routes = reader.list("familyInfo.kindApart");
     let batch = reader.numbers("familyInfo.batchByKind")?;
--- a/src/simulator/host.rs
+++ b/src/simulator/host.rs
@@ -4,7 +4,7 @@
 use super::request::{CatalogHeader, CatalogRow, EndpointListRequest, EventKind, EventRequest, RequestKind};
 use crate::interface::{EndpointEntry, Event, Micros};
 use crate::key_value::{FieldError, Fields};
-use crate::settings_reader::{SettingNames, index};
+use crate::settings_reader::SettingNames;
 use std::collections::BTreeMap;
 
 /// The instances, and the catalogs of endpoints that they share.
@@ -14,11 +14,11 @@
     instances: BTreeMap<u64, Instance>,
     /// Catalogs by the number of their sheet.
     catalogs: BTreeMap<u64, Vec<CatalogRow>>,
-    /// The catalog that was started last. Its `rows` are those that are still to come.
+    /// The catalog that was started last. Its `rows` is the number of rows that have not arrived yet.
     open_catalog: Option<CatalogHeader>,
-    /// Instances that the frame names, in the order in which they are named first. The reply is in this
-    /// order.
-    touched: Vec<u64>,
+    /// The instances that lines of the frame have named, in the order in which they were first named. The reply has
+    /// the same order.
+    instances_in_frame: Vec<u64>,
 }
 
 impl Host {
@@ -43,7 +43,7 @@
     /// Ends the turn of each instance that the frame named, and returns the lines of the reply.
     pub(super) fn reply(&mut self) -> String {
         let mut reply = String::new();
-        for number in std::mem::take(&mut self.touched) {
+        for number in std::mem::take(&mut self.instances_in_frame) {
             if let Some(instance) = self.instances.get_mut(&number) {
                 instance.end_turn(self.now);
                 instance.write_actions(number, &mut reply);
@@ -71,13 +71,13 @@
         let number = fields.integer("forwarder")?;
         let instance = Instance::boot(fields)?;
         self.instances.insert(number, instance);
-        self.touch(number);
+        self.add_to_reply(number);
         Ok(())
     }
 
     fn exit(&mut self, number: u64) {
         self.instances.remove(&number);
-        self.touched.retain(|touched| *touched != number);
+        self.instances_in_frame.retain(|other| *other != number);
     }
 
     fn handle_event(&mut self, kind: EventKind, fields: &Fields) -> Result<(), FieldError> {
@@ -97,17 +97,18 @@
                 instance.handle(now, event);
             }
         }
-        self.touch(number);
+        self.add_to_reply(number);
         Ok(())
     }
 
-    fn touch(&mut self, number: u64) {
-        if !self.touched.contains(&number) {
-            self.touched.push(number);
+    fn add_to_reply(&mut self, number: u64) {
+        if !self.instances_in_frame.contains(&number) {
+            self.instances_in_frame.push(number);
         }
     }
 }
 
+/// Translates a request that refers to a catalog into an event with the rows of that catalog.
 fn list_event(
     catalogs: &BTreeMap<u64, Vec<CatalogRow>>,
     request: EndpointListRequest,
@@ -127,13 +128,14 @@
     })
 }
 
-/// Numbers the zone and the kind of a row. A name that the settings lack gets a number that is never used.
+/// Replaces the names of the zone and the kind of a row by their indices. A name that is not in the settings gets
+/// an index that nothing else has.
 fn endpoint_entry(row: &CatalogRow, names: &SettingNames) -> EndpointEntry {
     EndpointEntry {
         endpoint: row.endpoint,
         destination: row.destination,
-        zone: index(&names.zones, &row.zone).unwrap_or(usize::MAX),
-        kind: index(&names.kinds, &row.kind).unwrap_or(usize::MAX),
+        zone: names.zones.index_of(&row.zone).unwrap_or(usize::MAX),
+        kind: names.kinds.index_of(&row.kind).unwrap_or(usize::MAX),
         state: row.state,
         weight: row.weight,
     }
--- a/src/simulator/instance.rs
+++ b/src/simulator/instance.rs
@@ -8,13 +8,13 @@
 use crate::settings_reader::{SettingNames, SettingsReader, read_settings};
 use std::collections::{BTreeMap, HashMap};
 
-/// A message that still can occur in a request or in an action.
+/// A message that a later request or action may refer to.
 struct OpenMessage {
     /// The id that the simulator gave to it.
     wire_id: String,
     attempts_in_flight: usize,
     attempts_sent: usize,
-    /// It needs no further answer.
+    /// It needs no final reply any more.
     finished: bool,
 }
 
@@ -24,8 +24,8 @@
     names: SettingNames,
     /// Ids of the open messages, by their ids in the simulator.
     message_ids: HashMap<String, MessageId>,
-    /// Holds the same messages as `message_ids`, except that an id which the simulator used twice leads to
-    /// the later message only.
+    /// The same messages by their own ids. If the simulator used an id twice, `message_ids` contains only the
+    /// later message.
     open_messages: BTreeMap<MessageId, OpenMessage>,
     next_message_id: MessageId,
     /// Actions that have not been written to a reply yet.
@@ -47,7 +47,7 @@
         })
     }
 
-    /// Returns the names that requests use for what the settings number.
+    /// Returns the names that requests use in place of indices.
     pub(super) fn names(&self) -> &SettingNames {
         &self.names
     }
@@ -140,7 +140,7 @@
         Some((id, message))
     }
 
-    /// Returns the simulator's id of the message that an action is about, and nothing for other actions.
+    /// Returns the simulator's id of the message that an action is about; empty if it is about no message.
     fn wire_id(&self, action: &Action) -> &str {
         let message = message_of(action).and_then(|id| self.open_messages.get(&id));
         message.map_or("", |message| &message.wire_id)
@@ -153,7 +153,8 @@
         self.remove_if_complete(id);
     }
 
-    /// Removes a complete message, unless an action of this turn is about it: the reply needs its id.
+    /// Removes a complete message, unless an action of this turn is about it: the reply needs its id, and
+    /// `write_actions` removes the message later.
     fn remove_if_unanswered(&mut self, id: MessageId) {
         let is_answered = self.actions.iter().any(|action| match action {
             Action::Send { id: other, .. }
--- a/src/simulator/mod.rs
+++ b/src/simulator/mod.rs
@@ -1,6 +1,6 @@
 //! The simulator adapter: runs the decision module for the instances of a simulated fleet.
 //!
-//! The simulator writes requests in frames, one request a line, and reads a reply to each frame. This module
+//! The simulator writes requests in frames, one request per line, and reads a reply to each frame. This module
 //! parses the requests, translates them to [`crate::interface`] and writes the resulting actions. No decision
 //! is made here.
 
@@ -19,7 +19,7 @@
 const FRAME_START: &str = "FRAME";
 /// Closes a frame and asks for the reply.
 const FRAME_END: &str = "OVER_TO_YOU";
-/// Last line of each reply.
+/// The last line of each reply, with its line break.
 const REPLY_END: &str = "OK\n";
 
 /// Why serving the simulator ended before the end of its input.
--- a/src/simulator/request.rs
+++ b/src/simulator/request.rs
@@ -1,13 +1,14 @@
 //! The requests of the simulator, parsed from the fields of a line.
 //!
-//! Lines and fields with unknown names are ignored, so that a newer simulator can be served.
+//! The names of lines and fields and the numbers of outcomes are part of the simulator's protocol. Lines and fields
+//! with unknown names are ignored, so that a newer simulator can be served.
 
 use crate::interface::{
     DestinationId, EndpointId, EndpointState, LoadReport, MessageHistory, MessageId, Micros, Outcome,
     Submission,
 };
-use crate::key_value::{FieldError, Fields, MAX_ABSOLUTE_TIME};
-use crate::settings_reader::{SettingNames, index, read_report};
+use crate::key_value::{FieldError, Fields, MAX_ABSOLUTE_TIME_MICROS};
+use crate::settings_reader::{SettingNames, read_load_report};
 
 /// The kinds of lines within a frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,7 +58,7 @@
 /// The start of a catalog.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct CatalogHeader {
-    /// The number by which [`EventRequest::EndpointList`] refers to the catalog.
+    /// The number that [`EventRequest::EndpointList`] refers to the catalog by.
     pub(super) sheet: u64,
     /// How many rows follow.
     pub(super) rows: u64,
@@ -69,14 +70,20 @@
     }
 }
 
-/// A row of a catalog. Zone and kind are names, which each instance numbers by its own settings.
+/// A row of a catalog. Zone and kind are names, for which each instance has its own indices.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct CatalogRow {
+    /// The endpoint.
     pub(super) endpoint: EndpointId,
+    /// The destination that it belongs to.
     pub(super) destination: DestinationId,
+    /// The name of its zone.
     pub(super) zone: String,
+    /// The name of the kind of its destination.
     pub(super) kind: String,
+    /// Whether it is in service.
     pub(super) state: EndpointState,
+    /// See [`crate::interface::EndpointWeights`].
     pub(super) weight: f64,
 }
 
@@ -113,7 +120,7 @@
     AttemptEnded(AttemptEndedRequest<'a>),
     /// The client has disconnected.
     ClientDisconnected { wire_id: &'a str },
-    /// A time that the instance asked for has come.
+    /// A wake-up that the instance requested is due.
     Wake,
     /// Discovery sent endpoints, or failed.
     EndpointList(EndpointListRequest),
@@ -189,11 +196,13 @@
 
 fn parse_submit<'a>(fields: &Fields<'a>, names: &SettingNames) -> Result<SubmitRequest<'a>, FieldError> {
     let class_name = fields.required("priority")?;
-    let class = index(&names.classes, class_name)
+    let class = names
+        .classes
+        .index_of(class_name)
         .ok_or_else(|| fields.invalid("priority", format!("unknown class {class_name:?}")))?;
     Ok(SubmitRequest {
         class,
-        tenant: fields.get("clientGroup").and_then(|tenant| index(&names.tenants, tenant)),
+        tenant: fields.get("clientGroup").and_then(|tenant| names.tenants.index_of(tenant)),
         key: fields.get("partitionKey").filter(|key| !key.is_empty()),
         expires_at: fields.required_time("giveUpAt")?,
         destination: fields.integer("calledNode")?,
@@ -232,7 +241,7 @@
 /// Parses the wait that comes with a rejection, in milliseconds. Fractions of a microsecond are cut off.
 fn parse_retry_after(fields: &Fields) -> Result<Option<Micros>, FieldError> {
     let wait_ms = fields.number("detail")?.filter(|wait_ms| *wait_ms > 0.0);
-    Ok(wait_ms.map(|wait_ms| (wait_ms.min(MAX_ABSOLUTE_TIME / 1e3) * 1e3) as Micros))
+    Ok(wait_ms.map(|wait_ms| (wait_ms.min(MAX_ABSOLUTE_TIME_MICROS / 1e3) * 1e3) as Micros))
 }
 
 /// Parses a load report: values separated by commas, in the order that the settings name.
@@ -240,8 +249,8 @@
     let Some(text) = fields.get("healthInfo").filter(|text| !text.is_empty() && *text != "-") else {
         return Ok(None);
     };
-    let values = names.report.iter().map(String::as_str).zip(text.split(','));
-    match read_report(values) {
+    let values = names.report_fields.iter().zip(text.split(','));
+    match read_load_report(values) {
         Some(report) => Ok(Some(report)),
         None => Err(fields.invalid("healthInfo", format!("cannot read {text:?}"))),
     }
