--- a/src/forwarder/admin.rs
+++ b/src/forwarder/admin.rs
@@ -1,7 +1,7 @@
-//! The admin address, where operators connect: one command line in, one reply line out.
+//! The server for operators. A connection carries one command line and one reply line.
 //!
-//! The runtime carries the commands out. This module reads and writes the lines, and bounds the connections,
-//! so that slow operators do not delay anybody else.
+//! This module reads and writes the lines, and the runtime carries out the commands. The number of connections and the
+//! time of each step are bounded, so that slow operators do not delay others.
 
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::admin_command::{
@@ -16,14 +16,14 @@
 use tokio::task::{AbortHandle, JoinSet, yield_now};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// Connections that are open at once; their descriptors are reserved. A further connection takes the place of
-/// the oldest.
+/// The largest number of open connections. Their file descriptors are reserved. A further connection replaces the oldest
+/// one.
 pub(crate) const MAX_CONNECTIONS: usize = 16;
 /// Length of the longest line that is read, without its line break.
 const MAX_LINE_BYTES: usize = 256;
 /// How long an operator may take to write a command.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long the runtime may take to reply. It gives up on its successor sooner than that.
+/// How long the runtime may take to reply. It is longer than the time for which the runtime waits for a successor.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long an operator may take to read the reply.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -32,8 +32,8 @@
 
 /// Serves operators until it is dropped, which closes their connections.
 ///
-/// The runtime holds the other end of `events`, a bounded channel; an operator who cannot be served in time
-/// for that reason gets [`AdminError::NoReply`].
+/// The runtime holds the other end of `events`, a bounded channel; if it stays full, the operator gets
+/// [`AdminError::NoReply`].
 pub(crate) async fn serve(listener: TcpListener, events: Sender<RuntimeEvent>) {
     let mut connections = Connections::default();
     loop {
@@ -79,7 +79,7 @@
         Ok(success) => format!("ACK {success}\n"),
         Err(error) => format!("NAK {error}\n"),
     };
-    // An operator who does not read the reply gets none.
+    // If the operator does not read the reply, there is nothing else to do.
     let _ = timeout(WRITE_TIMEOUT, async {
         stream.write_all(line.as_bytes()).await?;
         stream.shutdown().await
@@ -93,7 +93,11 @@
     request(command, events).await
 }
 
-/// Reads one line. Bytes without a line break are no command: the end of an id may be missing.
+/// Reads one line. Bytes without a line break are not a command, because the end of an id may be missing.
+///
+/// # Errors
+///
+/// The line is too long, or not complete in time.
 async fn read_line(stream: &mut TcpStream) -> Result<Vec<u8>, CommandError> {
     let deadline = Instant::now() + READ_TIMEOUT;
     let mut line = Vec::new();
@@ -101,7 +105,7 @@
         let mut buffer = [0; MAX_LINE_BYTES];
         match timeout_at(deadline, stream.read(&mut buffer)).await {
             Ok(Ok(length)) if length > 0 => line.extend_from_slice(&buffer[..length]),
-            _ => return Err(CommandError::Unfinished),
+            _ => return Err(CommandError::IncompleteLine),
         }
         let line_break = line.iter().position(|byte| *byte == b'\n');
         if line_break.unwrap_or(line.len()) > MAX_LINE_BYTES {
--- a/src/forwarder/discovery/poll_pacer.rs
+++ b/src/forwarder/discovery/poll_pacer.rs
@@ -1,47 +1,58 @@
 //! The rate at which a sender polls a discovery service that it shares with many others.
 //!
-//! The rate is found by additive increase and multiplicative decrease. The service handles calls in turn,
-//! also those whose callers have stopped waiting: if it receives more calls than it can handle, it responds
-//! to none in time.
+//! The rate is adapted by additive increase and multiplicative decrease. The service handles calls in the order of
+//! their arrival, even if their callers have stopped waiting: if it receives more calls than it can handle, none of its
+//! responses is in time.
+//!
+//! All rates are polls per [`Settings::max_list_age`], and all delays are fractions or multiples of it.
 
 use super::request::PollError;
 use crate::estimators::random_unit;
 use crate::interface::Settings;
 use std::time::Duration;
 
-/// A larger fleet than this polls; the senders of a smaller one watch.
+/// The senders of a fleet of at most this size watch the list; those of a larger fleet poll it.
 const MAX_WATCHING_SENDERS: usize = 4;
 
-/// Polls per [`Settings::max_list_age`] when the process starts.
+/// The rate when the process starts.
 const INITIAL_RATE: f64 = 1.0;
-/// The rate does not fall below this.
+/// The lowest rate.
 const MIN_RATE: f64 = 0.25;
-/// The rate does not rise above this.
+/// The highest rate.
 pub(super) const MAX_RATE: f64 = 5.0;
 /// Added to the rate after each list received.
 const RATE_INCREASE: f64 = 0.1;
 /// Multiplies the rate after each failed call.
 const RATE_DECREASE_FACTOR: f64 = 0.5;
 
-/// Longest delay after a list was received, as a fraction of [`Settings::max_list_age`].
-const MAX_DELAY_AFTER_LIST: f64 = 0.75;
-/// Longest delay after an error status, as a multiple of [`Settings::max_list_age`].
-const MAX_DELAY_AFTER_REJECTION: f64 = 3.0;
-/// Longest delay after a call without a response, as a fraction of [`Settings::max_list_age`]. It is short:
-/// the sender is held to know what the response would have brought.
-const MAX_DELAY_AFTER_NO_RESPONSE: f64 = 0.2;
+/// The longest delay after a list was received, as a fraction of [`Settings::max_list_age`].
+const MAX_DELAY_FRACTION_AFTER_LIST: f64 = 0.75;
+/// The longest delay after an error status, as a multiple of [`Settings::max_list_age`].
+const MAX_DELAY_FACTOR_AFTER_REJECTION: f64 = 3.0;
+/// The longest delay after a call without a response, as a fraction of [`Settings::max_list_age`]. It is short, because
+/// the sender must know the changes that the response would have contained.
+const MAX_DELAY_FRACTION_WITHOUT_RESPONSE: f64 = 0.2;
 /// The first polls of a fleet that starts all at once are spread over this fraction of
 /// [`Settings::max_list_age`].
-const FIRST_POLL_SPREAD: f64 = 0.5;
-/// Timeout of a call, as a fraction of [`Settings::max_list_age`]: it has to wait for calls of other senders.
+const FIRST_POLL_SPREAD_FRACTION: f64 = 0.5;
+/// The timeout of a call, as a fraction of [`Settings::max_list_age`]. It is long, because the service handles calls of
+/// other senders first.
 const RESPONSE_TIMEOUT_FRACTION: f64 = 0.25;
 
+/// The interval between polls is multiplied by a random factor from this number to this number plus one.
+const MIN_INTERVAL_JITTER: f64 = 0.5;
+/// The longest delay is multiplied by a random factor from this number ...
+const MIN_DELAY_LIMIT_JITTER: f64 = 0.8;
+/// ... to this number more, which is one.
+const DELAY_LIMIT_JITTER_SPAN: f64 = 0.2;
+
 /// Chooses the delays between polls.
 pub(super) struct PollPacer {
     max_list_age: Duration,
     /// Polls per `max_list_age`.
     rate: f64,
-    jitter_seed: u64,
+    /// The state of the random generator for the jitter.
+    jitter_state: u64,
 }
 
 impl PollPacer {
@@ -53,31 +64,35 @@
         (is_shared && !max_list_age.is_zero()).then_some(PollPacer {
             max_list_age,
             rate: INITIAL_RATE,
-            // The random generator never leaves zero.
-            jitter_seed: seed | 1,
+            // The random generator would return zero forever if its state were zero.
+            jitter_state: seed | 1,
         })
     }
 
-    /// Returns the timeout of a call.
+    /// Returns the time limit of a response.
     pub(super) fn response_timeout(&self) -> Duration {
         self.max_list_age.mul_f64(RESPONSE_TIMEOUT_FRACTION)
     }
 
     /// Returns the delay between the start of the process and its first poll, if it starts with a known list.
     pub(super) fn first_delay(&mut self) -> Duration {
-        self.max_list_age.mul_f64(FIRST_POLL_SPREAD * random_unit(&mut self.jitter_seed))
+        self.max_list_age.mul_f64(FIRST_POLL_SPREAD_FRACTION * random_unit(&mut self.jitter_state))
     }
 
     /// Raises the rate after a list was received, and returns the delay before the next poll.
     pub(super) fn delay_after_list(&mut self) -> Duration {
         self.rate = (self.rate + RATE_INCREASE).min(MAX_RATE);
-        self.delay(MAX_DELAY_AFTER_LIST)
+        self.delay(MAX_DELAY_FRACTION_AFTER_LIST)
     }
 
     /// Lowers the rate after a failed call, and returns the delay before the next poll.
     pub(super) fn delay_after_failure(&mut self, error: &PollError) -> Duration {
         self.rate = (self.rate * RATE_DECREASE_FACTOR).max(MIN_RATE);
-        self.delay(if error.is_rejection() { MAX_DELAY_AFTER_REJECTION } else { MAX_DELAY_AFTER_NO_RESPONSE })
+        self.delay(if error.is_rejection() {
+            MAX_DELAY_FACTOR_AFTER_REJECTION
+        } else {
+            MAX_DELAY_FRACTION_WITHOUT_RESPONSE
+        })
     }
 
     #[cfg(test)]
@@ -85,11 +100,13 @@
         self.rate
     }
 
-    /// Returns the delay that the rate asks for, within `max_fraction` of the list age. Both are jittered:
-    /// otherwise the polls of many senders would stay in step.
+    /// Returns the delay for the present rate, but at most `max_fraction` of the list age. Both are jittered:
+    /// otherwise the polls of many senders would stay synchronized.
     fn delay(&mut self, max_fraction: f64) -> Duration {
-        let max_fraction = max_fraction * (0.8 + 0.2 * random_unit(&mut self.jitter_seed));
-        let fraction = (0.5 + random_unit(&mut self.jitter_seed)) / self.rate;
+        let limit_jitter =
+            MIN_DELAY_LIMIT_JITTER + DELAY_LIMIT_JITTER_SPAN * random_unit(&mut self.jitter_state);
+        let max_fraction = max_fraction * limit_jitter;
+        let fraction = (MIN_INTERVAL_JITTER + random_unit(&mut self.jitter_state)) / self.rate;
         self.max_list_age.mul_f64(fraction.min(max_fraction))
     }
 }
--- a/src/forwarder/discovery/tests.rs
+++ b/src/forwarder/discovery/tests.rs
@@ -9,7 +9,7 @@
 fn pacer(seed: u64) -> PollPacer {
     let settings =
         Settings { poll_discovery: true, max_list_age: 10_000_000, sender_count: 100, ..Settings::default() };
-    PollPacer::for_shared_service(&settings, seed).expect("many share one service")
+    PollPacer::for_shared_service(&settings, seed).expect("more than four senders poll one service")
 }
 
 fn rejection() -> PollError {
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn polls_that_fail_become_rarer_and_fall_out_of_step() {
+fn failed_polls_become_rarer_and_are_not_synchronized_between_senders() {
     let mut pacers = [pacer(0x8c1f_30d2_7a5b_e964), pacer(0x51d2_0c7e_93ab_4f06)];
     let [one, other] = pacers.each_mut().map(|pacer| -> Vec<Duration> {
         [pacer.first_delay()]
@@ -42,7 +42,7 @@
     assert!(one.iter().zip(&other).all(|(a, b)| a != b), "{one:?} {other:?}");
     for delays in [one, other] {
         assert!(delays[0] <= Duration::from_secs(5), "{delays:?}");
-        // A rejection binds for four times the maximum age of the list, and no longer.
+        // After a few rejections the delays are near their bounds.
         assert!(delays[3..].iter().all(|delay| (10..=30).contains(&delay.as_secs())), "{delays:?}");
     }
 }
@@ -57,12 +57,12 @@
     let delays: Vec<Duration> = (0..100).map(|_| pacer.delay_after_list()).collect();
     assert!(delays.iter().all(|delay| *delay < max_list_age), "{delays:?}");
     assert!(delays[90..].iter().all(|delay| *delay <= max_list_age / 3), "{delays:?}");
-    // One rejection halves the rate, one list does not bring it back.
+    // One rejection halves the rate, and one list raises it only a little.
     pacer.delay_after_failure(&rejection());
     pacer.delay_after_list();
     assert!(pacer.rate() < MAX_RATE * 0.6);
-    // After a call without a response the next one follows soon: the sender is held to know what it would
-    // have brought.
+    // After a call without a response the next one follows soon: the sender must know the changes that the response
+    // would have contained.
     let no_response = CallError::Timeout.into();
     assert!((0..20).all(|_| pacer.delay_after_failure(&no_response) <= max_list_age / 5));
 }
--- a/src/forwarder/discovery/watch.rs
+++ b/src/forwarder/discovery/watch.rs
@@ -1,22 +1,18 @@
 //! Watches the endpoint list: each call waits at the service until the list changes.
 //!
-//! After an error that leaves the known revision in doubt, the complete list is requested.
+//! After an error in which changes may have been lost, the complete list is requested.
 
-use super::CONNECT_TIMEOUT;
-use super::request::{ListQuery, PollError, request_list};
-use crate::forwarder::discovery_client::{Backoff, DiscoveryClient};
+use super::request::{ListClient, ListQuery, PollError};
+use crate::forwarder::discovery_client::Backoff;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::endpoint_list::EndpointList;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
-use tokio::sync::watch::Receiver;
-use tokio::time::timeout;
 
-/// How long the service waits for a change before it responds. Short: a service that has stopped responding
-/// is only noticed after this time, and the sender is held to know a change a few seconds after it was made.
+/// How long the service waits for a change before it responds. It is short, because a service that has stopped
+/// responding is only detected after this time, and the sender must know a change a few seconds after it was made.
 const WATCH_DURATION: Duration = Duration::from_secs(2);
-/// How much longer than the service may wait its response may take.
+/// The time that a response may take in addition to the time that the service waits for a change.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after the first failed call, before jitter.
 pub(super) const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
@@ -30,12 +26,10 @@
 
 /// The state of the watching loop.
 pub(super) struct ListWatcher {
-    address: Receiver<SocketAddr>,
-    /// Where the client's connection leads.
-    connected_address: SocketAddr,
-    client: DiscoveryClient,
-    /// The revision that the next call asks for changes of; `None` if it asks for the complete list.
+    client: ListClient,
+    /// The next call requests the changes since this revision; the complete list if it is `None`.
     known_revision: Option<u64>,
+    /// The bounded event queue of the runtime.
     events: Sender<RuntimeEvent>,
     backoff: Backoff,
 }
@@ -43,22 +37,21 @@
 impl ListWatcher {
     /// Creates a watcher that has not called the service yet.
     pub(super) fn new(
-        address: Receiver<SocketAddr>,
+        client: ListClient,
         known_revision: Option<u64>,
         events: Sender<RuntimeEvent>,
         seed: u64,
     ) -> Self {
-        let connected_address = *address.borrow();
-        let client = DiscoveryClient::new(CONNECT_TIMEOUT);
-        let backoff = watch_backoff(seed);
-        ListWatcher { address, connected_address, client, known_revision, events, backoff }
+        ListWatcher { client, known_revision, events, backoff: watch_backoff(seed) }
     }
 
     /// Watches until the runtime stops receiving events.
     pub(super) async fn run(mut self) {
         loop {
             self.follow_address();
-            let Some(response) = self.request_unless_address_changes().await else { continue };
+            let (query, time_limit) = self.next_query();
+            let request = self.client.request_unless_address_changes(query, time_limit);
+            let Some(response) = request.await else { continue };
             match response {
                 Ok(list) => {
                     self.accept_revision(&list);
@@ -71,52 +64,43 @@
         }
     }
 
-    /// Closes a connection that leads to an earlier address, and requests the complete list from the new one:
-    /// the list of the old one may have been outdated.
-    ///
-    /// The address may also change between a response and the next call, so this is checked before each call.
+    /// Requests the complete list from a new address: the list from the old one may be outdated.
     fn follow_address(&mut self) {
-        let address = *self.address.borrow_and_update();
-        if address != self.connected_address {
-            self.client.disconnect();
-            self.connected_address = address;
+        if self.client.follow_address() {
             self.known_revision = None;
             self.backoff.reset();
         }
     }
 
-    /// Returns `None` if the address changed during the call.
-    async fn request_unless_address_changes(&mut self) -> Option<Result<EndpointList, PollError>> {
-        let (query, time_limit) = match self.known_revision {
+    /// Returns what the next call requests, and the time limit of its response.
+    fn next_query(&self) -> (ListQuery, Duration) {
+        match self.known_revision {
             Some(since_revision) => {
                 let query = ListQuery::Changes { since_revision, wait: WATCH_DURATION };
                 (query, WATCH_DURATION + RESPONSE_TIMEOUT)
             }
             None => (ListQuery::Complete, RESPONSE_TIMEOUT),
-        };
-        tokio::select! {
-            biased;
-            response = request_list(&mut self.client, self.connected_address, query, time_limit) => Some(response),
-            Ok(()) = self.address.changed() => None,
         }
     }
 
+    /// Continues from the revision of a received list.
     fn accept_revision(&mut self, list: &EndpointList) {
         self.backoff.reset();
-        // The complete list may hold more about a changed record that cannot be parsed.
+        // A changed record that could not be parsed may be a drain: the complete list is requested to find out. A
+        // complete list with such a record is used as it is, since another request would return the same.
         let is_usable = list.complete || list.unreadable == 0;
         self.known_revision = is_usable.then_some(list.revision);
     }
 
-    /// Waits before the next call. A new address is called at once.
+    /// Waits before the next call. A new address is called immediately.
     async fn back_off(&mut self, error: &PollError) {
         eprintln!("discovery: {error}");
         self.client.disconnect();
-        // A service that rejects a call for want of time does not put the known revision in doubt, and the
-        // complete list would cost it more.
+        // No change was lost if the service rejected the call because it is overloaded, and the complete list would
+        // cost it more.
         if !error.is_rejection() {
             self.known_revision = None;
         }
-        let _ = timeout(self.backoff.next_delay(), self.address.changed()).await;
+        self.client.wait_unless_address_changes(self.backoff.next_delay()).await;
     }
 }
--- a/src/forwarder/discovery_client/mod.rs
+++ b/src/forwarder/discovery_client/mod.rs
@@ -50,7 +50,7 @@
         self.connection = None;
     }
 
-    /// Closes the connection if it received bytes that belong to no call.
+    /// Closes the connection if the other side has closed it, or has sent bytes that are not the response to a call.
     pub(crate) async fn disconnect_if_stale(&mut self) {
         if let Some(connection) = &self.connection
             && !connection.is_reusable().await
@@ -64,6 +64,10 @@
     /// The connection of the last call is used if it is still open, whatever address it leads to: a caller
     /// whose address changes has to [`disconnect`](Self::disconnect). `time_limit` covers the request and the
     /// reading of the response, but not the opening of a connection, which has a timeout of its own.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
     pub(crate) async fn call<T>(
         &mut self,
         address: SocketAddr,
@@ -92,7 +96,9 @@
 /// Waits until the address differs from the one that `address` has marked as seen, without marking the new
 /// one.
 ///
-/// Returns an error if the address can change no more.
+/// # Errors
+///
+/// The address cannot change any more, because its sender was dropped.
 pub(crate) async fn address_changed(
     address: &watch::Receiver<SocketAddr>,
 ) -> Result<(), watch::error::RecvError> {
--- a/src/forwarder/endpoint_client/call.rs
+++ b/src/forwarder/endpoint_client/call.rs
@@ -1,4 +1,4 @@
-//! One call, from its request to its report.
+//! Makes one call, from its request to its report.
 
 use super::exchange::{CallConnection, NoResponse};
 use super::outcome::{attempt_result, attempt_results};
@@ -35,7 +35,8 @@
     pub(crate) times_out_at: Instant,
     /// The message expires at this time, and the call ends with it.
     pub(crate) expires_at: Instant,
-    /// The attempt must not be written at or after this time: the endpoint may have forgotten the key by then.
+    /// The attempt must not be written at or after this time. For a retry, the endpoint may have forgotten the idempotency
+    /// key by then.
     pub(crate) send_before: Instant,
 }
 
@@ -63,7 +64,7 @@
     pub(crate) commands: Receiver<CallCommand>,
     /// Checks whether the call may still be written. The runtime holds the other reference.
     pub(crate) guard: Arc<WriteGuard>,
-    /// Where the report goes: the bounded event queue of the runtime.
+    /// The bounded event queue of the runtime, which gets the report.
     pub(crate) events: Sender<RuntimeEvent>,
 }
 
@@ -71,8 +72,8 @@
 pub(crate) enum CallCommand {
     /// Cancel this attempt.
     Cancel(AttemptKey),
-    /// End the call. One of its messages has failed and its client is notified: that message must not be
-    /// delivered after all, and a single message cannot be removed from a call on the wire.
+    /// End the call. One of its messages has failed and its client is notified, so that the message must not be delivered
+    /// after that, and a single message cannot be removed from a call that has been written.
     Abandon,
     /// The call must not be written from now on, for instance because the destination sent a Retry-After.
     WithholdWrite,
@@ -81,7 +82,7 @@
 /// Makes the call and reports the outcome of each attempt in it to the runtime.
 ///
 /// The results are reported together when the call is over. Until then the endpoint may still be executing each of
-/// its messages, and a further attempt of one could duplicate it.
+/// its messages, and a retry of one of them could execute it twice.
 pub(crate) async fn perform(mut call: OutboundCall) {
     let items = std::mem::take(&mut call.items);
     let reused = call.reused.take();
@@ -120,12 +121,13 @@
     E: Future<Output = Result<EndpointResponse, NoResponse>>,
 {
     while let Some(next_timeout) = pending.next_timeout() {
+        // The timer is disabled, whatever its time, once `send_before` has passed.
         let send_before = pending.send_before();
         tokio::select! {
             response = &mut exchange => return Some(response),
             () = sleep_until(next_timeout) => pending.end_timed_out(Instant::now()),
             () = sleep_until(send_before.unwrap_or(next_timeout)), if send_before.is_some() => {
-                pending.pass_send_before(guard);
+                pending.end_if_unwritten(guard);
             }
             Some(command) = commands.recv() => pending.apply(command, guard),
         }
--- a/src/forwarder/endpoint_client/exchange.rs
+++ b/src/forwarder/endpoint_client/exchange.rs
@@ -1,4 +1,4 @@
-//! Sending a call on a reused or a new connection, and receiving its response.
+//! Sends a call on a reused or a new connection, and receives its response.
 
 use super::request::is_batch;
 use super::response::EndpointResponse;
@@ -12,8 +12,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A reused connection that breaks within this time after a call was written to it was already dead: calls take
-/// longer than this.
+/// A reused connection that breaks within this time after a call was written to it is taken for stale: an endpoint that
+/// receives a call and then fails takes longer.
 const STALE_CONNECTION_WINDOW: Duration = Duration::from_millis(100);
 
 /// Why a call has no response that can be parsed.
@@ -31,7 +31,7 @@
     /// A response arrived that cannot be parsed. The call may have been executed.
     #[error("the response cannot be parsed")]
     Invalid,
-    /// The connection had been idle and was already dead. The call may have been executed all the same.
+    /// The connection had been idle and was stale. The call may have been executed nevertheless.
     #[error("the idle connection was dead")]
     StaleConnection,
 }
@@ -46,22 +46,27 @@
     usage: ConnectionUsage,
 }
 
-/// What has to be known of a sent request to interpret its failure.
+/// The circumstances of a sent request that the interpretation of its failure depends on.
 struct SentRequest {
     is_batch: bool,
-    /// The connection had carried another call before.
+    /// The connection had carried another call before this one.
     on_reused_connection: bool,
     sent_at: Instant,
 }
 
 impl CallConnection {
-    /// A connection to `address`: `reused`, if it can still carry a call, or a new one.
+    /// Prepares a connection to `address`: `reused` if it can still carry a call, and otherwise a new one, which is opened
+    /// within `connect_timeout`.
     pub(super) fn new(address: SocketAddr, connect_timeout: Duration, reused: Option<Connection>) -> Self {
         CallConnection { address, connect_timeout, connection: reused, usage: ConnectionUsage::default() }
     }
 
-    /// Sends the request and reads its response. If a reused connection turns out to be closed before anything was
+    /// Sends the request if `guard` permits it, and reads its response. If a reused connection turns out to be closed before anything was
     /// written, a new connection is opened.
+    ///
+    /// # Errors
+    ///
+    /// See [`NoResponse`].
     pub(super) async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -129,7 +134,7 @@
         }
     }
 
-    /// What a request that failed says about the call.
+    /// Derives the result of the call from the error of its request.
     fn interpret_failure(
         &mut self,
         error: &SendRequestError,
@@ -147,11 +152,11 @@
         }
     }
 
-    /// Whether the status line alone shows that the message was delivered, whatever became of the rest of the
+    /// Whether the status line alone shows that the message was delivered, whatever happened to the rest of the
     /// response.
     ///
     /// On a reused connection the status line may belong to a late duplicate of the previous call's response. A
-    /// message wrongly taken for delivered would be lost, so it does not count there.
+    /// message wrongly considered delivered would be lost, so that the status line alone is not sufficient there.
     fn proves_delivery(&self, sent: &SentRequest) -> bool {
         let status = self.connection.as_ref().and_then(Connection::status);
         !sent.is_batch && !sent.on_reused_connection && status == Some(StatusCode::OK)
@@ -159,7 +164,7 @@
 }
 
 impl SentRequest {
-    /// Whether the connection that broke now was already dead when the request was written to it.
+    /// Whether the connection, which has just broken, was already stale when the request was written to it.
     fn was_connection_stale(&self) -> bool {
         self.on_reused_connection && self.sent_at.elapsed() < STALE_CONNECTION_WINDOW
     }
--- a/src/forwarder/endpoint_client/outcome.rs
+++ b/src/forwarder/endpoint_client/outcome.rs
@@ -1,4 +1,4 @@
-//! Deriving the outcome of each attempt from the end of its call.
+//! Derives the outcome of each attempt from the end of its call.
 
 use super::call::CallItem;
 use super::exchange::NoResponse;
@@ -7,10 +7,10 @@
 use crate::interface::Outcome;
 use hyper::StatusCode;
 
-/// What a response says about one message.
+/// The meaning of a response for one message.
 struct MessageOutcome {
     outcome: Outcome,
-    /// The message needs no further attempt and no further answer.
+    /// The message is complete: it needs no further attempt and no final reply.
     finished: bool,
 }
 
@@ -75,13 +75,14 @@
     AttemptResult {
         finished,
         report: response.load_report,
-        // A requested wait holds beside every outcome, also beside messages that were all delivered.
+        // An endpoint may request a wait with any outcome, even if it has delivered all messages.
         retry_after: response.retry_after,
         unsent: false,
         ..attempt_result(item, outcome)
     }
 }
 
+/// The rank of an outcome. In the results of a call, outcomes with a higher rank follow those with a lower one.
 fn severity(outcome: Outcome) -> u8 {
     match outcome {
         Outcome::Delivered => 0,
--- a/src/forwarder/endpoint_client/pending_items.rs
+++ b/src/forwarder/endpoint_client/pending_items.rs
@@ -1,4 +1,4 @@
-//! The attempts of a call that still wait for its response, and those that ended before.
+//! The attempts of a call in flight: those that wait for its response, and those that have ended without it.
 
 use super::call::{CallCommand, CallItem};
 use super::outcome::attempt_result;
@@ -11,41 +11,41 @@
 pub(super) struct PendingItems {
     /// Attempts that wait for the response.
     waiting: Vec<CallItem>,
-    /// Attempts that ended before a response came.
+    /// Results of the attempts that ended before the response arrived.
     ended: Vec<AttemptResult>,
     /// The call must not be written at or after this time. `None` once the time has passed.
     send_before: Option<Instant>,
 }
 
 impl PendingItems {
-    /// All `items` wait for the response.
+    /// Creates the attempts of a call. All of them wait for the response.
     pub(super) fn new(items: Vec<CallItem>) -> Self {
         let send_before = items.iter().map(|item| item.send_before).min();
         PendingItems { waiting: items, ended: Vec::new(), send_before }
     }
 
-    /// When the next attempt times out; `None` if none waits.
+    /// When the next attempt times out; `None` if no attempt waits any more.
     pub(super) fn next_timeout(&self) -> Option<Instant> {
         self.waiting.iter().map(|item| item.times_out_at).min()
     }
 
-    /// When the call must not be written any more; `None` if that time has passed.
+    /// The time from which the call must not be written any more; `None` once it has passed.
     pub(super) fn send_before(&self) -> Option<Instant> {
         self.send_before
     }
 
     /// Ends the attempts that have timed out, and the whole call if one of its messages has expired: its client is
-    /// notified of the failure, so that it must not be delivered after all. During shutdown the decision module
-    /// does not end calls any more, hence the check here.
+    /// notified of the failure, so that it must not be delivered after that. During shutdown the decision module does
+    /// not end calls any more, and only this check does.
     pub(super) fn end_timed_out(&mut self, now: Instant) {
         let has_expired = self.waiting.iter().any(|item| item.expires_at <= now);
         self.end_where(Outcome::TimedOut, |item| has_expired || item.times_out_at <= now);
     }
 
-    /// The time before which the call had to be written has passed: a retry may have been decided in time and its
-    /// connection established too late. This ends the whole call, because a single message cannot be removed
-    /// from it.
-    pub(super) fn pass_send_before(&mut self, guard: &WriteGuard) {
+    /// Ends the call if it has not been written before the time of [`Self::send_before`], which has passed: a retry may
+    /// have been decided in time and its connection established too late. The whole call ends, because a single message
+    /// cannot be removed from it.
+    pub(super) fn end_if_unwritten(&mut self, guard: &WriteGuard) {
         self.send_before = None;
         self.withhold_write(guard);
     }
@@ -76,8 +76,8 @@
         self.ended.extend(ended.map(|item| attempt_result(&item, outcome)));
     }
 
-    /// The attempts that still wait, and the results of the others. If the call was never written, the latter are
-    /// reported as such, whatever ended them: nothing of them can have been executed.
+    /// Returns the attempts that still wait, and the results of the others. If the call was never written, these results
+    /// say so, whatever ended the attempts: they were certainly not executed.
     pub(super) fn into_parts(mut self, guard: &WriteGuard) -> (Vec<CallItem>, Vec<AttemptResult>) {
         if !guard.is_begun() {
             self.ended.iter_mut().for_each(mark_never_written);
@@ -86,6 +86,7 @@
     }
 }
 
+/// Replaces an outcome that leaves open whether the message was executed.
 fn mark_never_written(result: &mut AttemptResult) {
     if result.outcome != Outcome::NotSent {
         result.outcome = Outcome::ConnectFailed;
--- a/src/forwarder/endpoint_client/request/format_tests.rs
+++ b/src/forwarder/endpoint_client/request/format_tests.rs
@@ -1,4 +1,4 @@
-//! Fixes the requests to endpoints: method, path, headers and body.
+//! Checks the format of requests to endpoints: method, path, headers and body.
 
 use super::*;
 use http_body_util::BodyExt;
--- a/src/forwarder/endpoint_client/request/mod.rs
+++ b/src/forwarder/endpoint_client/request/mod.rs
@@ -1,4 +1,4 @@
-//! Encoding a call as an HTTP request.
+//! Encodes a call as an HTTP request.
 
 use super::call::CallItem;
 use crate::forwarder::http;
@@ -27,8 +27,8 @@
     body: String,
 }
 
-/// The request for one message or for several. `None` if there is no message, or one whose id or key cannot stand
-/// in a header.
+/// The request for one message or for several. `None` if there is no message, or one whose id or key is not a
+/// valid header value.
 pub(super) fn encode_request(items: &[CallItem], address: SocketAddr) -> Option<Request<Full<Bytes>>> {
     let mut request = match items {
         [] => return None,
@@ -46,7 +46,7 @@
     request.uri().path() == BATCH_PATH
 }
 
-/// Milliseconds until the last of the attempts times out.
+/// The time in milliseconds until the last of the attempts times out.
 fn remaining_time(items: &[CallItem]) -> Option<HeaderValue> {
     let last_timeout = items.iter().map(|item| item.times_out_at).max()?;
     let remaining = last_timeout.saturating_duration_since(Instant::now());
--- a/src/forwarder/endpoint_client/response.rs
+++ b/src/forwarder/endpoint_client/response.rs
@@ -10,8 +10,8 @@
 
 /// The longest body of a response that is read.
 const MAX_BODY_BYTES: usize = 64 << 10;
-/// The longest wait that is accepted from an endpoint. Endpoints never ask for so long a wait: the bound keeps a value
-/// that was damaged on its way from blocking a destination forever.
+/// The longest wait that is accepted from an endpoint. It exceeds every wait that endpoints ask for: the bound keeps
+/// a value that was damaged on its way from blocking a destination forever.
 const MAX_RETRY_AFTER_MS: f64 = 60_000.0;
 
 /// The response to a call.
--- a/src/forwarder/endpoint_client/write_guard/mod.rs
+++ b/src/forwarder/endpoint_client/write_guard/mod.rs
@@ -1,4 +1,4 @@
-//! The last check before a call is written, and its record in the journal.
+//! Checks that a call may still be written, and records its attempts in the journal immediately before.
 
 use crate::forwarder::clock::unix_now_ms;
 use crate::forwarder::journal::{JournalError, Record, SharedJournal};
@@ -8,7 +8,7 @@
 
 /// Decides whether a call may be written, and records its attempts in the journal just before the first byte.
 ///
-/// They are not recorded earlier: a successor treats a recorded attempt as one that may have been executed.
+/// They are not recorded earlier: after a restart, a recorded attempt is considered one that may have been executed.
 /// The guard is shared by the call and the runtime, which run on one thread.
 pub(crate) struct WriteGuard {
     journal: SharedJournal,
@@ -18,7 +18,7 @@
     send_before: Instant,
     /// The zone of the endpoint, which is recorded with the attempts.
     zone: String,
-    /// Something may have been written.
+    /// The call may have been written, at least in part.
     write_begun: AtomicBool,
     /// Nothing more may be written.
     write_withheld: AtomicBool,
@@ -48,7 +48,7 @@
         self.write_withheld.store(true, Ordering::Relaxed);
     }
 
-    /// Whether something may have been written.
+    /// Whether the call may have been written, at least in part.
     pub(crate) fn is_begun(&self) -> bool {
         self.write_begun.load(Ordering::Relaxed)
     }
--- a/src/forwarder/endpoint_client/write_guard/tests.rs
+++ b/src/forwarder/endpoint_client/write_guard/tests.rs
@@ -12,7 +12,7 @@
     let attempts = vec![AttemptRef { message: "m".to_owned(), attempt: 0 }];
     let guard = |send_before| WriteGuard::new(journal.clone(), attempts.clone(), send_before, "a".to_owned());
     let now = Instant::now();
-    // No timer has fired.
+    // The time is checked even if no timer has fired.
     let late = guard(now);
     assert!(!late.try_begin() && !late.is_begun());
     let length = || fs::metadata(folder.join("journal")).map_or(0, |file| file.len());
--- a/src/forwarder/http/connection.rs
+++ b/src/forwarder/http/connection.rs
@@ -1,4 +1,4 @@
-//! A client connection and the requests sent on it.
+//! A connection of the HTTP client, and the requests sent on it.
 
 use super::RESPONSE_COMPLETION_TIMEOUT;
 use super::response_status::{ResponseProgress, StatusRecordingStream};
@@ -16,7 +16,7 @@
 use tokio::task::{JoinHandle, yield_now};
 use tokio::time::{sleep, timeout};
 
-/// The longest head of a response, and the most unread bytes that a connection buffers.
+/// The longest head of a response, and the largest number of unread bytes that a connection buffers.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
 /// Why a request has no response.
@@ -66,15 +66,15 @@
         Ok(Connection { sender, progress, driver })
     }
 
-    /// Whether the connection is open as far as this side has read. It is not once the other side has closed it
-    /// or has sent bytes that belong to no request.
+    /// Whether the connection was open when the driver last read from it. It is closed once the other side has closed it or
+    /// has sent bytes that are not the response to a request.
     pub(crate) fn is_open(&self) -> bool {
         !self.sender.is_closed()
     }
 
     /// Whether the connection may carry another request.
     ///
-    /// Bytes behind the last response would be taken for the response to the next request, or would make it fail.
+    /// Bytes after the last response would be taken for the response to the next request, or would make it fail.
     /// The driver closes an idle connection at the first such byte, but only once it has been scheduled: this
     /// method yields to it first.
     pub(crate) async fn is_reusable(&self) -> bool {
@@ -133,7 +133,7 @@
     }
 }
 
-/// Completes when a response has started and the time for its head is over.
+/// Completes when a response has started and its head has not arrived within [`RESPONSE_COMPLETION_TIMEOUT`].
 async fn head_overdue(progress: &mut watch::Receiver<ResponseProgress>) {
     // The channel is not closed: the connection holds a sender and outlives its request.
     let _ = progress.wait_for(|progress| *progress != ResponseProgress::NotStarted).await;
--- a/src/forwarder/http/mod.rs
+++ b/src/forwarder/http/mod.rs
@@ -1,7 +1,7 @@
 //! A client for HTTP/1.1 connections that carry one request at a time.
 //!
-//! A request is never sent twice: a pooling client may repeat one on another connection, and a call that is
-//! repeated may be executed twice.
+//! A request is never sent twice. Clients with a connection pool may send one again on another connection, and the
+//! message in it could then be executed twice.
 
 mod connection;
 mod observed_read;
@@ -19,8 +19,8 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// The time that the head of a response may take once its first byte has arrived, and then the time that its
-/// body may take. Endpoints write a response in one go.
+/// The time that the head of a response may take from its first byte, and then the time that its body may take. It is
+/// short, because endpoints write a complete response at once.
 const RESPONSE_COMPLETION_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Reads the complete body of a response. Returns `None` if the body is longer than `max_bytes`, ends early or
--- a/src/forwarder/http/response_status/mod.rs
+++ b/src/forwarder/http/response_status/mod.rs
@@ -1,7 +1,7 @@
 //! Records the status line of each response before the HTTP parser reads it.
 //!
-//! To the parser, a response whose head is damaged behind the status line is only an error. The status line is
-//! true all the same, so it is kept.
+//! If the head of a response is damaged after the status line, the parser returns an error without the status. The
+//! status is valid nevertheless, and shows whether a message was delivered.
 
 use super::poll_read_observed;
 use hyper::StatusCode;
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-/// The longest part of a line that is kept. A status line is recognized by its first bytes.
+/// The longest start of a line that is buffered. A status line is recognized by its first bytes.
 const MAX_LINE_BYTES: usize = 256;
 
 /// How much of a response has arrived.
@@ -26,14 +26,14 @@
     StatusReceived(StatusCode),
 }
 
-/// Finds the status line of the final response, behind interim responses (1xx) and their headers.
+/// Finds the status line of the final response, after interim responses (1xx) and their headers.
 #[derive(Default)]
 struct StatusLineParser {
     /// The start of the current line.
     line: Vec<u8>,
     /// The current line belongs to the head of an interim response.
     in_interim_head: bool,
-    /// A line arrived that is no status line where one was due: no status is reported.
+    /// A line arrived that is not a status line where one was expected, so that no status is reported.
     is_invalid: bool,
 }
 
@@ -50,7 +50,7 @@
                 return ResponseProgress::StatusReceived(status);
             }
         }
-        // After an interim response the endpoint may take its time again.
+        // After a complete interim response, the final response has not started yet.
         if self.line.is_empty() && !self.in_interim_head && !self.is_invalid {
             ResponseProgress::NotStarted
         } else {
@@ -58,7 +58,8 @@
         }
     }
 
-    /// Keeps the start of a line only: a line without an end must not take more and more memory.
+    /// Appends to the current line, of which only the start is buffered: a line without an end must not take unbounded
+    /// memory.
     fn push(&mut self, byte: u8) {
         if self.line.len() < MAX_LINE_BYTES {
             self.line.push(byte);
@@ -85,7 +86,7 @@
     }
 }
 
-/// The status in a status line, or `None` if the line is no status line.
+/// The status in a status line, or `None` if the line is not a status line.
 fn parse_status_line(line: &[u8]) -> Option<StatusCode> {
     let rest = line.strip_prefix(b"HTTP/1.1 ").or_else(|| line.strip_prefix(b"HTTP/1.0 "))?;
     let (code, reason) = rest.split_at_checked(3)?;
--- a/src/forwarder/messages/admin_command.rs
+++ b/src/forwarder/messages/admin_command.rs
@@ -4,8 +4,8 @@
 use std::fmt;
 use tokio::sync::oneshot;
 
-/// A command of an operator. It is passed between processes during an upgrade: the serialized names stay as
-/// they are.
+/// A command of an operator. It is passed between processes of different versions during an upgrade, so that the
+/// serialized names must not change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum AdminCommand {
     /// Report whether this process is ready to serve.
@@ -14,39 +14,40 @@
     Disable(String),
     /// Send calls to it again.
     Enable(String),
-    /// Send clients away.
+    /// Let the readiness check fail, so that the load balancer sends clients to other processes.
     Drain,
-    /// Invite clients again.
+    /// End a drain: let the readiness check succeed again.
     Resume,
 }
 
-/// A command, and where its reply goes.
+/// A command, and the channel for its reply.
 pub(crate) struct AdminRequest {
-    /// What is to be done.
+    /// The command.
     pub(crate) command: AdminCommand,
-    /// Where the reply goes. Closed once the operator has stopped waiting.
+    /// The channel for the reply. It is closed once the operator has stopped waiting; the command must not be carried out
+    /// after that.
     pub(crate) reply: oneshot::Sender<AdminReply>,
 }
 
 /// The reply to a command: what was done, or why it was not.
 pub(crate) type AdminReply = Result<AdminSuccess, AdminError>;
 
-/// What a command has done. It is passed between processes during an upgrade as its text, which is also what
-/// operators read: the texts stay as they are.
+/// What a command has done. During an upgrade it is passed between processes as the text that operators read, so that the
+/// texts must not change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "String", into = "String")]
 pub(crate) enum AdminSuccess {
     /// This process is ready to serve.
     Ready,
-    /// Clients are sent away.
+    /// The drain has started.
     Draining,
-    /// Clients are invited again.
+    /// The drain has ended.
     AcceptingClients,
     /// No new call is sent to the endpoint with this id.
     EndpointDisabled(String),
     /// Calls are sent to it again.
     EndpointEnabled(String),
-    /// A text of another process that this version does not know.
+    /// A text from a process of another version that this version does not know.
     Other(String),
 }
 
@@ -97,15 +98,15 @@
     }
 }
 
-/// Why a command was not carried out. It is passed between processes during an upgrade as its text, which is
-/// also what operators read: the texts stay as they are.
+/// Why a command was not carried out. During an upgrade it is passed between processes as the text that operators read,
+/// so that the texts must not change.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 #[serde(from = "String", into = "String")]
 pub(crate) enum AdminError {
     /// The line is not a command.
     #[error(transparent)]
     InvalidCommand(#[from] CommandError),
-    /// The endpoint list has never held the id.
+    /// No endpoint list has ever contained the id.
     #[error("no such endpoint was ever listed")]
     UnknownEndpoint,
     /// The process is not ready because operators drain it.
@@ -123,7 +124,8 @@
     /// The successor ended before it replied.
     #[error("the new version has gone")]
     SuccessorGone,
-    /// The runtime did not reply in time. The command may still be carried out.
+    /// The runtime did not reply in time. It drops a command whose operator has stopped waiting, but it may have carried out
+    /// this one just before.
     #[error("no answer in time")]
     NoReply,
     /// The journal has no capacity for the ban.
@@ -132,7 +134,7 @@
     /// The ban cannot be written to the journal, for this reason.
     #[error("the journal cannot be written: {0}")]
     JournalWrite(String),
-    /// A text of another process that this version does not know.
+    /// A text from a process of another version that this version does not know.
     #[error("{0}")]
     Other(String),
 }
@@ -178,16 +180,16 @@
     Unknown,
     /// The command takes exactly one endpoint id.
     #[error("this call takes one id")]
-    NeedsId,
+    ExpectedOneId,
     /// The command takes no argument.
     #[error("this call takes nothing")]
-    TakesNothing,
+    UnexpectedArgument,
     /// It is longer than any command.
     #[error("line too long")]
     TooLong,
     /// The connection ended, or the time for reading passed, before the line was complete.
     #[error("no whole line")]
-    Unfinished,
+    IncompleteLine,
     /// It is not UTF-8.
     #[error("not text")]
     NotText,
@@ -214,12 +216,12 @@
 fn with_id(command: fn(String) -> AdminCommand, arguments: &[&str]) -> Result<AdminCommand, CommandError> {
     match arguments {
         [id] => Ok(command((*id).to_owned())),
-        _ => Err(CommandError::NeedsId),
+        _ => Err(CommandError::ExpectedOneId),
     }
 }
 
 fn without_argument(command: AdminCommand, arguments: &[&str]) -> Result<AdminCommand, CommandError> {
-    if arguments.is_empty() { Ok(command) } else { Err(CommandError::TakesNothing) }
+    if arguments.is_empty() { Ok(command) } else { Err(CommandError::UnexpectedArgument) }
 }
 
 #[cfg(test)]
--- a/src/forwarder/messages/admin_command/tests.rs
+++ b/src/forwarder/messages/admin_command/tests.rs
@@ -16,9 +16,9 @@
         (&b""[..], CommandError::Empty),
         (b" \r", CommandError::Empty),
         (b"READY", CommandError::Unknown),
-        (b"enable-server", CommandError::NeedsId),
-        (b"disable-server a b", CommandError::NeedsId),
-        (b"drain now", CommandError::TakesNothing),
+        (b"enable-server", CommandError::ExpectedOneId),
+        (b"disable-server a b", CommandError::ExpectedOneId),
+        (b"drain now", CommandError::UnexpectedArgument),
         (b"dr\xffin", CommandError::NotText),
     ] {
         assert_eq!(AdminCommand::parse(line), Err(error), "{line:?}");
@@ -51,7 +51,7 @@
         assert_eq!(error.to_string(), text);
         check_serialized(Err(error), json!({"Err": text}));
     }
-    assert_eq!(AdminError::from(CommandError::NeedsId).to_string(), "this call takes one id");
+    assert_eq!(AdminError::from(CommandError::ExpectedOneId).to_string(), "this call takes one id");
 }
 
 fn check_serialized(reply: AdminReply, expected: serde_json::Value) {
--- a/src/forwarder/messages/call_report.rs
+++ b/src/forwarder/messages/call_report.rs
@@ -1,4 +1,4 @@
-//! What a finished call reports to the runtime.
+//! The report of a finished call to the runtime.
 
 use super::attempt::AttemptKey;
 use crate::forwarder::http::Connection;
@@ -18,9 +18,9 @@
     pub(crate) finished: bool,
     /// What the endpoint reported about its rate limit, if it did.
     pub(crate) report: Option<LoadReport>,
-    /// A wait that the endpoint asked for, whatever the outcome.
+    /// A wait that the endpoint asked for, in microseconds. It may accompany any outcome.
     pub(crate) retry_after: Option<Micros>,
-    /// Nothing of it was written: it does not count towards the maximum of attempts.
+    /// Nothing was written to the endpoint: the attempt does not count towards the maximum of attempts.
     pub(crate) unsent: bool,
 }
 
@@ -35,31 +35,31 @@
 pub(crate) struct CallReport {
     /// The endpoint that was called.
     pub(crate) endpoint: EndpointId,
-    /// The address that was called. The endpoint may have another address by now.
+    /// The address that was called. The endpoint list may contain another address by now.
     pub(crate) address: SocketAddr,
     /// The attempts that ended with the call.
     pub(crate) results: Vec<AttemptResult>,
     /// The connection, if it can be reused.
     pub(crate) connection: Option<Connection>,
-    /// What the call did to get a connection.
+    /// How the call got its connection.
     pub(crate) connection_usage: ConnectionUsage,
 }
 
-/// What a call did to get a connection.
+/// How a call got its connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ConnectionUsage {
-    /// Connections that were established.
+    /// The number of connections that were established.
     pub(crate) opened: usize,
-    /// Why a connection could not be established.
+    /// Why a connection could not be established; `None` if that did not happen.
     pub(crate) failed: Option<io::ErrorKind>,
-    /// What became of the reused connection, if the call was written to one.
+    /// Whether the reused connection was alive; `None` if the call was not written to a reused connection.
     pub(crate) reuse: Option<IdleReuse>,
 }
 
-/// What became of an idle connection that was reused.
+/// Whether an idle connection that was reused was still alive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum IdleReuse {
-    /// It brought a response.
+    /// A response to the call arrived on it.
     Alive,
     /// It broke as soon as the call was written.
     Dead,
--- a/src/forwarder/messages/client_request.rs
+++ b/src/forwarder/messages/client_request.rs
@@ -1,4 +1,4 @@
-//! A message submitted by a client, and the reply that the client gets.
+//! A message submitted by a client, and the reply to the client.
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -21,12 +21,12 @@
     pub(crate) body: Bytes,
     /// The client stops waiting at this time, and the message expires.
     pub(crate) deadline: Instant,
-    /// Where the reply goes. Closed once the client has disconnected.
+    /// The channel for the reply. It is closed once the client has disconnected.
     pub(crate) reply: oneshot::Sender<ClientReply>,
 }
 
-/// The reply to a client. It is passed between processes during an upgrade: the serialized names stay as they
-/// are.
+/// The reply to a client. It is passed between processes of different versions during an upgrade, so that the
+/// serialized names must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ClientReply {
     /// The message is stored in the journal. It will be delivered, or a notice will be sent.
--- a/src/forwarder/messages/endpoint_list.rs
+++ b/src/forwarder/messages/endpoint_list.rs
@@ -10,7 +10,7 @@
 pub(crate) struct EndpointList {
     /// The revision of the list.
     pub(crate) revision: u64,
-    /// The list is complete: endpoints that it lacks are removed. Otherwise it holds changed records only.
+    /// The list is complete: endpoints that are not in it are removed. Otherwise it contains only changed records.
     pub(crate) complete: bool,
     /// The records that could be parsed.
     pub(crate) endpoints: Vec<EndpointRecord>,
@@ -43,13 +43,13 @@
     }
 }
 
-/// One record of the endpoint list. It is passed between processes during an upgrade: the serialized names
-/// stay as they are.
+/// One record of the endpoint list. It is passed between processes of different versions during an upgrade, so that
+/// the serialized names must not change.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct EndpointRecord {
     /// The id that discovery gave to the endpoint.
     pub(crate) uid: String,
-    /// Where calls are sent.
+    /// The address that calls are sent to.
     #[serde(rename = "endpoint")]
     pub(crate) address: SocketAddr,
     /// The name of its zone.
--- a/src/forwarder/messages/endpoint_list/format_tests.rs
+++ b/src/forwarder/messages/endpoint_list/format_tests.rs
@@ -1,8 +1,8 @@
-//! Holds how the list of targets is read, also where lines of it are odd.
+//! Checks the format of the endpoint list, including records that are incomplete or invalid.
 
 use super::*;
 
-/// A list with lines of every state, lines that lack something, and lines that can't be read.
+/// A list with records of every state, records without optional fields, and records that cannot be parsed.
 const LIST: &str = include_str!("../../../../tests/fixtures/discovery/list.json");
 
 fn endpoint(uid: &str, address: &str, state: LifecycleState) -> EndpointRecord {
@@ -38,21 +38,24 @@
 }
 
 fn json(endpoints: &[EndpointRecord]) -> Value {
-    serde_json::to_value(endpoints).expect("a line can be written")
+    serde_json::to_value(endpoints).expect("records are serializable")
 }
 
 #[test]
-fn a_list_with_odd_lines_reads_as_it_always_did() {
-    let list: EndpointList = serde_json::from_str(LIST).expect("the list as a whole can be read");
+fn invalid_records_are_counted_and_do_not_affect_the_others() {
+    let list: EndpointList = serde_json::from_str(LIST).expect("the list is valid except for some records");
     assert_eq!((list.revision, list.complete, list.unreadable), (42, true, 8));
     assert_eq!(json(&list.endpoints), json(&expected_records()));
     assert!(
-        list.endpoints.iter().map(|line| line.state).eq(expected_records().iter().map(|line| line.state))
+        list.endpoints
+            .iter()
+            .map(|record| record.state)
+            .eq(expected_records().iter().map(|record| record.state))
     );
 }
 
 #[test]
-fn a_list_that_lacks_a_field_cannot_be_read() {
+fn a_list_without_a_required_field_is_rejected() {
     for text in [r#"{"all":true,"targets":[]}"#, r#"{"rev":1,"targets":[]}"#, r#"{"rev":1,"all":false}"#] {
         assert!(serde_json::from_str::<EndpointList>(text).is_err(), "{text}");
     }
--- a/src/forwarder/messages/notice.rs
+++ b/src/forwarder/messages/notice.rs
@@ -1,16 +1,16 @@
-//! Notices: how accepted messages ended that were not delivered.
+//! Notices about accepted messages that were not delivered.
 
 use serde::{Deserialize, Serialize};
 
 /// How an accepted message ended that was not delivered. It is stored in the journal and sent to the
-/// platform: the serialized names stay as they are.
+/// platform, so that the serialized names must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "outcome")]
 pub(crate) enum NoticeOutcome {
     /// It failed; it may have been executed.
     #[serde(rename = "given_up")]
     Failed,
-    /// It was rejected without execution; submitting it again does no harm.
+    /// It was rejected without execution, and may be submitted again.
     #[serde(rename = "handed_back")]
     Rejected {
         /// How long the client should wait before it submits the message again, in milliseconds.
--- a/src/forwarder/metrics/mod.rs
+++ b/src/forwarder/metrics/mod.rs
@@ -1,4 +1,4 @@
-//! Counts what happens between two log lines, so that the log alone shows what delays or loses messages.
+//! Counts of attempts, connections and dropped messages, which are logged at intervals.
 
 use crate::forwarder::messages::call_report::ConnectionUsage;
 use crate::interface::Outcome;
@@ -11,27 +11,27 @@
 
 /// How often the counts are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
-/// Endpoints that get a line of their own: those with the most failed attempts.
+/// The largest number of endpoints with a log line of their own.
 const MAX_LOGGED_ENDPOINTS: usize = 3;
 
 /// Why a message was not accepted or not delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum DropReason {
-    /// As many messages are open as are allowed.
+    /// The maximum number of open messages is reached.
     TooManyOpenMessages,
-    /// The journal has no room for it.
+    /// The journal has no capacity for it.
     JournalFull,
     /// The client disconnected before it got the reply.
     ClientDisconnected,
     /// The decision module rejected it.
     Rejected,
-    /// The decision module gave it up.
+    /// The decision module failed it: it may have been executed.
     Failed,
-    /// Counted beside one of the last two: an earlier process had accepted it, and no attempt was ever made.
+    /// It was accepted by an earlier process and never attempted. Counted in addition to `Rejected` or `Failed`.
     NeverAttempted,
 }
 
-/// What happened at one endpoint.
+/// Counts of one endpoint during an interval.
 #[derive(Debug, Default)]
 struct EndpointMetrics {
     attempts: usize,
@@ -41,15 +41,16 @@
     max_latency: Duration,
 }
 
-/// What happened since the last log line. It is displayed as the text of that line.
+/// Counts since the last log line. `Display` writes the text of the line.
 #[derive(Debug)]
 pub(crate) struct IntervalMetrics {
+    /// When the interval started.
     since: Instant,
     accepted: usize,
     dropped: BTreeMap<DropReason, usize>,
     /// Attempts by outcome.
     attempts: BTreeMap<&'static str, usize>,
-    /// How long calls took slots, by the outcome of the attempt that ended last.
+    /// How long calls occupied call slots, by the outcome of the attempt in them that ended last.
     slot_time: BTreeMap<&'static str, Duration>,
     opened_connections: usize,
     /// Connections that were not established, by reason.
@@ -72,17 +73,17 @@
         }
     }
 
-    /// A message was accepted.
+    /// Records that a message was accepted.
     pub(crate) fn record_accepted(&mut self) {
         self.accepted += 1;
     }
 
-    /// A message was not accepted or not delivered.
+    /// Records that a message was not accepted or not delivered.
     pub(crate) fn record_dropped(&mut self, reason: DropReason) {
         *self.dropped.entry(reason).or_default() += 1;
     }
 
-    /// A call to this address ended; what it did to get a connection.
+    /// Records the end of a call to this address: the connections that it opened or failed to open.
     pub(crate) fn record_connections(&mut self, address: SocketAddr, usage: ConnectionUsage) {
         let endpoint = self.endpoints.entry(address).or_default();
         endpoint.opened_connections += usage.opened;
@@ -93,7 +94,8 @@
         }
     }
 
-    /// An attempt at this address ended after this time, and its call with it if `call_ended`.
+    /// Records the end of an attempt that was sent to this address `latency` ago. `call_ended` tells whether its call ended
+    /// with it.
     pub(crate) fn record_attempt(
         &mut self,
         address: SocketAddr,
@@ -167,25 +169,29 @@
 }
 
 impl fmt::Display for IntervalMetrics {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let slot_time_ms: BTreeMap<_, _> =
             self.slot_time.iter().map(|(label, time)| (label, time.as_millis())).collect();
-        write!(f, "accepted {}, dropped {:?}", self.accepted, self.dropped)?;
-        write!(f, "; attempts {:?}; slot time in ms {slot_time_ms:?}", self.attempts)?;
-        write!(f, "; connections opened {}", self.opened_connections)?;
-        write!(f, ", failed {:?}", self.failed_connections)?;
+        write!(formatter, "accepted {}, dropped {:?}", self.accepted, self.dropped)?;
+        write!(formatter, "; attempts {:?}; slot time in ms {slot_time_ms:?}", self.attempts)?;
+        write!(formatter, "; connections opened {}", self.opened_connections)?;
+        write!(formatter, ", failed {:?}", self.failed_connections)?;
         for (address, endpoint) in self.worst_endpoints() {
-            write!(f, "\n  {address}: {endpoint}")?;
+            write!(formatter, "\n  {address}: {endpoint}")?;
         }
         Ok(())
     }
 }
 
 impl fmt::Display for EndpointMetrics {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} attempts, {} failed", self.attempts, self.failed_attempts)?;
-        write!(f, ", connections opened {}, failed {}", self.opened_connections, self.failed_connections)?;
-        write!(f, ", longest attempt {:?}", self.max_latency)
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} attempts, {} failed", self.attempts, self.failed_attempts)?;
+        write!(
+            formatter,
+            ", connections opened {}, failed {}",
+            self.opened_connections, self.failed_connections
+        )?;
+        write!(formatter, ", longest attempt {:?}", self.max_latency)
     }
 }
 
--- a/src/forwarder/metrics/tests.rs
+++ b/src/forwarder/metrics/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[tokio::test(start_paused = true)]
-async fn an_interval_is_taken_only_when_due_and_the_next_starts_empty() {
+async fn an_interval_is_returned_only_when_due_and_the_next_one_starts_empty() {
     let address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
     let mut metrics = IntervalMetrics::new();
     metrics.record_accepted();
--- a/src/forwarder/notices/format_tests.rs
+++ b/src/forwarder/notices/format_tests.rs
@@ -1,4 +1,4 @@
-//! Holds the bytes of the notices that the platform reads.
+//! Checks the format of notices, which the platform parses.
 
 use super::*;
 use crate::forwarder::messages::notice::NoticeOutcome;
--- a/src/forwarder/notices/mod.rs
+++ b/src/forwarder/notices/mod.rs
@@ -1,7 +1,7 @@
-//! Sends notices to the platform: how accepted messages ended that were not delivered.
+//! Sends notices to the platform about accepted messages that were not delivered.
 //!
-//! Notices are sent in batches, and each batch is retried until the platform acknowledges it. A notice that
-//! arrives twice does no harm; without its notice, a message would be lost.
+//! Notices are sent in batches, and each batch is retried until the platform acknowledges it. A notice that arrives twice
+//! is harmless, while a message without its notice would be lost unnoticed.
 
 use crate::forwarder::discovery_client::{Backoff, CallError, DiscoveryClient, address_changed};
 use crate::forwarder::event::RuntimeEvent;
@@ -17,8 +17,8 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-/// Timeout of a call. The platform acknowledges at once, even while discovery is down. This and the connect
-/// timeout are short because a notice is overdue soon after the deadline of its message.
+/// Timeout of a call. The platform acknowledges immediately, even while discovery is down. This timeout and that of
+/// connecting are short because a notice must arrive soon after the deadline of its message.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of connecting to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -69,7 +69,7 @@
             self.client.disconnect();
             tokio::select! {
                 () = sleep(backoff.next_delay()) => {}
-                // A new address is called at once.
+                // The new address may be available, so that it is called immediately.
                 Ok(()) = address_changed(&self.address) => backoff.reset(),
             }
         }
@@ -84,7 +84,7 @@
     }
 }
 
-/// Encodes a batch as one JSON object a line.
+/// Encodes a batch as one JSON object per line.
 fn encode(batch: &[Notice]) -> Bytes {
     let mut text = Vec::new();
     for notice in batch {
--- a/src/forwarder/notices/tests.rs
+++ b/src/forwarder/notices/tests.rs
@@ -6,10 +6,10 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-/// Longer than anything that a test waits for should take.
-const SOON: Duration = Duration::from_secs(10);
+/// Timeout of every event that a test waits for.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The platform's side: the test responds to each request.
+/// The platform. The test reads its requests and writes its responses.
 struct Platform(TcpListener);
 
 impl Platform {
@@ -24,7 +24,11 @@
     }
 
     async fn accept(&self) -> TcpStream {
-        timeout(SOON, self.0.accept()).await.expect("a connection comes").expect("it listens").0
+        timeout(EVENT_TIMEOUT, self.0.accept())
+            .await
+            .expect("the sender connects in time")
+            .expect("it listens")
+            .0
     }
 }
 
@@ -33,15 +37,16 @@
     let mut text = String::new();
     loop {
         if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.lines().find_map(|l| l.strip_prefix("content-length: ")).expect("a length");
+            let length =
+                head.lines().find_map(|line| line.strip_prefix("content-length: ")).expect("a length");
             if body.len() >= length.parse::<usize>().expect("a number") {
                 return Ok((head.lines().next().unwrap_or_default().to_owned(), body.to_owned()));
             }
         }
         let mut part = [0; 4096];
-        match timeout(SOON, stream.read(&mut part)).await.expect("a request comes")? {
+        match timeout(EVENT_TIMEOUT, stream.read(&mut part)).await.expect("a request arrives in time")? {
             0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-            n => text.push_str(str::from_utf8(&part[..n]).expect("text")),
+            length => text.push_str(str::from_utf8(&part[..length]).expect("text")),
         }
     }
 }
@@ -67,7 +72,7 @@
 
 impl Fixture {
     async fn acknowledged(&mut self) -> Vec<Notice> {
-        match timeout(SOON, self.events.recv()).await.expect("an event comes") {
+        match timeout(EVENT_TIMEOUT, self.events.recv()).await.expect("an event arrives in time") {
             Some(RuntimeEvent::NoticesAcknowledged(batch)) => batch,
             _ => panic!("only acknowledgements come from here"),
         }
@@ -75,7 +80,7 @@
 }
 
 fn batch(names: &[&str]) -> Vec<Notice> {
-    names.iter().map(|n| Notice { message: (*n).to_owned(), outcome: NoticeOutcome::Failed }).collect()
+    names.iter().map(|name| Notice { message: (*name).to_owned(), outcome: NoticeOutcome::Failed }).collect()
 }
 
 #[tokio::test]
@@ -92,7 +97,7 @@
         .zip(outcomes)
         .map(|(name, outcome)| Notice { message: (*name).to_owned(), outcome })
         .collect();
-    fixture.batches.send(sent.clone()).await.expect("it is taken");
+    fixture.batches.send(sent.clone()).await.expect("the sender receives batches");
     let mut stream = platform.accept().await;
     let (line, body) = read_request(&mut stream).await.expect("a request");
     assert_eq!(line, "POST /v1/notices HTTP/1.1");
@@ -106,7 +111,7 @@
     respond(&mut stream, "204 No Content").await;
     assert_eq!(fixture.acknowledged().await, sent);
     // The next batch travels on the same connection.
-    fixture.batches.send(batch(&["d"])).await.expect("it is taken");
+    fixture.batches.send(batch(&["d"])).await.expect("the sender receives batches");
     read_request(&mut stream).await.expect("a second request");
     respond(&mut stream, "204 No Content").await;
     assert_eq!(fixture.acknowledged().await, batch(&["d"]));
@@ -116,7 +121,7 @@
 async fn a_batch_is_sent_until_it_is_acknowledged() {
     let (platform, at) = Platform::start().await;
     let mut fixture = start(at);
-    fixture.batches.send(batch(&["a", "b"])).await.expect("it is taken");
+    fixture.batches.send(batch(&["a", "b"])).await.expect("the sender receives batches");
     let mut bodies = Vec::new();
     for fault in ["500 Error", "", "HTTP/1.1", "silence"] {
         let mut stream = platform.accept().await;
@@ -126,7 +131,9 @@
             // Left open without a response: the call times out and is retried.
             "silence" => {
                 let mut rest = Vec::new();
-                let _ = timeout(SOON, stream.read_to_end(&mut rest)).await.expect("the connection is closed");
+                let _ = timeout(EVENT_TIMEOUT, stream.read_to_end(&mut rest))
+                    .await
+                    .expect("the connection is closed");
             }
             text => respond(&mut stream, text).await,
         }
@@ -142,13 +149,13 @@
 
 #[tokio::test]
 async fn a_batch_is_retried_while_the_platform_refuses_connections() {
-    // An address of its own: nobody else takes the port in between.
+    // An IP address that no other test uses, so that the port stays free.
     let (platform, at) = Platform::start_on("127.77.0.1:0").await;
     drop(platform);
     let mut fixture = start(at);
-    fixture.batches.send(batch(&["a"])).await.expect("it is taken");
-    // The next batch waits its turn.
-    fixture.batches.send(batch(&["b"])).await.expect("there is room for one");
+    fixture.batches.send(batch(&["a"])).await.expect("the sender receives batches");
+    // The next batch stays in the channel meanwhile.
+    fixture.batches.send(batch(&["b"])).await.expect("the channel has capacity for one batch");
     assert!(fixture.batches.try_send(batch(&["c"])).is_err());
     let platform = Platform(TcpListener::bind(at).await.expect("the port is still free"));
     let mut stream = platform.accept().await;
@@ -163,7 +170,7 @@
 async fn a_new_address_receives_the_unacknowledged_batch_and_all_later_ones() {
     let ((old, from), (new, to)) = (Platform::start().await, Platform::start().await);
     let mut fixture = start(from);
-    fixture.batches.send(batch(&["a"])).await.expect("it is taken");
+    fixture.batches.send(batch(&["a"])).await.expect("the sender receives batches");
     let mut stream = old.accept().await;
     let first = read_request(&mut stream).await.expect("a request").1;
     fixture.address.send_replace(to);
@@ -171,13 +178,13 @@
     assert_eq!(read_request(&mut stream).await.expect("a request").1, first);
     respond(&mut stream, "204 No Content").await;
     assert_eq!(fixture.acknowledged().await, batch(&["a"]));
-    fixture.batches.send(batch(&["b"])).await.expect("it is taken");
+    fixture.batches.send(batch(&["b"])).await.expect("the sender receives batches");
     assert!(read_request(&mut stream).await.expect("a request").1.contains("\"b\""));
     respond(&mut stream, "204 No Content").await;
     assert_eq!(fixture.acknowledged().await, batch(&["b"]));
-    // Changed between two batches, too: the connection to the old address is not used again.
+    // The address changes between two batches: the connection to the old address is not reused.
     fixture.address.send_replace(from);
-    fixture.batches.send(batch(&["c"])).await.expect("it is taken");
+    fixture.batches.send(batch(&["c"])).await.expect("the sender receives batches");
     let mut stream = old.accept().await;
     assert!(read_request(&mut stream).await.expect("a request").1.contains("\"c\""));
     respond(&mut stream, "204 No Content").await;
--- a/src/forwarder/server/activity.rs
+++ b/src/forwarder/server/activity.rs
@@ -1,4 +1,4 @@
-//! What a client connection is being used for.
+//! Tracks whether a client connection is idle, or how long it has been receiving a request.
 
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::atomic::{AtomicBool, AtomicU64};
@@ -19,7 +19,7 @@
     opened_at: Instant,
     /// The complete head of a request has arrived on the connection.
     received_request: AtomicBool,
-    /// Since when the connection has had no open request; [`ConnectionActivity::NOT_IDLE`] while it has one.
+    /// The time since which the connection has had no open request; [`ConnectionActivity::NOT_IDLE`] while it has one.
     idle_since_ms: AtomicU64,
     /// The last head that was read is ambiguous about the length of its body.
     ambiguous_framing: AtomicBool,
@@ -58,7 +58,7 @@
         self.idle_since_ms.store(now, Relaxed);
     }
 
-    /// Bytes have arrived. They end within a request if `within_request`, and otherwise between two.
+    /// Bytes have arrived. `within_request` tells whether the last of them belongs to a request that is not complete.
     pub(super) fn record_bytes(&self, within_request: bool) {
         let was_reading = self.reading_request.swap(within_request, Relaxed);
         if within_request && !was_reading && self.has_received_request() {
@@ -92,7 +92,7 @@
         Some(self.elapsed_since(idle_since_ms))
     }
 
-    /// What is left of the time that the connection may be idle or receive a head.
+    /// The remaining part of the time that the connection may be idle or receive a head.
     pub(super) fn remaining_head_time(&self) -> Duration {
         let Some(idle_time) = self.idle_time() else {
             // The open request is bounded by its own timeout.
@@ -102,7 +102,7 @@
         HEAD_TIMEOUT.saturating_sub(elapsed)
     }
 
-    /// What is left of the time for the complete request.
+    /// The remaining part of the time for the complete request.
     pub(super) fn remaining_request_time(&self) -> Duration {
         REQUEST_TIMEOUT.saturating_sub(self.request_age())
     }
--- a/src/forwarder/server/connection.rs
+++ b/src/forwarder/server/connection.rs
@@ -1,4 +1,4 @@
-//! Serving one client connection, from its opening to its graceful shutdown.
+//! Serves one client connection, from its opening to its graceful shutdown.
 
 use super::activity::ConnectionActivity;
 use super::handler::RequestHandler;
@@ -15,7 +15,8 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-/// The most unread bytes that a connection buffers. Many slow clients together stay far below the memory limit.
+/// The largest number of unread bytes that a connection buffers. It is small, because many slow clients may fill their
+/// buffers at the same time.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 /// How often connections are checked for being idle while the process drains or stops.
 pub(super) const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -39,7 +40,7 @@
     // request. `expiry` replaces it.
     server.timer(TokioTimer::new()).header_read_timeout(None).max_buf_size(MAX_BUFFER_BYTES);
     let mut connection = pin!(server.serve_connection(TokioIo::new(stream), service));
-    // An error concerns this client only: there is nothing to do but to close the connection.
+    // An error concerns this client only, and closing the connection handles it.
     tokio::select! {
         _ = connection.as_mut() => return,
         () = idle_during_shutdown(&mut phase, &activity) => connection.as_mut().graceful_shutdown(),
@@ -54,8 +55,8 @@
     let _ = connection.await;
 }
 
-/// Completes when the connection is to be closed because the process drains or stops. A request that has started to
-/// arrive is awaited first.
+/// Completes when the connection should be closed because the process drains or stops: once it has been idle for as long
+/// as the phase demands. A request that has started to arrive is completed first.
 async fn idle_during_shutdown(phase: &mut watch::Receiver<LifecyclePhase>, activity: &ConnectionActivity) {
     loop {
         // The runtime, which holds the sender, lives as long as the process.
--- a/src/forwarder/server/framing/mod.rs
+++ b/src/forwarder/server/framing/mod.rs
@@ -1,9 +1,10 @@
 //! Scans the heads of requests ahead of the HTTP parser for ambiguous body lengths.
 //!
-//! It only detects heads that leave the length of their body in doubt. Parsing and validating requests is the task
-//! of the parser and of the request handler.
+//! A head that states the length of its body more than once may be read differently by a proxy and by this server, so
+//! that bytes of the body could be taken for another request (request smuggling). This module only detects such heads:
+//! the HTTP parser and the request handler parse and validate requests.
 
-/// The longest part of a header line that is kept: enough for a header name and a length.
+/// The longest start of a header line that is buffered: enough for a header name and a length.
 const MAX_LINE_BYTES: usize = 64;
 
 /// Scans the bytes of a connection and follows the boundaries of its requests.
@@ -13,15 +14,15 @@
     line: Vec<u8>,
     /// The number of `Content-Length` headers in this head.
     content_length_headers: u32,
-    /// The value of the last of them.
+    /// The value of the last `Content-Length` header in this head.
     content_length: u64,
-    /// A line of this head has been read.
+    /// At least one line of this head has been read.
     in_head: bool,
     /// This head has a `Transfer-Encoding` header.
     has_transfer_encoding: bool,
     /// Bytes of the current body that have not arrived yet.
     remaining_body: u64,
-    /// The start of the next head is unknown. The connection ends with this request, so that no other follows.
+    /// It is unknown where this request ends. The connection is closed after it, so that no other request follows.
     is_boundary_unknown: bool,
 }
 
@@ -49,7 +50,7 @@
         self.in_head || self.remaining_body > 0 || !self.line.is_empty()
     }
 
-    /// Consumes bytes of the body and returns the bytes behind it.
+    /// Consumes bytes of the body and returns the bytes after it.
     fn skip_body<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         let remaining = usize::try_from(self.remaining_body).unwrap_or(usize::MAX);
         let skipped = remaining.min(bytes.len());
@@ -57,7 +58,7 @@
         &bytes[skipped..]
     }
 
-    /// Adds to the current line, of which only the start is kept.
+    /// Appends to the current line, of which only the first [`MAX_LINE_BYTES`] are buffered.
     fn extend_line(&mut self, part: &[u8]) {
         let free = MAX_LINE_BYTES - self.line.len();
         self.line.extend_from_slice(&part[..part.len().min(free)]);
@@ -88,6 +89,7 @@
         ambiguous
     }
 
+    /// Records a header that determines the length of the body.
     fn read_header(&mut self, line: &[u8]) {
         let Some(colon) = line.iter().position(|byte| *byte == b':') else { return };
         let (name, value) = (line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
--- a/src/forwarder/server/lifecycle.rs
+++ b/src/forwarder/server/lifecycle.rs
@@ -7,12 +7,12 @@
 /// load balancer has noticed that the process is not ready, and requests on their way have arrived.
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How far the process is on its way to its end.
+/// The phases of the process, from normal operation to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum LifecyclePhase {
     /// Normal operation.
     Serving,
-    /// The readiness check fails, so that clients go elsewhere. Requests are still served.
+    /// The readiness check fails, so that the load balancer sends clients to other processes. Requests are still served.
     Draining,
     /// Each reply is the last on its connection.
     Closing,
@@ -33,8 +33,8 @@
     }
 }
 
-/// The numbers of client connections. Two processes share the file descriptors of one during an upgrade, so that
-/// the connections of both count towards the capacity.
+/// The numbers of open client connections. During an upgrade, two processes together may open as many file descriptors
+/// as one otherwise, so that the connections of both count towards the capacity.
 #[derive(Default)]
 pub(crate) struct ConnectionCounts {
     /// Connections to this process.
--- a/src/forwarder/server/listener.rs
+++ b/src/forwarder/server/listener.rs
@@ -1,4 +1,4 @@
-//! The accept loop, and the bound on the number of connections.
+//! Accepts client connections and bounds their number.
 
 use super::activity::ConnectionActivity;
 use super::connection::{SHUTDOWN_POLL_INTERVAL, serve_connection};
@@ -22,7 +22,8 @@
 /// While two processes share the file descriptors of one, the connections of the predecessor reduce the capacity of
 /// the successor, but not below the capacity divided by this.
 const MIN_CAPACITY_DIVISOR: usize = 4;
-/// The pause after a failed accept. The process may be out of descriptors: others have to be closed first.
+/// The delay after a failed accept. The process may have no free descriptor, and the accept would fail again until one
+/// is closed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// Serves clients, with at most `max_connections` at a time, until the phase is [`LifecyclePhase::Stopped`] and the
@@ -37,7 +38,7 @@
     connections.close_all().await;
 }
 
-/// The open connections of clients. It owns their tasks.
+/// The open connections of clients. It owns their tasks, so that dropping it closes the connections.
 struct ClientConnections {
     max_connections: usize,
     handler: Arc<RequestHandler>,
@@ -45,16 +46,29 @@
     tasks: JoinSet<()>,
 }
 
+/// A connection and the handle to abort its task, which closes it.
 struct OpenConnection {
     activity: Arc<ConnectionActivity>,
     task: AbortHandle,
 }
 
+/// A connection without an open request. The greatest one, compared field by field, is evicted.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct EvictionCandidate {
+    /// No request has ever arrived on the connection.
+    is_unused: bool,
+    /// How long the connection has had no open request.
+    idle_time: Duration,
+    /// The index of the connection in [`ClientConnections::open`].
+    position: usize,
+}
+
 impl ClientConnections {
     fn new(max_connections: usize, handler: Arc<RequestHandler>) -> Self {
         ClientConnections { max_connections, handler, open: Vec::new(), tasks: JoinSet::new() }
     }
 
+    /// Accepts connections and serves them. Never returns.
     async fn accept_all(&mut self, listener: TcpListener) {
         let mut phase = self.handler.phase.clone();
         loop {
@@ -120,16 +134,16 @@
         self.counts().own.store(self.tasks.len(), Relaxed);
     }
 
-    /// Closes one connection without an open request, and returns whether there was one. Connections on which no
-    /// request ever arrived go first, then those that have been idle for longest.
+    /// Closes one connection without an open request, and returns whether there was one. See [`EvictionCandidate`] for
+    /// the choice.
     fn evict_idle(&mut self) -> bool {
         let candidates = self.open.iter().enumerate().filter_map(|(position, connection)| {
             let activity = &connection.activity;
             let idle_time = activity.idle_time().filter(|time| *time >= MIN_IDLE_BEFORE_EVICTION)?;
-            Some((!activity.has_received_request(), idle_time, position))
+            Some(EvictionCandidate { is_unused: !activity.has_received_request(), idle_time, position })
         });
-        let Some((.., position)) = candidates.max() else { return false };
-        self.open.swap_remove(position).task.abort();
+        let Some(evicted) = candidates.max() else { return false };
+        self.open.swap_remove(evicted.position).task.abort();
         true
     }
 
@@ -145,8 +159,8 @@
     }
 }
 
-/// Accepts the next connection. `None` while this process hands over: its successor accepts connections on the same
-/// socket, and those that this process does not accept are accepted there.
+/// Accepts the next connection. Returns `None` while this process hands over: its successor listens on the same socket
+/// and accepts the connections from then on.
 async fn accept_unless_handing_over(
     listener: &TcpListener,
     phase: &mut watch::Receiver<LifecyclePhase>,
@@ -158,7 +172,7 @@
     }
 }
 
-/// Rejects a connection for want of capacity and closes it, without waiting for the client.
+/// Rejects a connection that exceeds the capacity and closes it, without waiting for the client.
 fn reject_without_capacity(stream: TcpStream) {
     // The asynchronous runtime does not know yet whether the socket is readable or writable, so it is used directly.
     // It is non-blocking.
--- a/src/forwarder/server/reply/format_tests.rs
+++ b/src/forwarder/server/reply/format_tests.rs
@@ -1,4 +1,4 @@
-//! Fixes the replies to clients: the status and the headers of each.
+//! Checks the format of replies to clients: the status and the headers of each.
 
 use super::*;
 use hyper::body::Body;
@@ -30,7 +30,7 @@
 }
 
 #[test]
-fn client_without_capacity_receives_fixed_bytes() {
+fn client_that_exceeds_the_capacity_receives_a_503_with_retry_after() {
     let expected = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     assert_eq!(NO_CAPACITY_RESPONSE, expected.as_bytes());
 }
--- a/src/forwarder/server/reply/mod.rs
+++ b/src/forwarder/server/reply/mod.rs
@@ -1,4 +1,4 @@
-//! Encoding replies to clients as HTTP responses.
+//! Encodes replies to clients as HTTP responses.
 
 use crate::forwarder::messages::client_request::ClientReply;
 use bytes::Bytes;
@@ -7,7 +7,8 @@
 use hyper::{Response, StatusCode};
 use std::time::Duration;
 
-/// When a client should submit a message again that was rejected because the forwarder is overloaded.
+/// How long a client should wait before it submits a message again that was rejected because the forwarder is
+/// overloaded.
 pub(super) const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The complete response to a client whose connection exceeds the capacity.
 pub(super) const NO_CAPACITY_RESPONSE: &[u8] =
@@ -38,8 +39,10 @@
     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
+/// A rejection. `Retry-After` is in seconds with three decimals.
 fn rejection(retry_after: Option<Duration>) -> HttpReply {
     let mut reply = status_reply(StatusCode::SERVICE_UNAVAILABLE);
+    // A number in decimal notation is always a valid header value.
     let seconds = retry_after.map(|retry_after| format!("{:.3}", retry_after.as_secs_f64()));
     if let Some(Ok(value)) = seconds.map(|seconds| HeaderValue::from_str(&seconds)) {
         reply.headers_mut().insert(RETRY_AFTER, value);
--- a/src/forwarder/server/stream.rs
+++ b/src/forwarder/server/stream.rs
@@ -1,4 +1,5 @@
-//! The stream of a client connection: it checks the framing of requests and closes without losing the last reply.
+//! The stream of a client connection. It checks the framing of requests, and keeps reading for a while after the close,
+//! so that the client receives the last reply.
 
 use super::activity::ConnectionActivity;
 use super::framing::FramingScanner;
@@ -14,13 +15,13 @@
 
 /// The time that a closed connection continues to read, unless the client closes it earlier.
 const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// The bytes that a closed connection reads at most.
+/// The largest number of bytes that a closed connection reads.
 pub(super) const MAX_LINGERING_CLOSE_BYTES: usize = 256 << 10;
 /// The size of the buffer for bytes that are read and discarded.
 pub(super) const DISCARD_BUFFER_BYTES: usize = 4096;
 
 /// A client's stream, which examines the head of each request before the HTTP parser does. The parser hides a
-/// `Content-Length` header that is repeated or stands beside `Transfer-Encoding`.
+/// `Content-Length` header that is repeated or accompanied by `Transfer-Encoding`.
 pub(super) struct ClientStream {
     stream: TcpStream,
     scanner: FramingScanner,
@@ -32,7 +33,8 @@
 /// The end of a connection that this side has closed and the client has not.
 ///
 /// Closing a socket with unread bytes resets the connection, and the reset may discard the last reply before the
-/// client has read it. So bytes are read and discarded for a while.
+/// client has read it. So bytes are read and
+/// discarded until the client closes its side, a timeout, or a number of bytes.
 struct LingeringClose {
     timeout: Pin<Box<Sleep>>,
     remaining_bytes: usize,
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -2,7 +2,7 @@
 
 use super::{EndpointId, MessageId, Micros};
 
-/// Something that the host is to do.
+/// An instruction to the host.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Start an attempt. Attempts of one turn to one endpoint travel in one call, up to
@@ -12,9 +12,9 @@
         id: MessageId,
         /// The endpoint.
         endpoint: EndpointId,
-        /// Timeout of the attempt; 0 means that it lasts until [`super::Submission::expires_at`].
+        /// Timeout of the attempt; 0 means that it times out at [`super::Submission::expires_at`].
         timeout: Micros,
-        /// The call must not be written after this time, which matters if its connection is established late.
+        /// The call must not be written after this time. This matters if establishing its connection takes long.
         send_before: Micros,
     },
     /// Final reply: the message was not delivered, and submitting it again does no harm.
@@ -41,14 +41,14 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// Deliver [`super::Event::Wake`] at this time or soon after it.
+    /// Pass [`super::Event::Wake`] to the module at this time or soon after it.
     Wake {
         /// The time of the wake-up.
         at: Micros,
     },
     /// Subscribe to changes of the endpoint list.
     Subscribe,
-    /// Whether new clients are invited and connections of clients are kept alive. Clients that connect while
+    /// Whether the readiness check succeeds and connections of clients are kept alive. Clients that connect while
     /// this is false are still served.
     AcceptClients(bool),
 }
--- a/src/interface/attempt.rs
+++ b/src/interface/attempt.rs
@@ -6,35 +6,34 @@
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// Delivered.
+    /// The message was delivered.
     Delivered,
-    /// The response reports an error; it may have been executed.
+    /// The response reports an error; the message may have been executed.
     Error,
-    /// The response says that it was rejected without execution.
+    /// The response says that the message was rejected without execution.
     #[serde(rename = "Full")]
     Rejected {
         /// No further call may be sent for this long, if the destination said so.
         #[serde(rename = "wait")]
         retry_after: Option<Micros>,
     },
-    /// No response in time; it may have been executed, or may still be.
+    /// No response arrived in time; the message may have been executed, or may still be executed later.
     TimedOut,
-    /// No connection was established; it was never executed.
+    /// No connection was established; the message was never executed.
     ConnectFailed,
-    /// The connection broke; it may have been executed.
+    /// The connection broke; the message may have been executed.
     Reset,
-    /// The response cannot be parsed; it may have been executed. This says nothing about the health of the
+    /// The response cannot be parsed; the message may have been executed. It does not count against the health of the
     /// destination, which has responded: the response was damaged on its way.
     #[serde(rename = "Spoilt")]
     InvalidResponse,
-    /// The reused connection broke as soon as the call was written to it; it may have been executed. This
-    /// says nothing about the health of the destination: the connection had probably been closed while it was
-    /// idle.
+    /// The reused connection broke as soon as the call was written to it; the message may have been executed. It does
+    /// not count against the health of the destination: the connection had probably been closed while it was idle.
     #[serde(rename = "Dead")]
     StaleConnection,
-    /// Cancelled by the sender; it may have been executed.
+    /// Cancelled by the sender; the message may have been executed.
     Cancelled,
-    /// Not sent by the host, for example because it had no free slot; it was never executed.
+    /// Not sent by the host, or rejected by an endpoint without a free slot; the message was never executed.
     NotSent,
 }
 
@@ -61,13 +60,13 @@
     pub attempt: usize,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time since it was sent.
+    /// Time since it was sent, in microseconds.
     pub elapsed: Micros,
-    /// The message is complete and needs no final reply.
+    /// The message is complete: it needs no further attempt and no final reply.
     pub finished: bool,
-    /// What the destination reported about its limit.
+    /// What the destination reported about its rate limit.
     pub report: Option<LoadReport>,
-    /// Nothing of it was written: it does not count towards [`super::Settings::max_attempts`].
+    /// Nothing was written to the endpoint: the attempt does not count towards [`super::Settings::max_attempts`].
     pub unsent: bool,
     /// No further call may be sent for this long, if the destination said so beside an outcome other than
     /// [`Outcome::Rejected`], which carries its own wait.
--- a/src/interface/backlog.rs
+++ b/src/interface/backlog.rs
@@ -2,8 +2,8 @@
 
 use super::{DestinationId, Micros};
 
-/// What delays the messages of a destination. Where its routes are separate, the one that is ready first is
-/// described.
+/// What delays the messages of a destination. Where its routes are separate, the values of one route are those of the
+/// one that is ready first.
 #[derive(Clone, Copy, Debug)]
 pub struct DestinationBacklog {
     /// The destination.
@@ -14,14 +14,14 @@
     pub endpoints: usize,
     /// Calls in flight.
     pub calls: usize,
-    /// The lower cap on calls in flight applies.
+    /// A large fraction of the recent attempts failed, so that the destination may occupy fewer call slots.
     pub degraded: bool,
-    /// The destination is considered down: only probe calls are sent.
+    /// The destination is considered down, so that only probe calls are sent.
     pub outage: bool,
-    /// Calls per second that are allowed; `None` if nothing limits them.
+    /// Calls per second that are allowed; `None` if the rate is not limited.
     pub rate: Option<f64>,
-    /// Time until the next call may be sent.
+    /// Time until the next call may be sent; 0 if it may be sent now.
     pub ready_in: Micros,
-    /// Time until the end of the wait that the destination asked for.
+    /// Time until the end of the wait that the destination asked for; 0 if there is none.
     pub retry_after: Micros,
 }
--- a/src/interface/endpoint_list.rs
+++ b/src/interface/endpoint_list.rs
@@ -2,10 +2,10 @@
 
 use super::{DestinationId, EndpointId};
 
-/// What the endpoint list says about an endpoint.
+/// The state of an endpoint in the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointState {
-    /// In service. Nothing is implied about its health.
+    /// In service, whatever its health.
     Serving,
     /// No new call may be sent to it.
     Draining,
@@ -26,6 +26,6 @@
     pub kind: usize,
     /// Whether it is in service.
     pub state: EndpointState,
-    /// See [`super::EndpointWeights`].
+    /// The weight, with the meaning that [`super::EndpointWeights`] gives to it.
     pub weight: f64,
 }
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -10,7 +10,8 @@
     Submit(Submission),
     /// An attempt ended.
     AttemptEnded(AttemptEnded),
-    /// A streamed response has begun; the attempt belongs to the client from now on.
+    /// A streamed response has begun. The client is receiving it, so that the message is not rejected any more when it
+    /// expires.
     ResponseStarted {
         /// The message.
         id: MessageId,
@@ -20,11 +21,11 @@
         /// The message.
         id: MessageId,
     },
-    /// The complete endpoint list; endpoints that it lacks are removed.
+    /// The complete endpoint list. Endpoints that are not in it are removed.
     ListSnapshot(Vec<EndpointEntry>),
     /// Changed entries of the endpoint list.
     ListUpdate(Vec<EndpointEntry>),
-    /// Operators disabled an endpoint: no new call goes there, whatever the list says, until the ban ends.
+    /// Operators disabled an endpoint: whatever the list says, no new call is sent to it until the ban ends.
     BanStarted {
         /// The endpoint, which need not be listed.
         endpoint: EndpointId,
@@ -34,7 +35,7 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// What a predecessor had learned about a listed destination.
+    /// What the predecessor of this process had learned about a listed destination.
     Learned(LearnedState),
     /// An attempt of a predecessor is still in flight, although its message is complete.
     InheritedAttempt {
@@ -45,13 +46,13 @@
         /// The call that it travels in.
         call: InheritedCall,
     },
-    /// Operators drain this process: clients are sent away, accepted messages are still delivered.
+    /// Operators drain this process: the readiness check fails, and accepted messages are still delivered.
     Drain,
     /// Operators end the drain.
     Resume,
     /// A subscription to the endpoint list failed; the last list stays in force.
     WatchFailed,
-    /// A time requested with [`super::Action::Wake`] has come.
+    /// A wake-up requested with [`super::Action::Wake`] is due.
     Wake,
     /// The host has no further event for now. Attempts are only started in reaction to this event.
     TurnEnd,
--- a/src/interface/learned_state.rs
+++ b/src/interface/learned_state.rs
@@ -1,15 +1,15 @@
 //! What a process has learned about its destinations, for the process that takes over from it.
 //!
-//! This state crosses processes of different versions: the serialized names stay as they are.
+//! The two processes may be of different versions, so that the serialized names must not change.
 
 use super::{DestinationId, EndpointId, Micros};
 use serde::{Deserialize, Serialize};
 
 /// The health of a destination, or of a route where routes are separate. Times are durations before or after
-/// the take-over.
+/// the take-over, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum HealthState {
-    /// Nothing is known against it.
+    /// Neither down nor warming up.
     #[serde(rename = "Well")]
     Healthy,
     /// Considered down: only probe calls are sent.
@@ -27,7 +27,7 @@
 }
 
 /// What a process has learned about a destination, or about a route where routes are separate. Times are
-/// durations before or after the take-over.
+/// durations before or after the take-over, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LearnedState {
     /// The destination.
@@ -48,12 +48,13 @@
     /// Calls per second that it accepted while it was healthy.
     #[serde(rename = "base")]
     pub healthy_rate: f64,
-    /// How long it has been known.
+    /// Time since the sender has known the destination.
     pub age: Micros,
-    /// Decayed count of calls sent to it.
+    /// The number of calls sent to it, exponentially decayed.
     #[serde(rename = "sent")]
     pub calls_sent: f64,
-    /// Decayed counts of successes, of failures, and of failures that may have been executed.
+    /// Exponentially decayed numbers of successes, of failures, and of failures that may have been executed, in this
+    /// order.
     #[serde(rename = "health")]
     pub outcome_counts: [f64; 3],
     /// Long-term average latency of deliveries, in microseconds; 0 if unknown.
--- a/src/interface/message.rs
+++ b/src/interface/message.rs
@@ -11,26 +11,26 @@
     pub class: usize,
     /// Index of its tenant.
     pub tenant: Option<usize>,
-    /// Orders the message among others, where its class is ordered.
+    /// Ordering key: messages of an ordered class that share it are sent one at a time, see [`super::Class::ordered`].
     pub key: Option<String>,
-    /// The client stops waiting at this time.
+    /// The message expires at this time, and its client stops waiting.
     pub expires_at: Micros,
     /// The destination.
     pub destination: DestinationId,
-    /// What happened to it in predecessors; the default for a new message.
+    /// What happened to it in earlier processes; the default for a new message.
     pub history: MessageHistory,
 }
 
-/// What is known about a message that a predecessor of this process had accepted.
+/// What happened to a message before this process took it over from a predecessor.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MessageHistory {
-    /// It was accepted: if no attempt was made yet, one is to be made before it expires.
+    /// It was accepted: it is not shed, and if it has no attempt yet, it is attempted before other messages.
     pub accepted: bool,
-    /// Attempts that were made. Further attempts are numbered from here.
+    /// The number of attempts that were made, which is also the number of the next attempt.
     pub attempts: usize,
     /// The first attempt that may have been executed.
     pub possible_execution: Option<PossibleExecution>,
-    /// The attempt after these, if it is still in flight.
+    /// The call of one more attempt, the one after `attempts`, if it is still in flight in the predecessor.
     pub in_flight: Option<InheritedCall>,
 }
 
@@ -47,7 +47,7 @@
 /// [`super::AttemptEnded`].
 #[derive(Clone, Copy, Debug)]
 pub struct InheritedCall {
-    /// Identifies the call; attempts that travel together share it. Later calls have higher numbers.
+    /// Number of the call, which all attempts in the call share. Later calls have higher numbers.
     pub call: u64,
     /// The endpoint that was called.
     pub endpoint: EndpointId,
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -1,17 +1,19 @@
 //! The vocabulary of the decision module: settings, events and actions.
 //!
-//! No decision is made here. Hosts (the forwarder and the simulator adapter) translate their own world into
-//! [`Event`]s and carry out the [`Action`]s that [`crate::Balancer`] returns.
+//! No decision is made here. A *host* (the forwarder or the simulator adapter) reports what happens as
+//! [`Event`]s and carries out the [`Action`]s that [`crate::Balancer`] returns.
 //!
 //! A *sender* is one process with one decision module; several senders form a fleet. Clients submit
 //! *messages* to it for *destinations*, and each destination has one or more *endpoints*. A message is
-//! delivered by *attempts*; attempts that start together travel in one *call* to one endpoint. Where the
-//! endpoints of a destination have their own limits and outages, each of them is a *route*.
+//! delivered by *attempts*; attempts that start together travel in one *call* to one endpoint. A *route* is what
+//! has a rate limit, a health and outages of its own: normally a destination with all its endpoints, or each endpoint
+//! separately (see [`DestinationKind::separate_routes`]).
 //!
 //! The host works in *turns*: it passes on the events that have happened, and ends the turn with
 //! [`Event::TurnEnd`].
 //!
-//! Time is counted in whole microseconds on a clock of the host. Only differences between times matter.
+//! Time is counted in whole microseconds on a clock of the host. The clock may start at any time: only
+//! differences between times are used.
 
 mod action;
 mod attempt;
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -1,4 +1,4 @@
-//! What a sender is configured with when it starts.
+//! The configuration of a sender, which holds for its lifetime. Times are in microseconds.
 
 use super::Micros;
 
@@ -10,9 +10,10 @@
     /// Messages carry an idempotency key. The destination drops repeats for `key_lifetime`, counted from the
     /// first attempt that may have been executed.
     Keyed {
-        /// How long the destination remembers the key.
+        /// How long the destination remembers a key.
         key_lifetime: Micros,
-        /// Only endpoints of the same zone share their memory of keys.
+        /// A key is known only to the endpoints of the zone that received it. Otherwise all endpoints of the
+        /// destination know it.
         per_zone: bool,
     },
     /// The message must never be executed twice.
@@ -24,9 +25,10 @@
 pub struct Class {
     /// Whether its messages may be attempted again.
     pub idempotency: Idempotency,
-    /// A message delivered within this time has its full weight; 0 if the class has no objective.
+    /// A message that is delivered within this time after its submission has its full weight; 0 if the class has no
+    /// objective.
     pub latency_objective: Micros,
-    /// How long after its submission a message may be delivered.
+    /// A message may be delivered until this time after its submission.
     pub deadline: Micros,
     /// Weight of a message relative to those of other classes.
     pub priority_weight: f64,
@@ -41,14 +43,15 @@
 pub struct DestinationKind {
     /// The endpoints of a destination are separate routes, each with its own limits and outages.
     pub separate_routes: bool,
-    /// Messages that may travel in one call.
+    /// The largest number of messages in one call.
     pub batch: usize,
 }
 
-/// A tenant with a quota of the service.
+/// A tenant, which clients submit messages for.
 #[derive(Clone, Copy, Debug)]
 pub struct Tenant {
-    /// Messages per second, over all senders, that have their full weight.
+    /// Messages per second, of all senders together, that have their full weight. The weight of those beyond is
+    /// multiplied by [`Settings::over_quota_weight`].
     pub quota: f64,
 }
 
@@ -68,7 +71,8 @@
     Off,
     /// Calls per second that the destination accepts from all senders together.
     Nominal,
-    /// The same, with an error of up to one half in either direction.
+    /// Estimated calls per second that the destination accepts from all senders together. The estimate may be wrong
+    /// by up to one half in either direction.
     Approximate,
 }
 
@@ -83,7 +87,7 @@
     pub tenants: Vec<Tenant>,
     /// Weight of a message beyond its tenant's quota, as a fraction of its usual weight.
     pub over_quota_weight: f64,
-    /// How weight falls after the latency objective.
+    /// How the weight of a message falls after its latency objective.
     pub weight_decay: WeightDecay,
     /// Index of the zone of this sender.
     pub zone: usize,
@@ -95,35 +99,36 @@
     pub max_open_messages: usize,
     /// Attempts that a message may have.
     pub max_attempts: usize,
-    /// Attempts may be cancelled.
+    /// Whether attempts may be cancelled.
     pub cancellation: bool,
-    /// Rejections tell clients how long to wait before they submit the message again.
+    /// Whether rejections tell clients how long to wait before they submit the message again.
     pub retry_after: bool,
-    /// The longest such wait that clients respect.
+    /// The longest wait in a rejection that clients respect.
     pub max_retry_after: Micros,
-    /// This sender polls discovery; otherwise updates are pushed to it.
+    /// Whether this sender polls discovery. Otherwise updates are pushed to it.
     pub poll_discovery: bool,
-    /// Where discovery is polled, a sender without a watch is held to know every change that is older than
-    /// this at its last poll.
+    /// How old the endpoint list of a sender that polls discovery may become: the sender must know every change that
+    /// was older than this at its last poll.
     pub max_list_age: Micros,
     /// The meaning of the weights in the endpoint list.
     pub endpoint_weights: EndpointWeights,
-    /// Idle connections are closed after this time.
+    /// Connections to endpoints are closed after they have been idle for this time.
     pub idle_timeout: Micros,
-    /// A connection that is not established within this time has failed.
+    /// Timeout of establishing a connection to an endpoint.
     pub connect_timeout: Micros,
-    /// Shortest time between two turns of the host.
+    /// The shortest time between two turns of the host.
     pub min_turn_interval: Micros,
-    /// A destination that is warming up fails again if it receives more than this multiple of its present
-    /// capacity for the whole of `overload_window`.
+    /// A destination that is warming up fails again if its load exceeds its reduced capacity by this factor for as long
+    /// as `overload_window`.
     pub overload_factor: f64,
-    /// How long a load above `overload_factor` lasts until a destination that is warming up fails again.
+    /// A destination that is warming up fails again once its load has exceeded `overload_factor` times its reduced
+    /// capacity for this time without a break.
     pub overload_window: Micros,
-    /// Fraction of its capacity that a destination has right after an outage, from 0 to 1.
+    /// The reduced capacity of a destination right after an outage, as a fraction of its full capacity from 0 to 1.
     pub initial_capacity: f64,
-    /// Time after an outage until a destination has its full capacity again.
+    /// Time from the end of an outage until the destination has its full capacity again.
     pub warm_up_time: Micros,
-    /// How long the messages of an ordering key wait after an attempt that may still be executed.
+    /// How long the other messages of an ordering key wait after the end of an attempt that may still be executed.
     pub ordering_gap: Micros,
 }
 
--- a/src/simulator/request.rs
+++ b/src/simulator/request.rs
@@ -163,7 +163,7 @@
     pub(super) report: Option<LoadReport>,
 }
 
-/// What discovery brought.
+/// An endpoint list from discovery, or the failure of the subscription.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EndpointListRequest {
     /// Changes, in the catalog of this number.
