--- a/src/forwarder/admin.rs
+++ b/src/forwarder/admin.rs
@@ -1,7 +1,7 @@
 //! The server for operators. A connection carries one command line and one reply line.
 //!
-//! This module reads and writes the lines, and the runtime carries out the commands. The number of connections and the
-//! time of each step are bounded, so that slow operators do not delay others.
+//! This module reads and writes the lines, and the runtime carries out the commands. The number of connections and
+//! the time of each step are bounded, so that slow operators do not delay others.
 
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::admin_command::{
@@ -16,8 +16,8 @@
 use tokio::task::{AbortHandle, JoinSet, yield_now};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// The largest number of open connections. Their file descriptors are reserved. A further connection replaces the oldest
-/// one.
+/// The largest number of open connections. Their file descriptors are reserved. A further connection replaces the
+/// oldest one.
 pub(crate) const MAX_CONNECTIONS: usize = 16;
 /// Length of the longest line that is read, without its line break.
 const MAX_LINE_BYTES: usize = 256;
--- a/src/forwarder/configuration/setting_pairs/mod.rs
+++ b/src/forwarder/configuration/setting_pairs/mod.rs
@@ -38,8 +38,8 @@
     if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
 }
 
-/// Returns a scalar as text. Spaces and commas in strings are replaced by underscores, because they separate values in
-/// the flat form.
+/// Returns a scalar as text. Spaces and commas in strings are replaced by underscores, because they separate values
+/// in the flat form.
 fn plain_text(value: &Value) -> String {
     match value.as_str() {
         Some(text) => text.replace([' ', ','], "_"),
--- a/src/forwarder/discovery/mod.rs
+++ b/src/forwarder/discovery/mod.rs
@@ -27,8 +27,8 @@
 ///
 /// `revision` is the revision of the list that the runtime already has; `None` if it has no list. `address` changes
 /// when operators reload a configuration with another address. `seed` determines the jitter of delays. All lists are
-/// sent to `events` in the order in which they arrived; the runtime holds the other end of this bounded channel, and a
-/// full channel delays the next call.
+/// sent to `events` in the order in which they arrived; the runtime holds the other end of this bounded channel, and
+/// a full channel delays the next call.
 pub(crate) async fn follow(
     address: Receiver<SocketAddr>,
     revision: Option<u64>,
--- a/src/forwarder/discovery/poll_pacer.rs
+++ b/src/forwarder/discovery/poll_pacer.rs
@@ -1,8 +1,8 @@
 //! The rate at which a sender polls a discovery service that it shares with many others.
 //!
 //! The rate is adapted by additive increase and multiplicative decrease. The service handles calls in the order of
-//! their arrival, even if their callers have stopped waiting: if it receives more calls than it can handle, none of its
-//! responses is in time.
+//! their arrival, even if their callers have stopped waiting: if it receives more calls than it can handle, none of
+//! its responses is in time.
 //!
 //! All rates are polls per [`Settings::max_list_age`], and all delays are fractions or multiples of it.
 
@@ -29,14 +29,14 @@
 const MAX_DELAY_FRACTION_AFTER_LIST: f64 = 0.75;
 /// The longest delay after an error status, as a multiple of [`Settings::max_list_age`].
 const MAX_DELAY_FACTOR_AFTER_REJECTION: f64 = 3.0;
-/// The longest delay after a call without a response, as a fraction of [`Settings::max_list_age`]. It is short, because
-/// the sender must know the changes that the response would have contained.
+/// The longest delay after a call without a response, as a fraction of [`Settings::max_list_age`]. It is short,
+/// because the sender must know the changes that the response would have contained.
 const MAX_DELAY_FRACTION_WITHOUT_RESPONSE: f64 = 0.2;
 /// The first polls of a fleet that starts all at once are spread over this fraction of
 /// [`Settings::max_list_age`].
 const FIRST_POLL_SPREAD_FRACTION: f64 = 0.5;
-/// The timeout of a call, as a fraction of [`Settings::max_list_age`]. It is long, because the service handles calls of
-/// other senders first.
+/// The timeout of a call, as a fraction of [`Settings::max_list_age`]. It is long, because the service handles calls
+/// of other senders first.
 const RESPONSE_TIMEOUT_FRACTION: f64 = 0.25;
 
 /// The interval between polls is multiplied by a random factor from this number to this number plus one.
--- a/src/forwarder/endpoint_client/call.rs
+++ b/src/forwarder/endpoint_client/call.rs
@@ -35,8 +35,8 @@
     pub(crate) times_out_at: Instant,
     /// The message expires at this time, and the call ends with it.
     pub(crate) expires_at: Instant,
-    /// The attempt must not be written at or after this time. For a retry, the endpoint may have forgotten the idempotency
-    /// key by then.
+    /// The attempt must not be written at or after this time. For a retry, the endpoint may have forgotten the
+    /// idempotency key by then.
     pub(crate) send_before: Instant,
 }
 
@@ -72,8 +72,8 @@
 pub(crate) enum CallCommand {
     /// Cancel this attempt.
     Cancel(AttemptKey),
-    /// End the call. One of its messages has failed and its client is notified, so that the message must not be delivered
-    /// after that, and a single message cannot be removed from a call that has been written.
+    /// End the call. One of its messages has failed and its client is notified, so that the message must not be
+    /// delivered after that, and a single message cannot be removed from a call that has been written.
     Abandon,
     /// The call must not be written from now on, for instance because the destination sent a Retry-After.
     WithholdWrite,
--- a/src/forwarder/endpoint_client/exchange.rs
+++ b/src/forwarder/endpoint_client/exchange.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A reused connection that breaks within this time after a call was written to it is taken for stale: an endpoint that
-/// receives a call and then fails takes longer.
+/// A reused connection that breaks within this time after a call was written to it is taken for stale: an endpoint
+/// that receives a call and then fails takes longer.
 const STALE_CONNECTION_WINDOW: Duration = Duration::from_millis(100);
 
 /// Why a call has no response that can be parsed.
@@ -55,14 +55,14 @@
 }
 
 impl CallConnection {
-    /// Prepares a connection to `address`: `reused` if it can still carry a call, and otherwise a new one, which is opened
-    /// within `connect_timeout`.
+    /// Prepares a connection to `address`: `reused` if it can still carry a call, and otherwise a new one, which is
+    /// opened within `connect_timeout`.
     pub(super) fn new(address: SocketAddr, connect_timeout: Duration, reused: Option<Connection>) -> Self {
         CallConnection { address, connect_timeout, connection: reused, usage: ConnectionUsage::default() }
     }
 
-    /// Sends the request if `guard` permits it, and reads its response. If a reused connection turns out to be closed before anything was
-    /// written, a new connection is opened.
+    /// Sends the request if `guard` permits it, and reads its response. If a reused connection turns out to be closed
+    /// before anything was written, a new connection is opened.
     ///
     /// # Errors
     ///
--- a/src/forwarder/endpoint_client/idle_age/mod.rs
+++ b/src/forwarder/endpoint_client/idle_age/mod.rs
@@ -1,8 +1,8 @@
 //! Learns from reused connections how long a connection may be idle before it is dropped on the network path.
 //!
 //! The setting `idleClose` is what the endpoint promises. A device on the path may drop a connection much earlier,
-//! and the sender only notices this when it writes the next call. That call may have been executed, and a message that
-//! must not be executed twice fails with it. So the age from which reused connections are dead is learned.
+//! and the sender only notices this when it writes the next call. That call may have been executed, and a message
+//! that must not be executed twice fails with it. So the age from which reused connections are dead is learned.
 
 use crate::estimators::DecayingCounter;
 use crate::forwarder::messages::call_report::IdleReuse;
@@ -18,18 +18,18 @@
 
 /// An age class is unusable only if at least this many of its connections were dead (decayed count).
 const MIN_DEAD_TO_AVOID: f64 = 1.2;
-/// An age class is unusable only if more than this fraction of its connections were dead. The fraction is small, since a
-/// new connection costs far less than a lost call.
+/// An age class is unusable only if more than this fraction of its connections were dead. The fraction is small,
+/// since a new connection costs far less than a lost call.
 const MAX_DEAD_FRACTION: f64 = 0.2;
-/// The number of live connections assumed in each age class in addition to the observed ones, so that few observations
-/// do not make it unusable: connections also break for other reasons.
+/// The number of live connections assumed in each age class in addition to the observed ones, so that few
+/// observations do not make it unusable: connections also break for other reasons.
 const ASSUMED_ALIVE_CONNECTIONS: f64 = 4.0;
 
-/// An age is proven if at most this fraction of the connections reused up to that age were dead. Calls that must not be
-/// executed twice are written only to connections of a proven age.
+/// An age is proven if at most this fraction of the connections reused up to that age were dead. Calls that must not
+/// be executed twice are written only to connections of a proven age.
 const MAX_DEAD_FRACTION_PROVEN: f64 = 0.01;
-/// The number of dead connections assumed in addition to the observed ones, so that an age without observations is not
-/// proven.
+/// The number of dead connections assumed in addition to the observed ones, so that an age without observations is
+/// not proven.
 const ASSUMED_DEAD_CONNECTIONS: f64 = 0.2;
 
 /// Counts of the reused connections that were alive or dead, by the time that they had been idle.
--- a/src/forwarder/endpoint_client/pending_items.rs
+++ b/src/forwarder/endpoint_client/pending_items.rs
@@ -42,9 +42,9 @@
         self.end_where(Outcome::TimedOut, |item| has_expired || item.times_out_at <= now);
     }
 
-    /// Ends the call if it has not been written before the time of [`Self::send_before`], which has passed: a retry may
-    /// have been decided in time and its connection established too late. The whole call ends, because a single message
-    /// cannot be removed from it.
+    /// Ends the call if it has not been written before the time of [`Self::send_before`], which has passed: a retry
+    /// may have been decided in time and its connection established too late. The whole call ends, because a single
+    /// message cannot be removed from it.
     pub(super) fn end_if_unwritten(&mut self, guard: &WriteGuard) {
         self.send_before = None;
         self.withhold_write(guard);
@@ -76,8 +76,8 @@
         self.ended.extend(ended.map(|item| attempt_result(&item, outcome)));
     }
 
-    /// Returns the attempts that still wait, and the results of the others. If the call was never written, these results
-    /// say so, whatever ended the attempts: they were certainly not executed.
+    /// Returns the attempts that still wait, and the results of the others. If the call was never written, these
+    /// results say so, whatever ended the attempts: they were certainly not executed.
     pub(super) fn into_parts(mut self, guard: &WriteGuard) -> (Vec<CallItem>, Vec<AttemptResult>) {
         if !guard.is_begun() {
             self.ended.iter_mut().for_each(mark_never_written);
--- a/src/forwarder/endpoint_client/response.rs
+++ b/src/forwarder/endpoint_client/response.rs
@@ -83,7 +83,8 @@
     /// Reads a response to its end.
     ///
     /// A response that is not complete is invalid, whatever its status: the call may have been executed. The
-    /// exception is status 200 for a single message, which proves the delivery as soon as the status line has arrived.
+    /// exception is status 200 for a single message, which proves the delivery as soon as the status line has
+    /// arrived.
     pub(super) async fn read(response: Response<Incoming>, is_batch: bool) -> Result<Self, NoResponse> {
         let mut read = EndpointResponse::from_head(response.status(), response.headers());
         let body = http::read_complete_body(response.into_body(), MAX_BODY_BYTES).await;
--- a/src/forwarder/http/connection.rs
+++ b/src/forwarder/http/connection.rs
@@ -66,8 +66,8 @@
         Ok(Connection { sender, progress, driver })
     }
 
-    /// Whether the connection was open when the driver last read from it. It is closed once the other side has closed it or
-    /// has sent bytes that are not the response to a request.
+    /// Whether the connection was open when the driver last read from it. It is closed once the other side has closed
+    /// it or has sent bytes that are not the response to a request.
     pub(crate) fn is_open(&self) -> bool {
         !self.sender.is_closed()
     }
--- a/src/forwarder/http/response_status/mod.rs
+++ b/src/forwarder/http/response_status/mod.rs
@@ -58,8 +58,8 @@
         }
     }
 
-    /// Appends to the current line, of which only the start is buffered: a line without an end must not take unbounded
-    /// memory.
+    /// Appends to the current line, of which only the start is buffered: a line without an end must not take
+    /// unbounded memory.
     fn push(&mut self, byte: u8) {
         if self.line.len() < MAX_LINE_BYTES {
             self.line.push(byte);
--- a/src/forwarder/messages/admin_command.rs
+++ b/src/forwarder/messages/admin_command.rs
@@ -24,16 +24,16 @@
 pub(crate) struct AdminRequest {
     /// The command.
     pub(crate) command: AdminCommand,
-    /// The channel for the reply. It is closed once the operator has stopped waiting; the command must not be carried out
-    /// after that.
+    /// The channel for the reply. It is closed once the operator has stopped waiting; the command must not be carried
+    /// out after that.
     pub(crate) reply: oneshot::Sender<AdminReply>,
 }
 
 /// The reply to a command: what was done, or why it was not.
 pub(crate) type AdminReply = Result<AdminSuccess, AdminError>;
 
-/// What a command has done. During an upgrade it is passed between processes as the text that operators read, so that the
-/// texts must not change.
+/// What a command has done. During an upgrade it is passed between processes as the text that operators read, so that
+/// the texts must not change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "String", into = "String")]
 pub(crate) enum AdminSuccess {
@@ -98,8 +98,8 @@
     }
 }
 
-/// Why a command was not carried out. During an upgrade it is passed between processes as the text that operators read,
-/// so that the texts must not change.
+/// Why a command was not carried out. During an upgrade it is passed between processes as the text that operators
+/// read, so that the texts must not change.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 #[serde(from = "String", into = "String")]
 pub(crate) enum AdminError {
@@ -124,8 +124,8 @@
     /// The successor ended before it replied.
     #[error("the new version has gone")]
     SuccessorGone,
-    /// The runtime did not reply in time. It drops a command whose operator has stopped waiting, but it may have carried out
-    /// this one just before.
+    /// The runtime did not reply in time. It drops a command whose operator has stopped waiting, but it may have
+    /// carried out this one just before.
     #[error("no answer in time")]
     NoReply,
     /// The journal has no capacity for the ban.
--- a/src/forwarder/metrics/mod.rs
+++ b/src/forwarder/metrics/mod.rs
@@ -94,8 +94,8 @@
         }
     }
 
-    /// Records the end of an attempt that was sent to this address `latency` ago. `call_ended` tells whether its call ended
-    /// with it.
+    /// Records the end of an attempt that was sent to this address `latency` ago. `call_ended` tells whether its call
+    /// ended with it.
     pub(crate) fn record_attempt(
         &mut self,
         address: SocketAddr,
--- a/src/forwarder/notices/mod.rs
+++ b/src/forwarder/notices/mod.rs
@@ -1,7 +1,7 @@
 //! Sends notices to the platform about accepted messages that were not delivered.
 //!
-//! Notices are sent in batches, and each batch is retried until the platform acknowledges it. A notice that arrives twice
-//! is harmless, while a message without its notice would be lost unnoticed.
+//! Notices are sent in batches, and each batch is retried until the platform acknowledges it. A notice that arrives
+//! twice is harmless, while a message without its notice would be lost unnoticed.
 
 use crate::forwarder::discovery_client::{Backoff, CallError, DiscoveryClient, address_changed};
 use crate::forwarder::event::RuntimeEvent;
--- a/src/forwarder/server/activity.rs
+++ b/src/forwarder/server/activity.rs
@@ -19,7 +19,8 @@
     opened_at: Instant,
     /// The complete head of a request has arrived on the connection.
     received_request: AtomicBool,
-    /// The time since which the connection has had no open request; [`ConnectionActivity::NOT_IDLE`] while it has one.
+    /// The time since which the connection has had no open request; [`ConnectionActivity::NOT_IDLE`] while it has
+    /// one.
     idle_since_ms: AtomicU64,
     /// The last head that was read is ambiguous about the length of its body.
     ambiguous_framing: AtomicBool,
--- a/src/forwarder/server/connection.rs
+++ b/src/forwarder/server/connection.rs
@@ -15,8 +15,8 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-/// The largest number of unread bytes that a connection buffers. It is small, because many slow clients may fill their
-/// buffers at the same time.
+/// The largest number of unread bytes that a connection buffers. It is small, because many slow clients may fill
+/// their buffers at the same time.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 /// How often connections are checked for being idle while the process drains or stops.
 pub(super) const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -55,8 +55,8 @@
     let _ = connection.await;
 }
 
-/// Completes when the connection should be closed because the process drains or stops: once it has been idle for as long
-/// as the phase demands. A request that has started to arrive is completed first.
+/// Completes when the connection should be closed because the process drains or stops: once it has been idle for as
+/// long as the phase demands. A request that has started to arrive is completed first.
 async fn idle_during_shutdown(phase: &mut watch::Receiver<LifecyclePhase>, activity: &ConnectionActivity) {
     loop {
         // The runtime, which holds the sender, lives as long as the process.
--- a/src/forwarder/server/framing/mod.rs
+++ b/src/forwarder/server/framing/mod.rs
@@ -1,8 +1,8 @@
 //! Scans the heads of requests ahead of the HTTP parser for ambiguous body lengths.
 //!
 //! A head that states the length of its body more than once may be read differently by a proxy and by this server, so
-//! that bytes of the body could be taken for another request (request smuggling). This module only detects such heads:
-//! the HTTP parser and the request handler parse and validate requests.
+//! that bytes of the body could be taken for another request (request smuggling). This module only detects such
+//! heads: the HTTP parser and the request handler parse and validate requests.
 
 /// The longest start of a header line that is buffered: enough for a header name and a length.
 const MAX_LINE_BYTES: usize = 64;
--- a/src/forwarder/server/lifecycle.rs
+++ b/src/forwarder/server/lifecycle.rs
@@ -12,7 +12,8 @@
 pub(crate) enum LifecyclePhase {
     /// Normal operation.
     Serving,
-    /// The readiness check fails, so that the load balancer sends clients to other processes. Requests are still served.
+    /// The readiness check fails, so that the load balancer sends clients to other processes. Requests are still
+    /// served.
     Draining,
     /// Each reply is the last on its connection.
     Closing,
@@ -33,8 +34,8 @@
     }
 }
 
-/// The numbers of open client connections. During an upgrade, two processes together may open as many file descriptors
-/// as one otherwise, so that the connections of both count towards the capacity.
+/// The numbers of open client connections. During an upgrade, two processes together may open as many file
+/// descriptors as one otherwise, so that the connections of both count towards the capacity.
 #[derive(Default)]
 pub(crate) struct ConnectionCounts {
     /// Connections to this process.
--- a/src/forwarder/server/listener.rs
+++ b/src/forwarder/server/listener.rs
@@ -22,8 +22,8 @@
 /// While two processes share the file descriptors of one, the connections of the predecessor reduce the capacity of
 /// the successor, but not below the capacity divided by this.
 const MIN_CAPACITY_DIVISOR: usize = 4;
-/// The delay after a failed accept. The process may have no free descriptor, and the accept would fail again until one
-/// is closed.
+/// The delay after a failed accept. The process may have no free descriptor, and the accept would fail again until
+/// one is closed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// Serves clients, with at most `max_connections` at a time, until the phase is [`LifecyclePhase::Stopped`] and the
@@ -134,8 +134,8 @@
         self.counts().own.store(self.tasks.len(), Relaxed);
     }
 
-    /// Closes one connection without an open request, and returns whether there was one. See [`EvictionCandidate`] for
-    /// the choice.
+    /// Closes one connection without an open request, and returns whether there was one. See [`EvictionCandidate`]
+    /// for the choice.
     fn evict_idle(&mut self) -> bool {
         let candidates = self.open.iter().enumerate().filter_map(|(position, connection)| {
             let activity = &connection.activity;
@@ -159,8 +159,8 @@
     }
 }
 
-/// Accepts the next connection. Returns `None` while this process hands over: its successor listens on the same socket
-/// and accepts the connections from then on.
+/// Accepts the next connection. Returns `None` while this process hands over: its successor listens on the same
+/// socket and accepts the connections from then on.
 async fn accept_unless_handing_over(
     listener: &TcpListener,
     phase: &mut watch::Receiver<LifecyclePhase>,
--- a/src/forwarder/server/request/mod.rs
+++ b/src/forwarder/server/request/mod.rs
@@ -29,8 +29,8 @@
     /// The request has several body lengths, or a length and a transfer encoding.
     #[error("ambiguous body length")]
     AmbiguousFraming,
-    /// The body has a transfer encoding. Only bodies with a length are accepted, so that it is always clear where the next
-    /// request starts.
+    /// The body has a transfer encoding. Only bodies with a length are accepted, so that it is always clear where the
+    /// next request starts.
     #[error("no body length")]
     LengthRequired,
     /// The path is unknown, or does not support this method.
--- a/src/forwarder/server/stream.rs
+++ b/src/forwarder/server/stream.rs
@@ -1,5 +1,5 @@
-//! The stream of a client connection. It checks the framing of requests, and keeps reading for a while after the close,
-//! so that the client receives the last reply.
+//! The stream of a client connection. It checks the framing of requests, and keeps reading for a while after the
+//! close, so that the client receives the last reply.
 
 use super::activity::ConnectionActivity;
 use super::framing::FramingScanner;
--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -10,8 +10,8 @@
     Submit(Submission),
     /// An attempt ended.
     AttemptEnded(AttemptEnded),
-    /// A streamed response has begun. The client is receiving it, so that the message is not rejected any more when it
-    /// expires.
+    /// A streamed response has begun. The client is receiving it, so that the message is not rejected any more when
+    /// it expires.
     ResponseStarted {
         /// The message.
         id: MessageId,
--- a/src/interface/message.rs
+++ b/src/interface/message.rs
@@ -11,7 +11,8 @@
     pub class: usize,
     /// Index of its tenant.
     pub tenant: Option<usize>,
-    /// Ordering key: messages of an ordered class that share it are sent one at a time, see [`super::Class::ordered`].
+    /// Ordering key: messages of an ordered class that share it are sent one at a time, see
+    /// [`super::Class::ordered`].
     pub key: Option<String>,
     /// The message expires at this time, and its client stops waiting.
     pub expires_at: Micros,
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -118,8 +118,8 @@
     pub connect_timeout: Micros,
     /// The shortest time between two turns of the host.
     pub min_turn_interval: Micros,
-    /// A destination that is warming up fails again if its load exceeds its reduced capacity by this factor for as long
-    /// as `overload_window`.
+    /// A destination that is warming up fails again if its load exceeds its reduced capacity by this factor for as
+    /// long as `overload_window`.
     pub overload_factor: f64,
     /// A destination that is warming up fails again once its load has exceeded `overload_factor` times its reduced
     /// capacity for this time without a break.
--- a/src/simulator/request.rs
+++ b/src/simulator/request.rs
@@ -129,10 +129,15 @@
 /// A submitted message.
 #[derive(Debug)]
 pub(super) struct SubmitRequest<'a> {
+    /// The simulator's id of the message.
     pub(super) wire_id: &'a str,
+    /// Index of its class.
     class: usize,
+    /// Index of its tenant.
     tenant: Option<usize>,
+    /// Its ordering key.
     key: Option<&'a str>,
+    /// When it expires.
     expires_at: Micros,
     destination: DestinationId,
 }
@@ -155,11 +160,17 @@
 /// The end of an attempt.
 #[derive(Debug)]
 pub(super) struct AttemptEndedRequest<'a> {
+    /// The simulator's id of the message.
     pub(super) wire_id: &'a str,
+    /// Number of the attempt.
     pub(super) attempt: usize,
+    /// How it ended.
     pub(super) outcome: Outcome,
+    /// The message is complete: it needs no further attempt and no final reply.
     pub(super) finished: bool,
+    /// Time since the attempt was sent, in microseconds.
     pub(super) elapsed: Micros,
+    /// What the destination reported about its rate limit.
     pub(super) report: Option<LoadReport>,
 }
 
--- a/tests/acceptance.rs
+++ b/tests/acceptance.rs
@@ -4,14 +4,12 @@
 
 use serde_json::json;
 use std::fs;
-use support::{Fixture, QUIET_PERIOD, RawConnection, request};
+use support::{Fixture, QUIET_PERIOD, RawConnection, request, turn_interval};
 
 #[tokio::test]
 async fn a_request_repeated_before_its_reply_is_one_message() {
-    let mut fixture =
-        Fixture::start_with("plain", |configuration| configuration["settings"]["round"] = json!(300.0)).await;
-    fixture.forwarder.submit("keyed", "first", 9000).await;
-    fixture.endpoint.next_call().await.respond(200);
+    let mut fixture = Fixture::start_with("plain", |configuration| turn_interval(configuration, 300.0)).await;
+    fixture.begin_turn().await;
     let forwarder = &fixture.forwarder;
     // Both get the same reply: a message without any time left is rejected.
     let (a, b) = tokio::join!(forwarder.submit("unsafe", "late", 0), forwarder.submit("unsafe", "late", 0));
@@ -26,7 +24,7 @@
 #[tokio::test]
 async fn an_invalid_request_is_rejected_with_its_status() {
     let fixture = Fixture::start().await;
-    let good = [
+    let valid_headers = [
         ("Req-Id", "m"),
         ("Req-Owner", "acme"),
         ("Req-Deadline-Ms", "9000"),
@@ -38,7 +36,7 @@
         ("Req-Id", None),
         ("Req-Id", Some(long.as_str())),
         ("Req-Owner", None),
-        ("Req-Owner", Some("nobody")),
+        ("Req-Owner", Some("unknown")),
         ("Req-Deadline-Ms", None),
         ("Req-Deadline-Ms", Some("soon")),
         ("Req-Deadline-Ms", Some("99999999999999999999")),
@@ -46,16 +44,18 @@
         ("Envelope", None),
         ("Envelope", Some("dest=x")),
     ] {
-        let headers: Vec<_> = good
+        let headers: Vec<_> = valid_headers
             .iter()
-            .filter_map(|(n, v)| if *n == name { value.map(|v| (*n, v)) } else { Some((*n, *v)) })
+            .filter_map(
+                |(other, valid)| if *other == name { Some((*other, value?)) } else { Some((*other, *valid)) },
+            )
             .collect();
         let reply =
             request(fixture.forwarder.address, "POST", "/keyed", &headers, b"").await.expect("a reply");
         assert_eq!(reply.status(), 400, "{name}: {value:?}");
     }
     let status = async |method: &str, path: &str, body: &[u8]| {
-        request(fixture.forwarder.address, method, path, &good, body)
+        request(fixture.forwarder.address, method, path, &valid_headers, body)
             .await
             .expect("a reply")
             .status()
@@ -102,14 +102,7 @@
 #[tokio::test]
 async fn a_message_for_an_unknown_destination_is_rejected_with_retry_after() {
     let fixture = Fixture::start().await;
-    let headers = [
-        ("Req-Id", "m"),
-        ("Req-Owner", "acme"),
-        ("Req-Deadline-Ms", "9000"),
-        ("Idempotency-Key", "k"),
-        ("Envelope", "dest=99"),
-    ];
-    let reply = request(fixture.forwarder.address, "POST", "/keyed", &headers, b"").await.expect("a reply");
+    let reply = fixture.forwarder.submit_to(99, "keyed", "m", 9000).await;
     assert_eq!(reply.status(), 503);
     assert!(reply.headers().contains_key("retry-after"));
 }
--- a/tests/batches.rs
+++ b/tests/batches.rs
@@ -10,8 +10,7 @@
 #[tokio::test]
 async fn messages_of_one_turn_travel_in_one_call_with_an_outcome_for_each() {
     let mut fixture = Fixture::start_with("several", long_turns).await;
-    fixture.forwarder.submit("unsafe", "first", 9000).await;
-    fixture.endpoint.next_call().await.respond(200);
+    fixture.begin_turn().await;
     let forwarder = &fixture.forwarder;
     tokio::join!(
         forwarder.submit("unsafe", "taken", 9000),
@@ -37,7 +36,7 @@
     assert_eq!((retry.path.as_str(), retry.header("req-id")), ("/hook", "later"));
     retry.respond(200);
     let mut failed = fixture.discovery.notices().await;
-    failed.sort_by_key(|n| n["message"].to_string());
+    failed.sort_by_key(|notice| notice["message"].to_string());
     let notice = |id| json!({"message": id, "outcome": "given_up"});
     assert_eq!(failed, [notice("faulty"), notice("missing")]);
     fixture.forwarder.until_delivered("unsafe", "taken").await;
@@ -52,8 +51,7 @@
         configuration["settings"]["classes"][0]["goalTime"] = json!(100.0);
     })
     .await;
-    fixture.forwarder.submit("unsafe", "first", 9000).await;
-    fixture.endpoint.next_call().await.respond(200);
+    fixture.begin_turn().await;
     tokio::join!(
         fixture.forwarder.submit("keyed", "keyed", 20_000),
         fixture.forwarder.submit("unsafe", "slow", 6500)
@@ -77,16 +75,15 @@
 #[tokio::test]
 async fn a_batch_call_ends_when_one_of_its_messages_fails() {
     let mut fixture = Fixture::start_with("several", long_turns).await;
-    fixture.forwarder.submit("unsafe", "first", 9000).await;
-    fixture.endpoint.next_call().await.respond(200);
+    fixture.begin_turn().await;
     tokio::join!(
         fixture.forwarder.submit("unsafe", "short", 2000),
         fixture.forwarder.submit("unsafe", "long", 60_000)
     );
     let call = fixture.endpoint.next_call().await;
     assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
-    // A client that has the notice may act otherwise: the message must not be delivered after that. The other
-    // one may have been executed, and fails too.
+    // The client acts on the notice, so that the message must not be delivered after it. The other one may have been
+    // executed, and fails too.
     let mut failed = fixture.discovery.notices().await;
     call.closed().await;
     while failed.len() < 2 {
@@ -98,10 +95,9 @@
 
 #[tokio::test]
 async fn a_batch_call_ends_when_one_of_its_messages_fails_after_sigterm() {
-    let Fixture { mut discovery, endpoint: mut stub, forwarder } =
-        Fixture::start_with("several", long_turns).await;
-    forwarder.submit("unsafe", "first", 9000).await;
-    stub.next_call().await.respond(200);
+    let mut fixture = Fixture::start_with("several", long_turns).await;
+    fixture.begin_turn().await;
+    let Fixture { mut discovery, endpoint: mut stub, forwarder } = fixture;
     tokio::join!(forwarder.submit("unsafe", "short", 3000), forwarder.submit("unsafe", "long", 60_000));
     let call = stub.next_call().await;
     assert_eq!(serde_json::from_slice::<Vec<Value>>(&call.body).expect("an array").len(), 2);
--- a/tests/client_connections.rs
+++ b/tests/client_connections.rs
@@ -47,7 +47,7 @@
 }
 
 #[tokio::test]
-async fn silent_connections_keep_nobody_out_and_are_closed() {
+async fn silent_connections_do_not_lock_out_other_clients_and_are_closed() {
     let mut fixture = Fixture::start().await;
     let opened = Instant::now();
     let mut silent = Vec::new();
@@ -55,6 +55,7 @@
     for _ in 0..80 {
         silent.push(RawConnection::open(fixture.forwarder.address).await);
     }
+    // A connection is evicted only after it has been idle for 250 ms.
     sleep(Duration::from_millis(300)).await;
     assert_eq!(fixture.forwarder.submit("keyed", "m", 9000).await.status(), 202);
     fixture.endpoint.next_call().await.respond(200);
@@ -86,7 +87,7 @@
 }
 
 #[tokio::test]
-async fn a_close_with_unread_bytes_cuts_no_reply_short() {
+async fn a_connection_closed_with_unread_bytes_still_carries_its_last_reply() {
     let Fixture { discovery: _discovery, endpoint: mut stub, forwarder } = Fixture::start().await;
     assert!(forwarder.admin_command("drain").await.starts_with("ACK"));
     let mut client = RawConnection::open(forwarder.address).await;
@@ -97,18 +98,18 @@
     assert!(replies.text.starts_with("HTTP/1.1 202"), "{replies:?}");
     assert_eq!(replies.text.matches("HTTP/1.1").count(), 1, "{replies:?}");
     assert!(replies.error.is_none(), "{replies:?}");
-    // What still arrives is read: otherwise a reset would be sent for it, which could overtake the reply.
+    // The forwarder reads what still arrives: otherwise it would send a reset, which could discard the reply.
     for _ in 0..20 {
         client.write("more").await;
         sleep(POLL_INTERVAL).await;
     }
-    // A client that stays is not waited for without end.
+    // It does not wait forever for a client that keeps its side open.
     let reset = async {
         while client.stream.write_all(b"more").await.is_ok() {
             sleep(POLL_INTERVAL).await;
         }
     };
-    timeout(EVENT_TIMEOUT, reset).await.expect("it is closed in the end");
+    timeout(EVENT_TIMEOUT, reset).await.expect("the connection is closed");
     // What got no reply was not accepted.
     let call = stub.next_call().await;
     assert_eq!(call.header("req-id"), "m");
@@ -117,7 +118,7 @@
 }
 
 #[tokio::test]
-async fn a_request_that_begins_on_an_idle_connection_has_its_full_time() {
+async fn a_request_on_an_idle_connection_gets_the_full_request_time() {
     let Fixture { discovery: _discovery, endpoint: mut stub, forwarder } = Fixture::start().await;
     let mut client = RawConnection::open(forwarder.address).await;
     client.write(&submission_text("first")).await;
@@ -132,7 +133,7 @@
     client.write(rest).await;
     assert!(client.read_head().await.starts_with("HTTP/1.1 202"));
     stub.next_call().await.respond(200);
-    // Then it is closed without a reset, and a partial head is not waited for.
+    // Later the idle connection is closed without a reset, and so is one with a partial head.
     let mut partial = RawConnection::open(forwarder.address).await;
     partial.write(head).await;
     assert_eq!(partial.read_to_end().await.text, "");
@@ -152,7 +153,7 @@
     // Clients that send many messages and leave without reading the replies.
     for n in 0..4 {
         let client = RawConnection::open(forwarder.address).await;
-        let flood: String = (0..200).map(|m| submission_text(&format!("gone{n}-{m}"))).collect();
+        let flood: String = (0..200).map(|m| submission_text(&format!("disconnected{n}-{m}"))).collect();
         let (_, mut write) = client.stream.into_split();
         write.write_all(flood.as_bytes()).await.expect("it reads");
     }
@@ -170,7 +171,9 @@
         let call = stub.next_call().await;
         let batch = serde_json::from_slice::<Vec<Value>>(&call.body);
         let single = vec![call.header("req-id").to_owned()];
-        let ids = batch.map_or(single, |b| b.iter().map(|m| m["id"].as_str().unwrap_or("").into()).collect());
+        let ids = batch.map_or(single, |items| {
+            items.iter().map(|item| item["id"].as_str().unwrap_or_default().into()).collect()
+        });
         let states: Vec<Value> = ids.iter().map(|id| json!({"id": id, "state": "accepted"})).collect();
         for id in ids {
             assert!(delivered.insert(id.clone()), "{id} twice");
--- a/tests/delivery.rs
+++ b/tests/delivery.rs
@@ -1,4 +1,4 @@
-//! What becomes of a message by the outcomes of its attempts, end to end over loopback sockets.
+//! Messages whose attempts end with each kind of outcome, end to end over loopback sockets.
 
 mod support;
 
@@ -30,7 +30,7 @@
 #[tokio::test]
 async fn an_unsafe_message_that_may_have_been_executed_fails() {
     let mut fixture = Fixture::start().await;
-    for (id, status) in [("error", Some(500)), ("odd", Some(302)), ("reset", None)] {
+    for (id, status) in [("error", Some(500)), ("unknown-status", Some(302)), ("reset", None)] {
         assert_eq!(fixture.forwarder.submit("unsafe", id, 9000).await.status(), 202);
         let call = fixture.endpoint.next_call().await;
         assert_eq!(call.header("req-id"), id);
@@ -77,8 +77,8 @@
 #[tokio::test]
 async fn a_message_whose_connections_were_all_refused_is_rejected_and_not_failed() {
     let mut fixture = Fixture::start().await;
-    let gone = EndpointStub::start().await.stop().await;
-    fixture.discovery.push_changes(2, vec![plain_endpoint("t", gone, 7)]);
+    let refusing = EndpointStub::start().await.stop().await;
+    fixture.discovery.push_changes(2, vec![plain_endpoint("t", refusing, 7)]);
     // Until the list has arrived, messages are sent to the old address.
     for n in 0.. {
         fixture.forwarder.submit("unsafe", &format!("m{n}"), 300).await;
@@ -106,7 +106,7 @@
 }
 
 #[tokio::test]
-async fn a_requested_wait_holds_for_every_message_of_the_destination() {
+async fn a_retry_after_wait_delays_every_message_of_the_destination() {
     // With one slot the other message cannot be sent before the wait has arrived.
     let mut fixture = Fixture::start_with("plain", one_call_slot).await;
     fixture.forwarder.submit("unsafe", "a", 9000).await;
@@ -120,10 +120,9 @@
 }
 
 #[tokio::test]
-async fn a_wait_requested_beside_delivered_messages_holds_too() {
+async fn a_retry_after_wait_in_a_response_that_delivers_a_batch_is_respected() {
     let mut fixture = Fixture::start_with("several", long_turns).await;
-    fixture.forwarder.submit("unsafe", "first", 9000).await;
-    fixture.endpoint.next_call().await.respond(200);
+    fixture.begin_turn().await;
     tokio::join!(
         fixture.forwarder.submit("unsafe", "a", 9000),
         fixture.forwarder.submit("unsafe", "b", 9000)
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -5,8 +5,8 @@
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 use support::{
-    DiscoveryStub, EndpointStub, Fixture, ForwarderProcess, QUIET_PERIOD, RawEndpoint, endpoint,
-    endpoint_list, plain_endpoint,
+    EndpointStub, Fixture, ForwarderProcess, QUIET_PERIOD, RawEndpoint, endpoint, endpoint_list,
+    plain_endpoint,
 };
 use tokio::time::sleep;
 
@@ -93,19 +93,15 @@
 
 #[tokio::test]
 async fn sighup_during_a_response_leaves_no_watch_at_the_old_address() {
-    let (discovery, old, mut new) =
-        (DiscoveryStub::start().await, RawEndpoint::start().await, EndpointStub::start().await);
-    let forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
-        configuration["discovery"] = json!(old.address.to_string());
-    })
-    .await;
+    let (old, mut new) = (RawEndpoint::start().await, EndpointStub::start().await);
+    let forwarder = ForwarderProcess::start(old.address, &[], |_| {}).await;
     let mut watch = old.accept().await;
     assert!(watch.read_head().await.starts_with("GET /api/targets?index=1&wait=2000"));
     forwarder.pause();
     forwarder.reload(|configuration| configuration["discovery"] = json!(new.address.to_string()));
     let list = endpoint_list(7, false, Vec::new()).to_string();
     watch.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())).await;
-    forwarder.unpause();
+    forwarder.resume();
     // The complete list is requested from the new address, and the old connection is closed without another
     // request.
     assert_eq!(new.next_call().await.path, "/api/targets");
@@ -113,11 +109,9 @@
 }
 
 #[tokio::test]
-async fn revision_zero_of_the_list_is_watched_from() {
+async fn a_known_list_of_revision_zero_is_watched_for_changes() {
     let mut service = EndpointStub::start().await;
-    let discovery = DiscoveryStub::start().await;
-    let _forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
-        configuration["discovery"] = json!(service.address.to_string());
+    let _forwarder = ForwarderProcess::start(service.address, &[], |configuration| {
         configuration["known"]["rev"] = json!(0);
     })
     .await;
@@ -127,27 +121,21 @@
 #[tokio::test]
 async fn the_complete_list_is_requested_after_an_invalid_list_but_not_after_an_error_status() {
     let mut service = EndpointStub::start().await;
-    let discovery = DiscoveryStub::start().await;
-    let _forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
-        configuration["discovery"] = json!(service.address.to_string());
-    })
-    .await;
+    let _forwarder = ForwarderProcess::start(service.address, &[], |_| {}).await;
     for _ in 0..3 {
         let call = service.next_call().await;
         assert_eq!(call.path, "/api/targets?index=1&wait=2000");
         call.respond(503);
     }
-    // After a list that cannot be parsed, the known revision is in doubt.
+    // After a list that cannot be parsed, changes may have been lost.
     service.next_call().await.respond_with(200, &[], "{");
     assert_eq!(service.next_call().await.path, "/api/targets");
 }
 
 #[tokio::test]
-async fn a_discovery_shared_by_many_senders_is_polled_for_the_complete_list_at_its_own_pace() {
+async fn a_discovery_service_shared_by_many_senders_is_polled_at_an_adaptive_rate() {
     let (mut service, mut stub) = (EndpointStub::start().await, EndpointStub::start().await);
-    let discovery = DiscoveryStub::start().await;
-    let forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
-        configuration["discovery"] = json!(service.address.to_string());
+    let forwarder = ForwarderProcess::start(service.address, &[], |configuration| {
         configuration["settings"]["discovery"] = json!("ask");
         configuration["settings"]["peersTotal"] = json!(100);
         configuration["settings"]["guarantees"]["askWithin"] = json!(4000.0);
@@ -155,7 +143,7 @@
     .await;
     let call = service.next_call().await;
     assert_eq!(call.path, "/api/targets");
-    // The service handles calls of others first.
+    // The service handles calls of other senders first, and responds late but in time.
     sleep(Duration::from_millis(700)).await;
     let list = endpoint_list(9, true, vec![plain_endpoint("t", stub.address, 7)]);
     let responded_at = Instant::now();
@@ -182,16 +170,12 @@
 async fn an_invalid_record_does_not_hide_the_others() {
     let (mut service, mut one, mut other) =
         (EndpointStub::start().await, EndpointStub::start().await, EndpointStub::start().await);
-    let discovery = DiscoveryStub::start().await;
     let known = [
         json!({"uid": 5}),
         plain_endpoint("t", one.address, 7),
         endpoint("u", other.address, 7, "plain", "asleep"),
     ];
-    let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
-        configuration["discovery"] = json!(service.address.to_string());
-    })
-    .await;
+    let forwarder = ForwarderProcess::start(service.address, &known, |_| {}).await;
     // Nothing is sent to an endpoint in an unknown state.
     for id in ["a", "b"] {
         forwarder.submit("keyed", id, 9000).await;
@@ -217,10 +201,8 @@
 async fn without_a_known_list_the_complete_list_is_requested() {
     for known in [Value::Null, json!({"rev": "x", "targets": 3})] {
         let (mut service, mut stub) = (EndpointStub::start().await, EndpointStub::start().await);
-        let discovery = DiscoveryStub::start().await;
-        let forwarder = ForwarderProcess::start(&discovery, &[], |configuration| {
+        let forwarder = ForwarderProcess::start(service.address, &[], |configuration| {
             configuration["known"] = known;
-            configuration["discovery"] = json!(service.address.to_string());
         })
         .await;
         let call = service.next_call().await;
--- a/tests/endpoint_connections.rs
+++ b/tests/endpoint_connections.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use support::{
-    DiscoveryStub, EVENT_TIMEOUT, EndpointStub, Fixture, ForwarderProcess, FullListener, POLL_INTERVAL,
-    RawConnection, ReceivedCall, plain_endpoint,
+    DiscoveryStub, EVENT_TIMEOUT, EndpointStub, Fixture, ForwarderProcess, FullListener, OK_RESPONSE,
+    POLL_INTERVAL, RawConnection, ReceivedCall, latency_objective, plain_endpoint,
 };
 use tokio::io::AsyncReadExt;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -32,9 +32,7 @@
     for (class, id, connections) in
         [("keyed", "a", 1), ("keyed", "b", 1), ("unsafe", "c", 2), ("keyed", "d", 2)]
     {
-        fixture.forwarder.submit(class, id, 9000).await;
-        fixture.endpoint.next_call().await.respond(200);
-        fixture.forwarder.until_delivered(class, id).await;
+        fixture.deliver(class, id).await;
         assert_eq!(fixture.endpoint.connections(), connections, "{id}");
     }
 }
@@ -44,7 +42,7 @@
     let (discovery, mut stub, full) =
         (DiscoveryStub::start().await, EndpointStub::start().await, FullListener::start().await);
     let known = [plain_endpoint("t", stub.address, 7), plain_endpoint("u", full.address, 7)];
-    let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
+    let forwarder = ForwarderProcess::start(discovery.address, &known, |configuration| {
         configuration["settings"]["limits"]["connectTimeout"] = json!(9000);
     })
     .await;
@@ -72,11 +70,9 @@
     let (mut discovery, mut stub, full) =
         (DiscoveryStub::start().await, EndpointStub::start().await, FullListener::start().await);
     let known = [plain_endpoint("t", stub.address, 7), plain_endpoint("u", full.address, 7)];
-    let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
-        for class in [0, 1] {
-            // The retry does not time out meanwhile.
-            configuration["settings"]["classes"][class]["goalTime"] = json!(20_000);
-        }
+    let forwarder = ForwarderProcess::start(discovery.address, &known, |configuration| {
+        // The retry does not time out meanwhile.
+        latency_objective(configuration, 20_000.0);
         configuration["settings"]["classes"][0]["keyTtl"] = json!(2000);
         configuration["settings"]["limits"]["connectTimeout"] = json!(30_000);
     })
@@ -91,7 +87,7 @@
     // The message fails when its key expires, not when the connection would be established or time out.
     assert_eq!(discovery.notice().await, json!({"message": "m", "outcome": "given_up"}));
     full.accept_queued().await;
-    // Connections that are established now were opened before; nothing is written on them.
+    // The forwarder opened these connections before the message failed, and must write nothing on them.
     let written = full.wait_for_write();
     assert!(timeout(Duration::from_secs(2), written).await.is_err());
 }
@@ -99,18 +95,13 @@
 #[tokio::test]
 async fn a_new_endpoint_at_a_known_address_inherits_no_connection() {
     let mut fixture = Fixture::start().await;
-    fixture.forwarder.submit("keyed", "before", 9000).await;
-    fixture.endpoint.next_call().await.respond(200);
-    fixture.forwarder.until_delivered("keyed", "before").await;
+    fixture.deliver("keyed", "before").await;
     assert_eq!(fixture.endpoint.connections(), 1);
     // A complete list without the old id means that it is removed.
     fixture.discovery.push_complete_list(2, vec![plain_endpoint("u", fixture.endpoint.address, 7)]);
     let moved = async {
         for n in 0.. {
-            let id = format!("m{n}");
-            fixture.forwarder.submit("keyed", &id, 9000).await;
-            fixture.endpoint.next_call().await.respond(200);
-            fixture.forwarder.until_delivered("keyed", &id).await;
+            fixture.deliver("keyed", &format!("m{n}")).await;
             if fixture.endpoint.connections() == 2 {
                 return;
             }
@@ -138,7 +129,7 @@
         }
         let mut new = raw.accept().await;
         new.read_request().await;
-        new.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        new.write(OK_RESPONSE).await;
         forwarder.until_delivered("keyed", &id).await;
         idle = Some(new);
     }
@@ -150,10 +141,9 @@
     let (mut discovery, mut stub) = (DiscoveryStub::start().await, EndpointStub::start().await);
     let closed = EndpointStub::start().await.stop().await;
     let known = [plain_endpoint("t", closed, 7)];
-    let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
+    let forwarder = ForwarderProcess::start(discovery.address, &known, |configuration| {
         configuration["settings"]["limits"]["maxAttempts"] = json!(2);
-        configuration["settings"]["classes"][0]["goalTime"] = json!(200.0);
-        configuration["settings"]["classes"][1]["goalTime"] = json!(200.0);
+        latency_objective(configuration, 200.0);
     })
     .await;
     assert_eq!(forwarder.submit("unsafe", "m", 28_000).await.status(), 202);
@@ -175,12 +165,10 @@
         plain_endpoint("u", other.address, 8),
         plain_endpoint("v", stub.address, 9),
     ];
-    let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
+    let forwarder = ForwarderProcess::start(discovery.address, &known, |configuration| {
         configuration["settings"]["familyInfo"]["slots"] = json!(2);
         configuration["settings"]["limits"]["connectTimeout"] = json!(20_000.0);
-        for class in [0, 1] {
-            configuration["settings"]["classes"][class]["goalTime"] = json!(400.0);
-        }
+        latency_objective(configuration, 400.0);
     })
     .await;
     forwarder.submit_to(7, "unsafe", "a", 28_000).await;
@@ -205,9 +193,8 @@
     let (discovery, mut stub, full) =
         (DiscoveryStub::start().await, EndpointStub::start().await, FullListener::start().await);
     let known = [plain_endpoint("t", stub.address, 7), plain_endpoint("u", full.address, 7)];
-    let forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
-        configuration["settings"]["classes"][0]["goalTime"] = json!(16_000);
-        configuration["settings"]["classes"][1]["goalTime"] = json!(16_000);
+    let forwarder = ForwarderProcess::start(discovery.address, &known, |configuration| {
+        latency_objective(configuration, 16_000.0);
         configuration["settings"]["classes"][0]["keyTtl"] = json!(6000);
         configuration["settings"]["limits"]["connectTimeout"] = json!(30_000);
     })
@@ -242,9 +229,9 @@
             established.push(stream);
         }
     }
-    // When the process goes on, both connections are established and both keys have expired.
+    // When the process continues, both connections are established and both keys have expired.
     sleep_until((keys_used_at + Duration::from_millis(6100)).into()).await;
-    forwarder.unpause();
+    forwarder.resume();
     for mut stream in established {
         let read = timeout(EVENT_TIMEOUT, stream.read(&mut [0; 64])).await.expect("written or closed");
         assert!(read.is_ok_and(|length| length == 0), "written after its key expired");
--- a/tests/endpoint_responses.rs
+++ b/tests/endpoint_responses.rs
@@ -2,9 +2,8 @@
 
 mod support;
 
-use serde_json::json;
 use std::time::{Duration, Instant};
-use support::{Fixture, POLL_INTERVAL, QUIET_PERIOD};
+use support::{Fixture, OK_RESPONSE, POLL_INTERVAL, QUIET_PERIOD, turn_interval};
 use tokio::io::AsyncWriteExt;
 use tokio::time::sleep;
 
@@ -40,8 +39,8 @@
         ("several", "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n[{\"id\":\"a\""),
     ] {
         let Fixture { mut discovery, endpoint: raw, forwarder } =
-            Fixture::start_raw(kind, |configuration| configuration["settings"]["round"] = json!(300.0)).await;
-        // The first message opens the turn; a and b travel together where they may.
+            Fixture::start_raw(kind, |configuration| turn_interval(configuration, 300.0)).await;
+        // The first message begins a turn. Both travel in one call if the kind of the destination allows it.
         tokio::join!(forwarder.submit("unsafe", "a", 20_000), forwarder.submit("unsafe", "b", 20_000));
         let mut failed = 0;
         while failed < 2 {
@@ -64,18 +63,20 @@
 #[tokio::test]
 async fn bytes_after_a_response_are_not_taken_for_the_response_to_another_call() {
     let Fixture { mut discovery, endpoint: raw, forwarder } = Fixture::start_raw("plain", |_| {}).await;
-    for (id, extra) in [("copy", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"), ("noise", "\0\u{1}")] {
+    for (id, extra) in
+        [("duplicate", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"), ("noise", "\0\u{1}")]
+    {
         forwarder.submit("unsafe", id, 20_000).await;
         let mut call = raw.accept().await;
         assert!(call.read_request().await.contains(id));
-        call.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n{extra}")).await;
+        call.write(&format!("{OK_RESPONSE}{extra}")).await;
         forwarder.until_delivered("unsafe", id).await;
         call.read_to_end().await;
     }
     forwarder.submit("unsafe", "next", 20_000).await;
     let mut call = raw.accept().await;
     assert!(call.read_request().await.contains("next"));
-    call.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+    call.write(OK_RESPONSE).await;
     forwarder.until_delivered("unsafe", "next").await;
     assert!(discovery.is_quiet(QUIET_PERIOD).await);
 }
@@ -87,7 +88,7 @@
     forwarder.submit("keyed", "first", 20_000).await;
     let mut call = raw.accept().await;
     call.read_request().await;
-    call.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+    call.write(OK_RESPONSE).await;
     forwarder.until_delivered("keyed", "first").await;
     forwarder.submit("keyed", "second", 20_000).await;
     assert!(call.read_request().await.contains("second"));
@@ -124,6 +125,6 @@
     // It may have been executed, and may be retried.
     let mut call = raw.accept().await;
     assert!(call.read_request().await.contains("req-id: b"));
-    call.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+    call.write(OK_RESPONSE).await;
     forwarder.until_delivered("keyed", "b").await;
 }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use support::{
     DiscoveryStub, EVENT_TIMEOUT, EndpointStub, Fixture, ForwarderProcess, POLL_INTERVAL, QUIET_PERIOD,
-    RawConnection, plain_endpoint, request, submission_text,
+    RawConnection, plain_endpoint, submission_text,
 };
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -24,13 +24,23 @@
         let (discovery, one, other) =
             (DiscoveryStub::start().await, EndpointStub::start().await, EndpointStub::start().await);
         let known = [plain_endpoint("one", one.address, 7), plain_endpoint("other", other.address, 7)];
-        let forwarder = ForwarderProcess::start(&discovery, &known, |_| {}).await;
+        let forwarder = ForwarderProcess::start(discovery.address, &known, |_| {}).await;
         TwoEndpoints { discovery, one, other, forwarder }
     }
+
+    /// Submits four messages, one after another, whose calls must all be sent to `other`.
+    async fn deliver_to_other(&mut self, id_prefix: &str) {
+        for n in 0..4 {
+            let id = format!("{id_prefix}-{n}");
+            assert_eq!(self.forwarder.submit("keyed", &id, 9000).await.status(), 202);
+            self.other.next_call().await.respond(200);
+            self.forwarder.until_delivered("keyed", &id).await;
+        }
+    }
 }
 
 #[tokio::test]
-async fn each_command_gets_its_reply_beside_slow_operators() {
+async fn each_command_gets_its_reply_while_other_operators_are_slow() {
     let fixture = TwoEndpoints::start().await;
     let mut slow_operators = Vec::new();
     for n in 0..40 {
@@ -46,8 +56,8 @@
         ("reboot", "NAK unknown call\n"),
         ("drain all of it", "NAK this call takes nothing\n"),
         ("disable-server", "NAK this call takes one id\n"),
-        ("disable-server nobody", "NAK no such endpoint was ever listed\n"),
-        ("enable-server nobody", "NAK no such endpoint was ever listed\n"),
+        ("disable-server unknown", "NAK no such endpoint was ever listed\n"),
+        ("enable-server unknown", "NAK no such endpoint was ever listed\n"),
         ("enable-server one", "ACK one put back\n"),
         (&"x".repeat(5000), "NAK line too long\n"),
     ] {
@@ -59,7 +69,7 @@
 }
 
 #[tokio::test]
-async fn a_banned_endpoint_gets_no_call_until_the_ban_ends_whatever_the_list_says() {
+async fn a_banned_endpoint_gets_no_call_across_lists_and_restarts_until_the_ban_ends() {
     let mut fixture = TwoEndpoints::start().await;
     assert_eq!(fixture.forwarder.admin_command("disable-server one").await, "ACK one left out\n");
     assert_eq!(fixture.forwarder.admin_command("disable-server one").await, "ACK one left out\n");
@@ -67,24 +77,14 @@
         vec![plain_endpoint("one", fixture.one.address, 7), plain_endpoint("other", fixture.other.address, 7)]
     };
     fixture.discovery.push_changes(2, records(&fixture));
-    for n in 0..4 {
-        let id = format!("a{n}");
-        assert_eq!(fixture.forwarder.submit("keyed", &id, 9000).await.status(), 202);
-        fixture.other.next_call().await.respond(200);
-        fixture.forwarder.until_delivered("keyed", &id).await;
-    }
+    fixture.deliver_to_other("before").await;
     // Neither a restart nor a complete list ends the ban.
     fixture.forwarder.kill();
     fixture.forwarder.restart().await;
     fixture.discovery.push_complete_list(3, records(&fixture));
-    for n in 0..4 {
-        let id = format!("b{n}");
-        assert_eq!(fixture.forwarder.submit("keyed", &id, 9000).await.status(), 202);
-        fixture.other.next_call().await.respond(200);
-        fixture.forwarder.until_delivered("keyed", &id).await;
-    }
+    fixture.deliver_to_other("after").await;
     assert!(fixture.one.is_quiet(QUIET_PERIOD).await);
-    // One command ends it, however often it was begun: with the other endpoint banned, every call goes there.
+    // One command ends it, although two commands began it: with the other endpoint banned, this one gets the call.
     assert_eq!(fixture.forwarder.admin_command("enable-server one").await, "ACK one put back\n");
     assert_eq!(fixture.forwarder.admin_command("disable-server other").await, "ACK other left out\n");
     assert_eq!(fixture.forwarder.submit("keyed", "c", 9000).await.status(), 202);
@@ -93,7 +93,7 @@
 }
 
 #[tokio::test]
-async fn a_drain_sends_clients_away_and_a_resume_accepts_them_again() {
+async fn a_drain_fails_the_readiness_check_and_loses_no_request_until_a_resume_ends_it() {
     let mut fixture = TwoEndpoints::start().await;
     let mut idle = RawConnection::open(fixture.forwarder.address).await;
     idle.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await;
@@ -105,17 +105,12 @@
     assert_eq!(fixture.forwarder.admin_command("drain").await, "ACK draining\n");
     assert_eq!(fixture.forwarder.admin_command("ready").await, "NAK draining\n");
     let not_ready = async {
-        while request(fixture.forwarder.address, "GET", "/-/ready", &[], b"")
-            .await
-            .expect("it serves")
-            .status()
-            == 200
-        {
+        while fixture.forwarder.readiness_response().await.expect("it serves").status() == 200 {
             sleep(POLL_INTERVAL).await;
         }
     };
-    timeout(EVENT_TIMEOUT, not_ready).await.expect("the load balancer learns that it is not ready");
-    // A client that comes all the same is served, by the last reply on its connection.
+    timeout(EVENT_TIMEOUT, not_ready).await.expect("the readiness check fails");
+    // A client that still connects is served, by the last reply on its connection.
     let late = fixture.forwarder.submit("keyed", "late", 9000).await;
     assert_eq!((late.status().as_u16(), late.headers()["connection"].as_bytes()), (202, &b"close"[..]));
     // The idle connection is closed; the partial request is waited for and gets its reply.
@@ -134,13 +129,13 @@
     }
     assert_eq!(fixture.forwarder.admin_command("resume").await, "ACK taking clients\n");
     assert_eq!(fixture.forwarder.admin_command("ready").await, "ACK ready\n");
-    let ready = request(fixture.forwarder.address, "GET", "/-/ready", &[], b"").await.expect("it serves");
+    let ready = fixture.forwarder.readiness_response().await.expect("it serves");
     assert!(ready.status() == 200 && !ready.headers().contains_key("connection"));
     fixture.forwarder.until_delivered("keyed", "late").await;
 }
 
 #[tokio::test]
-async fn without_an_admin_address_nobody_listens_there() {
+async fn without_an_admin_address_no_operator_is_served() {
     let Fixture { discovery: _discovery, endpoint: _endpoint, forwarder } =
         Fixture::start_with("plain", |configuration| configuration["admin"] = json!(null)).await;
     assert!(TcpStream::connect(forwarder.admin_address).await.is_err());
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -1,4 +1,4 @@
-//! What a process finds in the journal after its predecessor was killed or has ended.
+//! Restarts after SIGKILL and SIGTERM: what the next process does with the messages in the journal.
 
 mod support;
 
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use support::{
     DiscoveryStub, EndpointStub, Fixture, ForwarderProcess, FullListener, QUIET_PERIOD, RawEndpoint,
-    one_call_slot, plain_endpoint, request,
+    one_call_slot, plain_endpoint,
 };
 use tokio::time::sleep;
 
@@ -59,7 +59,7 @@
                     call.respond(200);
                 }
                 notices = fixture.discovery.notices() => {
-                    let names = notices.iter().filter_map(|n| n["message"].as_str());
+                    let names = notices.iter().filter_map(|notice| notice["message"].as_str());
                     // One whose call was in flight at the kill may have been executed, and still gets a
                     // notice.
                     failed.extend(names.filter(|name| !delivered.contains(*name)).map(str::to_owned));
@@ -76,6 +76,7 @@
     let call = fixture.endpoint.next_call().await;
     fixture.forwarder.kill();
     call.closed().await;
+    // The deadline passes.
     sleep(Duration::from_millis(700)).await;
     fixture.forwarder.restart().await;
     let restarted = Instant::now();
@@ -104,7 +105,7 @@
         Fixture::start_with("plain", one_call_slot).await;
     assert_eq!(forwarder.submit("unsafe", "sent", 28_000).await.status(), 202);
     let call_in_flight = stub.next_call().await;
-    assert_eq!(forwarder.submit("keyed", "waits", 28_000).await.status(), 202);
+    assert_eq!(forwarder.submit("keyed", "queued", 28_000).await.status(), 202);
     call_in_flight.closed_after(|| forwarder.kill()).await;
     // The record of the attempt cannot be read any more, and its message must not pass for unattempted.
     let mut text = fs::read(forwarder.journal_file()).expect("a journal");
@@ -115,9 +116,9 @@
     assert_eq!(discovery.notice().await, json!({"message": "sent", "outcome": "given_up"}));
     // A message accepted after the damaged record is delivered.
     let call = stub.next_call().await;
-    assert_eq!(call.header("req-id"), "waits");
+    assert_eq!(call.header("req-id"), "queued");
     call.respond(200);
-    forwarder.until_delivered("keyed", "waits").await;
+    forwarder.until_delivered("keyed", "queued").await;
     assert!(stub.is_quiet(QUIET_PERIOD).await && discovery.is_quiet(QUIET_PERIOD).await);
 }
 
@@ -215,7 +216,7 @@
     let (mut discovery, mut stub, full) =
         (DiscoveryStub::start().await, EndpointStub::start().await, FullListener::start().await);
     let known = [plain_endpoint("t", full.address, 7)];
-    let mut forwarder = ForwarderProcess::start(&discovery, &known, |_| {}).await;
+    let mut forwarder = ForwarderProcess::start(discovery.address, &known, |_| {}).await;
     // Its call is decided in the turn that accepts it.
     assert_eq!(forwarder.submit("unsafe", "m", 28_000).await.status(), 202);
     forwarder.kill();
@@ -238,7 +239,7 @@
     // Discovery holds its watches, and the endpoint accepts connections and never responds.
     let (mut discovery, silent) = (DiscoveryStub::start().await, RawEndpoint::start().await);
     let known = [plain_endpoint("t", silent.address, 7)];
-    let mut forwarder = ForwarderProcess::start(&discovery, &known, |configuration| {
+    let mut forwarder = ForwarderProcess::start(discovery.address, &known, |configuration| {
         one_call_slot(configuration);
         configuration["settings"]["limits"]["openCap"] = json!(10_000);
     })
@@ -248,15 +249,8 @@
     let submitted_at = Instant::now();
     while rejected == 0 {
         let id = format!("m{}", accepted.len());
-        let class = if accepted.len() % 2 == 0 { "/unsafe" } else { "/keyed" };
-        let headers = [
-            ("Req-Id", id.as_str()),
-            ("Req-Owner", "acme"),
-            ("Req-Deadline-Ms", "8000"),
-            ("Idempotency-Key", id.as_str()),
-            ("Envelope", "dest=7"),
-        ];
-        let reply = request(forwarder.address, "POST", class, &headers, &body).await.expect("a reply");
+        let class = if accepted.len() % 2 == 0 { "unsafe" } else { "keyed" };
+        let reply = forwarder.submit_body(7, class, &id, 8000, &body).await;
         match reply.status().as_u16() {
             202 => drop(accepted.insert(id)),
             _ => rejected += 1,
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -3,23 +3,22 @@
 mod support;
 
 use std::time::{Duration, Instant};
-use support::{EVENT_TIMEOUT, Fixture, QUIET_PERIOD, RawConnection, request, submission_text};
+use support::{EVENT_TIMEOUT, Fixture, QUIET_PERIOD, RawConnection, submission_text};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::timeout;
 
 #[tokio::test]
 async fn after_sigterm_calls_may_finish_and_the_other_messages_stay_in_the_journal() {
     let mut fixture = Fixture::start().await;
-    fixture.forwarder.submit("unsafe", "out", 20_000).await;
+    fixture.forwarder.submit("unsafe", "in-flight", 20_000).await;
     let call_in_flight = fixture.endpoint.next_call().await;
     let terminated_at = Instant::now();
     fixture.forwarder.terminate();
     // New clients are still served, each by the last reply on its connection.
     let draining = async {
         loop {
-            let ready =
-                request(fixture.forwarder.address, "GET", "/-/ready", &[], b"").await.expect("it serves");
-            if ready.headers().get("connection").is_some_and(|v| v == "close") {
+            let ready = fixture.forwarder.readiness_response().await.expect("it serves");
+            if ready.headers().get("connection").is_some_and(|value| value == "close") {
                 return;
             }
         }
@@ -36,12 +35,12 @@
     assert_eq!(retry.header("req-id"), "late");
     retry.respond(200);
     fixture.forwarder.until_delivered("keyed", "late").await;
-    assert_eq!(fixture.forwarder.submit("unsafe", "out", 20_000).await.status(), 200);
+    assert_eq!(fixture.forwarder.submit("unsafe", "in-flight", 20_000).await.status(), 200);
     assert!(fixture.discovery.is_quiet(QUIET_PERIOD).await);
 }
 
 #[tokio::test]
-async fn a_request_after_the_close_at_sigterm_is_not_accepted() {
+async fn a_request_on_a_connection_that_sigterm_has_closed_is_not_accepted() {
     let Fixture { mut discovery, endpoint: mut stub, mut forwarder } = Fixture::start().await;
     let mut clients = Vec::new();
     for n in 0..4 {
@@ -55,7 +54,7 @@
     forwarder.terminate();
     // It arrives together with the signal, on an idle connection.
     clients[0].write(&submission_text("with")).await;
-    forwarder.unpause();
+    forwarder.resume();
     let reply = clients[0].read_to_end().await;
     assert!(reply.text.starts_with("HTTP/1.1 202") && reply.error.is_none(), "{reply:?}");
     let call = stub.next_call().await;
--- a/tests/simulator_adapter.rs
+++ b/tests/simulator_adapter.rs
@@ -61,24 +61,30 @@
 
 #[test]
 fn unknown_events_ids_and_keys_are_ignored() {
-    let unknown = "NEWS forwarder=3 what=ever\nCLIENT_LEFT forwarder=3 ref=nobody\nRING forwarder=3 handle=9";
+    let unknown =
+        "NEWS forwarder=3 what=ever\nCLIENT_LEFT forwarder=3 ref=unknown\nRING forwarder=3 handle=9";
     let (out, result) = run(&[boot(), frame(1001.0, unknown)]);
     result.unwrap();
     assert_eq!(out.lines().filter(|l| *l == "OK").count(), 2);
 }
 
 #[test]
-fn after_exit_and_boot_nothing_of_the_former_instance_is_left() {
-    let again = format!("EXIT forwarder=3\n{BOOT}\nENDPOINTS forwarder=3 serial=1 mode=whole sheet=0");
+fn an_instance_booted_after_an_exit_ignores_messages_of_the_former_one() {
+    let exit_and_boot =
+        format!("EXIT forwarder=3\n{BOOT}\nENDPOINTS forwarder=3 serial=1 mode=whole sheet=0");
     let end = "RETURNED forwarder=3 ref=r1 go=0 target=515 how=253 elapsed=10.0 finished=0";
-    let (out, result) =
-        run(&[boot(), frame(1001.0, &submit("r1", "order")), frame(1005.0, &again), frame(1010.0, end)]);
+    let (out, result) = run(&[
+        boot(),
+        frame(1001.0, &submit("r1", "order")),
+        frame(1005.0, &exit_and_boot),
+        frame(1010.0, end),
+    ]);
     result.unwrap();
     assert!(!out.contains("GIVE_UP"), "{out}");
 }
 
 #[test]
-fn two_instances_decide_as_one_does_alone() {
+fn two_instances_with_the_same_events_write_the_same_number_of_lines() {
     let two = |text: &str| format!("{text}\n{}", text.replace("forwarder=3", "forwarder=4"));
     let frames = [
         frame(
--- a/tests/support/discovery_stub.rs
+++ b/tests/support/discovery_stub.rs
@@ -25,12 +25,12 @@
         DiscoveryStub { address, lists, notice_calls }
     }
 
-    /// Sends changed records, as the response to the present or the next watch.
+    /// Responds to the present watch, or else the next one, with changed records.
     pub(crate) fn push_changes(&self, revision: u64, endpoints: Vec<Value>) {
         self.push(revision, false, endpoints);
     }
 
-    /// Sends the complete list in the same way.
+    /// Responds to the present watch, or else the next one, with the complete list.
     pub(crate) fn push_complete_list(&self, revision: u64, endpoints: Vec<Value>) {
         self.push(revision, true, endpoints);
     }
@@ -39,31 +39,31 @@
         let _ = self.lists.send(endpoint_list(revision, complete, endpoints));
     }
 
-    /// The next call with notices, which the test has to respond to.
+    /// Waits for the next call with notices, which the test has to respond to.
     pub(crate) async fn next_notice_call(&mut self) -> ReceivedCall {
         timeout(EVENT_TIMEOUT, self.notice_calls.recv())
             .await
-            .expect("a notice comes")
+            .expect("a notice arrives in time")
             .expect("the stub listens")
     }
 
-    /// The notices of the next batch, which is acknowledged.
+    /// Waits for the next batch of notices, acknowledges it and returns it.
     pub(crate) async fn notices(&mut self) -> Vec<Value> {
         let call = self.next_notice_call().await;
         assert_eq!(call.path, "/v1/notices");
         let text = call.body_then(|call| call.respond(204));
         let lines = text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
-        lines.map(|line| serde_json::from_slice(line).expect("an object a line")).collect()
+        lines.map(|line| serde_json::from_slice(line).expect("each line is a JSON object")).collect()
     }
 
-    /// The only notice of the next batch, which is acknowledged.
+    /// Waits for the next batch of notices, which must contain one only, acknowledges it and returns the notice.
     pub(crate) async fn notice(&mut self) -> Value {
         let mut notices = self.notices().await;
         assert_eq!(notices.len(), 1, "{notices:?}");
         notices.remove(0)
     }
 
-    /// Whether no notice comes for this long.
+    /// Whether no notice arrives for this long.
     pub(crate) async fn is_quiet(&mut self, span: Duration) -> bool {
         timeout(span, self.notice_calls.recv()).await.is_err()
     }
--- a/tests/support/endpoint_stub.rs
+++ b/tests/support/endpoint_stub.rs
@@ -18,12 +18,12 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-/// A call that a stub received. Until the test responds, its connection stays silent.
+/// A call that a stub received. Nothing is written on its connection until the test responds.
 pub(crate) struct ReceivedCall {
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// `None` closes the connection. Closed once the caller has closed its end.
+    /// Sending `None` closes the connection. The channel is closed once the caller has closed the connection.
     response: oneshot::Sender<Option<Response<Full<Bytes>>>>,
 }
 
@@ -57,7 +57,7 @@
         body
     }
 
-    /// Does something that makes the caller close the connection, and waits for that.
+    /// Runs `act`, which makes the caller close the connection, and waits until it is closed.
     pub(crate) async fn closed_after(self, act: impl FnOnce()) {
         act();
         self.closed().await;
@@ -69,7 +69,7 @@
     }
 }
 
-/// An HTTP endpoint that passes each call to the test.
+/// An HTTP endpoint that passes each call to the test, in the order of their arrival.
 pub(crate) struct EndpointStub {
     pub address: SocketAddr,
     calls: mpsc::UnboundedReceiver<ReceivedCall>,
@@ -108,15 +108,18 @@
     }
 
     pub(crate) async fn next_call(&mut self) -> ReceivedCall {
-        timeout(EVENT_TIMEOUT, self.calls.recv()).await.expect("a call comes").expect("the stub listens")
+        timeout(EVENT_TIMEOUT, self.calls.recv())
+            .await
+            .expect("a call arrives in time")
+            .expect("the stub listens")
     }
 
-    /// The next call, however long it takes; `None` once no more can come.
+    /// Waits for the next call without a timeout. Returns `None` once no more can arrive.
     pub(crate) async fn receive_call(&mut self) -> Option<ReceivedCall> {
         self.calls.recv().await
     }
 
-    /// Whether no call comes for this long.
+    /// Whether no call arrives for this long.
     pub(crate) async fn is_quiet(&mut self, span: Duration) -> bool {
         timeout(span, self.calls.recv()).await.is_err()
     }
--- a/tests/support/forwarder_config.rs
+++ b/tests/support/forwarder_config.rs
@@ -36,12 +36,24 @@
            "goalTime": 3000.0, "deadline": 28000.0, "worth": 1.0, "lateShare": 0.5})
 }
 
+/// Sets the shortest time between two turns.
+pub(crate) fn turn_interval(configuration: &mut Value, milliseconds: f64) {
+    configuration["settings"]["round"] = json!(milliseconds);
+}
+
+/// Sets the latency objective of both classes. Attempts time out later if it is longer.
+pub(crate) fn latency_objective(configuration: &mut Value, milliseconds: f64) {
+    for class in [0, 1] {
+        configuration["settings"]["classes"][class]["goalTime"] = json!(milliseconds);
+    }
+}
+
 /// Allows one call in flight.
 pub(crate) fn one_call_slot(configuration: &mut Value) {
     configuration["settings"]["familyInfo"]["slots"] = json!(1);
 }
 
-/// Makes turns so long that messages submitted together fall into one, and so travel in one call.
+/// Makes turns so long that messages which are submitted together fall into one turn and travel in one call.
 pub(crate) fn long_turns(configuration: &mut Value) {
-    configuration["settings"]["round"] = json!(400.0);
+    turn_interval(configuration, 400.0);
 }
--- a/tests/support/forwarder_process.rs
+++ b/tests/support/forwarder_process.rs
@@ -1,6 +1,5 @@
 //! The forwarder program, as a process of its own.
 
-use super::discovery_stub::DiscoveryStub;
 use super::forwarder_config::configuration;
 use super::http_client::{request, submit};
 use super::raw_connection::RawConnection;
@@ -21,7 +20,7 @@
 /// The number of forwarders that this test program has started.
 static STARTED: AtomicUsize = AtomicUsize::new(0);
 
-/// The forwarder, with a directory of its own. Dropped, it is killed and its directory removed.
+/// A forwarder process with a directory of its own. When it is dropped, the process is killed and the directory removed.
 pub(crate) struct ForwarderProcess {
     /// Where clients connect.
     pub address: SocketAddr,
@@ -29,23 +28,24 @@
     pub admin_address: SocketAddr,
     directory: PathBuf,
     process: Child,
-    /// Shared by all processes, where they inherit it.
+    /// The listening socket, if the process and its successors inherit one.
     listener: Option<TcpListener>,
 }
 
 impl ForwarderProcess {
-    /// Starts it with a configuration that `change` may edit, and waits until it is ready.
+    /// Starts a forwarder with discovery at this address and with a configuration that `change` may edit, and waits until
+    /// it is ready.
     pub(crate) async fn start(
-        discovery: &DiscoveryStub,
+        discovery: SocketAddr,
         known_endpoints: &[Value],
         change: impl FnOnce(&mut Value),
     ) -> Self {
         ForwarderProcess::start_with(discovery, known_endpoints, change, false).await
     }
 
-    /// The same, on a listening socket that it and its successors inherit.
+    /// Like [`Self::start`], on a listening socket that the forwarder and its successors inherit.
     pub(crate) async fn start_inheriting(
-        discovery: &DiscoveryStub,
+        discovery: SocketAddr,
         known_endpoints: &[Value],
         change: impl FnOnce(&mut Value),
     ) -> Self {
@@ -53,7 +53,7 @@
     }
 
     async fn start_with(
-        discovery: &DiscoveryStub,
+        discovery: SocketAddr,
         known_endpoints: &[Value],
         change: impl FnOnce(&mut Value),
         inherits_listener: bool,
@@ -63,7 +63,7 @@
         fs::create_dir_all(directory.join("state")).expect("a temporary directory");
         let ReservedAddresses { address, admin_address, listener } =
             ReservedAddresses::reserve(number, inherits_listener);
-        let mut configuration = configuration(address, admin_address, discovery.address, known_endpoints);
+        let mut configuration = configuration(address, admin_address, discovery, known_endpoints);
         change(&mut configuration);
         fs::write(directory.join("config.json"), configuration.to_string())
             .expect("the directory is writable");
@@ -79,13 +79,17 @@
                 sleep(POLL_INTERVAL).await;
             }
         };
-        timeout(EVENT_TIMEOUT, ready).await.expect("the forwarder gets ready");
+        timeout(EVENT_TIMEOUT, ready).await.expect("the forwarder becomes ready");
     }
 
     /// Whether it responds to a readiness check that it is ready.
     pub(crate) async fn responds_ready(&self) -> bool {
-        let response = request(self.address, "GET", "/-/ready", &[], b"").await;
-        response.is_some_and(|response| response.status() == 200)
+        self.readiness_response().await.is_some_and(|response| response.status() == 200)
+    }
+
+    /// The response to a readiness check; `None` if there is none.
+    pub(crate) async fn readiness_response(&self) -> Option<Response<Bytes>> {
+        request(self.address, "GET", "/-/ready", &[], b"").await
     }
 
     /// Starts it again after it has ended.
@@ -110,7 +114,7 @@
                 sleep(POLL_INTERVAL).await;
             }
         };
-        timeout(EVENT_TIMEOUT, ready).await.expect("the successor gets ready");
+        timeout(EVENT_TIMEOUT, ready).await.expect("the successor becomes ready");
         Predecessor(predecessor)
     }
 
@@ -145,13 +149,13 @@
         signal(&self.process, "-TERM");
     }
 
-    /// Sends SIGSTOP: it finds all that happens from now on at once when it is continued.
+    /// Sends SIGSTOP. When the process continues, everything that happens in between is ready at once.
     pub(crate) fn pause(&self) {
         signal(&self.process, "-STOP");
     }
 
     /// Sends SIGCONT.
-    pub(crate) fn unpause(&self) {
+    pub(crate) fn resume(&self) {
         signal(&self.process, "-CONT");
     }
 
@@ -175,7 +179,7 @@
         exit_status(&mut self.process).await
     }
 
-    /// Submits a message for destination 7.
+    /// Submits a message for destination 7, with the key `key-<id>` and the body `\0body of <id>`.
     pub(crate) async fn submit(&self, class: &str, id: &str, deadline_ms: u64) -> Response<Bytes> {
         self.submit_to(7, class, id, deadline_ms).await
     }
@@ -188,7 +192,19 @@
         id: &str,
         deadline_ms: u64,
     ) -> Response<Bytes> {
-        submit(self.address, destination, class, id, deadline_ms).await
+        self.submit_body(destination, class, id, deadline_ms, format!("\0body of {id}").as_bytes()).await
+    }
+
+    /// Submits a message with this body.
+    pub(crate) async fn submit_body(
+        &self,
+        destination: u64,
+        class: &str,
+        id: &str,
+        deadline_ms: u64,
+        body: &[u8],
+    ) -> Response<Bytes> {
+        submit(self.address, destination, class, id, deadline_ms, body).await
     }
 
     /// Submits the same message until the reply says that it was delivered.
@@ -198,7 +214,7 @@
                 sleep(POLL_INTERVAL).await;
             }
         };
-        timeout(EVENT_TIMEOUT, delivered).await.expect("it is known as delivered");
+        timeout(EVENT_TIMEOUT, delivered).await.expect("the reply reports the delivery");
     }
 }
 
@@ -210,7 +226,7 @@
     }
 }
 
-/// A process that a successor has taken over from. Dropped, it is killed.
+/// A process that a successor has taken over from. It is killed when this is dropped.
 pub(crate) struct Predecessor(Child);
 
 impl Predecessor {
@@ -242,6 +258,7 @@
     }
 }
 
+/// Starts the program. If it inherits a listener, a shell moves it to descriptor 3 before it starts the program.
 fn spawn(directory: &Path, listener: Option<&TcpListener>, admin_address: Option<SocketAddr>) -> Child {
     let program = env!("CARGO_BIN_EXE_forwarder");
     let mut command = Command::new(program);
--- a/tests/support/http_client.rs
+++ b/tests/support/http_client.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 
-/// Sends one request on a connection of its own; `None` if no response came.
+/// Sends one request on a connection of its own. Returns `None` if there is no complete response.
 pub(crate) async fn request(
     address: SocketAddr,
     method: &str,
@@ -28,13 +28,14 @@
     Some(Response::from_parts(parts, body.collect().await.ok()?.to_bytes()))
 }
 
-/// Submits a message with the key `key-<id>` and the body `\0body of <id>`.
+/// Submits a message with the key `key-<id>`.
 pub(super) async fn submit(
     address: SocketAddr,
     destination: u64,
     class: &str,
     id: &str,
     deadline_ms: u64,
+    body: &[u8],
 ) -> Response<Bytes> {
     let deadline = deadline_ms.to_string();
     let headers = [
@@ -44,8 +45,7 @@
         ("Idempotency-Key", &format!("key-{id}")),
         ("Envelope", &format!("dest={destination}")),
     ];
-    let body = format!("\0body of {id}");
-    request(address, "POST", &format!("/{class}"), &headers, body.as_bytes()).await.expect("a reply")
+    request(address, "POST", &format!("/{class}"), &headers, body).await.expect("a reply")
 }
 
 /// The text of a request that submits a keyed message with the body `hi` to destination 7.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -14,16 +14,16 @@
 pub(crate) use discovery_stub::{DiscoveryStub, endpoint, endpoint_list, plain_endpoint};
 pub(crate) use endpoint_stub::{EndpointStub, ReceivedCall};
 pub(crate) use fixture::Fixture;
-pub(crate) use forwarder_config::{long_turns, one_call_slot};
+pub(crate) use forwarder_config::{latency_objective, long_turns, one_call_slot, turn_interval};
 pub(crate) use forwarder_process::{ForwarderProcess, Predecessor};
 pub(crate) use http_client::{request, submission_text};
-pub(crate) use raw_connection::{FullListener, RawConnection, RawEndpoint};
+pub(crate) use raw_connection::{FullListener, OK_RESPONSE, RawConnection, RawEndpoint};
 
 use std::time::Duration;
 
-/// Longer than anything that a test waits for should take.
+/// Timeout of every event that a test waits for.
 pub(crate) const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long nothing must happen where nothing is expected.
+/// How long a test watches that something does not happen.
 pub(crate) const QUIET_PERIOD: Duration = Duration::from_millis(150);
-/// How often a condition is checked that a test waits for.
+/// The interval between checks of a condition that a test waits for.
 pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(5);
--- a/tests/support/raw_connection.rs
+++ b/tests/support/raw_connection.rs
@@ -8,6 +8,11 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+/// A complete response of an endpoint that delivers a message.
+pub(crate) const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+/// A connection attempt that takes longer than this is taken for one that the full queue of a listener does not admit.
+const FULL_QUEUE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// An endpoint whose responses the test writes byte for byte.
 pub(crate) struct RawEndpoint {
     pub address: SocketAddr,
@@ -22,7 +27,8 @@
 
     /// The next connection.
     pub(crate) async fn accept(&self) -> RawConnection {
-        let accepted = timeout(EVENT_TIMEOUT, self.listener.accept()).await.expect("a connection comes");
+        let accepted =
+            timeout(EVENT_TIMEOUT, self.listener.accept()).await.expect("a connection arrives in time");
         RawConnection { stream: accepted.expect("it listens").0 }
     }
 }
@@ -32,7 +38,7 @@
     pub stream: TcpStream,
 }
 
-/// What came until a connection ended.
+/// What arrived on a connection until it ended.
 #[derive(Debug)]
 pub(crate) struct ReadToEnd {
     pub text: String,
@@ -45,7 +51,7 @@
         RawConnection { stream: TcpStream::connect(address).await.expect("it listens") }
     }
 
-    /// Opens a connection to a forwarder and makes it a kept one by a first request.
+    /// Opens a connection to a forwarder and sends a first request, after which the connection is kept alive.
     pub(crate) async fn open_with_first_request(address: SocketAddr) -> Self {
         let mut connection = RawConnection::open(address).await;
         connection.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").await;
@@ -64,13 +70,13 @@
         while !text.ends_with(b"\r\n\r\n") {
             let mut byte = [0; 1];
             let read = timeout(EVENT_TIMEOUT, self.stream.read_exact(&mut byte)).await;
-            read.expect("a head comes").expect("it is open");
+            read.expect("a head arrives in time").expect("it is open");
             text.extend_from_slice(&byte);
         }
         String::from_utf8_lossy(&text).into_owned()
     }
 
-    /// Reads one request with a `content-length`, and returns its text.
+    /// Reads one request, which must have a `content-length`, and returns its text.
     pub(crate) async fn read_request(&mut self) -> String {
         let mut text = Vec::new();
         let request = async {
@@ -84,7 +90,7 @@
                 assert!(self.stream.read_buf(&mut text).await.expect("it is open") > 0, "closed: {read:?}");
             }
         };
-        timeout(EVENT_TIMEOUT, request).await.expect("a request comes")
+        timeout(EVENT_TIMEOUT, request).await.expect("a request arrives in time")
     }
 
     /// Reads until the other side closes or resets the connection.
@@ -116,7 +122,7 @@
         let listener = socket.listen(1).expect("it listens");
         let address = listener.local_addr().expect("it is bound");
         let mut queued = Vec::new();
-        while let Ok(Ok(stream)) = timeout(Duration::from_millis(150), TcpStream::connect(address)).await {
+        while let Ok(Ok(stream)) = timeout(FULL_QUEUE_TIMEOUT, TcpStream::connect(address)).await {
             queued.push(stream);
         }
         FullListener { address, listener, queued }
--- a/tests/support/reserved_addresses.rs
+++ b/tests/support/reserved_addresses.rs
@@ -4,19 +4,19 @@
 use std::process;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Held while a listener exists that is closed to free its port, and while a process is started. A process
-/// between fork and exec has a copy of all descriptors of the test: a port is in use until it has closed its
+/// Locked while a listener is open that is later closed to free its port, and while a process is started. A process
+/// between fork and exec has copies of all descriptors of the test, so that a port is in use until exec has closed the
 /// copy.
 static FORK_LOCK: Mutex<()> = Mutex::new(());
 
 /// Waits until no other test holds the lock.
 pub(super) fn lock_fork() -> MutexGuard<'static, ()> {
-    // A test that panicked while it held the lock has left nothing half done.
+    // The lock guards no data, so that a panic while it was locked does no harm.
     FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Free ports of an IP address that no other test uses, so that nobody else takes them before the forwarder
-/// does.
+/// Free ports of an IP address that no other test uses, so that they stay free until the forwarder binds
+/// them.
 pub(super) struct ReservedAddresses {
     pub address: SocketAddr,
     pub admin_address: SocketAddr,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -18,7 +18,7 @@
 #[tokio::test]
 async fn a_call_in_flight_continues_and_its_outcome_reaches_the_successor() {
     let mut fixture = Fixture::start_inheriting(|_| {}).await;
-    fixture.forwarder.submit("unsafe", "out", 20_000).await;
+    fixture.forwarder.submit("unsafe", "in-flight", 20_000).await;
     let call_in_flight = fixture.endpoint.next_call().await;
     fixture.forwarder.submit("keyed", "failing", 20_000).await;
     let failing = fixture.endpoint.next_call().await;
@@ -29,7 +29,7 @@
     assert_eq!(new.header("req-id"), "new");
     new.respond(200);
     call_in_flight.respond(200);
-    fixture.forwarder.until_delivered("unsafe", "out").await;
+    fixture.forwarder.until_delivered("unsafe", "in-flight").await;
     failing.respond(500);
     let retry = fixture.endpoint.next_call().await;
     assert_eq!(retry.header("req-id"), "failing");
@@ -72,7 +72,7 @@
 }
 
 #[tokio::test]
-async fn bans_and_waits_apply_to_the_successor_and_a_drain_ends_with_the_predecessor() {
+async fn the_successor_respects_bans_and_retry_after_waits_but_does_not_drain() {
     let mut fixture = Fixture::start_inheriting(|_| {}).await;
     assert_eq!(fixture.forwarder.admin_command("disable-server u").await, "ACK u left out\n");
     fixture.forwarder.submit("unsafe", "m", 20_000).await;
@@ -93,16 +93,16 @@
 async fn a_request_partially_read_by_the_predecessor_is_handled_by_the_successor() {
     let mut fixture = Fixture::start_inheriting(|_| {}).await;
     let mut client = RawConnection::open_with_first_request(fixture.forwarder.address).await;
-    client.write("POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Id: half\r\nReq-Owner: acme\r\n").await;
+    client.write("POST /keyed HTTP/1.1\r\nHost: a\r\nReq-Id: partial\r\nReq-Owner: acme\r\n").await;
     let _predecessor = fixture.forwarder.upgrade().await;
     client.write("Req-Deadline-Ms: 9000\r\nIdempotency-Key: k\r\n").await;
     client.write("Envelope: dest=7\r\nContent-Length: 2\r\n\r\nhi").await;
     let reply = client.read_to_end().await.text;
     assert!(reply.contains("HTTP/1.1 202") && reply.contains("connection: close"), "{reply}");
     let call = fixture.endpoint.next_call().await;
-    assert_eq!((call.header("req-id"), &call.body[..]), ("half", &b"hi"[..]));
+    assert_eq!((call.header("req-id"), &call.body[..]), ("partial", &b"hi"[..]));
     call.respond(200);
-    fixture.forwarder.until_delivered("keyed", "half").await;
+    fixture.forwarder.until_delivered("keyed", "partial").await;
 }
 
 /// Opens connections with partial requests.
@@ -119,13 +119,15 @@
 
 #[tokio::test]
 async fn two_processes_with_many_clients_stay_within_the_descriptor_limit_of_one() {
-    let limit = 192;
-    let mut fixture =
-        Fixture::start_inheriting(|configuration| configuration["limits"]["sockets"] = json!(limit)).await;
+    let descriptor_limit = 192;
+    let mut fixture = Fixture::start_inheriting(|configuration| {
+        configuration["limits"]["sockets"] = json!(descriptor_limit);
+    })
+    .await;
     let _first = open_partial_requests(&fixture, 150).await;
     let predecessor = fixture.forwarder.upgrade().await;
     let _second = open_partial_requests(&fixture, 150).await;
-    // Once another client is served, the successor has accepted all connections that came before.
+    // Once another client is served, the successor has accepted all earlier connections.
     let mut descriptors = 0;
     let served = async {
         while !fixture.forwarder.responds_ready().await {
@@ -135,7 +137,8 @@
     };
     timeout(EVENT_TIMEOUT, served).await.expect("another client is served");
     descriptors = descriptors.max(predecessor.descriptors() + fixture.forwarder.descriptors());
-    assert!((60..limit).contains(&descriptors), "{descriptors}");
+    // Not so few that the limit was never approached.
+    assert!((60..descriptor_limit).contains(&descriptors), "{descriptors}");
 }
 
 /// Asks to take over as a successor would, and returns the state that the journal does not hold, but never
@@ -153,11 +156,11 @@
 #[tokio::test]
 async fn a_successor_that_ends_before_it_owns_the_journal_changes_nothing() {
     let mut fixture = Fixture::start_inheriting(|_| {}).await;
-    fixture.forwarder.submit("keyed", "out", 20_000).await;
+    fixture.forwarder.submit("keyed", "in-flight", 20_000).await;
     let call_in_flight = fixture.endpoint.next_call().await;
     // One that ends, one that falls silent, and then a real one.
     let (successor, state) = request_take_over(&fixture).await;
-    assert!(state.contains("\"out\""), "{state}");
+    assert!(state.contains("\"in-flight\""), "{state}");
     drop(successor);
     assert_eq!(fixture.forwarder.submit("keyed", "next", 20_000).await.status(), 202);
     fixture.endpoint.next_call().await.respond(200);
@@ -166,7 +169,7 @@
     let late = fixture.forwarder.submit("keyed", "late", 20_000).await;
     assert_eq!(late.status(), 202);
     fixture.endpoint.next_call().await.respond(200);
-    fixture.forwarder.until_delivered("keyed", "out").await;
+    fixture.forwarder.until_delivered("keyed", "in-flight").await;
     let mut predecessor = fixture.forwarder.upgrade().await;
     predecessor.terminate();
     assert!(predecessor.exit_status().await.success());
@@ -214,15 +217,16 @@
     drop(predecessor);
 }
 
-/// The predecessor decided the call, and its connection was not established yet.
 #[tokio::test]
 async fn a_call_withheld_at_a_take_over_is_sent_once() {
     let (discovery, endpoint) = (DiscoveryStub::start().await, FullListener::start().await);
     let known_endpoints = [plain_endpoint("t", endpoint.address, 7)];
-    let mut forwarder = ForwarderProcess::start_inheriting(&discovery, &known_endpoints, |config| {
-        config["settings"]["limits"]["connectTimeout"] = json!(20_000.0);
-    })
-    .await;
+    let mut forwarder =
+        ForwarderProcess::start_inheriting(discovery.address, &known_endpoints, |configuration| {
+            configuration["settings"]["limits"]["connectTimeout"] = json!(20_000.0);
+        })
+        .await;
+    // The predecessor starts the call, and the connection is not established before the take-over.
     assert_eq!(forwarder.submit("unsafe", "m", 20_000).await.status(), 202);
     let mut predecessor = forwarder.upgrade().await;
     predecessor.terminate();
