--- a/src/forwarder/messages/admin_command.rs
+++ b/src/forwarder/messages/admin_command.rs
@@ -124,8 +124,8 @@
     /// The successor ended before it replied.
     #[error("the new version has gone")]
     SuccessorGone,
-    /// The runtime did not reply in time. It drops a command whose operator has stopped waiting, but it may have
-    /// carried out this one just before.
+    /// The runtime did not reply in time. It drops a command whose operator has stopped waiting. Only a command that it
+    /// had forwarded to a successor may still be carried out.
     #[error("no answer in time")]
     NoReply,
     /// The journal has no capacity for the ban.
