Let settings be read from fields directly, and write test steps out instead of passing closures

read_settings takes the fields and hides its reader; UNKNOWN_INDEX replaces usize::MAX for names that the settings lack. body_then and closed_after hid which step came first: the tests now say it line by line. A bool for the way a process ends is an enum.

--- a/src/forwarder/configuration/mod.rs
+++ b/src/forwarder/configuration/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::forwarder::messages::endpoint_list::EndpointList;
 use crate::interface::Settings;
-use crate::settings_reader::{SettingNames, settings_from};
+use crate::settings_reader::{SettingNames, settings_from_pairs};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -86,7 +86,7 @@
     fn read(path: &Path, state_folder: PathBuf) -> Result<Self, ConfigError> {
         let file = ConfigFile::read(path)?;
         let known_endpoints = parse_known_endpoints(file.known_endpoints);
-        let (settings, setting_names) = settings_from(&setting_pairs::flatten(&file.settings))
+        let (settings, setting_names) = settings_from_pairs(&setting_pairs::flatten(&file.settings))
             .map_err(|source| ConfigError::Settings { path: path.into(), source })?;
         let seed = u64::from_str_radix(&file.seed, 16)
             .map_err(|source| ConfigError::Seed { path: path.into(), source })?;
--- a/src/forwarder/configuration/setting_pairs/tests.rs
+++ b/src/forwarder/configuration/setting_pairs/tests.rs
@@ -1,6 +1,6 @@
 use super::flatten;
 use crate::interface::Idempotency;
-use crate::settings_reader::settings_from;
+use crate::settings_reader::settings_from_pairs;
 
 #[test]
 fn nested_settings_parse_like_settings_of_the_simulator_protocol() {
@@ -14,7 +14,7 @@
         "limits": {"cancel": true, "absent": null},
         "zone": "hall-b", "zones": ["hall-a", "hall-b"]
     });
-    let (read, names) = settings_from(&flatten(&settings)).expect("it is well formed");
+    let (read, names) = settings_from_pairs(&flatten(&settings)).expect("it is well formed");
     assert_eq!(read.classes[0].idempotency, Idempotency::Keyed { key_lifetime: 15_000_000, per_zone: false });
     assert_eq!((read.classes[0].latency_objective, read.call_slots, read.zone), (3_000_000, 15, 1));
     assert_eq!((read.kinds[0].batch, read.kinds[1].separate_routes, read.cancellation), (20, true, true));
--- a/src/forwarder/endpoint_client/call.rs
+++ b/src/forwarder/endpoint_client/call.rs
@@ -98,6 +98,7 @@
         await_response(exchange, &mut pending, &mut call.commands, &call.guard).await
     };
     let is_complete = matches!(&response, Some(Ok(response)) if response.is_complete);
+    // Closed before the report, so that the endpoint can notice the end of this call before a retry starts.
     if !is_complete {
         connection.close().await;
     }
--- a/src/forwarder/server/handler.rs
+++ b/src/forwarder/server/handler.rs
@@ -26,7 +26,7 @@
 pub(crate) struct RequestHandler {
     /// The names of classes and tenants, as clients use them.
     pub(crate) setting_names: SettingNames,
-    /// The settings.
+    /// The settings of the decision module, for the idempotency of each class.
     pub(crate) settings: Settings,
     /// The bounded event queue of the runtime, which submitted messages are passed to.
     pub(crate) runtime: Sender<RuntimeEvent>,
@@ -70,6 +70,7 @@
         }
         match (request.method(), request.uri().path()) {
             (&Method::GET, READINESS_PATH) => Ok(status_reply(self.readiness())),
+            // The path is `/` and the name of a class.
             (&Method::POST, path) if path.len() > 1 => {
                 self.submit(request, body_timeout).await.map(encode_reply)
             }
--- a/src/settings_reader.rs
+++ b/src/settings_reader.rs
@@ -11,6 +11,9 @@
 /// Name of the value in a load report that holds the rate limit, in calls per second.
 const RATE_LIMIT_FIELD: &str = "x1";
 
+/// The index of a name that the settings do not contain. No list is long enough to have an element with this index.
+pub(crate) const UNKNOWN_INDEX: usize = usize::MAX;
+
 /// Names of one sort, for example of classes. The interface refers to each name by its index in this list.
 #[derive(Clone, Default)]
 pub(crate) struct NameList(Vec<String>);
@@ -72,9 +75,11 @@
 /// # Errors
 ///
 /// See [`read_settings`].
-pub(crate) fn settings_from(pairs: &[(String, String)]) -> Result<(Settings, SettingNames), FieldError> {
+pub(crate) fn settings_from_pairs(
+    pairs: &[(String, String)],
+) -> Result<(Settings, SettingNames), FieldError> {
     let pairs = pairs.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
-    read_settings(&SettingsReader { fields: &Fields::from_pairs(pairs) })
+    read_settings(&Fields::from_pairs(pairs))
 }
 
 /// Reads a load report from names and values. Values with unknown names are ignored, but they must be numbers, too:
@@ -92,9 +97,9 @@
 }
 
 /// Reads settings by their path. The path of an element of a list contains its index, as in `classes.0.name`.
-pub(crate) struct SettingsReader<'a> {
+struct SettingsReader<'a> {
     /// The paths and values.
-    pub(crate) fields: &'a Fields<'a>,
+    fields: &'a Fields<'a>,
 }
 
 impl<'a> SettingsReader<'a> {
@@ -135,7 +140,8 @@
 /// # Errors
 ///
 /// A value cannot be parsed, or the name or idempotency of a class or the name of a tenant is missing.
-pub(crate) fn read_settings(reader: &SettingsReader) -> Result<(Settings, SettingNames), FieldError> {
+pub(crate) fn read_settings(fields: &Fields) -> Result<(Settings, SettingNames), FieldError> {
+    let reader = &SettingsReader { fields };
     let (class_names, classes) = read_classes(reader)?;
     let (tenant_names, tenants) = read_tenants(reader)?;
     let names = SettingNames {
@@ -145,14 +151,13 @@
         kinds: reader.names("kinds"),
         report_fields: reader.names("report.fields"),
     };
-    let fields = reader.fields;
     let settings = Settings {
         classes,
         tenants,
         kinds: read_kinds(reader, names.kinds.iter().count())?,
         over_quota_weight: reader.number_or("overShareWorth", 1.0)?,
         weight_decay: read_weight_decay(fields)?,
-        zone: fields.get("zone").and_then(|zone| names.zones.index_of(zone)).unwrap_or(usize::MAX),
+        zone: fields.get("zone").and_then(|zone| names.zones.index_of(zone)).unwrap_or(UNKNOWN_INDEX),
         sender_count: reader.count_or("peersTotal", 1)?,
         call_slots: reader.count_or("familyInfo.slots", usize::MAX)?,
         max_open_messages: reader.count_or("limits.openCap", usize::MAX)?,
--- a/src/simulator/host.rs
+++ b/src/simulator/host.rs
@@ -4,7 +4,7 @@
 use super::request::{CatalogHeader, CatalogRow, EndpointListRequest, EventKind, EventRequest, RequestKind};
 use crate::interface::{EndpointEntry, Event, Micros};
 use crate::key_value::{FieldError, Fields};
-use crate::settings_reader::SettingNames;
+use crate::settings_reader::{SettingNames, UNKNOWN_INDEX};
 use std::collections::BTreeMap;
 
 /// The instances, and the catalogs of endpoints that they share.
@@ -129,13 +129,13 @@
 }
 
 /// Replaces the names of the zone and the kind of a row by their indices. A name that is not in the settings gets
-/// an index that nothing else has.
+/// [`UNKNOWN_INDEX`].
 fn endpoint_entry(row: &CatalogRow, names: &SettingNames) -> EndpointEntry {
     EndpointEntry {
         endpoint: row.endpoint,
         destination: row.destination,
-        zone: names.zones.index_of(&row.zone).unwrap_or(usize::MAX),
-        kind: names.kinds.index_of(&row.kind).unwrap_or(usize::MAX),
+        zone: names.zones.index_of(&row.zone).unwrap_or(UNKNOWN_INDEX),
+        kind: names.kinds.index_of(&row.kind).unwrap_or(UNKNOWN_INDEX),
         state: row.state,
         weight: row.weight,
     }
--- a/src/simulator/instance.rs
+++ b/src/simulator/instance.rs
@@ -5,7 +5,7 @@
 use crate::decision::Balancer;
 use crate::interface::{Action, AttemptEnded, Event, MessageId, Micros};
 use crate::key_value::{FieldError, Fields};
-use crate::settings_reader::{SettingNames, SettingsReader, read_settings};
+use crate::settings_reader::{SettingNames, read_settings};
 use std::collections::{BTreeMap, HashMap};
 
 /// A message that a later request or action may refer to.
@@ -36,7 +36,7 @@
     /// Starts an instance with the settings and the seed in `fields`.
     pub(super) fn boot(fields: &Fields) -> Result<Self, FieldError> {
         let seed = fields.integer("nonce64")?;
-        let (settings, names) = read_settings(&SettingsReader { fields })?;
+        let (settings, names) = read_settings(fields)?;
         Ok(Instance {
             balancer: Balancer::new(settings, seed),
             names,
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -68,7 +68,8 @@
     while !list_sent || !notice_received {
         let call = new.next_call().await;
         if call.path == "/v1/notices" {
-            assert_eq!(call.body_then(|call| call.respond(204)), unacknowledged.body);
+            assert_eq!(call.body, unacknowledged.body);
+            call.respond(204);
             notice_received = true;
         } else if call.path == "/api/targets" {
             let endpoints = vec![
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use serde_json::json;
-use support::{EVENT_TIMEOUT, Fixture, QUIET_PERIOD, ReceivedCall};
+use support::{EVENT_TIMEOUT, Fixture, QUIET_PERIOD};
 use tokio::time::timeout;
 
 #[tokio::test]
@@ -44,11 +44,16 @@
     let mut fixture = Fixture::start().await;
     fixture.forwarder.submit("unsafe", "m", 9000).await;
     fixture.endpoint.next_call().await.respond(500);
-    let first = fixture.discovery.next_notice_call().await.body_then(|call| call.respond(500));
-    let second = fixture.discovery.next_notice_call().await.body_then(ReceivedCall::disconnect);
-    assert_eq!(first, second);
+    let first = fixture.discovery.next_notice_call().await;
+    let first_body = first.body.clone();
+    first.respond(500);
+    let second = fixture.discovery.next_notice_call().await;
+    assert_eq!(second.body, first_body);
+    second.disconnect();
     // A process that ends before the acknowledgement leaves the notice to its successor.
-    fixture.discovery.next_notice_call().await.closed_after(|| fixture.forwarder.kill()).await;
+    let unacknowledged = fixture.discovery.next_notice_call().await;
+    fixture.forwarder.kill();
+    unacknowledged.closed().await;
     fixture.forwarder.restart().await;
     assert_eq!(fixture.discovery.notice().await, json!({"message": "m", "outcome": "given_up"}));
     assert!(fixture.discovery.is_quiet(QUIET_PERIOD).await && fixture.endpoint.is_quiet(QUIET_PERIOD).await);
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -88,7 +88,9 @@
 async fn an_incomplete_record_at_the_end_of_the_journal_is_cut_off() {
     let mut fixture = Fixture::start().await;
     fixture.forwarder.submit("keyed", "m", 20_000).await;
-    fixture.endpoint.next_call().await.closed_after(|| fixture.forwarder.kill()).await;
+    let call = fixture.endpoint.next_call().await;
+    fixture.forwarder.kill();
+    call.closed().await;
     let complete_length = fs::metadata(fixture.forwarder.journal_file()).expect("a journal").len();
     let mut file = OpenOptions::new().append(true).open(fixture.forwarder.journal_file()).expect("a journal");
     file.write_all(b"\x40\0\0\0torn").expect("it is writable");
@@ -106,7 +108,8 @@
     assert_eq!(forwarder.submit("unsafe", "sent", 28_000).await.status(), 202);
     let call_in_flight = stub.next_call().await;
     assert_eq!(forwarder.submit("keyed", "queued", 28_000).await.status(), 202);
-    call_in_flight.closed_after(|| forwarder.kill()).await;
+    forwarder.kill();
+    call_in_flight.closed().await;
     // The record of the attempt cannot be read any more, and its message must not pass for unattempted.
     let mut text = fs::read(forwarder.journal_file()).expect("a journal");
     let position = text.windows(6).position(|part| part == b"\"Sent\"").expect("it was stored");
@@ -122,13 +125,19 @@
     assert!(stub.is_quiet(QUIET_PERIOD).await && discovery.is_quiet(QUIET_PERIOD).await);
 }
 
-/// Leaves one call in flight and many messages queued behind it, and ends the process by SIGTERM or by
-/// SIGKILL.
+/// How a test ends a process.
+#[derive(Clone, Copy)]
+enum ProcessEnd {
+    Sigterm,
+    Sigkill,
+}
+
+/// Ends the process while one call is in flight and many messages are queued behind it.
 async fn end_with_queued_messages(
     forwarder: &mut ForwarderProcess,
     stub: &mut EndpointStub,
     deadline_ms: u64,
-    terminate: bool,
+    end: ProcessEnd,
 ) {
     assert_eq!(forwarder.submit("unsafe", "first", 28_000).await.status(), 202);
     let call_in_flight = stub.next_call().await;
@@ -136,20 +145,24 @@
         let class = if n % 2 == 0 { "keyed" } else { "unsafe" };
         assert_eq!(forwarder.submit(class, &format!("m{n}"), deadline_ms).await.status(), 202);
     }
-    if terminate {
-        forwarder.terminate();
-        assert!(forwarder.exit_status().await.success());
-    } else {
-        call_in_flight.closed_after(|| forwarder.kill()).await;
+    match end {
+        ProcessEnd::Sigterm => {
+            forwarder.terminate();
+            assert!(forwarder.exit_status().await.success());
+        }
+        ProcessEnd::Sigkill => {
+            forwarder.kill();
+            call_in_flight.closed().await;
+        }
     }
 }
 
 #[tokio::test]
 async fn unattempted_messages_are_attempted_after_a_restart_once_their_destination_is_listed() {
-    for terminate in [false, true] {
+    for end in [ProcessEnd::Sigkill, ProcessEnd::Sigterm] {
         let Fixture { mut discovery, endpoint: mut stub, mut forwarder } =
             Fixture::start_with("plain", one_call_slot).await;
-        end_with_queued_messages(&mut forwarder, &mut stub, 28_000, terminate).await;
+        end_with_queued_messages(&mut forwarder, &mut stub, 28_000, end).await;
         forwarder.configure(|configuration| configuration["known"]["targets"] = json!([]));
         forwarder.restart().await;
         // Only the one that may have been executed ends now.
@@ -175,7 +188,7 @@
     let Fixture { mut discovery, endpoint: mut stub, mut forwarder } =
         Fixture::start_with("plain", one_call_slot).await;
     let submitted_at = Instant::now();
-    end_with_queued_messages(&mut forwarder, &mut stub, 3000, false).await;
+    end_with_queued_messages(&mut forwarder, &mut stub, 3000, ProcessEnd::Sigkill).await;
     forwarder.configure(|configuration| configuration["known"]["targets"] = json!([]));
     forwarder.restart().await;
     let mut notices = Vec::new();
@@ -199,7 +212,7 @@
     };
     let Fixture { mut discovery, endpoint: mut stub, mut forwarder } =
         Fixture::start_with("plain", small_capacity).await;
-    end_with_queued_messages(&mut forwarder, &mut stub, 28_000, false).await;
+    end_with_queued_messages(&mut forwarder, &mut stub, 28_000, ProcessEnd::Sigkill).await;
     forwarder.restart().await;
     assert_eq!(discovery.notice().await, json!({"message": "first", "outcome": "given_up"}));
     let call_in_flight = stub.next_call().await;
--- a/tests/support/discovery_stub.rs
+++ b/tests/support/discovery_stub.rs
@@ -51,7 +51,8 @@
     pub(crate) async fn notices(&mut self) -> Vec<Value> {
         let call = self.next_notice_call().await;
         assert_eq!(call.path, "/v1/notices");
-        let text = call.body_then(|call| call.respond(204));
+        let text = call.body.clone();
+        call.respond(204);
         let lines = text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
         lines.map(|line| serde_json::from_slice(line).expect("each line is a JSON object")).collect()
     }
@@ -74,13 +75,18 @@
     mut lists: mpsc::UnboundedReceiver<Value>,
     notice_calls: mpsc::UnboundedSender<ReceivedCall>,
 ) {
-    let (mut watch, mut list): (Option<ReceivedCall>, Option<Value>) = (None, None);
+    // The watch that waits for a list, and the list that waits for a watch.
+    let mut watch: Option<ReceivedCall> = None;
+    let mut list: Option<Value> = None;
     loop {
         tokio::select! {
-            Some(call) = stub.receive_call() => match call.path.starts_with("/api/targets") {
-                true => watch = Some(call),
-                false => drop(notice_calls.send(call)),
-            },
+            Some(call) = stub.receive_call() => {
+                if call.path.starts_with("/api/targets") {
+                    watch = Some(call);
+                } else {
+                    let _ = notice_calls.send(call);
+                }
+            }
             Some(pushed) = lists.recv() => list = Some(pushed),
             else => return,
         }
--- a/tests/support/endpoint_stub.rs
+++ b/tests/support/endpoint_stub.rs
@@ -50,19 +50,6 @@
         let _ = self.response.send(None);
     }
 
-    /// Passes the call to `handle` and returns its body.
-    pub(crate) fn body_then(self, handle: impl FnOnce(Self)) -> Bytes {
-        let body = self.body.clone();
-        handle(self);
-        body
-    }
-
-    /// Runs `act`, which makes the caller close the connection, and waits until it is closed.
-    pub(crate) async fn closed_after(self, act: impl FnOnce()) {
-        act();
-        self.closed().await;
-    }
-
     /// Waits until the caller has closed the connection.
     pub(crate) async fn closed(mut self) {
         timeout(EVENT_TIMEOUT, self.response.closed()).await.expect("the caller closes the connection");
