--- a/tests/decision_rate_limit.rs
+++ b/tests/decision_rate_limit.rs
@@ -140,8 +140,7 @@
     assert!((1..=4).contains(&sent), "{sent} calls in 3 s from a sender of one a second");
 }
 
-/// Seen on a quiet day: the limit grew by one second's increase for each delivery, and with rare calls never
-/// recovered.
+/// Seen on a quiet day: the limit grew by one second's increase for each delivery, and with rare calls never recovered.
 #[test]
 fn sender_with_rare_calls_recovers_from_a_rejection_with_time() {
     let mut harness = SenderHarness::new(many_senders(), vec![entry(10, 1, 0)]);
