--- a/src/forwarder/discovery/poll_pacer.rs
+++ b/src/forwarder/discovery/poll_pacer.rs
@@ -41,9 +41,9 @@
 
 /// The interval between polls is multiplied by a random factor from this number to this number plus one.
 const MIN_INTERVAL_JITTER: f64 = 0.5;
-/// The longest delay is multiplied by a random factor from this number ...
+/// The longest delay is multiplied by a random factor between this number and one.
 const MIN_DELAY_LIMIT_JITTER: f64 = 0.8;
-/// ... to this number more, which is one.
+/// The width of the range of that factor: `1.0 - MIN_DELAY_LIMIT_JITTER`, written out because the subtraction is rounded.
 const DELAY_LIMIT_JITTER_SPAN: f64 = 0.2;
 
 /// Chooses the delays between polls.
