Return the value of late messages and the zone rule of keys to the decision module

What was hard to read: Message::remaining_weight and Message::is_key_known_in followed settings outside of src/decision; a map to bool said which destinations are held back by calls in flight; two loops cancelled calls in the same way; a quarter of the least rate stood as a bare number in five places.

Now both rules are in selection. Cancellation takes the options that are left unsent; CallTable::cancel_where carries out what it chooses. Parameters name rate_floor, min_latency and MIN_DURATION; probe intervals and doublings of the backoff have names. SenderState::record_failed_attempt, Route::record_sent_call and RateLimiter::{set_limit, record_rejection} only keep records.

--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -1,7 +1,6 @@
 //! Admission of messages, load shedding, and final answers other than deliveries.
 
-use super::Balancer;
-use super::parameters::Parameters;
+use super::{Balancer, Parameters};
 use crate::estimators::SECOND;
 use crate::interface::{Action, Idempotency, MessageId, Micros, Submission, Tenant};
 use crate::sender_state::{Message, MessageState};
--- a/src/decision/backlog_report.rs
+++ b/src/decision/backlog_report.rs
@@ -23,7 +23,7 @@
             messages,
             endpoints: destination.endpoints.len(),
             calls: self.state.calls.count(id),
-            degraded: directory.is_degraded(id, now, &self.parameters),
+            degraded: self.is_degraded(id, now),
             outage: route.breaker.is_open(),
             rate: route.allowed_rate(now, &self.parameters),
             ready_in: (route.ready_at() - now).max(0),
--- a/src/decision/cancellation.rs
+++ b/src/decision/cancellation.rs
@@ -1,8 +1,8 @@
-//! Cancellation of calls that hold a slot without a prospect of a response.
+//! Cancellation of calls that hold a slot although no response can be expected any more.
 
-use super::Balancer;
-use super::concurrency::HeldBack;
-use crate::interface::{Action, DestinationId, Micros, Settings};
+use super::{Balancer, concurrency::SendOptions};
+use crate::interface::{Action, DestinationId, Micros};
+use crate::sender_state::Attempt;
 use std::collections::BTreeSet;
 
 /// Where call slots are short, overdue calls may keep the call slots divided by this.
@@ -19,16 +19,19 @@
 
 impl Balancer {
     /// Cancels calls whose response is lost: they are overdue, and calls sent much later have been delivered.
-    /// This may lose messages, so it is done only where others wait for these calls to end. Where overdue
-    /// calls alone hold a destination back, no later call can be sent: the oldest makes room for a probe.
-    pub(super) fn cancel_lost_calls(&mut self, now: Micros, held_back: &HeldBack, actions: &mut Vec<Action>) {
-        if !self.parameters.settings.cancellation {
-            return;
-        }
-        let ready = held_back.iter().filter(|(id, ready)| **ready && !self.state.calls.is_cancelling(**id));
-        let mut without_probe: BTreeSet<DestinationId> = ready.map(|(id, _)| *id).collect();
+    /// A destination without recent deliveries loses its oldest overdue call, so that a probe can be sent. As
+    /// cancellation may lose messages, calls are cancelled only where messages wait for them to end.
+    pub(super) fn cancel_lost_calls(
+        &mut self,
+        now: Micros,
+        held_back: &SendOptions,
+        actions: &mut Vec<Action>,
+    ) {
+        let ready = held_back.iter().filter(|(_, option)| option.candidate.is_ok()).map(|(id, _)| *id);
+        let mut without_probe: BTreeSet<DestinationId> =
+            ready.filter(|id| !self.state.calls.is_cancelling(*id)).collect();
         let mut cancelled_for_probe = BTreeSet::new();
-        for (&(id, number), attempt) in self.state.calls.attempts.iter_mut().filter(|(_, a)| !a.cancelled) {
+        self.state.calls.cancel_where(actions, |attempt| {
             let route = self.state.directory.route(attempt.route);
             let lost_age = route.latency.lost_age(&self.parameters)
                 + self.parameters.cancellation_reserve(self.parameters.at_most_once(attempt.class));
@@ -39,29 +42,24 @@
             if no_delivery_since && without_probe.remove(&attempt.route.destination) {
                 cancelled_for_probe.insert(attempt.call);
             }
-            if attempt.lost || cancelled_for_probe.contains(&attempt.call) {
-                actions.push(attempt.cancel(id, number));
-            }
-        }
+            attempt.lost || cancelled_for_probe.contains(&attempt.call)
+        });
     }
 
     /// With every slot taken and messages queued, cancels overdue calls but for a few.
     pub(super) fn free_overdue_slots(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let Settings { call_slots, cancellation, .. } = self.parameters.settings;
-        let slots_short = self.state.calls.slots_used() >= call_slots;
-        if !cancellation || !slots_short || self.state.messages.queues().is_empty() {
+        let call_slots = self.parameters.settings.call_slots;
+        if self.state.calls.slots_used() < call_slots || self.state.messages.queues().is_empty() {
             return;
         }
         let mut overdue = self.overdue_calls(now);
         let keep = (call_slots / OVERDUE_SLOTS_DIVISOR).max(1);
         overdue.truncate(overdue.len().saturating_sub(keep));
-        for (&(id, number), attempt) in self.state.calls.attempts.iter_mut().filter(|(_, a)| !a.cancelled) {
-            if overdue.iter().any(|overdue| overdue.call == attempt.call) {
-                actions.push(attempt.cancel(id, number));
-            }
-        }
+        let is_overdue = |attempt: &mut Attempt| overdue.iter().any(|overdue| overdue.call == attempt.call);
+        self.state.calls.cancel_where(actions, is_overdue);
     }
 
+    /// The overdue calls, those to be cancelled first at the front.
     fn overdue_calls(&self, now: Micros) -> Vec<OverdueCall> {
         let mut overdue = Vec::new();
         for (call, attempts) in self.state.calls.active_by_call() {
--- a/src/decision/circuit_breaker.rs
+++ b/src/decision/circuit_breaker.rs
@@ -5,17 +5,12 @@
 use crate::interface::Micros;
 use crate::sender_state::{BreakerState, Route};
 
-/// Calls overdue at a time from which a destination counts as hanging.
-const HANGING_CALLS: usize = 2;
+/// Bounds on the time between two probes, as parts of the latency objective and of the warm-up time.
+const MIN_PROBE_INTERVAL_OBJECTIVE_DIVISOR: f64 = 16.0;
+const MAX_PROBE_INTERVAL_WARM_UP_DIVISOR: f64 = 4.0;
 
 impl Route {
-    /// A hanging destination sends no responses: it is recognized by the age of the calls in flight.
-    pub(super) fn detect_hang(&mut self, now: Micros, parameters: &Parameters) {
-        if self.overdue_calls(now, parameters) >= HANGING_CALLS {
-            self.open_breaker(now, parameters);
-        }
-    }
-
+    /// Starts an outage, unless there is one.
     pub(super) fn open_breaker(&mut self, now: Micros, parameters: &Parameters) {
         self.record_healthy_rate(now, parameters);
         if !self.breaker.is_open() {
@@ -23,7 +18,7 @@
         }
     }
 
-    /// Remembers the rate of healthy times: what the destination bears during its recovery is measured by it.
+    /// Remembers the rate of healthy times, by which the rates of probes and of the warm-up are set.
     pub(super) fn record_healthy_rate(&mut self, now: Micros, parameters: &Parameters) {
         if self.breaker.state == BreakerState::Closed {
             let share = self.own_share(parameters) / UNEVEN_SHARE_FACTOR;
@@ -35,9 +30,9 @@
     pub(super) fn schedule_probe(&mut self, now: Micros, parameters: &Parameters) {
         let settings = &parameters.settings;
         let rate = settings.overload_factor * settings.initial_capacity * self.breaker.healthy_rate;
-        let shortest = parameters.latency_objective / 16.0;
-        let longest = parameters.warm_up / 4.0 / parameters.share;
-        let interval = (SECOND / rate.max(parameters.min_rate / 4.0)).clamp(shortest, longest);
+        let shortest = parameters.latency_objective / MIN_PROBE_INTERVAL_OBJECTIVE_DIVISOR;
+        let longest = parameters.warm_up / MAX_PROBE_INTERVAL_WARM_UP_DIVISOR / parameters.share;
+        let interval = (SECOND / rate.max(parameters.rate_floor)).clamp(shortest, longest);
         // Many senders learn of an outage, or of its end, together: their probes are placed at random.
         let offset = if self.breaker.is_open() { 0.5 } else { 0.0 };
         let many_senders = parameters.has_many_senders();
@@ -60,17 +55,18 @@
         }
     }
 
+    /// Starts the warm-up, with a call at once.
     pub(super) fn start_warm_up(&mut self, now: Micros) {
         self.breaker.state = BreakerState::WarmingUp { since: now };
         self.limiter.next_call_at = now;
     }
 
-    /// Calls per second that a destination bears while it warms up; `None` in the other states.
+    /// Calls per second that are sent to a destination while it warms up; `None` in the other states.
     pub(super) fn warm_up_rate(&self, now: Micros, parameters: &Parameters) -> Option<f64> {
         let BreakerState::WarmingUp { since } = self.breaker.state else { return None };
         let settings = &parameters.settings;
         let progress = ((now - since) as f64 / parameters.warm_up).min(1.0);
         let capacity = settings.initial_capacity + (1.0 - settings.initial_capacity) * progress;
-        Some((settings.overload_factor * capacity * self.breaker.healthy_rate).max(parameters.min_rate / 4.0))
+        Some((settings.overload_factor * capacity * self.breaker.healthy_rate).max(parameters.rate_floor))
     }
 }
--- a/src/decision/concurrency.rs
+++ b/src/decision/concurrency.rs
@@ -1,7 +1,6 @@
 //! Concurrency limits, and the selection of calls at the end of a turn.
 
-use super::Balancer;
-use super::endpoint_choice::Candidate;
+use super::{Balancer, endpoint_choice::Candidate};
 use crate::interface::{Action, DestinationId, Micros};
 use std::collections::BTreeMap;
 
@@ -9,52 +8,61 @@
 const HEALTHY_CAP_QUARTERS: usize = 3;
 /// Quarters of the call slots that a degraded destination may hold, and all degraded destinations together.
 const DEGRADED_CAP_QUARTERS: usize = 2;
+/// Overdue calls from which a destination counts as hanging.
+const HANGING_CALLS: usize = 2;
 
 /// What could be sent to a destination in this turn.
-struct SendOption {
+pub(super) struct SendOption {
     degraded: bool,
     /// The best call, or the time at which to look again.
-    candidate: Result<Candidate, Micros>,
+    pub candidate: Result<Candidate, Micros>,
 }
 
+/// What could be sent to each destination with queued messages.
+pub(super) type SendOptions = BTreeMap<DestinationId, SendOption>;
+
 /// The selection of calls in one turn.
 struct Selection {
-    options: BTreeMap<DestinationId, SendOption>,
+    options: SendOptions,
     /// Calls in flight to degraded destinations.
     degraded_calls: usize,
     /// When the first of the destinations that are not ready should be looked at again.
     look_again_at: Micros,
 }
 
-/// Destinations whose messages wait for calls in flight to end, and whether they are ready otherwise.
-pub(super) type HeldBack = BTreeMap<DestinationId, bool>;
-
 impl Balancer {
-    /// The end of a turn: sends calls, and then cleans up.
+    /// The end of a turn: sends calls, and then cancels calls that others wait for.
     pub(super) fn end_turn(&mut self, now: Micros, actions: &mut Vec<Action>) {
         self.run_timers(now, actions);
         self.detect_hangs(now);
         let selection = self.send_calls(now, actions);
-        self.cancel_lost_calls(now, &self.held_back(&selection), actions);
-        self.free_overdue_slots(now, actions);
+        let look_again_at = selection.look_again_at;
+        if self.parameters.settings.cancellation {
+            self.cancel_lost_calls(now, &self.held_back(selection), actions);
+            self.free_overdue_slots(now, actions);
+        }
         self.close_idle_connections(now, actions);
         self.state.directory.forget_removed(now, self.parameters.warm_up as Micros);
-        let wake = self.state.next_wake(now, selection.look_again_at);
+        let wake = self.state.next_wake(now, look_again_at);
         actions.extend(wake.map(|at| Action::Wake { at }));
     }
 
+    /// A destination that hangs sends no responses: it is recognized by the age of the calls in flight.
     fn detect_hangs(&mut self, now: Micros) {
         for destination in self.state.messages.queues().destinations() {
             for route_id in self.state.directory.route_ids(destination) {
-                self.state.directory.route_mut(route_id).detect_hang(now, &self.parameters);
+                let route = self.state.directory.route_mut(route_id);
+                if route.overdue_calls(now, &self.parameters) >= HANGING_CALLS {
+                    route.open_breaker(now, &self.parameters);
+                }
             }
         }
     }
 
-    /// Sends the calls that earn most while slots are free and their destinations are under their caps.
+    /// Sends the calls of the highest value while slots are free and destinations are under their caps.
     fn send_calls(&mut self, now: Micros, actions: &mut Vec<Action>) -> Selection {
         let calls = self.state.calls.by_destination();
-        let degraded = calls.filter(|(id, _)| self.state.directory.is_degraded(*id, now, &self.parameters));
+        let degraded = calls.filter(|(id, _)| self.is_degraded(*id, now));
         let degraded_calls = degraded.map(|(_, calls)| calls).sum();
         let destinations = self.state.messages.queues().destinations();
         let options = destinations.map(|id| (id, self.send_option(id, now))).collect();
@@ -73,11 +81,16 @@
         selection
     }
 
+    pub(super) fn is_degraded(&self, destination: DestinationId, now: Micros) -> bool {
+        self.state.directory.routes(destination).any(|route| route.is_degraded(now, &self.parameters))
+    }
+
     fn send_option(&self, destination: DestinationId, now: Micros) -> SendOption {
-        let degraded = self.state.directory.is_degraded(destination, now, &self.parameters);
+        let degraded = self.is_degraded(destination, now);
         SendOption { degraded, candidate: self.candidate(destination, now) }
     }
 
+    /// The call of the highest value per slot time, to a destination that is under its cap.
     fn best_candidate(&self, selection: &mut Selection) -> Option<Candidate> {
         let mut best: Option<Candidate> = None;
         selection.look_again_at = Micros::MAX;
@@ -99,12 +112,14 @@
         best
     }
 
-    fn held_back(&self, selection: &Selection) -> HeldBack {
+    /// The options that are left because the slots or a cap are used up by calls in flight.
+    fn held_back(&self, selection: Selection) -> SendOptions {
         let cap = self.cap(DEGRADED_CAP_QUARTERS);
         let no_slot = self.state.calls.slots_used() >= self.parameters.settings.call_slots;
         let all = no_slot || selection.degraded_calls >= cap;
-        let options = selection.options.iter().filter(|(id, _)| all || self.state.calls.count(**id) >= cap);
-        options.map(|(id, option)| (*id, option.candidate.is_ok())).collect()
+        let mut options = selection.options;
+        options.retain(|id, _| all || self.state.calls.count(*id) >= cap);
+        options
     }
 
     /// A number of quarters of the call slots, at least one slot. Computed so that it cannot overflow.
--- a/src/decision/endpoint_choice.rs
+++ b/src/decision/endpoint_choice.rs
@@ -1,17 +1,16 @@
 //! The choice among the endpoints of a destination.
 
-use super::Balancer;
-use super::parameters::Parameters;
+use super::{Balancer, Parameters};
 use crate::interface::{DestinationId, EndpointId, MessageId, Micros};
 use crate::sender_state::{Destination, Endpoint, RouteId};
 
-/// Where many senders share a limit, messages gather for one call for the latency objective divided by this.
+/// Where many senders share a limit, messages are collected for the latency objective divided by this.
 const GATHERING_OBJECTIVE_DIVISOR: Micros = 3;
 
 /// The best call to a destination.
 #[derive(Clone, Copy)]
 pub(super) struct Candidate {
-    /// What the call would earn per unit of time that it holds its slot.
+    /// The value of its messages per microsecond that the call holds its slot.
     pub value_rate: f64,
     pub route: RouteId,
     pub message: MessageId,
@@ -22,7 +21,7 @@
     pub(super) fn candidate(&self, destination: DestinationId, now: Micros) -> Result<Candidate, Micros> {
         let (parameters, directory) = (&self.parameters, &self.state.directory);
         let known = &directory.destinations[&destination];
-        // A call takes one slot and earns the value of all the messages in it.
+        // A call takes one slot and delivers all the messages in it.
         let queued = self.state.messages.queues().len(destination);
         let messages_per_call = queued.min(known.kind.batch.max(1)) as f64;
         let is_full = queued >= known.kind.batch;
@@ -31,13 +30,11 @@
         for endpoint in self.endpoints_by_cost(known, now) {
             let route_id = RouteId { destination, endpoint };
             let (route, endpoint) = (directory.route(route_id), &directory.endpoints[&endpoint]);
-            let mut ready_at = route.ready_at();
-            if !route.breaker.is_open() {
-                ready_at = ready_at.max(gathered_at);
-            }
-            if !endpoint.idle_connections.has_usable(now, parameters.settings.idle_timeout) {
-                ready_at = ready_at.max(endpoint.connect_rejections.backoff_until);
-            }
+            let is_connected = endpoint.idle_connections.has_usable(now, parameters.settings.idle_timeout);
+            let full_at = if route.breaker.is_open() { Micros::MIN } else { gathered_at };
+            let connect_at =
+                if is_connected { Micros::MIN } else { endpoint.connect_rejections.backoff_until };
+            let ready_at = route.ready_at().max(full_at).max(connect_at);
             if ready_at > now {
                 look_again_at = look_again_at.min(ready_at);
             } else if let Some(choice) = self.best_message(route_id, now) {
@@ -65,7 +62,7 @@
     fn expected_time(&self, destination: &Destination, endpoint: &Endpoint, now: Micros) -> f64 {
         let Parameters { latency_objective, settings, .. } = &self.parameters;
         let (measured, usual) = (endpoint.latency.get(), destination.route.latency.usual.get());
-        let latency = if measured > 0.0 { measured } else { usual.max(latency_objective / 16.0) };
+        let latency = if measured > 0.0 { measured } else { usual.max(self.parameters.min_latency) };
         let new_connection = !endpoint.idle_connections.has_usable(now, settings.idle_timeout);
         let half_latencies = 2.0
             + 2.0 * endpoint.calls_in_flight as f64
@@ -74,8 +71,8 @@
         latency / 2.0 * half_latencies + if now < endpoint.avoid_until { *latency_objective } else { 0.0 }
     }
 
-    /// When the queued messages have gathered long enough: within the objective a delay costs nothing, and a
-    /// call with few messages takes the place of a full one of another sender.
+    /// When messages have been collected for one call for long enough. Within the objective a delay costs
+    /// nothing, and a call with few messages uses up as much of a shared limit as a full one.
     fn gathered_at(&self, id: DestinationId, destination: &Destination) -> Micros {
         if !self.parameters.has_many_senders() || destination.route.limiter.limit.is_none() {
             return Micros::MIN;
--- a/src/decision/health.rs
+++ b/src/decision/health.rs
@@ -2,10 +2,10 @@
 
 use super::parameters::Parameters;
 use crate::estimators::{DecayingCounter, SECOND};
-use crate::interface::{DestinationId, Micros};
-use crate::sender_state::{BreakerState, Directory, Latency, Route};
+use crate::interface::Micros;
+use crate::sender_state::{BreakerState, Latency, Route};
 
-/// Successes that are assumed beforehand, so that few samples do not condemn a destination.
+/// Successes that are assumed beforehand, so that few samples do not make a destination count as degraded.
 const PRIOR_SUCCESSES: f64 = 3.0;
 /// Fraction of failures from which a destination is degraded.
 const DEGRADED_FAILURE_SHARE: f64 = 0.2;
@@ -56,6 +56,7 @@
         self.is_frequent(&self.health.possible_executions, now, parameters)
     }
 
+    /// Whether failures of a kind are a large part of the recent outcomes.
     fn is_frequent(&self, failures: &DecayingCounter, now: Micros, parameters: &Parameters) -> bool {
         let failures = failures.get(now, parameters.outcome_decay);
         let successes = self.health.successes.get(now, parameters.outcome_decay);
@@ -68,17 +69,11 @@
         self.count_calls_older_than(now, age, self.last_delivery - age)
     }
 
-    fn is_degraded(&self, now: Micros, parameters: &Parameters) -> bool {
+    /// Whether the lower cap on calls in flight applies.
+    pub(super) fn is_degraded(&self, now: Micros, parameters: &Parameters) -> bool {
         self.breaker.state != BreakerState::Closed
             || self.latency.recent.get() > SLOW_FACTOR * self.latency.usual.get()
             || self.is_frequent(&self.health.failures, now, parameters)
             || self.overdue_calls(now, parameters) > 0
     }
 }
-
-impl Directory {
-    /// Whether the lower cap on calls in flight applies to a destination.
-    pub(super) fn is_degraded(&self, id: DestinationId, now: Micros, parameters: &Parameters) -> bool {
-        self.routes(id).any(|route| route.is_degraded(now, parameters))
-    }
-}
--- a/src/decision/outcome.rs
+++ b/src/decision/outcome.rs
@@ -1,9 +1,8 @@
-//! Ends of attempts: accounting, further attempts, and what the outcome says about the endpoint.
+//! Ends of attempts: retries, and what the outcome says about the endpoint.
 
-use super::Balancer;
-use super::health::RECENT_LATENCY_GAIN;
-use crate::interface::{Action, AttemptEnded, Micros, Outcome, PossibleExecution};
-use crate::sender_state::{Attempt, Message, MessageState};
+use super::{Balancer, health::RECENT_LATENCY_GAIN};
+use crate::interface::{Action, AttemptEnded, Micros, Outcome};
+use crate::sender_state::{Attempt, Message};
 
 /// The first retry after a possible execution is delayed by the latency objective divided by this.
 const RETRY_DELAY_OBJECTIVE_DIVISOR: Micros = 16;
@@ -15,7 +14,7 @@
 impl Balancer {
     pub(super) fn end_attempt(&mut self, now: Micros, end: &AttemptEnded, actions: &mut Vec<Action>) {
         let Some(attempt) = self.state.end_attempt(end.id, end.attempt) else { return };
-        self.heed_retry_after(now, &attempt, end);
+        self.respect_retry_after(now, &attempt, end);
         if !self.state.calls.contains(attempt.call) {
             self.end_call(now, &attempt, end);
         }
@@ -31,8 +30,8 @@
         }
     }
 
-    /// A Retry-After for one message holds for every message on the route, at once.
-    fn heed_retry_after(&mut self, now: Micros, attempt: &Attempt, end: &AttemptEnded) {
+    /// A Retry-After for one message holds for all messages on the route, before the call ends.
+    fn respect_retry_after(&mut self, now: Micros, attempt: &Attempt, end: &AttemptEnded) {
         let of_outcome = if let Outcome::Rejected { retry_after } = end.outcome { retry_after } else { None };
         if let Some(wait) = of_outcome.or(end.retry_after) {
             let route = self.state.directory.route_mut(attempt.route);
@@ -55,16 +54,10 @@
             || message.attempts - message.unsent_attempts >= self.parameters.settings.max_attempts
     }
 
-    /// Plans a further attempt, or gives the final answer if none is allowed.
+    /// Plans a retry, or gives the final answer if none is allowed.
     fn retry(&mut self, now: Micros, attempt: &Attempt, end: &AttemptEnded, actions: &mut Vec<Action>) {
         let id = end.id;
-        let message = self.state.messages.get_mut(id).expect("the caller has checked it");
-        if !end.outcome.never_executed() && message.possible_execution.is_none() {
-            let zone = self.state.directory.endpoints[&attempt.route.endpoint].zone;
-            message.possible_execution = Some(PossibleExecution { sent_at: attempt.sent_at, zone });
-        }
-        message.state = MessageState::Blocked;
-        message.unsent_attempts += usize::from(end.unsent);
+        self.state.record_failed_attempt(attempt, end);
         self.schedule_give_up(id);
         let message = &self.state.messages[id];
         if now >= message.give_up_at || self.has_no_attempt_left(message) {
@@ -72,7 +65,7 @@
         }
         let doublings = (message.attempts - 1).min(MAX_RETRY_DELAY_DOUBLINGS);
         let delay = self.parameters.objective_part(RETRY_DELAY_OBJECTIVE_DIVISOR) << doublings;
-        // A stale connection says nothing against another one. What the host held back is delayed.
+        // A retry on a new connection may follow a stale one at once. What the host held back is delayed.
         let held_back_by_host = end.unsent && end.outcome == Outcome::NotSent;
         let not_executed = end.outcome.never_executed() && !held_back_by_host;
         if not_executed || end.outcome == Outcome::StaleConnection {
@@ -82,7 +75,7 @@
         }
     }
 
-    /// Draws the conclusions from a call, which ends with its last attempt.
+    /// Updates the endpoint and the route by the outcome of a call, which ends with its last attempt.
     fn end_call(&mut self, now: Micros, attempt: &Attempt, end: &AttemptEnded) {
         let settings = &self.parameters.settings;
         let answered = matches!(end.outcome, Outcome::Delivered | Outcome::Error | Outcome::Rejected { .. });
@@ -96,7 +89,6 @@
             Outcome::Delivered => {
                 endpoint.latency.add(end.elapsed as f64, RECENT_LATENCY_GAIN);
                 endpoint.avoid_until = now;
-                endpoint.connect_rejections.waves = 0;
                 endpoint.record_delivery(attempt.sent_at);
             }
             // The endpoint has delivered since: that says more than a response that was lost.
--- a/src/decision/parameters.rs
+++ b/src/decision/parameters.rs
@@ -5,6 +5,8 @@
 
 /// Senders are loaded unevenly: one may count on this multiple of its even share of what all of them share.
 pub(super) const UNEVEN_SHARE_FACTOR: f64 = 2.0;
+/// Objectives and the resolution of timers are taken as at least one millisecond.
+const MIN_DURATION: Micros = 1_000;
 /// Time constant of the decay of outcomes, as a fraction of the warm-up time.
 const OUTCOME_DECAY_FRACTION: f64 = 0.4;
 
@@ -17,10 +19,16 @@
     pub(super) warm_up: f64,
     /// Time constant of the decay of outcomes.
     pub(super) outcome_decay: f64,
+    /// Number of senders, at least one.
+    pub(super) senders: f64,
     /// Fraction of what all senders share that this one may count on.
     pub(super) share: f64,
     /// The slowest useful rate in calls per second: one per objective, or two per objective of all senders.
     pub(super) min_rate: f64,
+    /// The lowest limit in calls per second, below the slowest useful rate.
+    pub(super) rate_floor: f64,
+    /// The least latency that is assumed, as a part of the latency objective.
+    pub(super) min_latency: f64,
     /// Resolution of the timers of the host.
     pub(super) tick: Micros,
 }
@@ -30,16 +38,20 @@
         settings.max_retry_after = if settings.retry_after { settings.max_retry_after.max(0) } else { 0 };
         let objectives = settings.classes.iter().map(|class| class.latency_objective);
         let shortest = objectives.filter(|objective| *objective > 0).min();
-        let latency_objective = shortest.unwrap_or(SECOND as Micros).max(1000) as f64;
+        let latency_objective = shortest.unwrap_or(SECOND as Micros).max(MIN_DURATION) as f64;
         let warm_up = (settings.warm_up_time.max(settings.overload_window) as f64).max(latency_objective);
         let share = UNEVEN_SHARE_FACTOR / (settings.sender_count as f64).max(UNEVEN_SHARE_FACTOR);
+        let min_rate = SECOND / latency_objective * share;
         Parameters {
             latency_objective,
             warm_up,
             outcome_decay: warm_up * OUTCOME_DECAY_FRACTION,
+            senders: settings.sender_count.max(1) as f64,
             share,
-            min_rate: SECOND / latency_objective * share,
-            tick: settings.min_turn_interval.max(1000),
+            min_rate,
+            rate_floor: min_rate / 4.0,
+            min_latency: latency_objective / 16.0,
+            tick: settings.min_turn_interval.max(MIN_DURATION),
             settings,
         }
     }
@@ -49,11 +61,6 @@
         self.share < 0.5
     }
 
-    /// Number of senders, for shares.
-    pub(super) fn senders(&self) -> f64 {
-        self.settings.sender_count.max(1) as f64
-    }
-
     /// The latency objective divided by a whole number, in whole microseconds.
     pub(super) fn objective_part(&self, divisor: Micros) -> Micros {
         self.latency_objective as Micros / divisor
--- a/src/decision/rate_limiter.rs
+++ b/src/decision/rate_limiter.rs
@@ -13,6 +13,8 @@
 pub(super) const BURST_SECONDS: f64 = 0.3;
 /// Where many senders share a limit, the longest backoff in intervals of one sender's share of it.
 const MAX_BACKOFF_INTERVALS: f64 = 4.0;
+/// Waves of rejections in a row that still double the backoff.
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 /// This many rejections in a row without a Retry-After are an outage and not a limit.
 const OUTAGE_REJECTIONS: u32 = 4;
 /// A reported limit is plausible within this factor of the listed rate.
@@ -27,7 +29,7 @@
         if listed_rate <= 0.0 || self.limiter.limit.is_some() {
             return;
         }
-        let share = if batch > 1 { 1.0 / parameters.senders() } else { 1.0 };
+        let share = if batch > 1 { 1.0 / parameters.senders } else { 1.0 };
         let many_senders = parameters.has_many_senders();
         let limit = listed_rate * if many_senders { share.min(parameters.share) } else { share };
         self.limiter.limit = Some(limit);
@@ -44,7 +46,7 @@
         limiter.reported_limit.unwrap_or(limiter.listed_rate / UNEVEN_SHARE_FACTOR) * parameters.share
     }
 
-    /// Takes in a reported limit unless it is so small or so large that the rate would not get over it.
+    /// Accepts a reported limit unless it is implausible: a wrong one would spoil the rate for long.
     pub(super) fn record_reported_limit(&mut self, reported: f64, batch: usize, parameters: &Parameters) {
         let limiter = &mut self.limiter;
         let is_listed = limiter.listed_rate > 0.0;
@@ -54,12 +56,12 @@
             return;
         }
         if limiter.reported_limit.is_none() {
-            limiter.limit = Some(if batch > 1 { reported / parameters.senders() } else { reported });
+            limiter.limit = Some(if batch > 1 { reported / parameters.senders } else { reported });
         }
         limiter.reported_limit = Some(reported);
     }
 
-    /// Increases the limit with time, after a delivery. Frequent half-empty calls say nothing about it.
+    /// Increases the limit with time, after a delivery. Frequent calls that are not full do not test it.
     pub(super) fn increase_limit(&mut self, now: Micros, parameters: &Parameters) {
         self.limiter.rejections = 0;
         let Some(limit) = self.limiter.limit else { return };
@@ -70,8 +72,8 @@
         let elapsed = elapsed.clamp(0.0, parameters.warm_up / SECOND);
         let scale = (limit + parameters.min_rate).max(self.own_share(parameters));
         let increased = limit + elapsed * INCREASE_PER_SECOND * scale;
-        self.limiter.limit = Some(self.limiter.reported_limit.map_or(increased, |max| increased.min(max)));
-        self.limiter.limit_changed_at = now;
+        let increased = self.limiter.reported_limit.map_or(increased, |max| increased.min(max));
+        self.limiter.set_limit(now, increased);
     }
 
     /// Decreases the limit, once for all calls sent before the first rejection of a wave was received. A
@@ -80,16 +82,14 @@
         if sent_at < self.limiter.last_rejection {
             return;
         }
-        self.limiter.rejections += 1;
-        self.limiter.last_rejection = now;
+        self.limiter.record_rejection(now);
         let share = self.own_share(parameters);
         let is_shared = share > 0.0 && parameters.has_many_senders();
-        let floor = if is_shared { share / MAX_BACKOFF_INTERVALS } else { parameters.min_rate / 4.0 };
+        let floor = if is_shared { share / MAX_BACKOFF_INTERVALS } else { parameters.rate_floor };
         let confidence = 1.0 - 1.0 / self.calls.count(now, parameters.warm_up).max(1.0);
         let sent = (self.own_rate(now, parameters) * confidence).max(share);
         let base = self.limiter.limit.map_or(sent, |limit| limit.min(sent));
-        self.limiter.limit = Some((base * DECREASE_FACTOR).max(floor));
-        self.limiter.limit_changed_at = now;
+        self.limiter.set_limit(now, (base * DECREASE_FACTOR).max(floor));
     }
 
     /// Holds calls back after a rejection. A short Retry-After comes from a limit that other senders use up,
@@ -107,13 +107,13 @@
     fn rejection_backoff(&mut self, parameters: &Parameters) -> Micros {
         let share = self.own_share(parameters);
         let many_senders = parameters.has_many_senders();
-        let rate = self.limiter.limit.unwrap_or(parameters.min_rate).max(parameters.min_rate / 4.0);
+        let rate = self.limiter.limit.unwrap_or(parameters.min_rate).max(parameters.rate_floor);
         let longest = if share > 0.0 && many_senders {
             MAX_BACKOFF_INTERVALS * SECOND / share
         } else {
             parameters.latency_objective * (1.0 / parameters.share).min(4.0)
         };
-        let doubled = SECOND / rate * f64::from(1u32 << self.limiter.rejections.min(4));
+        let doubled = SECOND / rate * f64::from(1u32 << self.limiter.rejections.min(MAX_BACKOFF_DOUBLINGS));
         let jitter = if many_senders { 0.5 + random_unit(&mut self.seed) } else { 1.0 };
         ((doubled / 2.0).min(longest) * jitter) as Micros
     }
--- a/src/decision/route.rs
+++ b/src/decision/route.rs
@@ -15,7 +15,7 @@
 
     /// Calls per second that are allowed now; `None` if nothing limits them.
     pub(super) fn allowed_rate(&self, now: Micros, parameters: &Parameters) -> Option<f64> {
-        let limit = self.limiter.limit.map(|limit| limit.max(parameters.min_rate / 4.0));
+        let limit = self.limiter.limit.map(|limit| limit.max(parameters.rate_floor));
         let Some(rate) = self.warm_up_rate(now, parameters) else { return limit };
         Some(limit.map_or(rate, |limit| limit.min(rate)))
     }
@@ -32,20 +32,18 @@
         limiter.wait_until.max(spaced)
     }
 
-    /// Takes note of a call that is sent now. It is full if it carries as many messages as a call may.
+    /// Updates the limits by a call that is sent now. A full one carries as many messages as a call may.
     pub(super) fn record_call(&mut self, call: u64, now: Micros, full: bool, parameters: &Parameters) {
-        self.limiter.last_call_full = full;
         if let Some(rate) = self.allowed_rate(now, parameters) {
             self.limiter.record_call(now, rate);
         }
-        self.in_flight.insert(call, now);
-        self.calls.add(now, parameters.warm_up);
+        self.record_sent_call(call, now, full, parameters.warm_up);
         if self.breaker.is_open() {
             self.schedule_probe(now, parameters);
         }
     }
 
-    /// Draws the conclusions from the outcome of a call.
+    /// Updates health, latency, limit and circuit breaker by the outcome of a call.
     pub(super) fn record_outcome(&mut self, now: Micros, end: &AttemptEnded, parameters: &Parameters) {
         match end.outcome {
             Outcome::Delivered => {
@@ -60,7 +58,7 @@
                 self.decrease_limit(now, now - end.elapsed, parameters);
                 self.back_off(now, retry_after, parameters);
             }
-            // Responses damaged on their way and connections that were already dead say nothing about health.
+            // Invalid responses and stale connections are no evidence about the health of the destination.
             Outcome::NotSent | Outcome::InvalidResponse | Outcome::StaleConnection => {}
             outcome => {
                 self.health.record_failure(now, outcome, parameters.outcome_decay);
--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -1,10 +1,10 @@
 //! The value of messages, and the choice of a message for an endpoint.
 
 use super::Balancer;
-use crate::interface::{Idempotency, MessageId, Micros};
+use crate::interface::{Idempotency, MessageId, Micros, WeightDecay};
 use crate::sender_state::{Message, RouteId};
 
-/// A message that could be sent, and what its delivery would earn.
+/// A message that could be sent, and the value of its delivery.
 #[derive(Clone, Copy)]
 pub(super) struct MessageChoice {
     pub id: MessageId,
@@ -13,7 +13,7 @@
 }
 
 impl Balancer {
-    /// Later it is too late for an answer, or the destination may have forgotten the idempotency key.
+    /// A later attempt would end too late, or the destination may have forgotten the idempotency key.
     pub(super) fn sendable_until(&self, message: &Message) -> Micros {
         let submission = &message.submission;
         let known = self.state.directory.destinations.get(&submission.destination);
@@ -27,12 +27,26 @@
         }
     }
 
+    /// Some destinations remember an idempotency key only in the zone where it was first used.
     fn is_sendable(&self, message: &Message, zone: usize, now: Micros) -> bool {
         let idempotency = self.parameters.settings.classes[message.submission.class].idempotency;
-        message.is_key_known_in(zone, idempotency) && now < self.sendable_until(message)
+        let per_zone = matches!(idempotency, Idempotency::Keyed { per_zone: true, .. });
+        let key_known = !per_zone || message.possible_execution.is_none_or(|first| first.zone == zone);
+        key_known && now < self.sendable_until(message)
     }
 
-    /// What the delivery of a message at a time would earn.
+    /// Fraction of its weight that a message has left at a time, by the weight decay that is configured.
+    fn remaining_weight(&self, message: &Message, at: Micros) -> f64 {
+        let class = &self.parameters.settings.classes[message.submission.class];
+        let late = (at - message.due).max(0) as f64;
+        if self.parameters.settings.weight_decay == WeightDecay::HalfLife && class.latency_objective > 0 {
+            return (-late / class.latency_objective as f64).exp2().max(class.late_weight_fraction);
+        }
+        let decay_time = (message.submission.expires_at - message.due).max(1) as f64;
+        1.0 - (1.0 - class.late_weight_fraction) * (late / decay_time).min(1.0)
+    }
+
+    /// The value of a delivery of a message at a time, by which messages compete for call slots.
     pub(super) fn value(&self, message: &Message, at: Micros) -> f64 {
         // A message that was accepted before a restart was promised an attempt: it is tried first.
         if message.is_accepted_and_untried() {
@@ -40,19 +54,18 @@
         }
         let settings = &self.parameters.settings;
         let class = &settings.classes[message.submission.class];
-        let remaining = message.remaining_weight(at, class, settings.weight_decay);
-        // Every class counts, the one with the worst result most: a class that loses messages gains priority.
+        // A class gains priority as its fraction of delivered messages falls.
         let results = &self.state.class_results[message.submission.class];
         let [delivered, ended] = [&results.delivered, &results.ended]
             .map(|counter| counter.get(at, self.parameters.warm_up) + 1.0);
         class.priority_weight.max(0.0).sqrt()
-            * remaining
+            * self.remaining_weight(message, at)
             * (ended / delivered).powi(2)
             * if message.over_quota { settings.over_quota_weight } else { 1.0 }
     }
 
-    /// The message that earns most at an endpoint: of each queue, the first message that will be delivered on
-    /// time and the first of all are considered. Of equal ones, the one that is due first is taken.
+    /// The message with the highest value at an endpoint. Of each queue, the first message that will be
+    /// delivered on time and the first of all are compared; equal values are ordered by when they are due.
     pub(super) fn best_message(&self, route_id: RouteId, now: Micros) -> Option<MessageChoice> {
         let route = self.state.directory.route(route_id);
         let zone = self.state.directory.endpoints[&route_id.endpoint].zone;
@@ -64,7 +77,7 @@
         let repeatable_queued = queues.of(route_id.destination).any(|(key, _)| !at_most_once(key.class));
         let mut best: Option<MessageChoice> = None;
         for (key, queue) in queues.of(route_id.destination) {
-            // A probe may be lost: if possible it is a message that may be attempted again.
+            // A probe may be lost: a message that may be executed again is preferred.
             if probe && repeatable_queued && at_most_once(key.class) {
                 continue;
             }
--- a/src/decision/sending.rs
+++ b/src/decision/sending.rs
@@ -1,7 +1,6 @@
 //! Sending: a call to an endpoint and the messages that travel in it.
 
-use super::Balancer;
-use super::endpoint_choice::Candidate;
+use super::{Balancer, endpoint_choice::Candidate};
 use crate::interface::{Action, MessageId, Micros};
 use crate::sender_state::Attempt;
 
@@ -29,16 +28,17 @@
     }
 
     fn start_attempt(&mut self, now: Micros, id: MessageId, attempt: Attempt, actions: &mut Vec<Action>) {
-        let (route_id, objective) = (attempt.route, self.parameters.latency_objective);
+        let route_id = attempt.route;
         let route = self.state.directory.route(route_id);
-        let retry_timeout = TIMEOUT_LATENCIES * route.latency.usual.get().max(objective / 16.0);
-        let retry_timeout = retry_timeout.max(MIN_TIMEOUT_OBJECTIVES * objective) as Micros;
+        let retry_timeout = TIMEOUT_LATENCIES * route.latency.usual.get().max(self.parameters.min_latency);
+        let min_timeout = MIN_TIMEOUT_OBJECTIVES * self.parameters.latency_objective;
         self.state.start_attempt(id, attempt);
         let message = &self.state.messages[id];
         let time_left = (message.submission.expires_at - now).max(1);
         // A message that allows one execution is given all the time that it has.
         let at_most_once = self.parameters.at_most_once(message.submission.class);
-        let timeout = if at_most_once { time_left } else { retry_timeout.min(time_left) };
+        let timeout =
+            if at_most_once { time_left } else { (retry_timeout.max(min_timeout) as Micros).min(time_left) };
         let send_before = self.sendable_until(message);
         actions.push(Action::Send { id, endpoint: route_id.endpoint, timeout, send_before });
     }
--- a/src/decision/timers.rs
+++ b/src/decision/timers.rs
@@ -5,7 +5,7 @@
 use crate::sender_state::MessageState;
 
 impl Balancer {
-    /// Sets the time at which a message is answered if no further attempt can be made.
+    /// Sets the time at which a message is answered if it has not been delivered.
     pub(super) fn schedule_give_up(&mut self, id: MessageId) {
         let give_up_at = self.sendable_until(&self.state.messages[id]);
         self.state.messages.set_give_up_at(id, give_up_at);
--- a/src/sender_state/calls.rs
+++ b/src/sender_state/calls.rs
@@ -28,19 +28,13 @@
     pub(crate) fn new(call: u64, route: RouteId, sent_at: Micros) -> Self {
         Attempt { call, route, class: 0, sent_at, cancelled: false, lost: false, ordering_key: None }
     }
-
-    /// Marks it as cancelled, and returns the action that cancels it.
-    pub(crate) fn cancel(&mut self, id: MessageId, attempt: usize) -> Action {
-        self.cancelled = true;
-        Action::Cancel { id, attempt }
-    }
 }
 
 /// All attempts in flight. Each call takes one call slot.
 #[derive(Default)]
 pub(crate) struct CallTable {
     /// By message and by the number of the attempt.
-    pub(crate) attempts: BTreeMap<(MessageId, usize), Attempt>,
+    attempts: BTreeMap<(MessageId, usize), Attempt>,
     /// Each call, as often as it has attempts in flight.
     attempts_by_call: Multiset<u64>,
     /// The destination of each call.
@@ -88,6 +82,21 @@
         calls
     }
 
+    /// Cancels the attempts for which `is_to_be_cancelled` returns true, and adds the actions. Attempts that
+    /// have been cancelled before are not passed to it.
+    pub(crate) fn cancel_where(
+        &mut self,
+        actions: &mut Vec<Action>,
+        mut is_to_be_cancelled: impl FnMut(&mut Attempt) -> bool,
+    ) {
+        for (&(id, number), attempt) in self.attempts.iter_mut().filter(|(_, attempt)| !attempt.cancelled) {
+            if is_to_be_cancelled(attempt) {
+                attempt.cancelled = true;
+                actions.push(Action::Cancel { id, attempt: number });
+            }
+        }
+    }
+
     /// Adds an attempt; with the first one of a call, the call.
     pub(crate) fn insert(&mut self, id: MessageId, number: usize, attempt: Attempt) {
         if !self.contains(attempt.call) {
--- a/src/sender_state/class_results.rs
+++ b/src/sender_state/class_results.rs
@@ -1,4 +1,4 @@
-//! How the messages of a class fare.
+//! Results of the messages of a class: delivered or not.
 
 use crate::estimators::DecayingCounter;
 use crate::interface::Micros;
--- a/src/sender_state/directory.rs
+++ b/src/sender_state/directory.rs
@@ -82,8 +82,9 @@
         self.idle_connections.take();
     }
 
-    /// Takes note of the delivery of a call.
+    /// Takes note of the delivery of a call: connections are accepted.
     pub(crate) fn record_delivery(&mut self, sent_at: Micros) {
+        self.connect_rejections.waves = 0;
         self.last_delivered_call_sent_at = self.last_delivered_call_sent_at.max(sent_at);
     }
 }
--- a/src/sender_state/message.rs
+++ b/src/sender_state/message.rs
@@ -1,7 +1,7 @@
 //! Messages that have no final answer yet.
 
 use super::message_queues::QueueKey;
-use crate::interface::{Class, Idempotency, Micros, PossibleExecution, Submission, WeightDecay};
+use crate::interface::{Micros, PossibleExecution, Submission};
 
 /// Whether a message can be sent.
 #[derive(Clone, Copy, PartialEq)]
@@ -22,7 +22,7 @@
     pub(crate) submission: Submission,
     /// The tenant had used up its quota.
     pub(crate) over_quota: bool,
-    /// A delivery up to this time earns the full weight.
+    /// A delivery up to this time has the full weight.
     pub(crate) due: Micros,
     /// When the message is answered if it has not been delivered.
     pub(crate) give_up_at: Micros,
@@ -34,7 +34,7 @@
     pub(crate) state: MessageState,
     /// The first attempt that may have been executed.
     pub(crate) possible_execution: Option<PossibleExecution>,
-    /// The client receives the response: it needs no answer from here.
+    /// The response is being streamed to the client, so that no other answer must follow.
     pub(crate) response_started: bool,
 }
 
@@ -63,21 +63,4 @@
     pub(crate) fn is_accepted_and_untried(&self) -> bool {
         self.submission.history.accepted && self.attempts == self.unsent_attempts
     }
-
-    /// Fraction of its weight that is left at a time, by the weight decay that is configured.
-    pub(crate) fn remaining_weight(&self, at: Micros, class: &Class, decay: WeightDecay) -> f64 {
-        let late = (at - self.due).max(0) as f64;
-        if decay == WeightDecay::HalfLife && class.latency_objective > 0 {
-            return (-late / class.latency_objective as f64).exp2().max(class.late_weight_fraction);
-        }
-        let decay_time = (self.submission.expires_at - self.due).max(1) as f64;
-        1.0 - (1.0 - class.late_weight_fraction) * (late / decay_time).min(1.0)
-    }
-
-    /// Whether its idempotency key is known in a zone, if it has been used. Some destinations remember a key
-    /// only in the zone where it was first used.
-    pub(crate) fn is_key_known_in(&self, zone: usize, idempotency: Idempotency) -> bool {
-        let per_zone = matches!(idempotency, Idempotency::Keyed { per_zone: true, .. });
-        !per_zone || self.possible_execution.is_none_or(|first| first.zone == zone)
-    }
 }
--- a/src/sender_state/mod.rs
+++ b/src/sender_state/mod.rs
@@ -19,7 +19,7 @@
 mod state;
 
 pub(crate) use calls::Attempt;
-pub(crate) use directory::{Destination, Directory, Endpoint, RouteId};
+pub(crate) use directory::{Destination, Endpoint, RouteId};
 pub(crate) use message::{Message, MessageState};
 pub(crate) use route::{BreakerState, Latency, Route};
 pub(crate) use state::SenderState;
--- a/src/sender_state/route.rs
+++ b/src/sender_state/route.rs
@@ -98,7 +98,7 @@
 }
 
 impl RateLimiter {
-    /// Takes note of a call that is sent now: the next one is due an interval (seconds) later.
+    /// Takes note of a call that is sent now: the next one is due one interval later.
     pub(crate) fn record_call(&mut self, now: Micros, calls_per_second: f64) {
         self.next_call_at = self.next_call_at.max(now) + (SECOND / calls_per_second) as Micros;
     }
@@ -108,6 +108,18 @@
         self.next_call_at -= (SECOND / calls_per_second) as Micros;
     }
 
+    /// Sets the limit of this sender, in calls per second.
+    pub(crate) fn set_limit(&mut self, now: Micros, limit: f64) {
+        self.limit = Some(limit);
+        self.limit_changed_at = now;
+    }
+
+    /// Takes note of the first rejection of a wave.
+    pub(crate) fn record_rejection(&mut self, now: Micros) {
+        self.rejections += 1;
+        self.last_rejection = now;
+    }
+
     /// No call may be sent until then.
     pub(crate) fn hold_until(&mut self, until: Micros) {
         self.wait_until = self.wait_until.max(until);
@@ -142,6 +154,13 @@
         self.in_flight.values().take_while(counts).count()
     }
 
+    /// Takes note of a call that is sent. `time_constant` is in microseconds.
+    pub(crate) fn record_sent_call(&mut self, call: u64, now: Micros, full: bool, time_constant: f64) {
+        self.limiter.last_call_full = full;
+        self.in_flight.insert(call, now);
+        self.calls.add(now, time_constant);
+    }
+
     /// A route about which nothing is known. Its random numbers are derived from `seed`.
     pub(crate) fn new(now: Micros, seed: &mut u64) -> Self {
         random_unit(seed);
--- a/src/sender_state/state.rs
+++ b/src/sender_state/state.rs
@@ -7,7 +7,9 @@
 use super::message_table::MessageTable;
 use super::ordering_keys::OrderingKeys;
 use crate::estimators::DecayingCounter;
-use crate::interface::{EndpointId, InheritedCall, MessageId, Micros, Settings};
+use crate::interface::{
+    AttemptEnded, EndpointId, InheritedCall, MessageId, Micros, PossibleExecution, Settings,
+};
 use std::collections::BTreeSet;
 
 /// The state of one sender.
@@ -24,7 +26,7 @@
     pub(crate) calls: CallTable,
     /// Recent submissions of each tenant.
     pub(crate) tenant_submissions: Vec<DecayingCounter>,
-    /// How the messages of each class fare.
+    /// Results of the messages of each class.
     pub(crate) class_results: Vec<ClassResults>,
     /// Until then the connection tables of endpoints are assumed to be full.
     pub(crate) connection_tables_full_until: Micros,
@@ -113,6 +115,17 @@
         Some(attempt)
     }
 
+    /// Records that an attempt of an open message has failed. The message is neither queued nor delayed then.
+    pub(crate) fn record_failed_attempt(&mut self, attempt: &Attempt, end: &AttemptEnded) {
+        let message = self.messages.get_mut(end.id).expect("the message is open");
+        if !end.outcome.never_executed() && message.possible_execution.is_none() {
+            let zone = self.directory.endpoints[&attempt.route.endpoint].zone;
+            message.possible_execution = Some(PossibleExecution { sent_at: attempt.sent_at, zone });
+        }
+        message.state = MessageState::Blocked;
+        message.unsent_attempts += usize::from(end.unsent);
+    }
+
     /// Records that a call has ended. If it was answered, its connection is idle now.
     pub(crate) fn end_call(&mut self, now: Micros, attempt: &Attempt, answered: bool, idle_timeout: Micros) {
         let route = self.directory.route_mut(attempt.route);
