Split the driver of the decision histories by subject and type its inputs

What was hard to read: one driver of 437 lines, inputs and attempts with tuples and an Option of an Option, names such as wait, started, Listed, list_broken and numbers for kinds of endpoint weights.

tests/support_history/decisions now has a file for the host, attempts, submissions, environment, inputs, settings, plans of calls, scenarios, translation and encoding. Seeds, expected counts and digests are unchanged.

--- a/tests/decision_history.rs
+++ b/tests/decision_history.rs
@@ -3,20 +3,13 @@
 //!
 //! After an intended change of behaviour the panic message of each test shows the values to record.
 
-#[path = "support_history/calls.rs"]
-mod calls;
-#[path = "support_history/driver.rs"]
-mod driver;
-#[path = "support_history/scenario.rs"]
-mod scenario;
+#[path = "support_history/decisions/mod.rs"]
+mod decisions;
 mod support_history;
-#[path = "support_history/translation.rs"]
-mod translation;
 
-use driver::History;
-use scenario::*;
+use decisions::*;
+use message_forwarder::interface::EndpointWeights;
 use support_history::Expected;
-use translation::*;
 
 /// Numbers of the kinds of decision, as the recordings encode them.
 const SEND: usize = 1;
@@ -46,7 +39,7 @@
     sender_count: 2,
     call_slots: 16,
     max_open_messages: 400,
-    weights: 0,
+    endpoint_weights: EndpointWeights::Off,
     poll_discovery: false,
     cancel: false,
     half_life_decay: false,
@@ -57,12 +50,12 @@
     burst: 4,
     condition: 8,
     list: 12,
-    list_broken: 0,
+    watch_failed: 0,
     ban: 0,
     ban_end: 0,
     drain: 0,
     client_disconnected: 10,
-    started: 10,
+    response_started: 10,
     history: 10,
 };
 
@@ -95,7 +88,7 @@
     name: "separate routes",
     seed: 12,
     destinations: &[destination(1, SEPARATE, 3), destination(2, SEPARATE, 2), destination(3, SHARED, 2)],
-    profile: Profile { weights: 1, ..PROFILE },
+    profile: Profile { endpoint_weights: EndpointWeights::Nominal, ..PROFILE },
     ..BASIC
 };
 
@@ -103,8 +96,13 @@
     name: "batches with many senders",
     seed: 13,
     destinations: &[destination(1, BATCHED, 2), destination(2, SHARED, 2), destination(3, SEPARATE, 2)],
-    profile: Profile { sender_count: 300, weights: 2, poll_discovery: true, ..PROFILE },
-    rates: Rates { burst: 12, list_broken: 5, ..RATES },
+    profile: Profile {
+        sender_count: 300,
+        endpoint_weights: EndpointWeights::Approximate,
+        poll_discovery: true,
+        ..PROFILE
+    },
+    rates: Rates { burst: 12, watch_failed: 5, ..RATES },
     must_occur: &[SEND, REJECT, FAIL, WAKE, CLOSE_IDLE_CONNECTIONS, SUBSCRIBE],
     ..BASIC
 };
@@ -158,8 +156,13 @@
     name: "restarts and hand-overs",
     seed: 18,
     destinations: &[destination(1, SHARED, 3), destination(2, SEPARATE, 2), destination(3, BATCHED, 2)],
-    profile: Profile { cancel: true, poll_discovery: true, weights: 1, ..PROFILE },
-    rates: Rates { history: 150, list_broken: 4, ban: 3, ban_end: 6, ..RATES },
+    profile: Profile {
+        cancel: true,
+        poll_discovery: true,
+        endpoint_weights: EndpointWeights::Nominal,
+        ..PROFILE
+    },
+    rates: Rates { history: 150, watch_failed: 4, ban: 3, ban_end: 6, ..RATES },
     take_over_every: 170,
     must_occur: &[SEND, REJECT, FAIL, WAKE, SUBSCRIBE],
     ..BASIC
@@ -169,7 +172,7 @@
     name: "bans and drains",
     seed: 19,
     destinations: &[destination(1, SHARED, 2), destination(2, SEPARATE, 2), destination(3, SHARED, 1)],
-    profile: Profile { sender_count: 8, weights: 1, ..PROFILE },
+    profile: Profile { sender_count: 8, endpoint_weights: EndpointWeights::Nominal, ..PROFILE },
     rates: Rates { ban: 25, ban_end: 80, drain: 10, ..RATES },
     must_occur: &[SEND, REJECT, FAIL, WAKE, ACCEPT_CLIENTS],
     ..BASIC
@@ -182,14 +185,14 @@
     profile: Profile {
         sender_count: 300,
         call_slots: 24,
-        weights: 2,
+        endpoint_weights: EndpointWeights::Approximate,
         poll_discovery: true,
         cancel: true,
         half_life_decay: true,
         ..PROFILE
     },
     tenants: true,
-    rates: Rates { submit: 300, list_broken: 5, ban: 5, ban_end: 10, drain: 3, history: 30, ..RATES },
+    rates: Rates { submit: 300, watch_failed: 5, ban: 5, ban_end: 10, drain: 3, history: 30, ..RATES },
     take_over_every: 450,
     ..BASIC
 };
--- a/tests/support_history/scenario.rs
+++ b/tests/support_history/decisions/scenario.rs
@@ -1,6 +1,6 @@
 //! The parameters of the recorded histories of decisions.
 
-use super::translation::Profile;
+use super::settings::Profile;
 
 /// A destination of a scenario; its endpoints are numbered from `10 * id`.
 #[derive(Clone, Copy)]
@@ -18,16 +18,16 @@
     pub burst: u64,
     /// A destination changes its condition.
     pub condition: u64,
-    /// The list changes, or a subscription to it breaks.
+    /// The list changes, or the subscription to it fails.
     pub list: u64,
-    pub list_broken: u64,
+    pub watch_failed: u64,
     /// Operators ban an endpoint, or end the first of the bans.
     pub ban: u64,
     pub ban_end: u64,
     /// Operators drain the process, or resume it.
     pub drain: u64,
     pub client_disconnected: u64,
-    pub started: u64,
+    pub response_started: u64,
     /// A submitted message has a history in a predecessor, possibly with a call that is still in flight.
     pub history: u64,
 }
--- a/tests/support_history/mod.rs
+++ b/tests/support_history/mod.rs
@@ -1,6 +1,6 @@
 //! Shared by the recorded histories: a seeded generator, a digest, and the comparison with recorded values.
 //!
-//! Nothing here names a type of the package, and nothing here depends on one.
+//! Nothing here names a type of the package. The hosts of the histories are in `decisions` and `adapter`.
 
 /// Turns (or frames) between two checkpoints of a digest.
 pub(crate) const CHECKPOINT_EVERY: usize = 500;
