Name the tests of the decision module by case and result, and share their repeated steps

What was hard to read: the end of an attempt with a load report was written out four times, submitting and advancing six times, delivering everything for a while twice, and tests of histories were named by scenario only.

Now tests/common has end_attempt_with_report, submit_and_advance, deliver_all_for, with_approximate_weights and with_cancellation. Every assertion, seed and recorded value is unchanged.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -63,6 +63,16 @@
     Settings { sender_count: 50, connect_timeout: SEC, ..settings() }
 }
 
+/// The same settings with a rate limit that starts at the weights of the endpoint list.
+pub(crate) fn with_approximate_weights(settings: Settings) -> Settings {
+    Settings { endpoint_weights: EndpointWeights::Approximate, ..settings }
+}
+
+/// The same settings, where calls that take too long may be cancelled.
+pub(crate) fn with_cancellation(settings: Settings) -> Settings {
+    Settings { cancellation: true, ..settings }
+}
+
 /// An endpoint in service.
 pub(crate) fn entry(endpoint: EndpointId, destination: DestinationId, kind: usize) -> EndpointEntry {
     EndpointEntry { endpoint, destination, zone: 0, kind, state: EndpointState::Serving, weight: 1.0 }
@@ -171,6 +181,50 @@
     ) -> Vec<Action> {
         self.turn(vec![Event::AttemptEnded(attempt_ended(id, attempt, outcome, elapsed))])
     }
+
+    /// Ends an attempt after 10 ms, with a load report that contains a limit in calls per second.
+    pub(crate) fn end_attempt_with_report(
+        &mut self,
+        id: MessageId,
+        attempt: usize,
+        outcome: Outcome,
+        limit: f64,
+    ) -> Vec<Action> {
+        let report = Some(LoadReport { limit: Some(limit) });
+        let end = attempt_ended(id, attempt, outcome, 10 * MS);
+        self.turn(vec![Event::AttemptEnded(AttemptEnded { report, ..end })])
+    }
+
+    /// Submits an idempotent message, lets time pass, and returns the attempts sent: time, message, endpoint.
+    pub(crate) fn submit_and_advance(
+        &mut self,
+        id: MessageId,
+        destination: DestinationId,
+        duration: Micros,
+    ) -> Vec<(Micros, MessageId, EndpointId)> {
+        let submitted_at = self.now;
+        let at_once = sends(&self.submit(id, 0, destination));
+        let mut sent: Vec<_> = at_once.into_iter().map(|(id, to)| (submitted_at, id, to)).collect();
+        sent.extend(timed_sends(&self.advance(duration)));
+        sent
+    }
+
+    /// Lets time pass. Each attempt sent is delivered within 10 ms; `attempt_of` gives its number. Returns how
+    /// many there were.
+    pub(crate) fn deliver_all_for(
+        &mut self,
+        duration: Micros,
+        attempt_of: impl Fn(MessageId) -> usize,
+    ) -> usize {
+        let mut sent = 0;
+        for _ in 0..duration / (10 * MS) {
+            for (_, id, _) in timed_sends(&self.advance(10 * MS)) {
+                sent += 1;
+                self.end_attempt(id, attempt_of(id), Outcome::Delivered, 10 * MS);
+            }
+        }
+        sent
+    }
 }
 
 /// The attempts among the actions: message and endpoint.
--- a/tests/decision_cancellation.rs
+++ b/tests/decision_cancellation.rs
@@ -4,12 +4,12 @@
 use common::*;
 use message_forwarder::interface::*;
 
-/// Seen at a recorded incident: several receivers fell silent and their calls, most of them of a class that
+/// Seen at a recorded incident: several destinations sent no responses and the calls to them, most of them of a class that
 /// allows one execution and so without a short timeout, held every slot for 16 s.
 #[test]
 fn overdue_calls_are_cancelled_but_for_a_few_when_every_slot_is_taken() {
-    let hosts = vec![entry(10, 1, 0), entry(20, 2, 0), entry(30, 3, 0)];
-    let mut harness = SenderHarness::new(Settings { cancellation: true, ..settings() }, hosts);
+    let endpoints = vec![entry(10, 1, 0), entry(20, 2, 0), entry(30, 3, 0)];
+    let mut harness = SenderHarness::new(with_cancellation(settings()), endpoints);
     for id in 0..8 {
         assert_eq!(sends(&harness.submit(id, 2, 1 + id % 2)).len(), 1);
     }
@@ -28,8 +28,8 @@
 #[test]
 fn call_that_takes_far_longer_than_usual_is_cancelled_when_every_slot_is_taken() {
     let first_cancellation = |deliveries: u64, message_waits: bool| {
-        let hosts = vec![entry(10, 1, 0), entry(20, 2, 0), entry(30, 3, 0)];
-        let mut harness = SenderHarness::new(Settings { cancellation: true, ..settings() }, hosts);
+        let endpoints = vec![entry(10, 1, 0), entry(20, 2, 0), entry(30, 3, 0)];
+        let mut harness = SenderHarness::new(with_cancellation(settings()), endpoints);
         for id in 0..deliveries {
             harness.submit(id, 0, 1 + id % 2);
             harness.now += 100 * MS;
@@ -54,8 +54,7 @@
 
 #[test]
 fn calls_lost_by_an_endpoint_that_responds_again_are_cancelled() {
-    let mut harness =
-        SenderHarness::new(Settings { cancellation: true, ..settings() }, vec![entry(10, 1, 0)]);
+    let mut harness = SenderHarness::new(with_cancellation(settings()), vec![entry(10, 1, 0)]);
     for id in 100..140 {
         assert_eq!(sends(&harness.submit(id, 2, 1)), [(id, 10)]);
         harness.advance(100 * MS);
--- a/tests/decision_connections.rs
+++ b/tests/decision_connections.rs
@@ -4,7 +4,7 @@
 use common::*;
 use message_forwarder::interface::*;
 
-fn closed(actions: &[Action]) -> bool {
+fn closes_idle_connections(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::CloseIdleConnections { .. }))
 }
 
@@ -39,18 +39,18 @@
     let mut harness = SenderHarness::new(many_senders(), vec![entry(10, 1, 0), entry(20, 2, 0)]);
     harness.submit(1, 0, 1);
     assert!(
-        !closed(&harness.end_attempt(1, 0, Outcome::Delivered, 200 * MS)),
+        !closes_idle_connections(&harness.end_attempt(1, 0, Outcome::Delivered, 200 * MS)),
         "no table has been full so far"
     );
     harness.submit(2, 0, 2);
     harness.end_attempt(2, 0, Outcome::ConnectFailed, 50 * MS);
     harness.submit(3, 0, 1);
-    assert!(closed(&harness.end_attempt(3, 0, Outcome::Delivered, 200 * MS)));
+    assert!(closes_idle_connections(&harness.end_attempt(3, 0, Outcome::Delivered, 200 * MS)));
     for id in 10..40 {
         harness.submit(id, 0, 1);
         harness.now += 300 * MS;
         let end = harness.end_attempt(id, 0, Outcome::Delivered, 400 * MS);
-        assert!(id < 38 || !closed(&end), "a sender that keeps one busy keeps it");
+        assert!(id < 38 || !closes_idle_connections(&end), "a sender that keeps one busy keeps it");
     }
 }
 
@@ -68,7 +68,10 @@
         );
     }
     harness.submit(3, 0, 1);
-    assert!(!closed(&harness.end_attempt(3, 0, Outcome::Delivered, 200 * MS)), "it is down, not full");
+    assert!(
+        !closes_idle_connections(&harness.end_attempt(3, 0, Outcome::Delivered, 200 * MS)),
+        "it is down, not full"
+    );
 }
 
 /// Seen at a recorded incident: a few connections rejected at once were taken for an outage of seconds.
@@ -77,7 +80,7 @@
     let mut harness = SenderHarness::new(many_senders(), vec![entry(10, 1, 0), entry(11, 1, 0)]);
     let (_, first) = sends(&harness.submit(1, 0, 1))[0];
     let (_, second) = sends(&harness.end_attempt(1, 0, Outcome::ConnectFailed, 50 * MS))[0];
-    assert_ne!(first, second, "the connection table of the other endpoint may have room");
+    assert_ne!(first, second, "the connection table of the other endpoint may have capacity");
     harness.end_attempt(1, 1, Outcome::ConnectFailed, 50 * MS);
     assert_eq!(timed_sends(&harness.advance(2 * SEC)).len(), 1, "both back off, but not for long");
 
--- a/tests/decision_endpoint_list.rs
+++ b/tests/decision_endpoint_list.rs
@@ -49,11 +49,7 @@
         harness.turn(vec![Event::BanStarted { endpoint: 2 }, Event::BanEnded { endpoint: 1 }]);
         let mut sent = 0;
         for id in 100..300 {
-            let mut sent_now = sends(&harness.submit(id, 0, 10));
-            sent_now.extend(
-                timed_sends(&harness.advance(5 * MS)).into_iter().map(|(_, id, endpoint)| (id, endpoint)),
-            );
-            for (id, endpoint) in sent_now {
+            for (_, id, endpoint) in harness.submit_and_advance(id, 10, 5 * MS) {
                 assert_eq!(endpoint, 1);
                 sent += 1;
                 harness.end_attempt(id, 0, Outcome::Delivered, 0);
@@ -65,7 +61,7 @@
 }
 
 #[test]
-fn drain_only_sends_clients_away() {
+fn drain_stops_accepting_clients_and_messages_are_still_sent() {
     let mut harness = SenderHarness::new(settings(), vec![entry(1, 10, 0)]);
     assert_eq!(harness.turn(vec![Event::Drain]), [Action::AcceptClients(false)]);
     assert_eq!(sends(&harness.submit(1, 0, 10)), [(1, 1)]);
--- a/tests/decision_health.rs
+++ b/tests/decision_health.rs
@@ -9,21 +9,21 @@
 #[test]
 fn recovering_destination_receives_few_calls_at_first() {
     let mut harness = SenderHarness::new(settings(), vec![entry(10, 1, 0)]);
-    let mut id = 0;
+    let mut last_id = 0;
     let mut run = |harness: &mut SenderHarness, duration: Micros, healthy: bool| {
         let (mut sent, end) = (0, harness.now + duration);
         let mut attempts = BTreeMap::new();
         while harness.now < end {
             harness.now += 100 * MS;
-            id += 1;
-            let mut next = sends(&harness.submit(id, 0, 1));
+            last_id += 1;
+            let mut next = sends(&harness.submit(last_id, 0, 1));
             next.extend(sends(&harness.turn(vec![Event::Wake])));
-            while let Some((m, _)) = next.pop() {
+            while let Some((id, _)) = next.pop() {
                 sent += 1;
-                let attempt = attempts.entry(m).or_insert(0);
+                let attempt = attempts.entry(id).or_insert(0);
                 let outcome =
                     if healthy { Outcome::Delivered } else { Outcome::Rejected { retry_after: None } };
-                next.extend(sends(&harness.end_attempt(m, *attempt, outcome, 10 * MS)));
+                next.extend(sends(&harness.end_attempt(id, *attempt, outcome, 10 * MS)));
                 *attempt += 1;
             }
         }
@@ -62,19 +62,14 @@
     let mut probes = 0;
     for seed in 1..=50 {
         let mut harness = SenderHarness::with_seed(many_senders(), seed * 104_729, vec![entry(10, 1, 0)]);
-        let report = Some(LoadReport { limit: Some(50.0) });
-        let (outcome, elapsed) = (Outcome::Rejected { retry_after: Some(4 * SEC) }, 10 * MS);
         harness.submit(1, 0, 1);
-        harness.turn(vec![Event::AttemptEnded(AttemptEnded {
-            report,
-            ..attempt_ended(1, 0, outcome, elapsed)
-        })]);
+        let rejected = Outcome::Rejected { retry_after: Some(4 * SEC) };
+        harness.end_attempt_with_report(1, 0, rejected, 50.0);
         harness.now += 4 * SEC;
         for id in 2..20 {
-            let mut sent = sends(&harness.submit(id, 0, 1));
-            sent.extend(timed_sends(&harness.advance(SEC)).iter().map(|(_, id, endpoint)| (*id, *endpoint)));
+            let sent = harness.submit_and_advance(id, 1, SEC);
             probes += sent.len();
-            for (id, _) in sent {
+            for (_, id, _) in sent {
                 let attempt = usize::from(id == 1);
                 harness.end_attempt(id, attempt, Outcome::Error, 10 * MS);
             }
@@ -105,7 +100,7 @@
 }
 
 #[test]
-fn probe_is_a_message_that_may_be_retried() {
+fn probe_carries_a_message_that_may_be_retried() {
     let mut harness = SenderHarness::new(settings(), vec![entry(10, 1, 0)]);
     (0..4).for_each(|id| drop(harness.submit(id, 2, 1)));
     (0..4).for_each(|id| drop(harness.end_attempt(id, 0, Outcome::Error, 100 * MS)));
--- a/tests/decision_history.rs
+++ b/tests/decision_history.rs
@@ -107,8 +107,8 @@
     ..BASIC
 };
 
-const REPEAT_RULES: Scenario = Scenario {
-    name: "keyed and unsafe classes",
+const EXECUTION_RULES: Scenario = Scenario {
+    name: "messages not to be executed twice",
     seed: 14,
     destinations: &[destination(1, SHARED, 3), destination(2, SEPARATE, 3)],
     classes: &[KEYED, KEYED_PER_ZONE, NOT_IDEMPOTENT],
@@ -153,7 +153,7 @@
 };
 
 const RESTARTS: Scenario = Scenario {
-    name: "restarts and hand-overs",
+    name: "restarts and upgrades",
     seed: 18,
     destinations: &[destination(1, SHARED, 3), destination(2, SEPARATE, 2), destination(3, BATCHED, 2)],
     profile: Profile {
@@ -201,7 +201,7 @@
     &SHARED_ROUTES,
     &SEPARATE_ROUTES,
     &MANY_SENDERS,
-    &REPEAT_RULES,
+    &EXECUTION_RULES,
     &TENANTS_OVER_QUOTA,
     &ORDERED_KEYS,
     &SCARCE_SLOTS,
@@ -215,14 +215,14 @@
 }
 
 #[test]
-fn every_kind_of_decision_is_demanded_of_some_history() {
+fn each_kind_of_decision_is_required_of_some_history() {
     for kind in SEND..=ACCEPT_CLIENTS {
         assert!(ALL.iter().any(|scenario| scenario.must_occur.contains(&kind)), "decision {kind}");
     }
 }
 
 #[test]
-fn shared_routes() {
+fn decisions_on_shared_routes_equal_the_recording() {
     check(
         &SHARED_ROUTES,
         &Expected {
@@ -242,7 +242,7 @@
 }
 
 #[test]
-fn separate_routes() {
+fn decisions_on_separate_routes_equal_the_recording() {
     check(
         &SEPARATE_ROUTES,
         &Expected {
@@ -262,7 +262,7 @@
 }
 
 #[test]
-fn batches_with_many_senders() {
+fn decisions_on_batches_with_many_senders_equal_the_recording() {
     check(
         &MANY_SENDERS,
         &Expected {
@@ -282,9 +282,9 @@
 }
 
 #[test]
-fn keyed_and_unsafe_classes() {
+fn decisions_on_messages_not_to_be_executed_twice_equal_the_recording() {
     check(
-        &REPEAT_RULES,
+        &EXECUTION_RULES,
         &Expected {
             count: 8740,
             checkpoints: &[
@@ -302,7 +302,7 @@
 }
 
 #[test]
-fn tenants_over_quota() {
+fn decisions_on_tenants_over_quota_equal_the_recording() {
     check(
         &TENANTS_OVER_QUOTA,
         &Expected {
@@ -322,7 +322,7 @@
 }
 
 #[test]
-fn ordered_keys() {
+fn decisions_on_ordering_keys_equal_the_recording() {
     check(
         &ORDERED_KEYS,
         &Expected {
@@ -342,7 +342,7 @@
 }
 
 #[test]
-fn scarce_slots_and_hanging_calls() {
+fn decisions_on_scarce_slots_and_hanging_calls_equal_the_recording() {
     check(
         &SCARCE_SLOTS,
         &Expected {
@@ -362,7 +362,7 @@
 }
 
 #[test]
-fn restarts_and_hand_overs() {
+fn decisions_after_restarts_and_upgrades_equal_the_recording() {
     check(
         &RESTARTS,
         &Expected {
@@ -382,7 +382,7 @@
 }
 
 #[test]
-fn bans_and_drains() {
+fn decisions_on_bans_and_drains_equal_the_recording() {
     check(
         &BANS_AND_DRAINS,
         &Expected {
@@ -402,7 +402,7 @@
 }
 
 #[test]
-fn many_senders_restarted() {
+fn decisions_of_many_senders_restarted_equal_the_recording() {
     check(
         &MANY_SENDERS_RESTARTED,
         &Expected {
--- a/tests/decision_rate_limit.rs
+++ b/tests/decision_rate_limit.rs
@@ -45,14 +45,8 @@
 #[test]
 fn rejection_after_a_lull_decreases_the_limit_and_not_the_recent_rate() {
     let mut harness = SenderHarness::new(settings(), vec![entry(10, 1, 0)]);
-    let report = Some(LoadReport { limit: Some(20.0) });
-    let full = Outcome::Rejected { retry_after: None };
     harness.submit(1, 0, 1);
-    let (id, attempt, elapsed) = (1, 0, 10 * MS);
-    harness.turn(vec![Event::AttemptEnded(AttemptEnded {
-        report,
-        ..attempt_ended(id, attempt, full, elapsed)
-    })]);
+    harness.end_attempt_with_report(1, 0, Outcome::Rejected { retry_after: None }, 20.0);
     let (mut sent, end) = (0, harness.now + 4 * SEC);
     let mut attempts = BTreeMap::from([(1, 1)]);
     let mut next = 2;
@@ -60,23 +54,20 @@
         harness.now += 10 * MS;
         next += 1;
         let mut sent_now = sends(&harness.submit(next, 0, 1));
-        while let Some((m, _)) = sent_now.pop() {
+        while let Some((id, _)) = sent_now.pop() {
             sent += 1;
-            let attempt = attempts.entry(m).or_insert(0);
-            sent_now.extend(sends(&harness.end_attempt(m, *attempt, Outcome::Delivered, 10 * MS)));
+            let attempt = attempts.entry(id).or_insert(0);
+            sent_now.extend(sends(&harness.end_attempt(id, *attempt, Outcome::Delivered, 10 * MS)));
         }
     }
     assert!((40..=90).contains(&sent), "{sent} calls in 4 s where 20 a second are allowed");
 }
 
-/// Seen in a search for bad days: frequent half-empty calls used up a limit on calls, and one sender sent nothing.
+/// Seen in a search for bad days: frequent calls with few messages used up a limit on calls, and one sender sent nothing.
 #[test]
-fn limit_on_batches_starts_at_the_even_share_and_does_not_grow_for_half_empty_calls() {
+fn limit_on_batches_starts_at_the_even_share_and_does_not_grow_while_calls_are_not_full() {
     let listed = EndpointEntry { weight: 4.0, ..entry(10, 1, 2) };
-    let mut harness = SenderHarness::new(
-        Settings { endpoint_weights: EndpointWeights::Approximate, ..settings() },
-        vec![listed],
-    );
+    let mut harness = SenderHarness::new(with_approximate_weights(settings()), vec![listed]);
     let (mut calls, mut last, end) = (0, 0, harness.now + 10 * SEC);
     let mut id = 0;
     while harness.now < end {
@@ -87,12 +78,12 @@
             calls += 1;
             last = sent.len();
         }
-        for (m, _) in sent {
-            harness.end_attempt(m, 0, Outcome::Delivered, 10 * MS);
+        for (id, _) in sent {
+            harness.end_attempt(id, 0, Outcome::Delivered, 10 * MS);
         }
     }
     assert!((15..=25).contains(&calls), "{calls} calls in 10 s at half of 4 a second");
-    assert!(last > 1, "messages gather");
+    assert!(last > 1, "several messages are collected for one call");
 }
 
 #[test]
@@ -100,12 +91,7 @@
     for limit in [1e-300, 1e300] {
         let mut harness = SenderHarness::new(settings(), vec![entry(10, 1, 0)]);
         harness.submit(1, 0, 1);
-        let report = Some(LoadReport { limit: Some(limit) });
-        let (outcome, elapsed) = (Outcome::Delivered, 10 * MS);
-        harness.turn(vec![Event::AttemptEnded(AttemptEnded {
-            report,
-            ..attempt_ended(1, 0, outcome, elapsed)
-        })]);
+        harness.end_attempt_with_report(1, 0, Outcome::Delivered, limit);
         let sent: usize = (2..5).map(|id| sends(&harness.submit(id, 0, 1)).len()).sum();
         assert_eq!(sent, 3, "a tiny limit holds nothing back");
         // After a huge one a rejection still decreases the rate to what was sent.
@@ -120,15 +106,10 @@
 #[test]
 fn rejection_decreases_the_rate_of_this_sender_and_not_the_reported_limit() {
     let mut harness = SenderHarness::new(many_senders(), vec![entry(10, 1, 0)]);
-    let report = Some(LoadReport { limit: Some(6.0) });
     for id in 0..20 {
         harness.now += SEC;
         harness.submit(id, 0, 1);
-        let (outcome, elapsed) = (Outcome::Delivered, 10 * MS);
-        harness.turn(vec![Event::AttemptEnded(AttemptEnded {
-            report,
-            ..attempt_ended(id, 0, outcome, elapsed)
-        })]);
+        harness.end_attempt_with_report(id, 0, Outcome::Delivered, 6.0);
     }
     harness.now += SEC;
     harness.submit(30, 0, 1);
@@ -164,16 +145,11 @@
         let listed = EndpointEntry { weight: 20.0, ..entry(10, 1, kind) };
         let (mut seconds, mut all) = ([0; 20], 0);
         for seed in 1..=50 {
-            let mut harness = SenderHarness::with_seed(
-                Settings { endpoint_weights: EndpointWeights::Approximate, ..many_senders() },
-                seed * 7919,
-                vec![listed],
-            );
+            let mut harness =
+                SenderHarness::with_seed(with_approximate_weights(many_senders()), seed * 7919, vec![listed]);
             let (begun, mut sent) = (harness.now, Vec::new());
             for id in 0..5 {
-                sent.extend(
-                    sends(&harness.submit(id, 0, 1)).into_iter().map(|(id, _)| (harness.now, id, 10)),
-                );
+                sent.extend(harness.submit_and_advance(id, 1, 0));
             }
             sent.extend(timed_sends(&harness.advance(10 * SEC)));
             let calls: BTreeSet<Micros> = sent.iter().map(|(at, ..)| *at).collect();
@@ -191,8 +167,7 @@
 /// count, went on with 20 a second in all, and since rejected calls used up the limit none was delivered.
 #[test]
 fn senders_with_rare_calls_that_are_rejected_together_fall_below_the_listed_rate() {
-    let settings =
-        Settings { endpoint_weights: EndpointWeights::Approximate, sender_count: 300, ..many_senders() };
+    let settings = with_approximate_weights(Settings { sender_count: 300, ..many_senders() });
     let mut calls = [0; 40];
     for seed in 1..=30 {
         let mut harness = SenderHarness::with_seed(
@@ -202,10 +177,9 @@
         );
         let mut attempts = BTreeMap::new();
         for (second, id) in calls.iter_mut().zip(0..) {
-            let mut sent: Vec<_> = sends(&harness.submit(id, 0, 1)).into_iter().map(|(id, _)| id).collect();
-            sent.extend(timed_sends(&harness.advance(SEC)).into_iter().map(|(_, id, _)| id));
+            let sent = harness.submit_and_advance(id, 1, SEC);
             *second += sent.len();
-            for id in sent {
+            for (_, id, _) in sent {
                 let attempt: &mut usize = attempts.entry(id).or_default();
                 harness.end_attempt(id, *attempt, Outcome::Rejected { retry_after: None }, 100 * MS);
                 *attempt += 1;
@@ -222,8 +196,7 @@
 /// up to 18 s, with thousands of messages and half of the limit unused.
 #[test]
 fn backoff_after_rejections_is_short_where_each_sender_may_call_often() {
-    let settings =
-        Settings { endpoint_weights: EndpointWeights::Approximate, sender_count: 300, ..many_senders() };
+    let settings = with_approximate_weights(Settings { sender_count: 300, ..many_senders() });
     for seed in 1..=10 {
         let mut harness = SenderHarness::with_seed(
             settings.clone(),
@@ -232,10 +205,7 @@
         );
         let (mut last, mut calls, mut attempts) = (harness.now, 0, BTreeMap::new());
         for id in 0..40 {
-            let mut sent: Vec<_> =
-                sends(&harness.submit(id, 0, 1)).into_iter().map(|s| (harness.now, s.0)).collect();
-            sent.extend(timed_sends(&harness.advance(SEC)).into_iter().map(|(at, id, _)| (at, id)));
-            for (at, id) in sent {
+            for (at, id, _) in harness.submit_and_advance(id, 1, SEC) {
                 assert!(at - last <= 7 * SEC, "{} ms between two calls, seed {seed}", (at - last) / MS);
                 (last, calls) = (at, calls + 1);
                 let attempt: &mut usize = attempts.entry(id).or_default();
@@ -269,14 +239,7 @@
             harness.end_attempt(id, 0, outcome, 50 * MS);
         }
         (10..40).for_each(|id| drop(harness.submit(id, 0, 1)));
-        let mut sent = 0;
-        for _ in 0..200 {
-            for (_, id, _) in timed_sends(&harness.advance(10 * MS)) {
-                sent += 1;
-                harness.end_attempt(id, usize::from(id < 10), Outcome::Delivered, 10 * MS);
-            }
-        }
-        sent
+        harness.deliver_all_for(2 * SEC, |id| usize::from(id < 10))
     };
     let together = sent_after([full, full, Outcome::Delivered]);
     assert!(together > 5, "{together}");
@@ -286,22 +249,13 @@
 #[test]
 fn rejection_leaves_a_sender_with_rare_calls_its_even_share_of_the_listed_rate() {
     let listed = EndpointEntry { weight: 20.0, ..entry(10, 1, 0) };
-    let mut harness = SenderHarness::new(
-        Settings { endpoint_weights: EndpointWeights::Approximate, ..settings() },
-        vec![listed],
-    );
+    let mut harness = SenderHarness::new(with_approximate_weights(settings()), vec![listed]);
     // It has sent a single call when it meets a limit that others use up.
     assert_eq!(sends(&harness.submit(1, 0, 1)).len(), 1);
     harness.advance(50 * MS);
     harness.end_attempt(1, 0, Outcome::Rejected { retry_after: None }, 50 * MS);
     (10..40).for_each(|id| drop(harness.submit(id, 0, 1)));
-    let mut sent = 0;
-    for _ in 0..200 {
-        for (_, id, _) in timed_sends(&harness.advance(10 * MS)) {
-            sent += 1;
-            harness.end_attempt(id, usize::from(id < 10), Outcome::Delivered, 10 * MS);
-        }
-    }
+    let sent = harness.deliver_all_for(2 * SEC, |id| usize::from(id < 10));
     // Two senders, 20 a second listed: 7 a second each after the decrease, for most of two seconds.
     assert!((10..=20).contains(&sent), "{sent} in two seconds");
 }
--- a/tests/decision_restart.rs
+++ b/tests/decision_restart.rs
@@ -5,7 +5,7 @@
 use message_forwarder::interface::*;
 
 /// Submits a message that a predecessor accepted, with its history.
-fn resumed(class: usize, history: MessageHistory) -> Vec<Action> {
+fn resume(class: usize, history: MessageHistory) -> Vec<Action> {
     let mut harness = SenderHarness::new(settings(), vec![entry(1, 1, 0)]);
     let sent_ago =
         |first: PossibleExecution| PossibleExecution { sent_at: harness.now - first.sent_at, ..first };
@@ -24,14 +24,14 @@
     let is_sent = |actions: &[Action]| !sends(actions).is_empty();
     let fails = |actions: &[Action]| actions.contains(&Action::Fail { id: 1 });
     // Not executed: it is retried while it has attempts left, and then rejected.
-    assert!(is_sent(&resumed(2, history(3, None))));
-    let exhausted = resumed(2, history(6, None));
+    assert!(is_sent(&resume(2, history(3, None))));
+    let exhausted = resume(2, history(6, None));
     assert!(!is_sent(&exhausted) && exhausted.iter().any(|a| matches!(a, Action::Reject { id: 1, .. })));
     // Possibly executed: never retried, retried within the lifetime of the key, or always, as its class allows.
-    assert!(fails(&resumed(2, history(1, Some(SEC)))));
-    assert!(is_sent(&resumed(1, history(1, Some(SEC)))));
-    assert!(fails(&resumed(1, history(1, Some(6 * SEC)))));
-    assert!(is_sent(&resumed(0, history(1, Some(6 * SEC)))));
+    assert!(fails(&resume(2, history(1, Some(SEC)))));
+    assert!(is_sent(&resume(1, history(1, Some(SEC)))));
+    assert!(fails(&resume(1, history(1, Some(6 * SEC)))));
+    assert!(is_sent(&resume(0, history(1, Some(6 * SEC)))));
 }
 
 #[test]
--- a/tests/decision_selection.rs
+++ b/tests/decision_selection.rs
@@ -1,4 +1,4 @@
-//! The choice among waiting messages.
+//! The choice among queued messages.
 
 mod common;
 use common::*;
@@ -19,18 +19,15 @@
 /// Seen on a day of the whole fleet: hundreds of senders, each with a message a second for a destination, made a
 /// call of each message, and a limit on calls rejected what full calls would have carried.
 #[test]
-fn messages_gather_for_one_call_within_their_objective_where_many_senders_share_a_limit() {
-    let settings = Settings { endpoint_weights: EndpointWeights::Approximate, ..many_senders() };
+fn messages_are_collected_for_one_call_within_their_objective_where_many_senders_share_a_limit() {
+    let settings = with_approximate_weights(many_senders());
     let batches = EndpointEntry { weight: 1000.0, ..entry(10, 1, 2) };
     let mut harness = SenderHarness::new(settings.clone(), vec![batches]);
     harness.now += SEC;
     let begun = harness.now;
     let mut sent = Vec::new();
     for id in 1..=4 {
-        sent.extend(
-            sends(&harness.submit(id, 0, 1)).into_iter().map(|(id, endpoint)| (harness.now, id, endpoint)),
-        );
-        sent.extend(timed_sends(&harness.advance(200 * MS)));
+        sent.extend(harness.submit_and_advance(id, 1, 200 * MS));
     }
     sent.extend(timed_sends(&harness.advance(3 * SEC)));
     let calls: BTreeSet<Micros> = sent.iter().map(|(at, ..)| *at).collect();
@@ -63,7 +60,7 @@
     settings.classes[0].priority_weight = 3.0;
     settings.classes[2].priority_weight = 1.0;
     let mut harness = SenderHarness::new(settings, vec![entry(10, 1, 0), entry(20, 2, 0)]);
-    let first = |harness: &mut SenderHarness, id: MessageId| {
+    let first_sent = |harness: &mut SenderHarness, id: MessageId| {
         harness.submit(id, 0, 2);
         harness.submit(id + 1, 2, 1);
         harness.submit(id + 2, 0, 1);
@@ -72,7 +69,7 @@
         harness.end_attempt(2 * id + 3 - next[0].0, 0, Outcome::Delivered, 10 * MS);
         next[0].0
     };
-    assert_eq!(first(&mut harness, 100), 102, "the weight decides");
+    assert_eq!(first_sent(&mut harness, 100), 102, "the weight decides");
     // Five messages of the other class are lost because their destination has no endpoint.
     for id in 0..5 {
         let (expires_at, history) =
@@ -81,12 +78,12 @@
         harness.turn(vec![Event::Submit(submit)]);
     }
     assert_eq!(harness.advance(50 * MS).len(), 5);
-    assert_eq!(first(&mut harness, 200), 201, "the losses decide");
+    assert_eq!(first_sent(&mut harness, 200), 201, "the losses decide");
 }
 
 #[test]
 fn quota_of_a_tenant_is_shared_by_all_senders() {
-    let first = |sender_count| {
+    let position_of_other_message = |sender_count| {
         let settings = Settings {
             tenants: vec![Tenant { quota: 40.0 }],
             sender_count,
@@ -110,6 +107,6 @@
         }
         order.iter().position(|id| *id == 21).expect("it is sent")
     };
-    assert_eq!(first(2), 20, "within the quota the first message is sent first");
-    assert!(first(200) < 10, "beyond the quota other messages are sent first");
+    assert_eq!(position_of_other_message(2), 20, "within the quota the first message is sent first");
+    assert!(position_of_other_message(200) < 10, "beyond the quota other messages are sent first");
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -250,7 +250,7 @@
 }
 
 #[test]
-fn rules_hold_over_random_events() {
+fn rules_hold_for_random_sequences_of_events() {
     let config = Config { cases: 64, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let step = (0u16..400, any::<u8>(), any::<u8>(), any::<u8>());
