Return the order of messages with one ordering key to the decision module

What was hard to read: SenderState::forget, enqueue_in_order and release_next decided when the next message with an ordering key may be sent, outside of src/decision.

Now Balancer::release_next and Balancer::forget hold the rule; the state keeps the queue of each key and returns NextInOrder instead of a tuple. SenderState::resume_attempt reads the history that a message was submitted with.

--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -12,7 +12,7 @@
 
 impl Balancer {
     pub(super) fn submit(&mut self, now: Micros, submission: Submission, actions: &mut Vec<Action>) {
-        let (id, class, history) = (submission.id, submission.class, submission.history);
+        let (id, accepted) = (submission.id, submission.history.accepted);
         if self.state.messages.get(id).is_some() {
             return;
         }
@@ -22,16 +22,16 @@
         let message = self.new_message(now, submission);
         self.state.messages.insert(message);
         self.schedule_give_up(id);
-        let (attempts, state) = (history.attempts, &mut self.state);
-        if history.in_flight.is_some_and(|call| state.inherit_attempt(id, attempts, class, call)) {
+        if self.state.resume_attempt(id) {
             return;
         }
         if self.has_no_attempt_left(&self.state.messages[id]) {
             return self.reject(now, id, actions);
         }
-        self.state.enqueue_in_order(now, id);
+        let ordering_key = self.state.enqueue_in_order(now, id);
+        self.release_next(now, ordering_key.as_deref());
         let max_open = self.parameters.settings.max_open_messages;
-        if !history.accepted && self.state.messages.len() + max_open / SHEDDING_RESERVE_DIVISOR > max_open {
+        if !accepted && self.state.messages.len() + max_open / SHEDDING_RESERVE_DIVISOR > max_open {
             self.shed_load(now, id, actions);
         }
     }
@@ -97,6 +97,6 @@
             let wait = known.map_or(0, |known| known.route.limiter.wait_until - now);
             actions.push(Action::Reject { id, retry_after: wait.clamp(0, settings.max_retry_after) });
         }
-        self.state.forget(now, id);
+        self.forget(now, id);
     }
 }
--- a/src/decision/cancellation.rs
+++ b/src/decision/cancellation.rs
@@ -1,7 +1,7 @@
 //! Cancellation of calls that hold a slot although no response can be expected any more.
 
 use super::{Balancer, concurrency::SendOptions};
-use crate::interface::{Action, DestinationId, Micros};
+use crate::interface::{Action, Micros};
 use crate::sender_state::Attempt;
 use std::collections::BTreeSet;
 
@@ -21,22 +21,17 @@
     /// Cancels calls whose response is lost: they are overdue, and calls sent much later have been delivered.
     /// A destination without recent deliveries loses its oldest overdue call, so that a probe can be sent. As
     /// cancellation may lose messages, calls are cancelled only where messages wait for them to end.
-    pub(super) fn cancel_lost_calls(
-        &mut self,
-        now: Micros,
-        held_back: &SendOptions,
-        actions: &mut Vec<Action>,
-    ) {
-        let ready = held_back.iter().filter(|(_, option)| option.candidate.is_ok()).map(|(id, _)| *id);
-        let mut without_probe: BTreeSet<DestinationId> =
-            ready.filter(|id| !self.state.calls.is_cancelling(*id)).collect();
+    pub(super) fn cancel_lost_calls(&mut self, now: Micros, unsent: &SendOptions, actions: &mut Vec<Action>) {
+        let ready = unsent.iter().filter(|(_, option)| option.candidate.is_ok()).map(|(id, _)| *id);
+        let mut without_probe: BTreeSet<_> = ready.collect();
+        without_probe.retain(|id| !self.state.calls.is_cancelling(*id));
         let mut cancelled_for_probe = BTreeSet::new();
         self.state.calls.cancel_where(actions, |attempt| {
             let route = self.state.directory.route(attempt.route);
             let lost_age = route.latency.lost_age(&self.parameters)
                 + self.parameters.cancellation_reserve(self.parameters.at_most_once(attempt.class));
             let endpoint = &self.state.directory.endpoints[&attempt.route.endpoint];
-            attempt.lost = held_back.contains_key(&attempt.route.destination)
+            attempt.lost = unsent.contains_key(&attempt.route.destination)
                 && attempt.sent_at.saturating_add(lost_age) < endpoint.last_delivered_call_sent_at;
             let no_delivery_since = now - attempt.sent_at.max(route.last_delivery) > lost_age;
             if no_delivery_since && without_probe.remove(&attempt.route.destination) {
--- a/src/decision/circuit_breaker.rs
+++ b/src/decision/circuit_breaker.rs
@@ -35,8 +35,7 @@
         let interval = (SECOND / rate.max(parameters.rate_floor)).clamp(shortest, longest);
         // Many senders learn of an outage, or of its end, together: their probes are placed at random.
         let offset = if self.breaker.is_open() { 0.5 } else { 0.0 };
-        let many_senders = parameters.has_many_senders();
-        let fraction = if many_senders { offset + random_unit(&mut self.seed) } else { 1.0 };
+        let fraction = if parameters.has_many_senders() { offset + random_unit(&mut self.seed) } else { 1.0 };
         let next_probe = now.max(self.limiter.wait_until) + (interval * fraction) as Micros;
         self.breaker.state = BreakerState::Open { next_probe };
     }
--- a/src/decision/concurrency.rs
+++ b/src/decision/concurrency.rs
@@ -36,14 +36,13 @@
         self.run_timers(now, actions);
         self.detect_hangs(now);
         let selection = self.send_calls(now, actions);
-        let look_again_at = selection.look_again_at;
+        let wake = self.state.next_wake(now, selection.look_again_at);
         if self.parameters.settings.cancellation {
             self.cancel_lost_calls(now, &self.held_back(selection), actions);
             self.free_overdue_slots(now, actions);
         }
         self.close_idle_connections(now, actions);
         self.state.directory.forget_removed(now, self.parameters.warm_up as Micros);
-        let wake = self.state.next_wake(now, look_again_at);
         actions.extend(wake.map(|at| Action::Wake { at }));
     }
 
@@ -113,13 +112,12 @@
     }
 
     /// The options that are left because the slots or a cap are used up by calls in flight.
-    fn held_back(&self, selection: Selection) -> SendOptions {
+    fn held_back(&self, mut selection: Selection) -> SendOptions {
         let cap = self.cap(DEGRADED_CAP_QUARTERS);
         let no_slot = self.state.calls.slots_used() >= self.parameters.settings.call_slots;
         let all = no_slot || selection.degraded_calls >= cap;
-        let mut options = selection.options;
-        options.retain(|id, _| all || self.state.calls.count(*id) >= cap);
-        options
+        selection.options.retain(|id, _| all || self.state.calls.count(*id) >= cap);
+        selection.options
     }
 
     /// A number of quarters of the call slots, at least one slot. Computed so that it cannot overflow.
--- a/src/decision/endpoint_choice.rs
+++ b/src/decision/endpoint_choice.rs
@@ -24,16 +24,15 @@
         // A call takes one slot and delivers all the messages in it.
         let queued = self.state.messages.queues().len(destination);
         let messages_per_call = queued.min(known.kind.batch.max(1)) as f64;
-        let is_full = queued >= known.kind.batch;
-        let gathered_at = if is_full { Micros::MIN } else { self.gathered_at(destination, known) };
+        let gathered_at =
+            if queued >= known.kind.batch { Micros::MIN } else { self.gathered_at(destination, known) };
         let mut look_again_at = Micros::MAX;
         for endpoint in self.endpoints_by_cost(known, now) {
             let route_id = RouteId { destination, endpoint };
             let (route, endpoint) = (directory.route(route_id), &directory.endpoints[&endpoint]);
-            let is_connected = endpoint.idle_connections.has_usable(now, parameters.settings.idle_timeout);
+            let connected = endpoint.idle_connections.has_usable(now, parameters.settings.idle_timeout);
             let full_at = if route.breaker.is_open() { Micros::MIN } else { gathered_at };
-            let connect_at =
-                if is_connected { Micros::MIN } else { endpoint.connect_rejections.backoff_until };
+            let connect_at = if connected { Micros::MIN } else { endpoint.connect_rejections.backoff_until };
             let ready_at = route.ready_at().max(full_at).max(connect_at);
             if ready_at > now {
                 look_again_at = look_again_at.min(ready_at);
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -45,7 +45,7 @@
             Event::Submit(submission) => self.submit(now, submission, actions),
             Event::AttemptEnded(end) => self.end_attempt(now, &end, actions),
             Event::ResponseStarted { id } => state.messages.set_response_started(id),
-            Event::ClientDisconnected { id } => self.state.forget(now, id),
+            Event::ClientDisconnected { id } => self.forget(now, id),
             Event::ListSnapshot(entries) => {
                 state.directory.remove_all(now);
                 self.update_list(now, &entries);
--- a/src/decision/outcome.rs
+++ b/src/decision/outcome.rs
@@ -1,7 +1,7 @@
-//! Ends of attempts: retries, and what the outcome says about the endpoint.
+//! Ends of attempts: retries, the order of messages, and what the outcome says about the endpoint.
 
 use super::{Balancer, health::RECENT_LATENCY_GAIN};
-use crate::interface::{Action, AttemptEnded, Micros, Outcome};
+use crate::interface::{Action, AttemptEnded, MessageId, Micros, Outcome};
 use crate::sender_state::{Attempt, Message};
 
 /// The first retry after a possible execution is delayed by the latency objective divided by this.
@@ -21,21 +21,18 @@
         self.pause_ordering(now, &attempt, end.outcome);
         if end.finished || end.outcome == Outcome::Delivered {
             self.state.class_results[attempt.class].record_delivery(now, self.parameters.warm_up);
-            self.state.forget(now, end.id);
+            self.forget(now, end.id);
         } else if self.state.messages.get(end.id).is_some() {
             self.retry(now, &attempt, end, actions);
         }
-        if let Some(key) = &attempt.ordering_key {
-            self.state.release_next(now, key);
-        }
+        self.release_next(now, attempt.ordering_key.as_deref());
     }
 
     /// A Retry-After for one message holds for all messages on the route, before the call ends.
     fn respect_retry_after(&mut self, now: Micros, attempt: &Attempt, end: &AttemptEnded) {
         let of_outcome = if let Outcome::Rejected { retry_after } = end.outcome { retry_after } else { None };
         if let Some(wait) = of_outcome.or(end.retry_after) {
-            let route = self.state.directory.route_mut(attempt.route);
-            route.limiter.hold_until(now + wait);
+            self.state.directory.route_mut(attempt.route).limiter.hold_until(now + wait);
         }
     }
 
@@ -47,6 +44,23 @@
         }
     }
 
+    /// Messages with one ordering key are sent one at a time, after the pause of the key.
+    pub(super) fn release_next(&mut self, now: Micros, key: Option<&str>) {
+        let next = key.and_then(|key| self.state.next_in_order(now, key));
+        let Some(next) = next.filter(|next| next.attempts_in_flight == 0) else { return };
+        if now < next.paused_until {
+            self.state.messages.delay(next.id, next.paused_until);
+        } else {
+            self.state.enqueue(now, next.id);
+        }
+    }
+
+    /// Removes a message that needs nothing more. The next one with its ordering key may be sent.
+    pub(super) fn forget(&mut self, now: Micros, id: MessageId) {
+        let ordering_key = self.state.remove_message(id);
+        self.release_next(now, ordering_key.as_deref());
+    }
+
     /// Whether no further attempt is allowed, by number or because a second execution would do harm.
     pub(super) fn has_no_attempt_left(&self, message: &Message) -> bool {
         let at_most_once = self.parameters.at_most_once(message.submission.class);
--- a/src/decision/rate_limiter.rs
+++ b/src/decision/rate_limiter.rs
@@ -68,8 +68,8 @@
         if !self.limiter.last_call_full && SECOND / limit <= parameters.latency_objective / 4.0 {
             return;
         }
-        let elapsed = (now - self.limiter.limit_changed_at) as f64 / SECOND;
-        let elapsed = elapsed.clamp(0.0, parameters.warm_up / SECOND);
+        let max = parameters.warm_up / SECOND;
+        let elapsed = ((now - self.limiter.limit_changed_at) as f64 / SECOND).clamp(0.0, max);
         let scale = (limit + parameters.min_rate).max(self.own_share(parameters));
         let increased = limit + elapsed * INCREASE_PER_SECOND * scale;
         let increased = self.limiter.reported_limit.map_or(increased, |max| increased.min(max));
@@ -92,8 +92,7 @@
         self.limiter.set_limit(now, (base * DECREASE_FACTOR).max(floor));
     }
 
-    /// Holds calls back after a rejection. A short Retry-After comes from a limit that other senders use up,
-    /// a long one from an outage.
+    /// Holds calls back after a rejection. Many without a Retry-After, or a long one, show an outage.
     pub(super) fn back_off(&mut self, now: Micros, retry_after: Option<Micros>, parameters: &Parameters) {
         let wait = retry_after.unwrap_or(0).max(self.rejection_backoff(parameters));
         self.limiter.hold_until(now + wait);
--- a/src/decision/route.rs
+++ b/src/decision/route.rs
@@ -1,8 +1,7 @@
 //! What calls and their outcomes mean for a route, and when it is ready for the next call.
 
 use super::health::{RECENT_LATENCY_GAIN, USUAL_LATENCY_GAIN};
-use super::parameters::Parameters;
-use super::rate_limiter::BURST_SECONDS;
+use super::{Parameters, rate_limiter::BURST_SECONDS};
 use crate::estimators::SECOND;
 use crate::interface::{AttemptEnded, Micros, Outcome};
 use crate::sender_state::{BreakerState, Route};
--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -84,7 +84,7 @@
             let on_time = queue.range((delivered_at, 0)..).next();
             for &(due, id) in on_time.into_iter().chain(queue.first()) {
                 let message = &self.state.messages[id];
-                // Where calls are lost, a message that allows one execution waits for a recovery.
+                // Where calls fail, a message that must not be executed twice waits for a recovery.
                 let may_wait = delivered_at + self.parameters.objective_part(4) < message.due;
                 if wait_for_recovery && may_wait && at_most_once(key.class) {
                     continue;
--- a/src/decision/sending.rs
+++ b/src/decision/sending.rs
@@ -28,17 +28,16 @@
     }
 
     fn start_attempt(&mut self, now: Micros, id: MessageId, attempt: Attempt, actions: &mut Vec<Action>) {
-        let route_id = attempt.route;
-        let route = self.state.directory.route(route_id);
-        let retry_timeout = TIMEOUT_LATENCIES * route.latency.usual.get().max(self.parameters.min_latency);
-        let min_timeout = MIN_TIMEOUT_OBJECTIVES * self.parameters.latency_objective;
+        let (route_id, parameters) = (attempt.route, &self.parameters);
+        let latency = self.state.directory.route(route_id).latency.usual.get().max(parameters.min_latency);
+        let min_timeout = MIN_TIMEOUT_OBJECTIVES * parameters.latency_objective;
+        let retry_timeout = (TIMEOUT_LATENCIES * latency).max(min_timeout) as Micros;
         self.state.start_attempt(id, attempt);
         let message = &self.state.messages[id];
         let time_left = (message.submission.expires_at - now).max(1);
         // A message that allows one execution is given all the time that it has.
         let at_most_once = self.parameters.at_most_once(message.submission.class);
-        let timeout =
-            if at_most_once { time_left } else { (retry_timeout.max(min_timeout) as Micros).min(time_left) };
+        let timeout = if at_most_once { time_left } else { retry_timeout.min(time_left) };
         let send_before = self.sendable_until(message);
         actions.push(Action::Send { id, endpoint: route_id.endpoint, timeout, send_before });
     }
--- a/src/sender_state/ordering_keys.rs
+++ b/src/sender_state/ordering_keys.rs
@@ -1,4 +1,4 @@
-//! Messages that are sent one at a time, in the order of their submission.
+//! Messages with ordering keys, in the order of their submission.
 
 use crate::interface::{MessageId, Micros};
 use std::collections::{BTreeMap, VecDeque};
@@ -11,6 +11,16 @@
     paused_until: Micros,
 }
 
+/// The first of the messages with an ordering key.
+pub(crate) struct NextInOrder {
+    /// Its id.
+    pub(crate) id: MessageId,
+    /// Attempts with the key that are in flight, of this message or of others.
+    pub(crate) attempts_in_flight: usize,
+    /// End of the pause of the key.
+    pub(crate) paused_until: Micros,
+}
+
 /// The messages with ordering keys, by key. A key is dropped once nothing more is to be remembered about it.
 #[derive(Default)]
 pub(crate) struct OrderingKeys(BTreeMap<String, OrderingKey>);
@@ -47,14 +57,13 @@
         }
     }
 
-    /// The first message of a key and the end of the pause, unless an attempt is in flight.
-    pub(crate) fn next(&mut self, key: &str, now: Micros) -> Option<(MessageId, Micros)> {
-        let ordering = self.0.get(key).filter(|ordering| ordering.attempts_in_flight == 0)?;
-        let paused_until = ordering.paused_until;
-        let first = ordering.queue.front().copied();
-        if first.is_none() && now >= paused_until {
+    /// The first message of a key. The key is dropped if it has no message, no attempt in flight and no pause.
+    pub(crate) fn next(&mut self, key: &str, now: Micros) -> Option<NextInOrder> {
+        let &OrderingKey { ref queue, attempts_in_flight, paused_until } = self.0.get(key)?;
+        let first = queue.front().copied();
+        if first.is_none() && attempts_in_flight == 0 && now >= paused_until {
             self.0.remove(key);
         }
-        first.map(|id| (id, paused_until))
+        first.map(|id| NextInOrder { id, attempts_in_flight, paused_until })
     }
 }
--- a/src/sender_state/state.rs
+++ b/src/sender_state/state.rs
@@ -5,10 +5,10 @@
 use super::directory::{Directory, RouteId};
 use super::message::MessageState;
 use super::message_table::MessageTable;
-use super::ordering_keys::OrderingKeys;
+use super::ordering_keys::{NextInOrder, OrderingKeys};
 use crate::estimators::DecayingCounter;
 use crate::interface::{
-    AttemptEnded, EndpointId, InheritedCall, MessageId, Micros, PossibleExecution, Settings,
+    AttemptEnded, EndpointId, InheritedCall, MessageId, Micros, PossibleExecution, Settings, Submission,
 };
 use std::collections::BTreeSet;
 
@@ -65,34 +65,29 @@
         self.directory.destination_or_new(destination, now, &mut self.seed);
     }
 
-    /// Removes a message that needs nothing more, if it is open. Its attempts in flight remain.
-    pub(crate) fn forget(&mut self, now: Micros, id: MessageId) {
-        let Some(message) = self.messages.remove(id) else { return };
-        if let Some(key) = message.submission.key {
-            self.ordering_keys.remove(&key, id);
-            self.release_next(now, &key);
+    /// Puts a message behind the others with its ordering key, and returns the key. A message without one is
+    /// put into its queue.
+    pub(crate) fn enqueue_in_order(&mut self, now: Micros, id: MessageId) -> Option<String> {
+        let key = self.messages[id].submission.key.clone();
+        match &key {
+            Some(key) => self.ordering_keys.push(key, id),
+            None => self.enqueue(now, id),
         }
+        key
     }
 
-    /// Releases the first message with an ordering key once no attempt of those before it is in flight and
-    /// the pause of the key is over.
-    pub(crate) fn release_next(&mut self, now: Micros, key: &str) {
-        let Some((id, paused_until)) = self.ordering_keys.next(key, now) else { return };
-        if self.messages[id].state != MessageState::Blocked {
-            return;
-        }
-        if now < paused_until {
-            self.messages.delay(id, paused_until);
-        } else {
-            self.enqueue(now, id);
-        }
+    /// Removes a message that needs nothing more, if it is open, and returns its ordering key if it has one.
+    /// Its attempts in flight remain.
+    pub(crate) fn remove_message(&mut self, id: MessageId) -> Option<String> {
+        let key = self.messages.remove(id)?.submission.key?;
+        self.ordering_keys.remove(&key, id);
+        Some(key)
     }
 
-    /// Puts a message into its queue, or behind the others with its ordering key.
-    pub(crate) fn enqueue_in_order(&mut self, now: Micros, id: MessageId) {
-        let Some(key) = self.messages[id].submission.key.clone() else { return self.enqueue(now, id) };
-        self.ordering_keys.push(&key, id);
-        self.release_next(now, &key);
+    /// The first message with an ordering key, unless it is queued, delayed or in flight already.
+    pub(crate) fn next_in_order(&mut self, now: Micros, key: &str) -> Option<NextInOrder> {
+        let next = self.ordering_keys.next(key, now)?;
+        (self.messages[next.id].state == MessageState::Blocked).then_some(next)
     }
 
     /// Records an attempt that is sent. It gets the class and the ordering key of its message.
@@ -138,6 +133,14 @@
         }
     }
 
+    /// Records the attempt that a submitted message has in flight from a predecessor. Returns false if there is
+    /// none or its endpoint is not known.
+    pub(crate) fn resume_attempt(&mut self, id: MessageId) -> bool {
+        let Submission { class, history, .. } = &self.messages[id].submission;
+        let (class, attempts, in_flight) = (*class, history.attempts, history.in_flight);
+        in_flight.is_some_and(|call| self.inherit_attempt(id, attempts, class, call))
+    }
+
     /// Records an attempt of a predecessor that is in flight. Returns false if its endpoint is not known.
     pub(crate) fn inherit_attempt(
         &mut self,
