Use plain terms in the decision module: batching, jitter, backoff, evidence

What was hard to read: gathered_at, take_back_call, 0.5 + random_unit, and comments in which outcomes say something.

--- a/src/decision/connections.rs
+++ b/src/decision/connections.rs
@@ -1,7 +1,7 @@
 //! Full connection tables: backoff of new connections, and idle connections that are closed to make room.
 
 use super::Balancer;
-use crate::estimators::{SECOND, random_unit};
+use crate::estimators::{SECOND, random_jitter};
 use crate::interface::{Action, Micros};
 use crate::sender_state::{Attempt, RouteId};
 
@@ -16,13 +16,12 @@
     pub(super) fn record_connect_rejection(&mut self, now: Micros, attempt: &Attempt) {
         let rejections = &mut self.state.directory.endpoint_mut(attempt.route.endpoint).connect_rejections;
         if attempt.sent_at >= rejections.last {
-            rejections.last = now;
-            rejections.waves = (rejections.waves + 1).min(MAX_BACKOFF_DOUBLINGS);
-            let jitter = 0.5 + random_unit(&mut self.state.seed);
-            let first = self.parameters.latency_objective / 16.0;
-            rejections.backoff_until = now + (first * f64::from(1 << rejections.waves) * jitter) as Micros;
+            rejections.record_wave(now, MAX_BACKOFF_DOUBLINGS);
+            let jitter = random_jitter(&mut self.state.seed);
+            let base = self.parameters.latency_objective / 16.0;
+            rejections.backoff_until = now + (base * f64::from(1 << rejections.waves) * jitter) as Micros;
         }
-        // Rejected again it is down, which says nothing about the tables of others.
+        // An endpoint that rejects again is down, which is no evidence of full tables elsewhere.
         let assumed_full = if rejections.waves > 1 { 0 } else { self.parameters.warm_up as Micros };
         self.state.connection_tables_full_until = now + assumed_full;
     }
--- a/src/decision/endpoint_choice.rs
+++ b/src/decision/endpoint_choice.rs
@@ -5,7 +5,7 @@
 use crate::sender_state::{Destination, Endpoint, RouteId};
 
 /// Where many senders share a limit, messages are collected for the latency objective divided by this.
-const GATHERING_OBJECTIVE_DIVISOR: Micros = 3;
+const BATCHING_DELAY_OBJECTIVE_DIVISOR: Micros = 3;
 
 /// The best call to a destination.
 #[derive(Clone, Copy)]
@@ -24,16 +24,16 @@
         // A call takes one slot and delivers all the messages in it.
         let queued = self.state.messages.queues().len(destination);
         let messages_per_call = queued.min(known.kind.batch.max(1)) as f64;
-        let gathered_at =
-            if queued >= known.kind.batch { Micros::MIN } else { self.gathered_at(destination, known) };
+        let batching_ends_at =
+            if queued >= known.kind.batch { Micros::MIN } else { self.batching_ends_at(destination, known) };
         let mut look_again_at = Micros::MAX;
         for endpoint in self.endpoints_by_cost(known, now) {
             let route_id = RouteId { destination, endpoint };
             let (route, endpoint) = (directory.route(route_id), &directory.endpoints[&endpoint]);
             let connected = endpoint.idle_connections.has_usable(now, parameters.settings.idle_timeout);
-            let full_at = if route.breaker.is_open() { Micros::MIN } else { gathered_at };
+            let batch_at = if route.breaker.is_open() { Micros::MIN } else { batching_ends_at };
             let connect_at = if connected { Micros::MIN } else { endpoint.connect_rejections.backoff_until };
-            let ready_at = route.ready_at().max(full_at).max(connect_at);
+            let ready_at = route.ready_at().max(batch_at).max(connect_at);
             if ready_at > now {
                 look_again_at = look_again_at.min(ready_at);
             } else if let Some(choice) = self.best_message(route_id, now) {
@@ -72,14 +72,14 @@
 
     /// When messages have been collected for one call for long enough. Within the objective a delay costs
     /// nothing, and a call with few messages uses up as much of a shared limit as a full one.
-    fn gathered_at(&self, id: DestinationId, destination: &Destination) -> Micros {
+    fn batching_ends_at(&self, id: DestinationId, destination: &Destination) -> Micros {
         if !self.parameters.has_many_senders() || destination.route.limiter.limit.is_none() {
             return Micros::MIN;
         }
-        let gathered = self.state.messages.queues().of(id).filter_map(|(key, queue)| {
+        let ends = self.state.messages.queues().of(id).filter_map(|(key, queue)| {
             let objective = self.parameters.settings.classes[key.class].latency_objective;
-            Some(queue.first()?.0 - objective + objective / GATHERING_OBJECTIVE_DIVISOR)
+            Some(queue.first()?.0 - objective + objective / BATCHING_DELAY_OBJECTIVE_DIVISOR)
         });
-        gathered.min().unwrap_or(Micros::MIN)
+        ends.min().unwrap_or(Micros::MIN)
     }
 }
--- a/src/decision/endpoint_list.rs
+++ b/src/decision/endpoint_list.rs
@@ -31,7 +31,7 @@
         self.state.subscribe_at = Some(now + backoff / 2 + jitter);
     }
 
-    /// Sends no new call to an endpoint until the ban ends, whatever the list says.
+    /// Sends no new call to an endpoint until the ban ends, even if the list has it in service.
     pub(super) fn start_ban(&mut self, now: Micros, id: EndpointId) {
         if let Some(route) = self.state.directory.start_ban(id) {
             route.record_healthy_rate(now, &self.parameters);
--- a/src/decision/outcome.rs
+++ b/src/decision/outcome.rs
@@ -1,4 +1,4 @@
-//! Ends of attempts: retries, the order of messages, and what the outcome says about the endpoint.
+//! Ends of attempts: retries, the order of messages, and what follows from the outcome for the endpoint.
 
 use super::{Balancer, health::RECENT_LATENCY_GAIN};
 use crate::interface::{Action, AttemptEnded, MessageId, Micros, Outcome};
@@ -12,6 +12,7 @@
 const AVOID_WARM_UP_DIVISOR: Micros = 4;
 
 impl Balancer {
+    /// A Retry-After and the pause of the ordering key must hold before a retry or another message is sent.
     pub(super) fn end_attempt(&mut self, now: Micros, end: &AttemptEnded, actions: &mut Vec<Action>) {
         let Some(attempt) = self.state.end_attempt(end.id, end.attempt) else { return };
         self.respect_retry_after(now, &attempt, end);
@@ -96,7 +97,7 @@
         self.state.end_call(now, attempt, answered, settings.idle_timeout);
         let route = self.state.directory.route_mut(attempt.route);
         if let Some(rate) = route.allowed_rate(now, &self.parameters).filter(|_| end.unsent) {
-            route.limiter.take_back_call(rate);
+            route.limiter.undo_call(rate);
         }
         let endpoint = self.state.directory.endpoint_mut(attempt.route.endpoint);
         match end.outcome {
@@ -105,7 +106,7 @@
                 endpoint.avoid_until = now;
                 endpoint.record_delivery(attempt.sent_at);
             }
-            // The endpoint has delivered since: that says more than a response that was lost.
+            // The endpoint has delivered since, which is better evidence than a lost response.
             Outcome::Cancelled if attempt.lost => return,
             Outcome::Rejected { .. }
             | Outcome::NotSent
--- a/src/decision/rate_limiter.rs
+++ b/src/decision/rate_limiter.rs
@@ -1,7 +1,7 @@
 //! The rate limit of a route: additive increase, multiplicative decrease, and backoff after rejections.
 
 use super::parameters::{Parameters, UNEVEN_SHARE_FACTOR};
-use crate::estimators::{SECOND, random_unit};
+use crate::estimators::{SECOND, random_jitter, random_unit};
 use crate::interface::Micros;
 use crate::sender_state::Route;
 
@@ -46,7 +46,7 @@
         limiter.reported_limit.unwrap_or(limiter.listed_rate / UNEVEN_SHARE_FACTOR) * parameters.share
     }
 
-    /// Accepts a reported limit unless it is implausible: a wrong one would spoil the rate for long.
+    /// Accepts a reported limit unless it is implausible: recovery from a wrong limit would take long.
     pub(super) fn record_reported_limit(&mut self, reported: f64, batch: usize, parameters: &Parameters) {
         let limiter = &mut self.limiter;
         let is_listed = limiter.listed_rate > 0.0;
@@ -113,7 +113,7 @@
             parameters.latency_objective * (1.0 / parameters.share).min(4.0)
         };
         let doubled = SECOND / rate * f64::from(1u32 << self.limiter.rejections.min(MAX_BACKOFF_DOUBLINGS));
-        let jitter = if many_senders { 0.5 + random_unit(&mut self.seed) } else { 1.0 };
+        let jitter = if many_senders { random_jitter(&mut self.seed) } else { 1.0 };
         ((doubled / 2.0).min(longest) * jitter) as Micros
     }
 }
--- a/src/estimators/mod.rs
+++ b/src/estimators/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use decaying_counter::DecayingCounter;
 pub(crate) use moving_average::MovingAverage;
-pub(crate) use random::random_unit;
+pub(crate) use random::{random_jitter, random_unit};
 pub(crate) use rate_estimator::RateEstimator;
 
 /// Microseconds in a second.
--- a/src/sender_state/calls.rs
+++ b/src/sender_state/calls.rs
@@ -17,7 +17,7 @@
     pub(crate) sent_at: Micros,
     /// The host was told to cancel it.
     pub(crate) cancelled: bool,
-    /// It was cancelled because no response can be expected any more: its end says nothing about health.
+    /// It was cancelled because no response can be expected any more: its end is no evidence about health.
     pub(crate) lost: bool,
     /// The ordering key of its message.
     pub(crate) ordering_key: Option<String>,
--- a/src/sender_state/directory.rs
+++ b/src/sender_state/directory.rs
@@ -59,6 +59,14 @@
     pub(crate) backoff_until: Micros,
 }
 
+impl ConnectRejections {
+    /// Takes note of the first rejection of a wave. At most `max_waves` are counted.
+    pub(crate) fn record_wave(&mut self, now: Micros, max_waves: u32) {
+        self.last = now;
+        self.waves = (self.waves + 1).min(max_waves);
+    }
+}
+
 impl Endpoint {
     /// An endpoint about which nothing is known.
     pub(crate) fn new(now: Micros, destination: DestinationId, seed: &mut u64) -> Self {
--- a/src/sender_state/message_table.rs
+++ b/src/sender_state/message_table.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 use std::ops::Index;
 
-/// All messages without a final answer. Methods that take an id expect an open message unless they say
-/// otherwise.
+/// All messages without a final answer. Methods that take an id expect an open message unless their comment
+/// allows others.
 #[derive(Default)]
 pub(crate) struct MessageTable {
     messages: BTreeMap<MessageId, Message>,
--- a/src/sender_state/route.rs
+++ b/src/sender_state/route.rs
@@ -43,7 +43,7 @@
 pub(crate) struct Health {
     /// Deliveries.
     pub(crate) successes: DecayingCounter,
-    /// Failures that say something about the destination.
+    /// Failures that are evidence about the health of the destination.
     pub(crate) failures: DecayingCounter,
     /// The failures that may have been executed.
     pub(crate) possible_executions: DecayingCounter,
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Failures before a recovery say nothing about the time after it.
+    /// Forgets the failures before a recovery, which are no evidence about the time after it.
     pub(crate) fn forget_failures(&mut self) {
         self.failures = DecayingCounter::default();
         self.possible_executions = DecayingCounter::default();
@@ -81,7 +81,7 @@
     pub(crate) limit: Option<f64>,
     /// What the destination reported to allow for all senders.
     pub(crate) reported_limit: Option<f64>,
-    /// What the endpoint list says for all senders; 0 if it says nothing.
+    /// The rate for all senders in the endpoint list; 0 if it has none.
     pub(crate) listed_rate: f64,
     /// When the next evenly spaced call is due.
     pub(crate) next_call_at: Micros,
@@ -103,8 +103,8 @@
         self.next_call_at = self.next_call_at.max(now) + (SECOND / calls_per_second) as Micros;
     }
 
-    /// Takes back a call that was never sent: the next one takes its place.
-    pub(crate) fn take_back_call(&mut self, calls_per_second: f64) {
+    /// Undoes [`RateLimiter::record_call`] for a call that was never sent.
+    pub(crate) fn undo_call(&mut self, calls_per_second: f64) {
         self.next_call_at -= (SECOND / calls_per_second) as Micros;
     }
 
--- a/tests/support_history/mod.rs
+++ b/tests/support_history/mod.rs
@@ -85,9 +85,9 @@
     pub(crate) fn assert_equals(&self, expected: &Expected) {
         let pairs = self.checkpoints.iter().zip(expected.checkpoints);
         let equal = pairs.take_while(|(found, recorded)| found == recorded).count();
-        let whole = equal == self.checkpoints.len() && equal == expected.checkpoints.len();
+        let complete = equal == self.checkpoints.len() && equal == expected.checkpoints.len();
         assert!(
-            whole && self.count == expected.count,
+            complete && self.count == expected.count,
             "history {:?} differs from its recording between turns {} and {}: expected count {} and {:#018x?}, \
              found Expected {{ count: {}, checkpoints: &{:#018x?} }}",
             self.name,
