Log the revisions of the list, endpoints that leave service, and the shutdown

Change: one line each; failed and outdated calls to discovery are named by their number. No decision changes.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -205,14 +205,13 @@
     /// Passes a list on, unless a newer one was passed on before.
     async fn accept(&mut self, call: ListCall, list: EndpointList) -> Result<(), RuntimeEnded> {
         if self.is_outdated(call, &list) {
+            eprintln!("discovery: call {}: revision {} is outdated", call.number, list.revision);
             return Ok(());
         }
         if self.calls.is_to_present_address(call) {
             self.record_list(call, &list);
         }
-        if list.complete {
-            eprintln!("discovery: revision {}, {} endpoints", list.revision, list.endpoints.len());
-        }
+        log_list(call, &list);
         Ok(self.events.send(RuntimeEvent::EndpointList(list)).await?)
     }
 
@@ -258,7 +257,7 @@
         let is_newest = self.calls.open().all(|open| open.number < call.number);
         if is_newest {
             let delay = self.schedule.delay_after_failure(error);
-            eprintln!("discovery: {error}; next call in {} ms", delay.as_millis());
+            eprintln!("discovery: call {}: {error}; next call in {} ms", call.number, delay.as_millis());
             self.schedule_call(DueCall::Regular, now + delay);
         }
     }
@@ -284,6 +283,16 @@
     }
 }
 
+/// Logs a list that contains something.
+fn log_list(call: ListCall, list: &EndpointList) {
+    let (number, revision, records) = (call.number, list.revision, list.endpoints.len());
+    if list.complete {
+        eprintln!("discovery: call {number}: revision {revision}, {records} endpoints");
+    } else if records > 0 {
+        eprintln!("discovery: call {number}: revision {revision}, {records} changes");
+    }
+}
+
 /// What confirms the list in use: a response at once, which is short if nothing has changed.
 fn confirmation_query(known_revision: Option<u64>) -> ListQuery {
     known_revision.map_or(ListQuery::Complete, |since_revision| ListQuery::Changes {
--- a/src/forwarder/runtime/endpoint_list.rs
+++ b/src/forwarder/runtime/endpoint_list.rs
@@ -14,6 +14,7 @@
         }
         let unreadable = self.unreadable_records(list);
         let records = list.endpoints.iter().chain(&unreadable);
+        self.log_departures(list, records.clone());
         let entries = records.map(|record| self.apply_record(now, record)).collect();
         let event = if list.complete { Event::ListSnapshot(entries) } else { Event::ListUpdate(entries) };
         self.decisions.notify(now, event);
@@ -49,6 +50,19 @@
         self.decisions.notify(now, event);
     }
 
+    /// Logs the endpoints that this list takes out of service.
+    fn log_departures<'a>(&self, list: &EndpointList, records: impl Iterator<Item = &'a EndpointRecord>) {
+        let departs = |record: &&EndpointRecord| {
+            let known =
+                self.endpoints.number_of(&record.uid).and_then(|endpoint| self.endpoints.get(endpoint));
+            known.is_some_and(|known| known.record.state == LifecycleState::InService)
+                && record.state != LifecycleState::InService
+        };
+        for record in records.filter(departs) {
+            eprintln!("runtime: revision {}: endpoint {} is {:?}", list.revision, record.uid, record.state);
+        }
+    }
+
     fn apply_record(&mut self, now: Micros, record: &EndpointRecord) -> EndpointEntry {
         let kind = self.names.kinds.index_of(&record.kind).unwrap_or(usize::MAX);
         let max_batch = self.settings.kinds.get(kind).map_or(1, |kind| kind.batch.max(1));
--- a/src/forwarder/runtime/log.rs
+++ b/src/forwarder/runtime/log.rs
@@ -5,6 +5,33 @@
 use crate::interface::{DestinationBacklog, Micros};
 
 impl Runtime {
+    /// Logs the state that this process starts with.
+    pub(super) fn log_start(&self) {
+        let revision = self.endpoints.revision().map_or("none".to_owned(), |revision| revision.to_string());
+        eprintln!(
+            "runtime: starts with revision {revision} of the endpoint list, {} messages open",
+            self.messages.len()
+        );
+    }
+
+    /// Logs that SIGTERM was received, and what is still to be done.
+    pub(super) fn log_termination(&self) {
+        eprintln!(
+            "runtime: SIGTERM; {} messages open, {} calls in flight",
+            self.messages.len(),
+            self.calls.len()
+        );
+    }
+
+    /// Logs what is left when the process ends.
+    pub(super) fn log_end(&self) {
+        eprintln!(
+            "runtime: ends with {} messages open, {} calls in flight",
+            self.messages.len(),
+            self.calls.len()
+        );
+    }
+
     /// Logs what happened since the last time and what delays messages, if it is time to do so.
     pub(super) fn log_if_due(&mut self, now: Micros) {
         let Some(metrics) = self.metrics.take_if_due() else { return };
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -135,6 +135,7 @@
         }
         runtime.recover(now, open_messages, handoff);
         runtime.apply_list_age(now, list_age.at(Instant::now()));
+        runtime.log_start();
         runtime.finish_turn(now);
         runtime
     }
@@ -205,6 +206,7 @@
             self.hand_over_if_requested();
             self.publish_phase(&phase);
             if self.is_complete(server.is_finished()) {
+                self.log_end();
                 // What is left in the queue is rejected.
                 drop(events);
                 self.successor.drop_deferred_events();
--- a/src/forwarder/runtime/turn.rs
+++ b/src/forwarder/runtime/turn.rs
@@ -40,7 +40,10 @@
             RuntimeEvent::ListAge(age) => self.apply_list_age(now, age),
             RuntimeEvent::NoticesAcknowledged(notices) => self.complete_notified(notices),
             RuntimeEvent::AdminRequest(request) => self.handle_admin_request(now, request),
-            RuntimeEvent::Terminate => self.lifecycle.terminate(),
+            RuntimeEvent::Terminate => {
+                self.log_termination();
+                self.lifecycle.terminate();
+            }
             RuntimeEvent::TakeOverRequested(channel) => {
                 // While one successor takes over, another one has to retry.
                 if matches!(self.successor, Successor::None) {
