--- a/tests/drain_checker.rs
+++ b/tests/drain_checker.rs
@@ -47,8 +47,10 @@
 
     fn call(mut self, query: DiscoveryQuery, arrived_ms: u64, end: Option<(u64, CallOutcome)>) -> Self {
         let end = end.map(|(ended_ms, outcome)| CallEnd { at: self.at(ended_ms), outcome });
+        let written = end.filter(|end| matches!(end.outcome, CallOutcome::Answered { .. }));
         let arrived_at = self.at(arrived_ms);
-        self.history.calls.push(DiscoveryCall { caller: 0, query, arrived_at, silent_since: None, end });
+        let call = DiscoveryCall { caller: 0, query, arrived_at, silent_since: None, written, end };
+        self.history.calls.push(call);
         self
     }
 
@@ -99,6 +101,13 @@
     run.assert_told(1800, ToldBy::Answer);
 }
 
+#[test]
+fn a_change_is_told_when_its_answer_begins_to_be_written() {
+    let mut run = WrittenRun::new(DiscoveryMode::Ask, 1000).call(watch(), 100, None);
+    run.history.calls[0].written = Some(CallEnd { at: run.at(1300), outcome: CHANGE });
+    run.assert_told(1300, ToldBy::Answer);
+}
+
 #[test]
 fn a_change_between_two_calls_of_a_watch_is_told_at_once() {
     let run = WrittenRun::new(DiscoveryMode::Ask, 2150).call(watch(), 100, Some((2100, OLD_LIST))).call(
--- a/tests/drain_restarts.rs
+++ b/tests/drain_restarts.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use support::{
-    AnswerContent, DiscoveryBehavior, DiscoveryMode, DrainScenario, EndpointStub, FullListener,
-    LONGEST_DELAY, LONGEST_POLL_DELAY, Predecessor,
+    AnswerContent, DiscoveryBehavior, DiscoveryMode, DrainScenario, EndpointStub, ForwarderEnd, FullListener,
+    LONGEST_DELAY, LONGEST_POLL_DELAY, Predecessor, run_cases,
 };
 use tokio::time::sleep;
 
@@ -20,6 +20,9 @@
 /// How long discovery is down when it restarts.
 const RESTART_DURATION: Duration = Duration::from_secs(2);
 
+/// Within this time after an answer was written, the forwarder has obeyed it.
+const TOLD: Duration = Duration::from_secs(1);
+
 /// Answers that come a second late.
 const LATE_ANSWERS: DiscoveryBehavior =
     DiscoveryBehavior::Delayed { delay: Duration::from_secs(1), content: AnswerContent::WhenWritten };
@@ -95,26 +98,13 @@
 /// The forwarder ends, an endpoint drains, and the forwarder starts again with the list that it knew.
 async fn drain_before_restart(mode: DiscoveryMode, end: ForwarderEnd, answers: DiscoveryBehavior) {
     let mut scenario = DrainScenario::start(mode, 3).await;
-    match end {
-        ForwarderEnd::Killed => scenario.forwarder.kill(),
-        ForwarderEnd::Terminated => {
-            scenario.forwarder.terminate();
-            scenario.forwarder.exit_status().await;
-        }
-    }
+    scenario.end_forwarder(end).await;
     scenario.drain();
     scenario.discovery.set_behavior(answers);
     scenario.restart().await;
     scenario.finish_after(LONGEST_DELAY).await;
 }
 
-/// How a forwarder is ended.
-#[derive(Clone, Copy)]
-enum ForwarderEnd {
-    Killed,
-    Terminated,
-}
-
 #[tokio::test]
 async fn a_killed_forwarder_starts_with_an_old_list() {
     drain_before_restart(DiscoveryMode::Push, ForwarderEnd::Killed, DiscoveryBehavior::Healthy).await;
@@ -271,3 +261,44 @@
     let _predecessor = upgrade(&mut scenario).await;
     scenario.finish_after(LONGEST_DELAY).await;
 }
+
+/// A forwarder is told of a drain, ends, and starts again with the list of its configuration, which is older.
+#[derive(Clone, Copy, Debug)]
+struct RestartAfterDrain {
+    mode: DiscoveryMode,
+    sender_count: u64,
+    end: ForwarderEnd,
+    /// How discovery behaves when the next process starts.
+    answers: DiscoveryBehavior,
+}
+
+impl RestartAfterDrain {
+    async fn play(self) -> DrainScenario {
+        let mut scenario = DrainScenario::start(self.mode, self.sender_count).await;
+        scenario.discovery.until_followed().await;
+        scenario.drain();
+        scenario.discovery.until_latest_list_is_written().await;
+        sleep(TOLD).await;
+        scenario.end_forwarder(self.end).await;
+        scenario.discovery.set_behavior(self.answers);
+        scenario.restart().await;
+        sleep(RESTART_DURATION).await;
+        scenario.discovery.set_behavior(DiscoveryBehavior::Healthy);
+        scenario
+    }
+}
+
+#[tokio::test]
+async fn a_drain_is_obeyed_that_an_earlier_process_was_told_of() {
+    let mut cases = Vec::new();
+    for end in [ForwarderEnd::Killed, ForwarderEnd::Terminated] {
+        for (mode, sender_count) in
+            [(DiscoveryMode::Ask, 6), (DiscoveryMode::Ask, 41), (DiscoveryMode::Push, 6)]
+        {
+            for answers in [DiscoveryBehavior::Healthy, LATE_ANSWERS, DiscoveryBehavior::Reject503] {
+                cases.push(RestartAfterDrain { mode, sender_count, end, answers });
+            }
+        }
+    }
+    run_cases(cases, LONGEST_DELAY, RestartAfterDrain::play).await;
+}
--- a/tests/support/discovery_connection.rs
+++ b/tests/support/discovery_connection.rs
@@ -1,6 +1,6 @@
 //! A connection to a scripted discovery service.
 
-use super::discovery_history::{AnswerContent, CallOutcome, DiscoveryBehavior, DiscoveryQuery};
+use super::discovery_history::{AnswerContent, AnswerFault, CallOutcome, DiscoveryBehavior, DiscoveryQuery};
 use super::discovery_state::ListAnswer;
 use super::first_byte_endpoint::header;
 use super::scripted_discovery::SharedDiscovery;
@@ -56,6 +56,10 @@
         OpenCall { index, query, shared: shared.clone() }
     }
 
+    fn begin_answer(&self, outcome: CallOutcome) {
+        self.shared.lock().begin_answer(self.index, outcome);
+    }
+
     fn end(&self, outcome: CallOutcome) {
         self.shared.lock().end_call(self.index, outcome);
     }
@@ -93,6 +97,7 @@
     async fn serve(&mut self) -> io::Result<()> {
         loop {
             let request_line = self.read_request().await?;
+            sleep(self.shared.latency()).await;
             let state = if request_line.starts_with("POST ") {
                 self.respond("204 No Content", "").await?;
                 ConnectionState::KeepAlive
@@ -119,6 +124,11 @@
     }
 
     async fn serve_call(&mut self, call: &OpenCall) -> io::Result<ConnectionState> {
+        if let DiscoveryBehavior::CrowdedQueue { service_time, patience } = self.shared.behavior()
+            && !self.take_turn(service_time, patience).await
+        {
+            return self.reject(call).await;
+        }
         tokio::select! {
             () = self.until_due(call) => {}
             () = self.until_closed() => {
@@ -127,6 +137,10 @@
             }
         }
         let behavior = self.shared.behavior();
+        let fault = self.shared.lock().take_fault(self.caller);
+        if let Some(fault) = fault {
+            return self.spoil(call, fault).await;
+        }
         match behavior {
             DiscoveryBehavior::Reject503 => self.reject(call).await,
             DiscoveryBehavior::Reset | DiscoveryBehavior::Refuse | DiscoveryBehavior::NeverAccept => {
@@ -136,12 +150,13 @@
             DiscoveryBehavior::Delayed { delay, content } => self.answer_late(call, delay, content).await,
             DiscoveryBehavior::Drip { duration } => self.drip(call, duration).await,
             DiscoveryBehavior::BreakOff => self.break_off(call).await,
+            DiscoveryBehavior::Stall => self.stall(call).await,
             DiscoveryBehavior::CrowdedSerial { service_time, patience } => {
                 self.answer_in_turn(call, service_time, patience).await
             }
-            DiscoveryBehavior::Healthy | DiscoveryBehavior::Silent => {
-                self.write_answer(call, call.answer()).await
-            }
+            DiscoveryBehavior::Healthy
+            | DiscoveryBehavior::Silent
+            | DiscoveryBehavior::CrowdedQueue { .. } => self.write_answer(call, call.answer()).await,
         }
     }
 
@@ -195,6 +210,7 @@
     }
 
     async fn write_answer(&mut self, call: &OpenCall, answer: ListAnswer) -> io::Result<ConnectionState> {
+        call.begin_answer(answer.outcome);
         call.end(answer.outcome);
         self.respond("200 OK", &answer.body).await?;
         Ok(ConnectionState::KeepAlive)
@@ -246,18 +262,53 @@
             }
             self.stream.write_all(piece).await?;
         }
+        call.begin_answer(answer.outcome);
         call.end(answer.outcome);
         Ok(ConnectionState::KeepAlive)
     }
 
     async fn break_off(&mut self, call: &OpenCall) -> io::Result<ConnectionState> {
-        let body = call.answer().body;
-        self.stream.write_all(head("200 OK", &body).as_bytes()).await?;
-        self.stream.write_all(&body.as_bytes()[..body.len() / 2]).await?;
+        self.write_half(call).await?;
         Ok(ConnectionState::Closed)
     }
 
+    async fn stall(&mut self, call: &OpenCall) -> io::Result<ConnectionState> {
+        self.write_half(call).await?;
+        self.until_closed().await;
+        call.end(CallOutcome::GivenUp);
+        Ok(ConnectionState::Closed)
+    }
+
+    async fn write_half(&mut self, call: &OpenCall) -> io::Result<()> {
+        let ListAnswer { body, outcome } = call.answer();
+        call.begin_answer(outcome);
+        sleep(self.shared.latency()).await;
+        self.stream.write_all(head("200 OK", &body).as_bytes()).await?;
+        self.stream.write_all(&body.as_bytes()[..body.len() / 2]).await
+    }
+
+    async fn spoil(&mut self, call: &OpenCall, fault: AnswerFault) -> io::Result<ConnectionState> {
+        match fault {
+            AnswerFault::BreakOff => self.break_off(call).await,
+            AnswerFault::Stall => self.stall(call).await,
+            AnswerFault::Lose => {
+                call.begin_answer(call.answer().outcome);
+                self.stream.set_zero_linger()?;
+                Ok(ConnectionState::Closed)
+            }
+            AnswerFault::Outdated(delay) => self.answer_late(call, delay, AnswerContent::WhenDue).await,
+        }
+    }
+
+    /// Waits for the turn of a call. Returns whether that came in time.
+    async fn take_turn(&self, service_time: Duration, patience: Duration) -> bool {
+        let Ok(_turn) = timeout(patience, self.shared.turn.lock()).await else { return false };
+        sleep(service_time).await;
+        true
+    }
+
     async fn respond(&mut self, status: &str, body: &str) -> io::Result<()> {
+        sleep(self.shared.latency()).await;
         self.stream.write_all((head(status, body) + body).as_bytes()).await
     }
 }
--- a/tests/support/discovery_history.rs
+++ b/tests/support/discovery_history.rs
@@ -39,12 +39,33 @@
     },
     /// Half of the body is written, then the connection is closed.
     BreakOff,
+    /// Half of the body is written, then nothing more, and the connection stays open.
+    Stall,
     /// Calls are answered in turn, also those whose caller has left. A call that waits longer than `patience` ends
     /// in 503.
     CrowdedSerial {
         service_time: Duration,
         patience: Duration,
     },
+    /// Calls are taken up in turn, which takes `service_time` for each. A watch that was taken up is answered at once
+    /// when the list changes. A call that waits for its turn longer than `patience` ends in 503.
+    CrowdedQueue {
+        service_time: Duration,
+        patience: Duration,
+    },
+}
+
+/// What happens to one answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerFault {
+    /// Half of the body is written, then the connection is closed.
+    BreakOff,
+    /// Half of the body is written, then nothing more, and the connection stays open.
+    Stall,
+    /// The connection is reset in the moment in which the answer is written, so that nothing of it arrives.
+    Lose,
+    /// The answer has the list as it was when it became due, and is written this much later.
+    Outdated(Duration),
 }
 
 impl DiscoveryBehavior {
@@ -125,6 +146,8 @@
     pub arrived_at: Instant,
     /// Since when it is certain that the call will not be answered, though its connection stays open.
     pub silent_since: Option<Instant>,
+    /// When the first byte of an answer was written, and what the answer contains. It may not arrive whole.
+    pub written: Option<CallEnd>,
     pub end: Option<CallEnd>,
 }
 
@@ -136,9 +159,9 @@
 }
 
 impl DiscoveryCall {
-    /// Whether the call was answered with a list that contains the version of this index.
+    /// Whether an answer was written that contains the version of this index, whether or not it arrived.
     pub(crate) fn is_answered_with(&self, index: usize) -> bool {
-        self.end.is_some_and(|end| match end.outcome {
+        self.written.is_some_and(|written| match written.outcome {
             CallOutcome::Answered { after_version, version } => {
                 after_version.is_none_or(|after| after < index) && index <= version
             }
--- a/tests/support/discovery_state.rs
+++ b/tests/support/discovery_state.rs
@@ -1,8 +1,8 @@
 //! The state of a scripted discovery service: its list, and its history.
 
 use super::discovery_history::{
-    BehaviorPeriod, CallEnd, CallOutcome, DiscoveryBehavior, DiscoveryCall, DiscoveryHistory, DiscoveryQuery,
-    ListVersion, Route,
+    AnswerFault, BehaviorPeriod, CallEnd, CallOutcome, DiscoveryBehavior, DiscoveryCall, DiscoveryHistory,
+    DiscoveryQuery, ListVersion, Route,
 };
 use super::discovery_stub::endpoint_list;
 use serde_json::{Value, json};
@@ -30,6 +30,8 @@
     oldest: (u64, usize),
     /// Callers that have an older version than this get the complete list.
     replaced_in: usize,
+    /// What happens to the next answer to a caller.
+    faults: BTreeMap<usize, AnswerFault>,
 }
 
 impl DiscoveryState {
@@ -41,6 +43,7 @@
             records: BTreeMap::new(),
             oldest: (1, 0),
             replaced_in: 0,
+            faults: BTreeMap::new(),
         };
         state.set_behavior(DiscoveryBehavior::Healthy);
         state.replace_all(records);
@@ -115,10 +118,32 @@
     pub(super) fn begin_call(&mut self, caller: usize, query: DiscoveryQuery) -> usize {
         let arrived_at = Instant::now();
         let silent_since = (self.behavior == DiscoveryBehavior::Silent).then_some(arrived_at);
-        self.history.calls.push(DiscoveryCall { caller, query, arrived_at, silent_since, end: None });
+        self.history.calls.push(DiscoveryCall {
+            caller,
+            query,
+            arrived_at,
+            silent_since,
+            written: None,
+            end: None,
+        });
         self.history.calls.len() - 1
     }
 
+    /// Spoils the next answer to a caller.
+    pub(super) fn spoil_next_answer(&mut self, caller: usize, fault: AnswerFault) {
+        self.faults.insert(caller, fault);
+    }
+
+    /// What happens to the answer that is due to a caller now. It happens once.
+    pub(super) fn take_fault(&mut self, caller: usize) -> Option<AnswerFault> {
+        self.faults.remove(&caller)
+    }
+
+    /// Records that the first byte of an answer is written.
+    pub(super) fn begin_answer(&mut self, index: usize, outcome: CallOutcome) {
+        self.history.calls[index].written.get_or_insert(CallEnd { at: Instant::now(), outcome });
+    }
+
     /// Records the end of a call, unless it has ended already.
     pub(super) fn end_call(&mut self, index: usize, outcome: CallOutcome) {
         self.history.calls[index].end.get_or_insert(CallEnd { at: Instant::now(), outcome });
--- a/tests/support/drain_rules.rs
+++ b/tests/support/drain_rules.rs
@@ -37,7 +37,7 @@
 /// Why a change counts as told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ToldBy {
-    /// An answer that contains the change was written.
+    /// An answer that contains the change was written, whether or not it arrived whole.
     Answer,
     /// The change was made between two calls of a watch that went on.
     WatchGap,
@@ -90,9 +90,12 @@
         self.history.calls.iter().filter(|call| self.life.contains(&call.arrived_at))
     }
 
+    /// An answer to an earlier process of the forwarder tells this one too.
     fn answers(&self, version: usize) -> impl Iterator<Item = Told> {
-        let answered = self.calls().filter(move |call| call.is_answered_with(version));
-        answered.filter_map(|call| Some(Told { at: call.end?.at, by: ToldBy::Answer }))
+        let until = self.life.end;
+        let calls = self.history.calls.iter().filter(move |call| call.arrived_at < until);
+        let answered = calls.filter(move |call| call.is_answered_with(version));
+        answered.filter_map(|call| Some(Told { at: call.written?.at, by: ToldBy::Answer }))
     }
 
     /// The changes between an answer to a watch and its next call count as told.
--- a/tests/support/drain_scenario.rs
+++ b/tests/support/drain_scenario.rs
@@ -10,8 +10,10 @@
 use super::steady_traffic::SteadyTraffic;
 use super::{EVENT_TIMEOUT, POLL_INTERVAL};
 use serde_json::{Value, json};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 /// The destination of all messages.
@@ -27,6 +29,15 @@
 /// The senders of a larger fleet poll where discovery is asked.
 pub(crate) const MAX_WATCHING_SENDERS: u64 = 4;
 
+/// How a forwarder is ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ForwarderEnd {
+    /// By SIGKILL.
+    Killed,
+    /// By SIGTERM.
+    Terminated,
+}
+
 /// A forwarder that gets steady traffic, and all that it talks to.
 pub(crate) struct DrainScenario {
     pub discovery: ScriptedDiscovery,
@@ -126,6 +137,17 @@
         self.discovery.set_behavior(DiscoveryBehavior::Healthy);
     }
 
+    /// Ends the forwarder.
+    pub(crate) async fn end_forwarder(&mut self, end: ForwarderEnd) {
+        match end {
+            ForwarderEnd::Killed => self.forwarder.kill(),
+            ForwarderEnd::Terminated => {
+                self.forwarder.terminate();
+                self.forwarder.exit_status().await;
+            }
+        }
+    }
+
     /// Starts the forwarder again after it has ended.
     pub(crate) async fn restart(&mut self) {
         self.timeline.starts.push(Instant::now());
@@ -179,11 +201,42 @@
     pub(crate) async fn finish_after(self, duration: Duration) {
         let began_at = Instant::now();
         sleep(duration).await;
+        assert_eq!(self.problem(began_at), None);
+    }
+
+    /// What is wrong: a request that was routed too late, or that the endpoint that stays has got no message since an
+    /// instant.
+    fn problem(&self, since: Instant) -> Option<String> {
         let violations = self.violations();
-        assert!(violations.is_empty(), "{}", ViolationSummary(&violations));
         let last = self.staying.first_bytes().last().map(|first_byte| first_byte.at);
-        assert!(last.is_some_and(|at| at > began_at), "the endpoint that stays gets no message");
+        if !violations.is_empty() {
+            Some(ViolationSummary(&violations).to_string())
+        } else if last.is_none_or(|at| at <= since) {
+            Some("the endpoint that stays gets no message".to_owned())
+        } else {
+            None
+        }
+    }
+}
+
+/// Plays all cases beside each other, lets each go on for some time, and requires that none of them has a request that
+/// was routed too late, and that the endpoint that stays is still used.
+pub(crate) async fn run_cases<C, F>(cases: Vec<C>, then: Duration, play: fn(C) -> F)
+where
+    C: Copy + fmt::Debug + Send + 'static,
+    F: Future<Output = DrainScenario> + Send + 'static,
+{
+    let mut runs = JoinSet::new();
+    for case in cases {
+        runs.spawn(async move {
+            let scenario = play(case).await;
+            let began_at = Instant::now();
+            sleep(then).await;
+            scenario.problem(began_at).map(|problem| format!("{case:?}: {problem}"))
+        });
     }
+    let problems: Vec<String> = runs.join_all().await.into_iter().flatten().collect();
+    assert!(problems.is_empty(), "{} cases:\n{}", problems.len(), problems.join("\n"));
 }
 
 /// The record of the endpoint that stays. It is in another zone than the forwarder, which thus prefers the other one
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -22,15 +22,16 @@
 mod steady_traffic;
 
 pub(crate) use discovery_history::{
-    AnswerContent, BehaviorPeriod, CallEnd, CallOutcome, DiscoveryBehavior, DiscoveryCall, DiscoveryHistory,
-    DiscoveryQuery, ListVersion, Route,
+    AnswerContent, AnswerFault, BehaviorPeriod, CallEnd, CallOutcome, DiscoveryBehavior, DiscoveryCall,
+    DiscoveryHistory, DiscoveryQuery, ListVersion, Route,
 };
 pub(crate) use discovery_stub::{DiscoveryStub, endpoint, endpoint_list, plain_endpoint};
 pub(crate) use drain_checker::{DrainViolation, ForwarderTimeline, ViolationSummary, check_drains};
 pub(crate) use drain_fleet::DrainFleet;
 pub(crate) use drain_rules::{DiscoveryMode, DrainSettings, ToldBy};
 pub(crate) use drain_scenario::{
-    DESTINATION, DrainScenario, LONGEST_DELAY, LONGEST_POLL_DELAY, MAX_WATCHING_SENDERS,
+    DESTINATION, DrainScenario, ForwarderEnd, LONGEST_DELAY, LONGEST_POLL_DELAY, MAX_WATCHING_SENDERS,
+    run_cases,
 };
 pub(crate) use endpoint_stub::{EndpointStub, ReceivedCall};
 pub(crate) use first_byte_endpoint::{EndpointBehavior, FirstByte, FirstByteEndpoint};
--- a/tests/support/scripted_discovery.rs
+++ b/tests/support/scripted_discovery.rs
@@ -1,12 +1,13 @@
 //! A discovery service whose list and faults the test changes at any time.
 
 use super::discovery_connection::serve_connection;
-use super::discovery_history::{DiscoveryBehavior, DiscoveryHistory};
+use super::discovery_history::{AnswerFault, DiscoveryBehavior, DiscoveryHistory};
 use super::discovery_state::DiscoveryState;
 use super::{EVENT_TIMEOUT, POLL_INTERVAL};
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -30,6 +31,8 @@
     pub(super) resets: watch::Sender<u64>,
     /// The turn to be served, where calls are served one by one.
     pub(super) turn: tokio::sync::Mutex<()>,
+    /// How long bytes take from the service to a caller and back, in milliseconds.
+    latency_ms: AtomicU64,
 }
 
 impl SharedDiscovery {
@@ -46,6 +49,11 @@
         self.changes.subscribe()
     }
 
+    /// How long bytes take in one direction.
+    pub(super) fn latency(&self) -> Duration {
+        Duration::from_millis(self.latency_ms.load(Ordering::Relaxed))
+    }
+
     fn notify(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
@@ -102,6 +110,7 @@
             changes: watch::channel(0).0,
             resets: watch::channel(0).0,
             turn: tokio::sync::Mutex::new(()),
+            latency_ms: AtomicU64::new(0),
         });
         let listening = ListeningAddress::start(&shared, 0);
         ScriptedDiscovery { address: listening.address, shared, listening: vec![listening] }
@@ -133,6 +142,11 @@
         self.shared.notify();
     }
 
+    /// Sets how long bytes take in one direction between the service and its callers.
+    pub(crate) fn set_latency(&self, milliseconds: u64) {
+        self.shared.latency_ms.store(milliseconds, Ordering::Relaxed);
+    }
+
     /// Begins a behavior.
     pub(crate) fn set_behavior(&self, behavior: DiscoveryBehavior) {
         self.shared.lock().set_behavior(behavior);
@@ -142,6 +156,11 @@
         self.shared.notify();
     }
 
+    /// Spoils the next answer to a caller.
+    pub(crate) fn spoil_next_answer(&self, caller: usize, fault: AnswerFault) {
+        self.shared.lock().spoil_next_answer(caller, fault);
+    }
+
     /// Leaves the calls that are open now without an answer. Later calls are answered.
     pub(crate) fn silence_open_watches(&self) {
         self.shared.lock().silence_open_calls();
