--- a/tests/drain_checker.rs
+++ b/tests/drain_checker.rs
@@ -59,8 +59,12 @@
     }
 
     fn check(&self, first_byte_ms: u64) -> Vec<DrainViolation> {
-        let first_byte =
-            FirstByte { endpoint: endpoint(), at: self.at(first_byte_ms), request_ids: vec!["m".to_owned()] };
+        let first_byte = FirstByte {
+            endpoint: endpoint(),
+            at: self.at(first_byte_ms),
+            request_ids: vec!["m".to_owned()],
+            end: None,
+        };
         let settings = DrainSettings {
             mode: self.mode,
             stop_sending_within: Duration::from_millis(500),
--- a/tests/support/discovery_connection.rs
+++ b/tests/support/discovery_connection.rs
@@ -7,6 +7,7 @@
 use std::future::pending;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -68,6 +69,12 @@
         self.shared.lock().history.calls[self.index].silent_since.is_some()
     }
 
+    /// Whether the service has ended the call already, by 503.
+    fn is_rejected(&self) -> bool {
+        let end = self.shared.lock().history.calls[self.index].end;
+        end.is_some_and(|end| end.outcome == CallOutcome::Rejected)
+    }
+
     /// Whether the answer is due: nothing to wait for, or something newer than the caller has.
     fn is_due(&self) -> bool {
         match self.query {
@@ -87,6 +94,11 @@
     }
 }
 
+struct HttpRequest {
+    request_line: String,
+    body: String,
+}
+
 struct Connection {
     stream: TcpStream,
     caller: usize,
@@ -96,9 +108,10 @@
 impl Connection {
     async fn serve(&mut self) -> io::Result<()> {
         loop {
-            let request_line = self.read_request().await?;
+            let HttpRequest { request_line, body } = self.read_request().await?;
             sleep(self.shared.latency()).await;
             let state = if request_line.starts_with("POST ") {
+                self.shared.lock().record_notices(&body);
                 self.respond("204 No Content", "").await?;
                 ConnectionState::KeepAlive
             } else {
@@ -111,23 +124,24 @@
         }
     }
 
-    /// Reads a request and returns its first line.
-    async fn read_request(&mut self) -> io::Result<String> {
+    async fn read_request(&mut self) -> io::Result<HttpRequest> {
         let mut text = Vec::new();
         while !text.ends_with(b"\r\n\r\n") {
             text.push(self.stream.read_u8().await?);
         }
         let head = String::from_utf8_lossy(&text).into_owned();
         let length = header(&head, "content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
-        self.stream.read_exact(&mut vec![0; length]).await?;
-        Ok(head.lines().next().unwrap_or_default().to_owned())
+        let mut body = vec![0; length];
+        self.stream.read_exact(&mut body).await?;
+        let request_line = head.lines().next().unwrap_or_default().to_owned();
+        Ok(HttpRequest { request_line, body: String::from_utf8_lossy(&body).into_owned() })
     }
 
     async fn serve_call(&mut self, call: &OpenCall) -> io::Result<ConnectionState> {
         if let DiscoveryBehavior::CrowdedQueue { service_time, patience } = self.shared.behavior()
             && !self.take_turn(service_time, patience).await
         {
-            return self.reject(call).await;
+            self.shared.reject_open_calls(self.caller);
         }
         tokio::select! {
             () = self.until_due(call) => {}
@@ -136,6 +150,9 @@
                 return Ok(ConnectionState::Closed);
             }
         }
+        if call.is_rejected() {
+            return self.reject(call).await;
+        }
         let behavior = self.shared.behavior();
         let fault = self.shared.lock().take_fault(self.caller);
         if let Some(fault) = fault {
@@ -172,7 +189,7 @@
             if call.is_silent() {
                 pending::<()>().await;
             }
-            let is_rejected = self.shared.behavior() == DiscoveryBehavior::Reject503;
+            let is_rejected = call.is_rejected() || self.shared.behavior() == DiscoveryBehavior::Reject503;
             if is_rejected || call.is_due() || wait_end <= Instant::now() {
                 return;
             }
@@ -300,11 +317,16 @@
         }
     }
 
-    /// Waits for the turn of a call. Returns whether that came in time.
+    /// Waits for the turn of a call, unless that would come too late. Returns whether the call was taken up.
     async fn take_turn(&self, service_time: Duration, patience: Duration) -> bool {
-        let Ok(_turn) = timeout(patience, self.shared.turn.lock()).await else { return false };
-        sleep(service_time).await;
-        true
+        let waiting = self.shared.queue_length.fetch_add(1, Ordering::Relaxed);
+        let is_taken_up = service_time * waiting <= patience;
+        if is_taken_up {
+            let _turn = self.shared.turn.lock().await;
+            sleep(service_time).await;
+        }
+        self.shared.queue_length.fetch_sub(1, Ordering::Relaxed);
+        is_taken_up
     }
 
     async fn respond(&mut self, status: &str, body: &str) -> io::Result<()> {
--- a/tests/support/discovery_history.rs
+++ b/tests/support/discovery_history.rs
@@ -48,7 +48,8 @@
         patience: Duration,
     },
     /// Calls are taken up in turn, which takes `service_time` for each. A watch that was taken up is answered at once
-    /// when the list changes. A call that waits for its turn longer than `patience` ends in 503.
+    /// when the list changes. A call that would wait for its turn longer than `patience` ends in 503 at once, and with
+    /// it all open calls of its caller.
     CrowdedQueue {
         service_time: Duration,
         patience: Duration,
--- a/tests/support/discovery_state.rs
+++ b/tests/support/discovery_state.rs
@@ -6,7 +6,7 @@
 };
 use super::discovery_stub::endpoint_list;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 /// A record of the list and the index of the version in which it changed last.
@@ -32,6 +32,8 @@
     replaced_in: usize,
     /// What happens to the next answer to a caller.
     faults: BTreeMap<usize, AnswerFault>,
+    /// The ids of the messages that forwarders gave notice of.
+    pub noticed_messages: BTreeSet<String>,
 }
 
 impl DiscoveryState {
@@ -44,6 +46,7 @@
             oldest: (1, 0),
             replaced_in: 0,
             faults: BTreeMap::new(),
+            noticed_messages: BTreeSet::new(),
         };
         state.set_behavior(DiscoveryBehavior::Healthy);
         state.replace_all(records);
@@ -114,6 +117,19 @@
         self.history.calls.iter_mut().filter(|call| call.end.is_none())
     }
 
+    /// Ends the open calls of a caller by 503.
+    pub(super) fn reject_open_calls(&mut self, caller: usize) {
+        let end = CallEnd { at: Instant::now(), outcome: CallOutcome::Rejected };
+        self.open_calls().filter(|call| call.caller == caller).for_each(|call| call.end = Some(end));
+    }
+
+    /// Records the messages of a request with notices, which has one object a line.
+    pub(super) fn record_notices(&mut self, body: &str) {
+        let notices = body.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        self.noticed_messages
+            .extend(notices.filter_map(|notice| Some(notice["message"].as_str()?.to_owned())));
+    }
+
     /// Records a call and returns its index.
     pub(super) fn begin_call(&mut self, caller: usize, query: DiscoveryQuery) -> usize {
         let arrived_at = Instant::now();
--- a/tests/support/drain_scenario.rs
+++ b/tests/support/drain_scenario.rs
@@ -248,12 +248,12 @@
 }
 
 /// The figures that the forwarders of these tests are configured with.
-pub(super) fn drain_settings(mode: DiscoveryMode) -> DrainSettings {
+pub(crate) fn drain_settings(mode: DiscoveryMode) -> DrainSettings {
     DrainSettings { mode, stop_sending_within: STOP_SENDING_WITHIN, ask_within: ASK_WITHIN }
 }
 
 /// Sets how the list is got, by how many senders, and the figures that go with it.
-pub(super) fn set_discovery(configuration: &mut Value, mode: DiscoveryMode, sender_count: u64) {
+pub(crate) fn set_discovery(configuration: &mut Value, mode: DiscoveryMode, sender_count: u64) {
     let settings = &mut configuration["settings"];
     settings["discovery"] = json!(match mode {
         DiscoveryMode::Ask => "ask",
--- a/tests/support/first_byte_endpoint.rs
+++ b/tests/support/first_byte_endpoint.rs
@@ -34,6 +34,19 @@
     pub at: Instant,
     /// The ids of the messages; empty until the request was complete.
     pub request_ids: Vec<String>,
+    /// How the call ended, and when; `None` while it is open.
+    pub end: Option<(Instant, CallResult)>,
+}
+
+/// How a call to an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallResult {
+    /// The messages were delivered, and the response was written.
+    Delivered,
+    /// The messages were not executed.
+    NotExecuted,
+    /// The request was complete, and the caller got no response.
+    Unanswered,
 }
 
 struct State {
@@ -59,9 +72,14 @@
             endpoint: self.address,
             at: Instant::now(),
             request_ids: Vec::new(),
+            end: None,
         });
         state.first_bytes.len() - 1
     }
+
+    fn record_end(&self, index: usize, result: CallResult) {
+        self.lock().first_bytes[index].end.get_or_insert((Instant::now(), result));
+    }
 }
 
 /// An endpoint on a loopback address.
@@ -141,20 +159,39 @@
     }
 }
 
+/// Records the end of a call when it is dropped.
+struct OpenCall<'a> {
+    shared: &'a Shared,
+    index: usize,
+    result: CallResult,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.shared.record_end(self.index, self.result);
+    }
+}
+
 async fn serve(mut stream: TcpStream, shared: &Shared) -> io::Result<()> {
     loop {
         let mut first = [0; 1];
         stream.read_exact(&mut first).await?;
         let index = shared.record_first_byte();
+        let mut call = OpenCall { shared, index, result: CallResult::NotExecuted };
         let request = read_request(&mut stream, first[0]).await?;
+        call.result = CallResult::Unanswered;
         let ids = request.message_ids();
         shared.lock().first_bytes[index].request_ids.clone_from(&ids);
         let behavior = shared.lock().behavior;
         match behavior {
             EndpointBehavior::Deliver => {
+                call.result = CallResult::Delivered;
                 respond(&mut stream, "200 OK", &request.delivery_report(&ids)).await?;
             }
-            EndpointBehavior::Reject => respond(&mut stream, "503 Service Unavailable", "").await?,
+            EndpointBehavior::Reject => {
+                call.result = CallResult::NotExecuted;
+                respond(&mut stream, "503 Service Unavailable", "").await?;
+            }
             EndpointBehavior::Reset => {
                 stream.set_zero_linger()?;
                 return Ok(());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -31,10 +31,10 @@
 pub(crate) use drain_rules::{DiscoveryMode, DrainSettings, ToldBy};
 pub(crate) use drain_scenario::{
     DESTINATION, DrainScenario, ForwarderEnd, LONGEST_DELAY, LONGEST_POLL_DELAY, MAX_WATCHING_SENDERS,
-    run_cases,
+    drain_settings, run_cases, set_discovery,
 };
 pub(crate) use endpoint_stub::{EndpointStub, ReceivedCall};
-pub(crate) use first_byte_endpoint::{EndpointBehavior, FirstByte, FirstByteEndpoint};
+pub(crate) use first_byte_endpoint::{CallResult, EndpointBehavior, FirstByte, FirstByteEndpoint};
 pub(crate) use fixture::Fixture;
 pub(crate) use forwarder_config::{latency_objective, long_turns, one_call_slot, turn_interval};
 pub(crate) use forwarder_process::{ForwarderProcess, Predecessor};
--- a/tests/support/scripted_discovery.rs
+++ b/tests/support/scripted_discovery.rs
@@ -5,9 +5,10 @@
 use super::discovery_state::DiscoveryState;
 use super::{EVENT_TIMEOUT, POLL_INTERVAL};
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -31,6 +32,8 @@
     pub(super) resets: watch::Sender<u64>,
     /// The turn to be served, where calls are served one by one.
     pub(super) turn: tokio::sync::Mutex<()>,
+    /// The calls that wait for their turn or are taken up now, where the service has a queue.
+    pub(super) queue_length: AtomicU32,
     /// How long bytes take from the service to a caller and back, in milliseconds.
     latency_ms: AtomicU64,
 }
@@ -54,6 +57,12 @@
         Duration::from_millis(self.latency_ms.load(Ordering::Relaxed))
     }
 
+    /// Ends all open calls of a caller by 503.
+    pub(super) fn reject_open_calls(&self, caller: usize) {
+        self.lock().reject_open_calls(caller);
+        self.notify();
+    }
+
     fn notify(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
@@ -110,6 +119,7 @@
             changes: watch::channel(0).0,
             resets: watch::channel(0).0,
             turn: tokio::sync::Mutex::new(()),
+            queue_length: AtomicU32::new(0),
             latency_ms: AtomicU64::new(0),
         });
         let listening = ListeningAddress::start(&shared, 0);
@@ -178,12 +188,23 @@
         self.shared.resets.send_modify(|count| *count += 1);
     }
 
-    /// Moves the service to another address for the first caller. The old address takes no new connection, and closes its connections
-    /// soon.
+    /// Moves the service to another address for the first caller. The old address takes no new connection, and closes
+    /// its connections soon.
     pub(crate) fn move_to_new_address(&mut self) {
-        let old = std::mem::replace(&mut self.listening[0], ListeningAddress::start(&self.shared, 0));
-        self.address = self.listening[0].address;
-        old.close();
+        self.address = self.move_caller(0);
+    }
+
+    /// The same for another caller. Returns the new address.
+    pub(crate) fn move_caller(&mut self, caller: usize) -> SocketAddr {
+        let new = ListeningAddress::start(&self.shared, caller);
+        let address = new.address;
+        std::mem::replace(&mut self.listening[caller], new).close();
+        address
+    }
+
+    /// The ids of the messages that forwarders gave notice of.
+    pub(crate) fn noticed_messages(&self) -> BTreeSet<String> {
+        self.shared.lock().noticed_messages.clone()
     }
 
     /// What the service did so far.
