Store which endpoints left service, and do not call them after a restart

Cause: what a process was told about endpoints ended with it. The next one acted on the list of its configuration, which may be older, until discovery answered: 0.3 s where it watches, up to 5 s where it polls, and for the whole of an outage. Class: knowledge that a rule binds the forwarder to, kept only in the memory of one process. Change: the file departed in the state folder has the ids that the last list took out of service; where the list of the configuration is older, they drain until discovery tells otherwise. At most 10 kB for each MB of the disk limit; replaced by a rename; a folder that fails is tried again.

--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -14,6 +14,7 @@
 mod background_tasks;
 mod clock;
 mod configuration;
+mod departed_endpoints;
 mod descriptor_budget;
 mod discovery;
 mod discovery_client;
--- a/src/forwarder/runtime/endpoint_list.rs
+++ b/src/forwarder/runtime/endpoint_list.rs
@@ -6,6 +6,12 @@
 use crate::interface::{EndpointEntry, EndpointState, Event, Micros};
 
 impl Runtime {
+    /// Applies what discovery has sent, and remembers which endpoints it takes out of service.
+    pub(super) fn receive_endpoint_list(&mut self, now: Micros, list: &EndpointList) {
+        self.departed.record(list, self.endpoints.uids_in_service());
+        self.apply_endpoint_list(now, list);
+    }
+
     /// Applies the list, or changes to it.
     pub(super) fn apply_endpoint_list(&mut self, now: Micros, list: &EndpointList) {
         self.endpoints.set_revision(list.revision);
--- a/src/forwarder/runtime/endpoints.rs
+++ b/src/forwarder/runtime/endpoints.rs
@@ -171,6 +171,14 @@
         }
     }
 
+    /// The ids of the endpoints that are in service.
+    pub(super) fn uids_in_service(&self) -> impl Iterator<Item = &str> {
+        let in_service = self.by_number.iter().filter(|(endpoint, known)| {
+            known.record.state == LifecycleState::InService && !self.is_removed(**endpoint)
+        });
+        in_service.map(|(_, known)| known.record.uid.as_str())
+    }
+
     /// The records of all endpoints; those that were removed are terminated.
     pub(super) fn records(&self) -> Vec<EndpointRecord> {
         let record = |(endpoint, known): (&EndpointId, &Endpoint)| {
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -27,6 +27,7 @@
 
 use crate::forwarder::clock::{KernelClocks, Timeline, UnixClock};
 use crate::forwarder::configuration::Config;
+use crate::forwarder::departed_endpoints::DepartedEndpoints;
 use crate::forwarder::discovery::InitialListAge;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::journal::{Journal, SharedJournal, WRITE_RETRY_DELAY_MS};
@@ -93,6 +94,8 @@
     messages: OpenMessages,
     calls: CallsInFlight,
     endpoints: Endpoints,
+    /// For the next process.
+    departed: DepartedEndpoints,
     idle_connections: IdleConnectionPool,
     notices: NoticeQueue,
     lifecycle: Lifecycle,
@@ -131,7 +134,8 @@
         let mut runtime = Runtime::new(config, channels, journal, timeline, ownership.lock, predecessor);
         let now = runtime.clock.now();
         if let Some(known) = &config.known_endpoints {
-            runtime.apply_endpoint_list(now, known);
+            let known = runtime.departed.update_known_list(known);
+            runtime.apply_endpoint_list(now, &known);
         }
         runtime.recover(now, open_messages, handoff);
         runtime.apply_list_age(now, list_age.at(Instant::now()));
@@ -159,6 +163,7 @@
             messages: OpenMessages::default(),
             calls: CallsInFlight::default(),
             endpoints: Endpoints::default(),
+            departed: DepartedEndpoints::open(&config.state_folder, config.limits.disk_mb),
             idle_connections: IdleConnectionPool::new(channels.max_idle_connections, settings.idle_timeout),
             notices: NoticeQueue::new(channels.notices),
             lifecycle: Lifecycle::new(),
--- a/src/forwarder/runtime/turn.rs
+++ b/src/forwarder/runtime/turn.rs
@@ -36,7 +36,7 @@
         match event {
             RuntimeEvent::ClientRequest(request) => self.submit(now, request),
             RuntimeEvent::CallEnded(report) => self.handle_call_report(now, report),
-            RuntimeEvent::EndpointList(list) => self.apply_endpoint_list(now, &list),
+            RuntimeEvent::EndpointList(list) => self.receive_endpoint_list(now, &list),
             RuntimeEvent::ListAge(age) => self.apply_list_age(now, age),
             RuntimeEvent::NoticesAcknowledged(notices) => self.complete_notified(notices),
             RuntimeEvent::AdminRequest(request) => self.handle_admin_request(now, request),
@@ -61,6 +61,7 @@
         let attempts = self.execute_actions(now);
         self.commit(now, attempts);
         self.timeline.save_if_due();
+        self.departed.save_if_changed();
         self.send_notices(now);
         self.log_if_due(now);
         self.idle_connections.close_expired(now);
