Know a change when its response is written, and hold calls while one is not read whole

Cause: a change counts as told when discovery writes it, but the follower knew it only from a whole response: one that stalled was awaited for up to 2.5 s (watch) or 2.5 s and a backoff (poll), one that broke off after rejections was followed by a backoff of up to 1.5 s, a head that stopped half way counted as an outage, and an older response that arrived last was applied. Class: the rule counts from the sender's write, the program from the end of its own read. Change: each arrival of bytes is reported. If no more come for 0.15 s, another call is made beside it; if the response does not end, the list is not acted on from 0.295 s after its last bytes (the grace less hold-ups) until a list is read that was current after it. An outage does not undo that. A call that breaks has a backoff of its own, which rejections do not lengthen. A response that was overtaken by a newer list is ignored. Same class at the start of a process: it does not act on the list of its configuration until discovery has answered or is down; the first call asks for changes without waiting, in place of a confirmation beside a first watch (two calls at once; a shared service rejected both, seen in traces). Crowds: retries after a rejection stay within 20 a second over the fleet from the first one on, and the next watch of a shared service begins 0.22 to 0.44 s after a response: a call within 0.2 s would have to know what changes in between, whenever the service takes it up.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -6,7 +6,7 @@
 use super::InitialListAge;
 use super::list_age::ListAgeBounds;
 use super::list_age_monitor::{ListAge, ListAgeMonitor};
-use super::open_calls::{FinishedCall, ListCall, OpenCalls};
+use super::open_calls::{CallEvent, FinishedCall, ListCall, OpenCalls};
 use super::request::{ListQuery, PollError};
 use super::schedule::CallSchedule;
 use crate::forwarder::event::RuntimeEvent;
@@ -25,6 +25,8 @@
 enum Step {
     /// Operators configured another address.
     ChangeAddress,
+    /// Bytes of the response to a call have arrived.
+    ResponseProgress(ListCall),
     /// A call has ended.
     Complete(FinishedCall),
     /// Another call is due.
@@ -38,8 +40,6 @@
 enum DueCall {
     /// The call that follows a list or a failure.
     Regular,
-    /// A call that confirms the list which the process started with, beside its first watch.
-    Confirmation,
     /// None yet: the newest call becomes overdue.
     Overdue,
     /// A call beside the overdue one.
@@ -57,6 +57,15 @@
     }
 }
 
+/// A list that was passed on.
+#[derive(Clone, Copy)]
+struct AppliedList {
+    /// The newest call that has returned a list.
+    call: u64,
+    revision: u64,
+    at: Instant,
+}
+
 /// The state of the loop that follows the list.
 pub(super) struct ListFollower {
     /// The start-up code of the forwarder holds the sender, and publishes an address when operators change it.
@@ -70,8 +79,8 @@
     due_call: DueCall,
     /// Changes since this revision suffice; `None` if the complete list has to be requested.
     known_revision: Option<u64>,
-    /// The newest call whose list was passed on.
-    last_applied: Option<u64>,
+    /// The list in use, if a call has returned it.
+    applied: Option<AppliedList>,
     /// The first of the rejections since the last list.
     rejected_since: Option<Instant>,
     age: ListAgeMonitor,
@@ -98,7 +107,7 @@
             schedule,
             due_call: DueCall::Regular,
             known_revision,
-            last_applied: None,
+            applied: None,
             rejected_since: None,
             age: list_age.monitor(),
         }
@@ -114,6 +123,7 @@
     async fn take_step(&mut self) -> Result<(), RuntimeEnded> {
         match self.next_step().await {
             Step::ChangeAddress => self.change_address(),
+            Step::ResponseProgress(call) => self.expect_response_end(call),
             Step::Complete(finished) => self.complete_call(finished).await?,
             Step::Call => self.make_due_call(),
             Step::CheckAge => {}
@@ -126,7 +136,10 @@
         tokio::select! {
             biased;
             Ok(()) = self.address.changed() => Step::ChangeAddress,
-            Some(finished) = self.calls.next_finished() => Step::Complete(finished),
+            event = self.calls.next_event() => match event {
+                CallEvent::ResponseProgress(call) => Step::ResponseProgress(call),
+                CallEvent::Finished(finished) => Step::Complete(finished),
+            },
             () = sleep_until(self.next_call_at) => Step::Call,
             () = sleep_until(age_changes_at.unwrap_or(self.next_call_at)), if age_changes_at.is_some() => Step::CheckAge,
         }
@@ -139,6 +152,7 @@
         self.schedule.change_address();
         self.age.record_address_change(now);
         self.known_revision = None;
+        self.applied = None;
         self.rejected_since = None;
         self.schedule_call(DueCall::Regular, now);
     }
@@ -150,8 +164,10 @@
 
     fn make_due_call(&mut self) {
         match self.due_call {
+            DueCall::Regular if !self.age.is_confirmed() => {
+                self.call(confirmation_query(self.known_revision), false);
+            }
             DueCall::Regular => self.call(self.schedule.query(self.known_revision, false), false),
-            DueCall::Confirmation => self.call(confirmation_query(self.known_revision), true),
             DueCall::BesideOverdue => {
                 self.limit_open_calls();
                 self.call(self.schedule.query(self.known_revision, true), true);
@@ -183,14 +199,23 @@
     fn call(&mut self, query: ListQuery, beside_overdue: bool) {
         let address = *self.address.borrow();
         let call = self.calls.start(address, query, self.schedule.time_limit(query));
-        if query.is_watch() && !self.age.is_confirmed() {
-            let at = call.started_at + self.bounds.confirmation_delay();
-            return self.schedule_call(DueCall::Confirmation, at);
-        }
         let overdue_after = self.schedule.overdue_after(query, beside_overdue);
         self.schedule_call(DueCall::Overdue, call.started_at + overdue_after);
     }
 
+    /// What the response tells must be known soon after its last byte: if no more arrives for a while and it has not
+    /// ended, another call is made beside it.
+    fn expect_response_end(&mut self, call: ListCall) {
+        let now = Instant::now();
+        self.age.record_response_progress(call.number, now);
+        let newest = self.calls.open().next_back();
+        if newest.is_some_and(|newest| newest.number == call.number) && self.due_call == DueCall::Overdue {
+            let overdue_at = call.started_at + self.schedule.overdue_after(call.query, false);
+            let stalled_at = now + self.schedule.response_completion_allowance();
+            self.schedule_call(DueCall::Overdue, stalled_at.min(overdue_at));
+        }
+    }
+
     async fn complete_call(&mut self, finished: FinishedCall) -> Result<(), RuntimeEnded> {
         let (call, result) = self.calls.complete(finished);
         match result {
@@ -204,8 +229,12 @@
 
     /// Passes a list on, unless a newer one was passed on before.
     async fn accept(&mut self, call: ListCall, list: EndpointList) -> Result<(), RuntimeEnded> {
+        self.age.record_response_end(call.number);
         if self.is_outdated(call, &list) {
             eprintln!("discovery: call {}: revision {} is outdated", call.number, list.revision);
+            if self.calls.open().len() == 0 {
+                self.schedule_call(DueCall::Regular, Instant::now());
+            }
             return Ok(());
         }
         if self.calls.is_to_present_address(call) {
@@ -215,15 +244,19 @@
         Ok(self.events.send(RuntimeEvent::EndpointList(list)).await?)
     }
 
-    /// Whether a list from a newer call was passed on, and this one has nothing to add to it.
+    /// Whether a list was passed on that this one has nothing to add to: one from a newer call, or a newer one that
+    /// arrived while this call was open. A service that has started again at a lower revision answers later calls.
     fn is_outdated(&self, call: ListCall, list: &EndpointList) -> bool {
-        let is_late = self.last_applied.is_some_and(|applied| call.number < applied);
-        is_late && self.known_revision.is_none_or(|known| list.revision <= known)
+        let Some(applied) = self.applied else { return false };
+        let is_late = call.number < applied.call;
+        let is_overtaken = call.started_at < applied.at && list.revision < applied.revision;
+        is_overtaken || is_late && self.known_revision.is_none_or(|known| list.revision <= known)
     }
 
     fn record_list(&mut self, call: ListCall, list: &EndpointList) {
         let now = Instant::now();
-        self.last_applied = self.last_applied.max(Some(call.number));
+        let newest_call = self.applied.map_or(call.number, |applied| applied.call.max(call.number));
+        self.applied = Some(AppliedList { call: newest_call, revision: list.revision, at: now });
         self.known_revision = next_revision(call.query, list);
         self.rejected_since = None;
         self.age.record_current(current_at(call, list, now));
@@ -246,11 +279,14 @@
     }
 
     fn record_failure(&mut self, call: ListCall, error: &PollError) {
+        if error.is_rejection() {
+            self.age.record_response_end(call.number);
+        }
         if !self.calls.is_to_present_address(call) {
             return;
         }
         let now = Instant::now();
-        if error.may_be_outage(was_queued(call, now)) {
+        if error.may_be_outage(was_queued(call, now), self.age.is_unread(call.number)) {
             self.age.record_outage(now);
         }
         self.record_lost_changes(error, now);
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -50,8 +50,11 @@
 const SHARED_BACKOFF: Duration = Duration::from_secs(1);
 /// The same where a sender has a service of its own.
 const OWN_BACKOFF: Duration = Duration::from_millis(250);
-/// When the list that a process started with is confirmed by a call beside its first watch, which shows only changes.
-const CONFIRMATION_DELAY: Duration = Duration::from_millis(200);
+/// If no bytes of a response arrive for this long and it has not ended, another call is made beside it.
+const RESPONSE_COMPLETION_ALLOWANCE: Duration = Duration::from_millis(150);
+/// A watch goes on, and what changes between two calls must be known at once, if the next call comes within 200 ms of a
+/// response. A shared service may be too busy to tell that in time, so that the next call begins a new watch.
+const PAUSE_BEFORE_NEW_WATCH: Duration = Duration::from_millis(220);
 /// A connection to the service that is not established within this fraction of the largest change age has failed.
 const CONNECT_FRACTION: f64 = 0.5;
 
@@ -170,6 +173,12 @@
         INITIAL_BACKOFF.max(self.fair_interval(SHARED_RETRIES_PER_SECOND) / INITIAL_BACKOFF_DIVISOR)
     }
 
+    /// The same after a rejection. All senders may have been rejected together, so that all of them together stay within
+    /// the rate of retries from the first one on.
+    pub(super) fn initial_rejection_backoff(&self) -> Duration {
+        self.initial_backoff().max(self.fair_interval(SHARED_RETRIES_PER_SECOND))
+    }
+
     /// The longest backoff of a watch after failed calls, before jitter.
     pub(super) fn longest_backoff(&self) -> Duration {
         match self.is_shared {
@@ -183,6 +192,17 @@
         self.fair_interval(SHARED_CALLS_PER_SECOND).min(limit)
     }
 
+    /// For how long no bytes of a response may arrive until another call is made beside it.
+    pub(super) fn response_completion_allowance() -> Duration {
+        RESPONSE_COMPLETION_ALLOWANCE
+    }
+
+    /// The time between a response and the next watch, before jitter. With a service of its own, a sender must know
+    /// what changes meanwhile.
+    pub(super) fn pause_before_watch(&self) -> Duration {
+        if self.is_shared { PAUSE_BEFORE_NEW_WATCH } else { Duration::ZERO }
+    }
+
     /// The time limit of a call that asks the service to wait for `wait`. A slow response is awaited for as long as it
     /// can be of use; further calls are made beside it.
     pub(super) fn response_timeout(&self, wait: Duration) -> Duration {
@@ -208,9 +228,9 @@
         self.usable_for().saturating_sub(difference)
     }
 
-    /// How long after its start a process acts on a list that the service has not confirmed. Where changes are pushed, it
-    /// must know from its start what the service has.
-    pub(super) fn usable_unconfirmed(&self) -> Duration {
+    /// How long the list is still acted on after the last bytes of a response that was not read to its end. What it tells
+    /// must be known from the moment in which it was written.
+    pub(super) fn usable_after_lost_response(&self) -> Duration {
         self.drain_grace.saturating_sub(self.hold_up())
     }
 
@@ -220,11 +240,6 @@
         self.max_change_age()
     }
 
-    /// The delay of the call that confirms the first list.
-    pub(super) fn confirmation_delay(&self) -> Duration {
-        CONFIRMATION_DELAY.min(self.usable_unconfirmed())
-    }
-
     /// Whether the first list needs a confirmation. A large fleet that polls could not confirm its lists at once.
     pub(super) fn needs_confirmation(&self) -> bool {
         self.mode() == FollowMode::Watch
--- a/src/forwarder/discovery/list_age/tests.rs
+++ b/src/forwarder/discovery/list_age/tests.rs
@@ -89,6 +89,8 @@
         prop_assert!(latest_write <= bounds.max_change_age() + bounds.drain_grace);
         let latest_write = bounds.usable_after_address_change() + MAX_PROCESS_PAUSE + EVENT_HANDLING;
         prop_assert!(latest_write <= MAX_AGE_AFTER_ADDRESS_CHANGE + bounds.drain_grace);
+        let latest_write = bounds.usable_after_lost_response() + MAX_PROCESS_PAUSE + EVENT_HANDLING;
+        prop_assert!(latest_write <= bounds.drain_grace);
     }
 
     #[test]
@@ -110,6 +112,8 @@
         prop_assert!(watches <= (SHARED_CALLS_PER_SECOND * 1.01).max(senders / shortest), "{watches}");
         let overlapping = senders / bounds.overlap_interval().as_secs_f64();
         prop_assert!(overlapping <= SHARED_CALLS_PER_SECOND * 1.01, "{overlapping}");
+        let retries = senders / bounds.initial_rejection_backoff().as_secs_f64();
+        prop_assert!(retries <= SHARED_RETRIES_PER_SECOND * 1.01, "{retries}");
         let retries = senders / bounds.longest_backoff().as_secs_f64();
         prop_assert!(retries <= SHARED_RETRIES_PER_SECOND * 1.01, "{retries}");
     }
--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -24,17 +24,28 @@
     /// When the list that the process started with, or that it had from another address, must not be acted on unless the
     /// service confirms it.
     unconfirmed: Option<Range<Instant>>,
+    /// Responses of which bytes have arrived, and which were not read to their end. Each may tell of a drain.
+    unread: Vec<UnreadResponse>,
     reported: ListAge,
 }
 
+/// A response of the service that has started, and has not ended yet or never will.
+struct UnreadResponse {
+    /// The number of its call.
+    call: u64,
+    /// When bytes of it arrived last. What follows them may have been written, and lost.
+    progress_at: Instant,
+}
+
 impl ListAgeMonitor {
     /// The list that the process starts with at this time.
     pub(super) fn new(bounds: ListAgeBounds, start: Instant) -> Self {
-        let unconfirmed = unconfirmed_from(start + bounds.usable_unconfirmed(), &bounds);
+        let unconfirmed = unconfirmed_from(start, &bounds);
         ListAgeMonitor {
             bounds,
             expires_at: start + bounds.usable_for(),
             unconfirmed,
+            unread: Vec::new(),
             reported: ListAge::Fresh,
         }
     }
@@ -46,13 +57,40 @@
 
     /// The list was current at this time.
     pub(super) fn record_current(&mut self, at: Instant) {
-        self.unconfirmed = None;
-        self.expires_at = self.expires_at.max(at + self.bounds.usable_for());
+        self.renew(at);
+        self.unread.retain(|unread| at < unread.progress_at);
     }
 
     /// The service may have been down at this time.
     pub(super) fn record_outage(&mut self, at: Instant) {
-        self.record_current(at);
+        self.renew(at);
+    }
+
+    fn renew(&mut self, at: Instant) {
+        self.unconfirmed = None;
+        self.expires_at = self.expires_at.max(at + self.bounds.usable_for());
+    }
+
+    /// Bytes of the response to this call have arrived. What it tells must be known soon, even if the rest does not arrive.
+    pub(super) fn record_response_progress(&mut self, call: u64, at: Instant) {
+        self.record_response_end(call);
+        self.unread.push(UnreadResponse { call, progress_at: at });
+    }
+
+    /// The response to this call was read to its end.
+    pub(super) fn record_response_end(&mut self, call: u64) {
+        self.unread.retain(|unread| unread.call != call);
+    }
+
+    /// Whether bytes of the response to this call have arrived, and it was not read to its end.
+    pub(super) fn is_unread(&self, call: u64) -> bool {
+        self.unread.iter().any(|unread| unread.call == call)
+    }
+
+    /// From when on the list must not be acted on because of a response that was not read to its end.
+    fn unread_from(&self) -> Option<Instant> {
+        let earliest = self.unread.iter().map(|unread| unread.progress_at).min()?;
+        Some(earliest + self.bounds.usable_after_lost_response())
     }
 
     /// Another address of the service was configured at this time.
@@ -65,11 +103,13 @@
     /// When the state will change, should nothing be recorded before.
     pub(super) fn next_change(&self) -> Option<Instant> {
         let expiry = self.bounds.expires().then_some(self.expires_at);
-        match (self.reported, &self.unconfirmed) {
-            (ListAge::Fresh, Some(unconfirmed)) => Some(unconfirmed.start),
-            (ListAge::Fresh, None) => expiry,
-            (ListAge::Stale, Some(unconfirmed)) if expiry.is_none() => Some(unconfirmed.end),
-            (ListAge::Stale, _) => None,
+        let unconfirmed = self.unconfirmed.as_ref();
+        match self.reported {
+            ListAge::Fresh => {
+                let changes = [expiry, unconfirmed.map(|range| range.start), self.unread_from()];
+                changes.into_iter().flatten().min()
+            }
+            ListAge::Stale => unconfirmed.map(|range| range.end).filter(|_| expiry.is_none()),
         }
     }
 
@@ -80,7 +120,8 @@
         }
         let is_unconfirmed = self.unconfirmed.as_ref().is_some_and(|unconfirmed| unconfirmed.start <= now);
         let is_expired = self.bounds.expires() && self.expires_at <= now;
-        let age = if is_unconfirmed || is_expired { ListAge::Stale } else { ListAge::Fresh };
+        let is_unread = self.unread_from().is_some_and(|from| from <= now);
+        let age = if is_unconfirmed || is_expired || is_unread { ListAge::Stale } else { ListAge::Fresh };
         let previous = std::mem::replace(&mut self.reported, age);
         (previous != age).then_some(age)
     }
--- a/src/forwarder/discovery/open_calls.rs
+++ b/src/forwarder/discovery/open_calls.rs
@@ -5,6 +5,7 @@
 use crate::forwarder::messages::endpoint_list::EndpointList;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
 
@@ -24,6 +25,18 @@
     client: DiscoveryClient,
 }
 
+/// Something that happened to a call.
+pub(super) enum CallEvent {
+    /// Bytes of its response have arrived.
+    ResponseProgress(ListCall),
+    /// It has ended.
+    Finished(FinishedCall),
+}
+
+/// Upper bound of the arrivals that have not been handled yet. If there are more, the response counts as having stopped
+/// a little earlier than it did.
+const PROGRESS_CAPACITY: usize = 64;
+
 /// An open call to the present address, and its task.
 struct OpenCall {
     call: ListCall,
@@ -34,6 +47,9 @@
 pub(super) struct OpenCalls {
     connect_timeout: Duration,
     tasks: JoinSet<FinishedCall>,
+    /// Calls of whose responses bytes have arrived. Each task holds a sender.
+    progress: Receiver<ListCall>,
+    progress_sender: Sender<ListCall>,
     next_number: u64,
     /// The first call to the present address has this number.
     first_number: u64,
@@ -46,9 +62,12 @@
 impl OpenCalls {
     /// No calls. A connection has to be established within `connect_timeout`.
     pub(super) fn new(connect_timeout: Duration) -> Self {
+        let (progress_sender, progress) = channel(PROGRESS_CAPACITY);
         OpenCalls {
             connect_timeout,
             tasks: JoinSet::new(),
+            progress,
+            progress_sender,
             next_number: 0,
             first_number: 0,
             open: Vec::new(),
@@ -67,8 +86,13 @@
         self.next_number += 1;
         let idle_client = self.idle_client.take();
         let mut client = idle_client.unwrap_or_else(|| DiscoveryClient::new(self.connect_timeout));
+        let progress = self.progress_sender.clone();
         let task = self.tasks.spawn(async move {
-            let result = request_list(&mut client, address, query, time_limit).await;
+            let report_progress = || {
+                // If the channel is full, an earlier arrival of this response is in it.
+                let _ = progress.try_send(call);
+            };
+            let result = request_list(&mut client, address, query, time_limit, report_progress).await;
             FinishedCall { call, result, client }
         });
         self.open.push(OpenCall { call, task });
@@ -89,15 +113,20 @@
         }
     }
 
-    /// Waits for the end of a call. Returns `None` if there is none.
-    pub(super) async fn next_finished(&mut self) -> Option<FinishedCall> {
-        while let Some(joined) = self.tasks.join_next().await {
-            // A call that was given up has no result.
-            if let Ok(finished) = joined {
-                return Some(finished);
+    /// Waits until something happens to a call. Arrivals are returned before the end of their call.
+    pub(super) async fn next_event(&mut self) -> CallEvent {
+        loop {
+            tokio::select! {
+                biased;
+                Some(call) = self.progress.recv() => return CallEvent::ResponseProgress(call),
+                Some(joined) = self.tasks.join_next() => {
+                    // A call that was given up has no result.
+                    if let Ok(finished) = joined {
+                        return CallEvent::Finished(finished);
+                    }
+                }
             }
         }
-        None
     }
 
     /// Takes a finished call off the list, and keeps its connection if that can carry another call.
--- a/src/forwarder/discovery/request.rs
+++ b/src/forwarder/discovery/request.rs
@@ -33,10 +33,12 @@
 
     /// Whether the service may have been down, so that no change could be heard. `was_queued` tells whether the call may
     /// have waited for its turn: a service that is down fails calls at once, or does not accept their connections.
-    pub(super) fn may_be_outage(&self, was_queued: bool) -> bool {
+    /// `has_started` tells whether bytes of a response had arrived.
+    pub(super) fn may_be_outage(&self, was_queued: bool, has_started: bool) -> bool {
         match self {
             PollError::Call(CallError::Connect(_)) => true,
-            PollError::Call(CallError::Interrupted | CallError::Status(_)) => !was_queued,
+            PollError::Call(CallError::Status(_)) => !was_queued,
+            PollError::Call(CallError::Interrupted) => !was_queued && !has_started,
             PollError::Call(CallError::Timeout | CallError::IncompleteResponse)
             | PollError::InvalidList(_) => false,
         }
@@ -79,6 +81,7 @@
 }
 
 /// Requests the list. The response has to be complete within `time_limit`, which includes the time to connect.
+/// `on_progress` is called whenever bytes of it have arrived.
 ///
 /// # Errors
 ///
@@ -88,20 +91,22 @@
     address: SocketAddr,
     query: ListQuery,
     time_limit: Duration,
+    on_progress: impl Fn(),
 ) -> Result<EndpointList, PollError> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = query.uri();
     client.disconnect_if_stale().await;
-    let call = client.call(address, request, time_limit, read_body);
+    let read = async |response| read_body(response, &on_progress).await;
+    let call = client.call_observed(address, request, time_limit, &on_progress, read);
     let text = timeout(time_limit, call).await.map_err(|_| CallError::Timeout)??;
     Ok(serde_json::from_slice(&text)?)
 }
 
-async fn read_body(response: Response<Incoming>) -> Result<Bytes, CallError> {
+async fn read_body(response: Response<Incoming>, on_progress: impl Fn()) -> Result<Bytes, CallError> {
     match response.status() {
-        StatusCode::OK => {
-            http::read_body(response.into_body(), MAX_LIST_BYTES).await.ok_or(CallError::IncompleteResponse)
-        }
+        StatusCode::OK => http::read_body_observed(response.into_body(), MAX_LIST_BYTES, on_progress)
+            .await
+            .ok_or(CallError::IncompleteResponse),
         status => Err(CallError::Status(status)),
     }
 }
--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -4,6 +4,7 @@
 use super::poll_pacer::PollPacer;
 use super::request::{ListQuery, PollError};
 use super::service_load::ServiceLoad;
+use crate::estimators::random_unit;
 use crate::forwarder::discovery_client::Backoff;
 use std::time::Duration;
 
@@ -17,11 +18,53 @@
 /// How a sender follows the list.
 enum Strategy {
     /// Each call waits for a change. Failed ones are retried after a backoff.
-    Watch(Backoff),
+    Watch(WatchPacer),
     /// The complete list is polled.
     Poll(PollPacer),
 }
 
+/// The delays between the calls of a watching sender.
+pub(super) struct WatchPacer {
+    /// After rejections: the service has too many calls, or is down.
+    rejected: Backoff,
+    /// After other failures. The response may have been written and lost.
+    broken: Backoff,
+    pause_before_watch: Duration,
+    /// The state of the random generator for the jitter of the pauses.
+    jitter_state: u64,
+}
+
+impl WatchPacer {
+    /// A pacer that has made no call yet.
+    pub(super) fn new(bounds: &ListAgeBounds, seed: u64) -> Self {
+        let longest = bounds.longest_backoff();
+        WatchPacer {
+            rejected: Backoff::with_jitter(bounds.initial_rejection_backoff(), longest, seed),
+            broken: Backoff::with_jitter(bounds.initial_backoff(), longest, seed),
+            pause_before_watch: bounds.pause_before_watch(),
+            // The random generator would return zero forever if its state were zero.
+            jitter_state: seed | 1,
+        }
+    }
+
+    fn reset(&mut self) {
+        self.rejected.reset();
+        self.broken.reset();
+    }
+
+    /// The delay between a list and the next watch, from the pause to twice the pause: a change ends the watches of all
+    /// senders at once.
+    pub(super) fn delay_after_list(&mut self) -> Duration {
+        self.reset();
+        self.pause_before_watch.mul_f64(1.0 + random_unit(&mut self.jitter_state))
+    }
+
+    /// The delay between a failed call and the next one.
+    pub(super) fn delay_after_failure(&mut self, is_rejection: bool) -> Duration {
+        if is_rejection { self.rejected.next_delay() } else { self.broken.next_delay() }
+    }
+}
+
 /// Chooses the queries and the delays between them.
 pub(super) struct CallSchedule {
     bounds: ListAgeBounds,
@@ -33,7 +76,7 @@
     /// The schedule that these bounds ask for. `seed` determines the jitter.
     pub(super) fn new(bounds: ListAgeBounds, seed: u64) -> Self {
         let strategy = match bounds.mode() {
-            FollowMode::Watch => Strategy::Watch(watch_backoff(&bounds, seed)),
+            FollowMode::Watch => Strategy::Watch(WatchPacer::new(&bounds, seed)),
             FollowMode::Poll => Strategy::Poll(PollPacer::new(bounds, seed)),
         };
         CallSchedule { bounds, load: ServiceLoad::new(), strategy }
@@ -83,6 +126,14 @@
         }
     }
 
+    /// For how long no bytes of a response may arrive until another call is made beside it.
+    pub(super) fn response_completion_allowance(&self) -> Duration {
+        match &self.strategy {
+            Strategy::Watch(_) => ListAgeBounds::response_completion_allowance(),
+            Strategy::Poll(pacer) => pacer.overdue_after(),
+        }
+    }
+
     /// The time limit of a call.
     pub(super) fn time_limit(&self, query: ListQuery) -> Duration {
         self.bounds.response_timeout(query.wait())
@@ -92,10 +143,7 @@
     pub(super) fn delay_after_list(&mut self, response_time: Duration) -> Duration {
         self.load.record_list(response_time);
         match &mut self.strategy {
-            Strategy::Watch(backoff) => {
-                backoff.reset();
-                Duration::ZERO
-            }
+            Strategy::Watch(pacer) => pacer.delay_after_list(),
             Strategy::Poll(pacer) => pacer.delay_after_list(),
         }
     }
@@ -104,7 +152,7 @@
     pub(super) fn delay_after_failure(&mut self, error: &PollError) -> Duration {
         self.load.record_failure();
         match &mut self.strategy {
-            Strategy::Watch(backoff) => backoff.next_delay(),
+            Strategy::Watch(pacer) => pacer.delay_after_failure(error.is_rejection()),
             Strategy::Poll(pacer) => pacer.delay_after_failure(error.is_rejection()),
         }
     }
@@ -121,13 +169,8 @@
     /// Forgets the failures of calls to an address that is no longer used.
     pub(super) fn change_address(&mut self) {
         self.load = ServiceLoad::new();
-        if let Strategy::Watch(backoff) = &mut self.strategy {
-            backoff.reset();
+        if let Strategy::Watch(pacer) = &mut self.strategy {
+            pacer.reset();
         }
     }
 }
-
-/// The backoff between failed calls of a watch.
-pub(super) fn watch_backoff(bounds: &ListAgeBounds, seed: u64) -> Backoff {
-    Backoff::with_jitter(bounds.initial_backoff(), bounds.longest_backoff(), seed)
-}
--- a/src/forwarder/discovery_client/mod.rs
+++ b/src/forwarder/discovery_client/mod.rs
@@ -72,16 +72,33 @@
     ///
     /// See [`CallError`].
     pub(crate) async fn call<T>(
+        &mut self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        time_limit: Duration,
+        read_response: impl AsyncFnOnce(Response<Incoming>) -> Result<T, CallError>,
+    ) -> Result<T, CallError> {
+        self.call_observed(address, request, time_limit, || {}, read_response).await
+    }
+
+    /// Like [`Self::call`], and calls `on_response_start` once the first bytes of the response have arrived.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
+    pub(crate) async fn call_observed<T>(
         &mut self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         time_limit: Duration,
+        on_response_start: impl FnOnce(),
         read_response: impl AsyncFnOnce(Response<Incoming>) -> Result<T, CallError>,
     ) -> Result<T, CallError> {
         http::set_host(&mut request, address);
         let connection = self.open_connection(address).await?;
         let exchange = async {
-            let response = connection.send(request).await.map_err(|_| CallError::Interrupted)?;
+            let sent = connection.send_observed(request, on_response_start).await;
+            let response = sent.map_err(|_| CallError::Interrupted)?;
             read_response(response).await
         };
         timeout(time_limit, exchange).await.map_err(|_| CallError::Timeout)?
--- a/src/forwarder/http/connection.rs
+++ b/src/forwarder/http/connection.rs
@@ -113,6 +113,16 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendRequestError> {
+        self.send_observed(request, || {}).await
+    }
+
+    /// Like [`Self::send`], and calls `on_response_start` once the first bytes of the response have arrived.
+    pub(crate) async fn send_observed(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        on_response_start: impl FnOnce(),
+    ) -> Result<Response<Incoming>, SendRequestError> {
+        let mut on_response_start = Some(on_response_start);
         if self.sender.ready().await.is_err() {
             return Err(SendRequestError::NotWritten(Box::new(request)));
         }
@@ -121,8 +131,11 @@
         let response = tokio::select! {
             biased;
             response = self.sender.try_send_request(request) => response,
-            () = head_overdue(&mut progress) => return Err(SendRequestError::InvalidResponse),
+            () = head_overdue(&mut progress, &mut on_response_start) => return Err(SendRequestError::InvalidResponse),
         };
+        if let (Ok(_), Some(on_response_start)) = (&response, on_response_start) {
+            on_response_start();
+        }
         response.map_err(|mut error| match error.take_message() {
             Some(request) => SendRequestError::NotWritten(Box::new(request)),
             None if error.error().is_parse() || self.has_response_started() => {
@@ -152,8 +165,14 @@
 }
 
 /// Completes when a response has started and its head has not arrived within [`RESPONSE_COMPLETION_TIMEOUT`].
-async fn head_overdue(progress: &mut watch::Receiver<ResponseProgress>) {
+async fn head_overdue(
+    progress: &mut watch::Receiver<ResponseProgress>,
+    on_response_start: &mut Option<impl FnOnce()>,
+) {
     // The channel is not closed: the connection holds a sender and outlives its request.
     let _ = progress.wait_for(|progress| *progress != ResponseProgress::NotStarted).await;
+    if let Some(on_response_start) = on_response_start.take() {
+        on_response_start();
+    }
     sleep(RESPONSE_COMPLETION_TIMEOUT).await;
 }
--- a/src/forwarder/http/mod.rs
+++ b/src/forwarder/http/mod.rs
@@ -14,8 +14,8 @@
 pub(crate) use interruption::repeat_if_interrupted;
 pub(crate) use observed_read::poll_read_observed;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Collected, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
@@ -36,7 +36,25 @@
 /// Reads the body of a response, however long that takes. Returns `None` if the body is longer than `max_bytes` or ends
 /// early.
 pub(crate) async fn read_body(incoming: Incoming, max_bytes: usize) -> Option<Bytes> {
-    Limited::new(incoming, max_bytes).collect().await.ok().map(Collected::to_bytes)
+    read_body_observed(incoming, max_bytes, || {}).await
+}
+
+/// Like [`read_body`], and calls `on_data` whenever a part of the body has arrived.
+pub(crate) async fn read_body_observed(
+    incoming: Incoming,
+    max_bytes: usize,
+    mut on_data: impl FnMut(),
+) -> Option<Bytes> {
+    let mut body = Limited::new(incoming, max_bytes);
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers are ignored.
+        if let Ok(data) = frame.ok()?.into_data() {
+            read.extend_from_slice(&data);
+            on_data();
+        }
+    }
+    Some(read.freeze())
 }
 
 /// Sets the `Host` header, which HTTP/1.1 requires.
