--- a/tests/drain_fleets.rs
+++ b/tests/drain_fleets.rs
@@ -72,3 +72,27 @@
 async fn eight_pushed_senders_crowd_the_service_after_an_outage() {
     drain_before_crowded_return(DiscoveryMode::Push, 8, 50).await;
 }
+
+/// Changes follow each other while the forwarders begin their next watches. The service takes their calls up in turn.
+async fn drains_right_after_changes(service_time_ms: u64, gap: Duration) {
+    let fleet = DrainFleet::start(DiscoveryMode::Ask, 6).await;
+    fleet.until_followed().await;
+    fleet.discovery.set_latency(30);
+    fleet.discovery.set_behavior(DiscoveryBehavior::CrowdedQueue {
+        service_time: Duration::from_millis(service_time_ms),
+        patience: Duration::from_secs(1),
+    });
+    sleep(BEFORE_DRAIN).await;
+    fleet.discovery.until_latest_list_is_written().await;
+    fleet.add_endpoint();
+    sleep(gap).await;
+    fleet.drain();
+    assert_no_violation(&fleet, LONGEST_DELAY).await;
+}
+
+#[tokio::test]
+async fn an_endpoint_drains_between_two_watches_of_a_crowded_service() {
+    for gap_ms in [40, 60, 90] {
+        drains_right_after_changes(120, Duration::from_millis(gap_ms)).await;
+    }
+}
--- a/tests/support/drain_fleet.rs
+++ b/tests/support/drain_fleet.rs
@@ -8,6 +8,7 @@
 use super::forwarder_process::ForwarderProcess;
 use super::scripted_discovery::ScriptedDiscovery;
 use super::steady_traffic::SteadyTraffic;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 /// A forwarder of a fleet. Its messages are told from those of others by the name in their ids.
@@ -59,6 +60,12 @@
         self.discovery.change(endpoint("draining", address, DESTINATION, "plain", "terminating"));
     }
 
+    /// Lists another endpoint, at an address where nothing listens, for a destination without messages.
+    pub(crate) fn add_endpoint(&self) {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+        self.discovery.change(endpoint("added", nowhere, DESTINATION + 1, "plain", "in_service"));
+    }
+
     /// Waits until each forwarder has got a list or has an open watch.
     pub(crate) async fn until_followed(&self) {
         let callers = 0..self.members.len();
