Go on with a watch at once, as before, and check that a change after its response is told

Class: a call of its own for each watch. The shared service takes up a watch that goes on at once, a new one in its turn. The checker counts a change in those 200 ms as told whatever follows; before, only if the next call came in time.

--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -52,9 +52,6 @@
 const OWN_BACKOFF: Duration = Duration::from_millis(250);
 /// If no bytes of a response arrive for this long and it has not ended, another call is made beside it.
 const RESPONSE_COMPLETION_ALLOWANCE: Duration = Duration::from_millis(150);
-/// A watch goes on, and what changes between two calls must be known at once, if the next call comes within 200 ms of a
-/// response. A shared service may be too busy to tell that in time, so that the next call begins a new watch.
-const PAUSE_BEFORE_NEW_WATCH: Duration = Duration::from_millis(220);
 /// A connection to the service that is not established within this fraction of the largest change age has failed.
 const CONNECT_FRACTION: f64 = 0.5;
 
@@ -197,12 +194,6 @@
         RESPONSE_COMPLETION_ALLOWANCE
     }
 
-    /// The time between a response and the next watch, before jitter. With a service of its own, a sender must know
-    /// what changes meanwhile.
-    pub(super) fn pause_before_watch(&self) -> Duration {
-        if self.is_shared { PAUSE_BEFORE_NEW_WATCH } else { Duration::ZERO }
-    }
-
     /// The time limit of a call that asks the service to wait for `wait`. A slow response is awaited for as long as it
     /// can be of use; further calls are made beside it.
     pub(super) fn response_timeout(&self, wait: Duration) -> Duration {
--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -4,7 +4,6 @@
 use super::poll_pacer::PollPacer;
 use super::request::{ListQuery, PollError};
 use super::service_load::ServiceLoad;
-use crate::estimators::random_unit;
 use crate::forwarder::discovery_client::Backoff;
 use std::time::Duration;
 
@@ -29,9 +28,6 @@
     rejected: Backoff,
     /// After other failures. The response may have been written and lost.
     broken: Backoff,
-    pause_before_watch: Duration,
-    /// The state of the random generator for the jitter of the pauses.
-    jitter_state: u64,
 }
 
 impl WatchPacer {
@@ -41,24 +37,14 @@
         WatchPacer {
             rejected: Backoff::with_jitter(bounds.initial_rejection_backoff(), longest, seed),
             broken: Backoff::with_jitter(bounds.initial_backoff(), longest, seed),
-            pause_before_watch: bounds.pause_before_watch(),
-            // The random generator would return zero forever if its state were zero.
-            jitter_state: seed | 1,
         }
     }
 
-    fn reset(&mut self) {
+    pub(super) fn reset(&mut self) {
         self.rejected.reset();
         self.broken.reset();
     }
 
-    /// The delay between a list and the next watch, from the pause to twice the pause: a change ends the watches of all
-    /// senders at once.
-    pub(super) fn delay_after_list(&mut self) -> Duration {
-        self.reset();
-        self.pause_before_watch.mul_f64(1.0 + random_unit(&mut self.jitter_state))
-    }
-
     /// The delay between a failed call and the next one.
     pub(super) fn delay_after_failure(&mut self, is_rejection: bool) -> Duration {
         if is_rejection { self.rejected.next_delay() } else { self.broken.next_delay() }
@@ -143,7 +129,10 @@
     pub(super) fn delay_after_list(&mut self, response_time: Duration) -> Duration {
         self.load.record_list(response_time);
         match &mut self.strategy {
-            Strategy::Watch(pacer) => pacer.delay_after_list(),
+            Strategy::Watch(pacer) => {
+                pacer.reset();
+                Duration::ZERO
+            }
             Strategy::Poll(pacer) => pacer.delay_after_list(),
         }
     }
--- a/src/forwarder/discovery/tests.rs
+++ b/src/forwarder/discovery/tests.rs
@@ -100,24 +100,12 @@
             );
             // Failures of the other sort do not delay the first retry.
             assert!(pacer.delay_after_failure(!is_rejection) <= Duration::from_millis(first_rejected_ms));
-            pacer.delay_after_list();
+            pacer.reset();
             assert!(pacer.delay_after_failure(is_rejection) <= Duration::from_millis(first_ms));
         }
     }
 }
 
-#[test]
-fn a_new_watch_of_a_shared_service_begins_too_late_to_go_on_with_the_last_one() {
-    let longest_gap = Duration::from_millis(200);
-    let pause = |settings: Settings| {
-        let mut pacer = WatchPacer::new(&ListAgeBounds::new(&settings), 3);
-        (0..20).map(move |_| pacer.delay_after_list())
-    };
-    let few = Settings { sender_count: 6, ..settings() };
-    assert!(pause(few.clone()).all(|pause| longest_gap < pause && pause <= longest_gap * 5 / 2));
-    assert!(pause(Settings { poll_discovery: false, ..few }).all(|pause| pause.is_zero()));
-}
-
 #[test]
 fn a_process_that_watches_does_not_act_on_an_unconfirmed_list() {
     let start = Instant::now();
--- a/tests/drain_checker.rs
+++ b/tests/drain_checker.rs
@@ -122,6 +122,13 @@
     run.assert_told(2150, ToldBy::WatchGap);
 }
 
+#[test]
+fn a_change_right_after_an_answer_to_a_watch_is_told_even_if_the_next_call_comes_late() {
+    let answered = || WrittenRun::new(DiscoveryMode::Ask, 2250).call(watch(), 100, Some((2100, OLD_LIST)));
+    answered().call(watch(), 2500, None).assert_told(2250, ToldBy::WatchGap);
+    answered().assert_told(2250, ToldBy::WatchGap);
+}
+
 #[test]
 fn what_a_silent_watch_misses_is_told_some_time_after_it_fell_silent() {
     let mut run = WrittenRun::new(DiscoveryMode::Ask, 1000).call(watch(), 100, None);
--- a/tests/support/drain_rules.rs
+++ b/tests/support/drain_rules.rs
@@ -98,18 +98,19 @@
         answered.filter_map(|call| Some(Told { at: call.written?.at, by: ToldBy::Answer }))
     }
 
-    /// The changes between an answer to a watch and its next call count as told.
+    /// The changes between an answer to a watch and its next call count as told, for as long as a watch may go on. Whether
+    /// the next call comes in that time cannot be known when the change is made.
     fn watch_gap(&self, made_at: Instant) -> Option<Told> {
         let calls: Vec<&DiscoveryCall> = self.calls().collect();
-        let is_in_gap = calls.windows(2).any(|pair| {
-            let answered_at = match (pair[0].query, pair[0].end) {
-                (DiscoveryQuery::Watch { .. }, Some(end)) if !pair[0].has_failed() => end.at,
+        let is_in_gap = calls.iter().enumerate().any(|(index, call)| {
+            let answered_at = match (call.query, call.end) {
+                (DiscoveryQuery::Watch { .. }, Some(end)) if !call.has_failed() => end.at,
                 _ => return false,
             };
-            let is_continued = matches!(pair[1].query, DiscoveryQuery::Watch { .. });
-            is_continued
-                && pair[1].arrived_at <= answered_at + MAX_WATCH_GAP
-                && (answered_at..=pair[1].arrived_at).contains(&made_at)
+            let is_watch = |call: &&&DiscoveryCall| matches!(call.query, DiscoveryQuery::Watch { .. });
+            let next_call = calls[index + 1..].iter().find(is_watch).map(|next| next.arrived_at);
+            let gap_end = answered_at + MAX_WATCH_GAP;
+            (answered_at..=next_call.map_or(gap_end, |next| next.min(gap_end))).contains(&made_at)
         });
         is_in_gap.then_some(Told { at: made_at, by: ToldBy::WatchGap })
     }
