--- a/tests/support/discovery_history.rs
+++ b/tests/support/discovery_history.rs
@@ -53,6 +53,8 @@
     CrowdedQueue {
         service_time: Duration,
         patience: Duration,
+        /// A watch that goes on is taken up at once, not in turn.
+        continues_at_once: bool,
     },
 }
 
--- a/tests/support/discovery_state.rs
+++ b/tests/support/discovery_state.rs
@@ -5,6 +5,7 @@
     DiscoveryQuery, ListVersion, Route,
 };
 use super::discovery_stub::endpoint_list;
+use super::drain_rules::MAX_WATCH_GAP;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
@@ -117,6 +118,17 @@
         self.history.calls.iter_mut().filter(|call| call.end.is_none())
     }
 
+    /// Whether a call goes on with a watch of its caller.
+    pub(super) fn continues_watch(&self, index: usize) -> bool {
+        let call = &self.history.calls[index];
+        let is_answered_watch = |earlier: &DiscoveryCall| {
+            matches!(earlier.query, DiscoveryQuery::Watch { .. })
+                && earlier.written.is_some_and(|written| call.arrived_at <= written.at + MAX_WATCH_GAP)
+        };
+        let mut earlier = self.history.calls[..index].iter().filter(|earlier| earlier.caller == call.caller);
+        matches!(call.query, DiscoveryQuery::Watch { .. }) && earlier.any(is_answered_watch)
+    }
+
     /// Ends the open calls of a caller by 503.
     pub(super) fn reject_open_calls(&mut self, caller: usize) {
         let end = CallEnd { at: Instant::now(), outcome: CallOutcome::Rejected };
--- a/tests/support_soak/plan.rs
+++ b/tests/support_soak/plan.rs
@@ -74,6 +74,7 @@
             DiscoveryMode::Ask if choices.happens(60) => DiscoveryBehavior::CrowdedQueue {
                 service_time: choices.milliseconds(20..110),
                 patience: Duration::from_millis(600),
+                continues_at_once: true,
             },
             _ => DiscoveryBehavior::Healthy,
         };
