--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -97,7 +97,8 @@
     let (old, mut new) = (RawEndpoint::start().await, EndpointStub::start().await);
     let forwarder = ForwarderProcess::start(old.address, &[], |_| {}).await;
     let mut watch = old.accept().await;
-    assert!(watch.read_head().await.starts_with("GET /api/targets?index=1&wait=2000"));
+    // The first call confirms the list of the configuration.
+    assert!(watch.read_head().await.starts_with("GET /api/targets?index=1&wait=0 "));
     forwarder.pause();
     forwarder.reload(|configuration| configuration["discovery"] = json!(new.address.to_string()));
     let list = endpoint_list(7, false, Vec::new()).to_string();
@@ -123,9 +124,10 @@
 async fn the_complete_list_is_requested_after_an_invalid_list_but_not_after_an_error_status() {
     let mut service = EndpointStub::start().await;
     let _forwarder = ForwarderProcess::start(service.address, &[], |_| {}).await;
-    for _ in 0..3 {
+    // The first call confirms the list of the configuration, unless the service may be down.
+    for wait in [0, 2000, 2000] {
         let call = service.next_call().await;
-        assert_eq!(call.path, "/api/targets?index=1&wait=2000");
+        assert_eq!(call.path, format!("/api/targets?index=1&wait={wait}"));
         call.respond(503);
     }
     // After a list that cannot be parsed, changes may have been lost.
@@ -177,6 +179,13 @@
         endpoint("u", other.address, 7, "plain", "asleep"),
     ];
     let forwarder = ForwarderProcess::start(service.address, &known, |_| {}).await;
+    // Nothing is sent before the list is confirmed.
+    forwarder.submit("keyed", "early", 9000).await;
+    assert!(one.is_quiet(QUIET_PERIOD).await);
+    let confirmation = service.next_call().await;
+    assert_eq!(confirmation.path, "/api/targets?index=1&wait=0");
+    confirmation.respond_with(200, &[], &endpoint_list(1, false, Vec::new()).to_string());
+    one.next_call().await.respond(200);
     // Nothing is sent to an endpoint in an unknown state.
     for id in ["a", "b"] {
         forwarder.submit("keyed", id, 9000).await;
--- a/tests/drain_partial_answers.rs
+++ b/tests/drain_partial_answers.rs
@@ -58,6 +58,20 @@
     run_cases(cases, LONGEST_DELAY, SpoiltAnswer::play).await;
 }
 
+#[tokio::test]
+async fn an_answer_is_lost_without_a_byte_and_the_service_falls_silent() {
+    let scenario = DrainScenario::start(DiscoveryMode::Ask, 6).await;
+    scenario.discovery.until_followed().await;
+    sleep(SETTLED).await;
+    scenario.discovery.spoil_next_answer(CALLER, AnswerFault::Lose);
+    scenario.drain();
+    scenario.discovery.until_latest_list_is_written().await;
+    scenario.discovery.set_behavior(DiscoveryBehavior::Silent);
+    sleep(SETTLED * 3).await;
+    scenario.discovery.set_behavior(DiscoveryBehavior::Healthy);
+    scenario.finish_after(LONGEST_DELAY).await;
+}
+
 #[tokio::test]
 async fn every_answer_stalls_for_a_while() {
     let scenario = DrainScenario::start(DiscoveryMode::Ask, 6).await;
--- a/tests/support/discovery_stub.rs
+++ b/tests/support/discovery_stub.rs
@@ -8,7 +8,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-/// A discovery service that holds each watch until the test pushes a list, and passes notices to the test.
+/// A discovery service that holds each watch until the test pushes a list, and passes notices to the test. A call that asks
+/// for changes without waiting is told at once that there are none.
 pub(crate) struct DiscoveryStub {
     pub address: SocketAddr,
     lists: mpsc::UnboundedSender<Value>,
@@ -81,7 +82,9 @@
     loop {
         tokio::select! {
             Some(call) = stub.receive_call() => {
-                if call.path.starts_with("/api/targets") {
+                if let Some(revision) = revision_without_wait(&call.path) {
+                    call.respond_with(200, &[], &endpoint_list(revision, false, Vec::new()).to_string());
+                } else if call.path.starts_with("/api/targets") {
                     watch = Some(call);
                 } else {
                     let _ = notice_calls.send(call);
@@ -97,6 +100,11 @@
     }
 }
 
+/// The revision of a call that asks for the changes since then and does not wait for any.
+fn revision_without_wait(path: &str) -> Option<u64> {
+    path.strip_prefix("/api/targets?index=")?.strip_suffix("&wait=0")?.parse().ok()
+}
+
 /// An endpoint list, as discovery sends it.
 pub(crate) fn endpoint_list(revision: u64, complete: bool, endpoints: Vec<Value>) -> Value {
     json!({"rev": revision, "all": complete, "targets": endpoints})
