Log how long each call to discovery took and how old the list is, and print the plan of a broken soak run

The logs of the failing run did not tell how long a rejected call had waited, nor how old the list in use was. No behaviour changes.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -117,6 +117,7 @@
     pub(super) async fn run(mut self) {
         // The first call goes to the address that is current now.
         self.address.mark_unchanged();
+        eprintln!("discovery: {}", self.bounds);
         while self.take_step().await.is_ok() {}
     }
 
@@ -173,7 +174,10 @@
                 self.call(self.schedule.query(self.known_revision, true), true);
             }
             DueCall::Overdue => {
-                eprintln!("discovery: no response in time");
+                eprintln!(
+                    "discovery: no response in time; list {} ms old",
+                    self.age.since_current(Instant::now()).as_millis()
+                );
                 let delay = self.schedule.delay_after_overdue();
                 self.schedule_call(DueCall::BesideOverdue, Instant::now() + delay);
             }
@@ -240,7 +244,7 @@
         if self.calls.is_to_present_address(call) {
             self.record_list(call, &list);
         }
-        log_list(call, &list);
+        log_list(call, &list, Instant::now());
         Ok(self.events.send(RuntimeEvent::EndpointList(list)).await?)
     }
 
@@ -293,7 +297,12 @@
         let is_newest = self.calls.open().all(|open| open.number < call.number);
         if is_newest {
             let delay = self.schedule.delay_after_failure(error);
-            eprintln!("discovery: call {}: {error}; next call in {} ms", call.number, delay.as_millis());
+            let (elapsed, next_in) = ((now - call.started_at).as_millis(), delay.as_millis());
+            let list_age = self.age.since_current(now).as_millis();
+            let number = call.number;
+            eprintln!(
+                "discovery: call {number}: {error} after {elapsed} ms; list {list_age} ms old; next call in {next_in} ms"
+            );
             self.schedule_call(DueCall::Regular, now + delay);
         }
     }
@@ -320,12 +329,13 @@
 }
 
 /// Logs a list that contains something.
-fn log_list(call: ListCall, list: &EndpointList) {
+fn log_list(call: ListCall, list: &EndpointList, now: Instant) {
     let (number, revision, records) = (call.number, list.revision, list.endpoints.len());
+    let elapsed = (now - call.started_at).as_millis();
     if list.complete {
-        eprintln!("discovery: call {number}: revision {revision}, {records} endpoints");
+        eprintln!("discovery: call {number}: revision {revision}, {records} endpoints, after {elapsed} ms");
     } else if records > 0 {
-        eprintln!("discovery: call {number}: revision {revision}, {records} changes");
+        eprintln!("discovery: call {number}: revision {revision}, {records} changes, after {elapsed} ms");
     }
 }
 
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -5,6 +5,7 @@
 
 use super::service_load::ServiceLoad;
 use crate::interface::Settings;
+use std::fmt;
 use std::time::Duration;
 
 /// A change must be known this long after the service had it and could be reached, whatever happened to the calls.
@@ -82,6 +83,14 @@
     turn_interval: Duration,
 }
 
+impl fmt::Display for ListAgeBounds {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (senders, mode) = (self.senders, self.mode());
+        let service = if self.is_shared { "a shared service" } else { "an own service" };
+        write!(formatter, "{senders} senders, {service}, follows the list by {mode:?}")
+    }
+}
+
 impl ListAgeBounds {
     /// The bounds for these settings.
     pub(crate) fn new(settings: &Settings) -> Self {
--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -2,6 +2,7 @@
 
 use super::list_age::ListAgeBounds;
 use std::ops::Range;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Whether the endpoint list in use may be acted on.
@@ -19,6 +20,8 @@
 /// been down: what it could not tell yet need not be known.
 pub(super) struct ListAgeMonitor {
     bounds: ListAgeBounds,
+    /// The latest moment at which the list was known to be current; the start of the process if there is none.
+    current_at: Instant,
     /// The list is too old from this time on, if it expires.
     expires_at: Instant,
     /// When the list that the process started with, or that it had from another address, must not be acted on unless the
@@ -43,6 +46,7 @@
         let unconfirmed = unconfirmed_from(start, &bounds);
         ListAgeMonitor {
             bounds,
+            current_at: start,
             expires_at: start + bounds.usable_for(),
             unconfirmed,
             unread: Vec::new(),
@@ -58,9 +62,15 @@
     /// The list was current at this time.
     pub(super) fn record_current(&mut self, at: Instant) {
         self.renew(at);
+        self.current_at = self.current_at.max(at);
         self.unread.retain(|unread| at < unread.progress_at);
     }
 
+    /// How long ago the list was known to be current.
+    pub(super) fn since_current(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.current_at)
+    }
+
     /// The service may have been down at this time.
     pub(super) fn record_outage(&mut self, at: Instant) {
         self.renew(at);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -37,8 +37,13 @@
         let permits = permits.clone();
         runs.spawn(async move {
             let _permit = permits.acquire().await.expect("it is not closed");
-            let played = timeout(MAX_RUN, fleet::play(Plan::of_seed(seed))).await;
-            (seed, played.unwrap_or_else(|_| vec!["the run does not end".to_owned()]))
+            let plan = Plan::of_seed(seed);
+            let played = timeout(MAX_RUN, fleet::play(plan.clone())).await;
+            let problems = played.unwrap_or_else(|_| vec!["the run does not end".to_owned()]);
+            if !problems.is_empty() {
+                eprintln!("seed {seed}: {plan:#?}");
+            }
+            (seed, problems)
         });
     }
     let mut results = runs.join_all().await;
