--- /dev/null
+++ b/tests/drain_crowded_discovery.rs
@@ -0,0 +1,62 @@
+//! Drains while other callers take all the time of a discovery service, which rejects calls though it can be reached.
+//!
+//! Seen in pre-production: requests to draining endpoints 0.6 to 1.7 s after the grace, by some processes of a fleet of
+//! about 45. How it came about: each polled the list, the shared service rejected a part of the calls, and the next call
+//! followed 4 s later. Two rejections in a row left a process without a list for 9 s, where a change must be known after
+//! 6 s. Cause: the list of a polling process had no limit of age, and that of a watching one was renewed by rejections,
+//! which were taken for an outage. Proof: the log of such a process has its list at 19.9 s, rejections at 24.2 and 28.6 s,
+//! and no outage; the endpoint drained at 20.2 s and was called from 26.8 s on.
+
+mod support;
+
+use std::time::Duration;
+use support::{
+    DiscoveryBehavior, DiscoveryMode, DrainScenario, LONGEST_DELAY, LONGEST_POLL_DELAY, run_cases,
+};
+use tokio::time::sleep;
+
+/// How long the service has been crowded before an endpoint drains.
+const BEFORE_DRAIN: Duration = Duration::from_secs(3);
+/// After this time, each sender has called a service that answers again.
+const AFTER_CROWD: Duration = LONGEST_POLL_DELAY;
+/// How long a service is down that loses all connections.
+const BREAK: Duration = Duration::from_millis(100);
+
+/// A sender at a service that others crowd.
+#[derive(Clone, Copy, Debug)]
+struct CrowdedSender {
+    sender_count: u64,
+    /// When the service rejects a call.
+    patience: Duration,
+    /// The watch that was open before ends when the crowd comes.
+    watch_breaks: bool,
+}
+
+impl CrowdedSender {
+    async fn play(self) -> DrainScenario {
+        let scenario = DrainScenario::start(DiscoveryMode::Ask, self.sender_count).await;
+        scenario.discovery.until_followed().await;
+        if self.watch_breaks {
+            scenario.outage(DiscoveryBehavior::Reset, BREAK).await;
+        }
+        scenario.discovery.set_behavior(DiscoveryBehavior::CrowdedByOthers { patience: self.patience });
+        sleep(BEFORE_DRAIN).await;
+        scenario.drain();
+        sleep(LONGEST_DELAY).await;
+        scenario.discovery.set_behavior(DiscoveryBehavior::Healthy);
+        scenario
+    }
+}
+
+#[tokio::test]
+async fn a_drain_is_obeyed_that_a_crowded_service_rejects_every_call_for() {
+    let mut cases = Vec::new();
+    for sender_count in [3, 20, 40, 45, 300, 900] {
+        for patience in [Duration::ZERO, Duration::from_secs(1)] {
+            for watch_breaks in [false, true] {
+                cases.push(CrowdedSender { sender_count, patience, watch_breaks });
+            }
+        }
+    }
+    run_cases(cases, AFTER_CROWD, CrowdedSender::play).await;
+}
--- a/tests/drain_fleets.rs
+++ b/tests/drain_fleets.rs
@@ -129,3 +129,8 @@
 async fn a_service_that_rejects_most_calls_at_once_tells_twenty_senders_of_a_drain() {
     drain_while_calls_are_rejected_at_once(20, 120).await;
 }
+
+#[tokio::test]
+async fn forty_five_senders_crowd_the_service_during_a_release() {
+    drain_while_calls_are_rejected_at_once(45, 120).await;
+}
--- a/tests/support/discovery_connection.rs
+++ b/tests/support/discovery_connection.rs
@@ -138,6 +138,9 @@
     }
 
     async fn serve_call(&mut self, call: &OpenCall) -> io::Result<ConnectionState> {
+        if let DiscoveryBehavior::CrowdedByOthers { patience } = self.shared.behavior() {
+            return self.reject_after(call, patience).await;
+        }
         if let DiscoveryBehavior::CrowdedQueue { service_time, patience, continues_at_once } =
             self.shared.behavior()
             && !(continues_at_once && self.shared.lock().continues_watch(call.index))
@@ -175,6 +178,7 @@
             }
             DiscoveryBehavior::Healthy
             | DiscoveryBehavior::Silent
+            | DiscoveryBehavior::CrowdedByOthers { .. }
             | DiscoveryBehavior::CrowdedQueue { .. } => self.write_answer(call, call.answer()).await,
         }
     }
@@ -228,6 +232,14 @@
         Ok(ConnectionState::KeepAlive)
     }
 
+    async fn reject_after(&mut self, call: &OpenCall, delay: Duration) -> io::Result<ConnectionState> {
+        if self.wait_before_answer(call, delay).await {
+            self.reject(call).await
+        } else {
+            Ok(ConnectionState::Closed)
+        }
+    }
+
     async fn write_answer(&mut self, call: &OpenCall, answer: ListAnswer) -> io::Result<ConnectionState> {
         call.begin_answer(answer.outcome);
         call.end(answer.outcome);
--- a/tests/support/drain_fleet.rs
+++ b/tests/support/drain_fleet.rs
@@ -8,11 +8,15 @@
 use super::forwarder_process::ForwarderProcess;
 use super::scripted_discovery::ScriptedDiscovery;
 use super::steady_traffic::SteadyTraffic;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Instant;
+use tokio::task::JoinSet;
 
 /// A forwarder of a fleet. Its messages are told from those of others by the name in their ids.
 struct FleetMember {
+    /// Its number among the callers of the service.
+    caller: usize,
     name: String,
     timeline: ForwarderTimeline,
     _forwarder: ForwarderProcess,
@@ -39,18 +43,15 @@
             staying_record(&staying, "plain"),
         ];
         let mut discovery = ScriptedDiscovery::start(records.clone()).await;
-        let mut members = Vec::new();
-        for number in 0..sender_count {
-            let address = if number == 0 { discovery.address } else { discovery.add_caller() };
-            let timeline = ForwarderTimeline { starts: vec![Instant::now()], ..ForwarderTimeline::default() };
-            let forwarder = ForwarderProcess::start(address, &records, |configuration| {
-                set_discovery(configuration, mode, sender_count as u64);
-            })
-            .await;
-            let name = format!("member{number}");
-            let traffic = SteadyTraffic::start(forwarder.address, DESTINATION, &name);
-            members.push(FleetMember { name, timeline, _forwarder: forwarder, _traffic: traffic });
+        let addresses: Vec<SocketAddr> = (0..sender_count)
+            .map(|number| if number == 0 { discovery.address } else { discovery.add_caller() })
+            .collect();
+        let mut starting = JoinSet::new();
+        for (number, address) in addresses.into_iter().enumerate() {
+            starting.spawn(FleetMember::start(number, address, records.clone(), mode, sender_count));
         }
+        let mut members = starting.join_all().await;
+        members.sort_by_key(|member| member.caller);
         DrainFleet { discovery, draining, staying, members, settings: drain_settings(mode) }
     }
 
@@ -81,9 +82,8 @@
     /// The requests that were routed too late so far.
     pub(crate) fn violations(&self) -> Vec<DrainViolation> {
         let first_bytes = [self.draining.first_bytes(), self.staying.first_bytes()].concat();
-        let members = self.members.iter().enumerate();
-        let violations = members.flat_map(|(caller, member)| {
-            let history = self.discovery.history_of(caller);
+        let violations = self.members.iter().flat_map(|member| {
+            let history = self.discovery.history_of(member.caller);
             let sent: Vec<FirstByte> =
                 first_bytes.iter().filter(|first_byte| member.sent(first_byte)).cloned().collect();
             check_drains(self.settings, DESTINATION, &history, &member.timeline, &sent)
@@ -93,6 +93,23 @@
 }
 
 impl FleetMember {
+    async fn start(
+        caller: usize,
+        discovery: SocketAddr,
+        records: Vec<Value>,
+        mode: DiscoveryMode,
+        sender_count: usize,
+    ) -> Self {
+        let timeline = ForwarderTimeline { starts: vec![Instant::now()], ..ForwarderTimeline::default() };
+        let forwarder = ForwarderProcess::start(discovery, &records, |configuration| {
+            set_discovery(configuration, mode, sender_count as u64);
+        })
+        .await;
+        let name = format!("member{caller}");
+        let traffic = SteadyTraffic::start(forwarder.address, DESTINATION, &name);
+        FleetMember { caller, name, timeline, _forwarder: forwarder, _traffic: traffic }
+    }
+
     fn sent(&self, first_byte: &FirstByte) -> bool {
         let name_of = |id: &String| id.split('-').next().is_some_and(|name| name == self.name);
         first_byte.request_ids.iter().any(name_of)
