--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -7,9 +7,9 @@
 use super::list_age::ListAgeBounds;
 use super::list_age_monitor::{ListAge, ListAgeMonitor};
 use super::open_calls::{CallEvent, FinishedCall, ListCall, OpenCalls};
-use super::outage_detector::{FailureKind, OutageDetector, ServiceState};
+use super::outage_detector::{FailedCall, FailureKind, OutageDetector, ServiceState};
 use super::request::{ListQuery, PollError};
-use super::schedule::CallSchedule;
+use super::schedule::{CallPosition, CallSchedule, KEPT_CALL_INTERVAL, MAX_OPEN_CALLS};
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::endpoint_list::EndpointList;
 use std::net::SocketAddr;
@@ -19,9 +19,6 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::{Instant, sleep_until};
 
-/// A call that fails later than this had waited at a service that is overloaded, but not down.
-const MIN_QUEUE_TIME: Duration = Duration::from_millis(500);
-
 /// What the follower has to do next.
 enum Step {
     /// Operators configured another address.
@@ -78,6 +75,8 @@
     calls: OpenCalls,
     next_call_at: Instant,
     due_call: DueCall,
+    /// What the next regular call follows.
+    position: CallPosition,
     /// Changes since this revision suffice; `None` if the complete list has to be requested.
     known_revision: Option<u64>,
     /// The list in use, if a call has returned it.
@@ -99,15 +98,15 @@
     ) -> Self {
         let now = Instant::now();
         let bounds = list_age.bounds;
-        let mut schedule = CallSchedule::new(bounds, seed);
         ListFollower {
             address,
             events,
             bounds,
             calls: OpenCalls::new(),
-            next_call_at: now + schedule.first_delay(known_revision.is_some()),
-            schedule,
+            next_call_at: now,
+            schedule: CallSchedule::new(bounds, seed),
             due_call: DueCall::Regular,
+            position: CallPosition::First,
             known_revision,
             applied: None,
             rejected_since: None,
@@ -149,16 +148,20 @@
         }
     }
 
-    /// Requests the complete list from a new address at once: the list from the old one may be outdated.
+    /// Calls a new address at once: the list from the old one may be outdated. The complete list is requested, unless so
+    /// many senders share the service that those of all of them would take it too long.
     fn change_address(&mut self) {
         let now = Instant::now();
         self.calls.change_address();
         self.schedule.change_address();
         self.age.record_address_change(now);
-        self.known_revision = None;
+        if !self.bounds.has_long_watches() {
+            self.known_revision = None;
+        }
         self.applied = None;
         self.rejected_since = None;
         self.outages = OutageDetector::new();
+        self.position = CallPosition::AfterFailure;
         self.schedule_call(DueCall::Regular, now);
     }
 
@@ -169,21 +172,16 @@
 
     fn make_due_call(&mut self) {
         match self.due_call {
-            DueCall::Regular if !self.age.is_confirmed() => {
-                self.call(confirmation_query(self.known_revision), false);
-            }
-            DueCall::Regular => self.call(self.schedule.query(self.known_revision, false), false),
+            DueCall::Regular => self.call(self.position),
             DueCall::BesideOverdue => {
                 self.limit_open_calls();
-                self.call(self.schedule.query(self.known_revision, true), true);
+                self.call(CallPosition::BesideOverdue);
             }
             DueCall::Overdue => {
-                eprintln!(
-                    "discovery: no response in time; list {} ms old",
-                    self.age.since_current(Instant::now()).as_millis()
-                );
-                let delay = self.schedule.delay_after_overdue();
-                self.schedule_call(DueCall::BesideOverdue, Instant::now() + delay);
+                let list_age = self.age.since_current(Instant::now()).as_millis();
+                eprintln!("discovery: no response in time; list {list_age} ms old");
+                self.schedule.record_overdue();
+                self.schedule_call(DueCall::BesideOverdue, Instant::now());
             }
         }
     }
@@ -193,21 +191,25 @@
     fn limit_open_calls(&mut self) {
         let mut newest_first = self.calls.open().rev();
         if let (Some(newest), Some(previous)) = (newest_first.next(), newest_first.next())
-            && newest.started_at - previous.started_at < self.schedule.kept_call_interval()
+            && newest.started_at - previous.started_at < KEPT_CALL_INTERVAL
         {
             drop(newest_first);
             return self.calls.abort_newest();
         }
         drop(newest_first);
-        if self.calls.open().len() >= self.schedule.max_open_calls() {
+        if self.calls.open().len() >= MAX_OPEN_CALLS {
             self.calls.abort_oldest();
         }
     }
 
-    fn call(&mut self, query: ListQuery, beside_overdue: bool) {
+    fn call(&mut self, position: CallPosition) {
         let address = *self.address.borrow();
+        let query = self.schedule.query(self.known_revision, position, self.age.is_confirmed());
         let call = self.calls.start(address, query, self.schedule.limits(query));
-        let overdue_after = self.schedule.overdue_after(query, beside_overdue);
+        if position == CallPosition::AfterList && query.is_watch() {
+            self.age.record_watch(call.started_at, query.wait());
+        }
+        let overdue_after = self.schedule.overdue_after(query, position);
         self.schedule_call(DueCall::Overdue, call.started_at + overdue_after);
     }
 
@@ -218,8 +220,9 @@
         self.age.record_response_progress(call.number, now);
         let newest = self.calls.open().next_back();
         if newest.is_some_and(|newest| newest.number == call.number) && self.due_call == DueCall::Overdue {
-            let overdue_at = call.started_at + self.schedule.overdue_after(call.query, false);
-            let stalled_at = now + self.schedule.response_completion_allowance();
+            let overdue_at =
+                call.started_at + self.schedule.overdue_after(call.query, CallPosition::AfterList);
+            let stalled_at = now + ListAgeBounds::response_completion_allowance();
             self.schedule_call(DueCall::Overdue, stalled_at.min(overdue_at));
         }
     }
@@ -240,6 +243,7 @@
         self.age.record_response_end(call.number);
         if self.is_outdated(call, &list) {
             eprintln!("discovery: call {}: revision {} is outdated", call.number, list.revision);
+            self.position = CallPosition::AfterFailure;
             if self.calls.open().len() == 0 {
                 self.schedule_call(DueCall::Regular, Instant::now());
             }
@@ -269,21 +273,24 @@
         self.rejected_since = None;
         self.outages.record_list();
         self.age.record_current(current_at(call, list, now));
-        let delay = self.schedule.delay_after_list(response_time(call, list, now));
+        self.position = CallPosition::AfterList;
+        self.schedule.record_list(response_time(call, list, now));
         let newest_watch = self.calls.open().rev().find(|open| open.query.is_watch());
         match newest_watch {
-            Some(watch) if self.known_revision.is_some() => self.continue_watch(watch, call, now + delay),
-            _ => self.schedule_call(DueCall::Regular, now + delay),
+            Some(watch) if self.known_revision.is_some() => self.continue_watch(watch, call, now),
+            _ => self.schedule_call(DueCall::Regular, now),
         }
     }
 
-    /// A list arrived beside an open watch, which goes on unless it is overdue and older than the call for that list.
-    fn continue_watch(&mut self, watch: ListCall, call: ListCall, next_call_at: Instant) {
-        let overdue_at = watch.started_at + self.schedule.overdue_after(watch.query, false);
-        if Instant::now() < overdue_at {
+    /// A list arrived beside an open watch, which goes on unless it is older than the call for that list and either
+    /// overdue or so long that the list would expire meanwhile.
+    fn continue_watch(&mut self, watch: ListCall, call: ListCall, now: Instant) {
+        let overdue_at = watch.started_at + self.schedule.overdue_after(watch.query, CallPosition::AfterList);
+        let is_short = !self.bounds.has_long_watches();
+        if now < overdue_at && is_short {
             self.schedule_call(DueCall::Overdue, overdue_at);
         } else if watch.number < call.number {
-            self.schedule_call(DueCall::Regular, next_call_at);
+            self.schedule_call(DueCall::Regular, now);
         }
     }
 
@@ -295,11 +302,13 @@
             return;
         }
         let now = Instant::now();
-        self.record_service_state(call, error, now);
-        self.record_lost_changes(error, now);
+        let is_down = self.record_service_state(call, error, now);
+        self.record_lost_changes(error, is_down, now);
+        self.age.record_failure();
+        self.position = CallPosition::AfterFailure;
         let is_newest = self.calls.open().all(|open| open.number < call.number);
         if is_newest {
-            let delay = self.schedule.delay_after_failure(error);
+            let delay = self.schedule.delay_after_failure(error, is_down);
             let (elapsed, next_in) = ((now - call.started_at).as_millis(), delay.as_millis());
             let list_age = self.age.since_current(now).as_millis();
             let number = call.number;
@@ -311,22 +320,33 @@
     }
 
     /// Decides what the failed call tells of the service. If its connection broke, a response may have been lost with it,
-    /// unless a newer call was answered since.
-    fn record_service_state(&mut self, call: ListCall, error: &PollError, now: Instant) {
-        let failure = FailureKind::of(error, was_queued(call, now), self.age.is_unread(call.number));
+    /// unless a newer call was answered since. Returns whether the service is down.
+    fn record_service_state(&mut self, call: ListCall, error: &PollError, now: Instant) -> bool {
+        let elapsed = now - call.started_at;
+        let kind = FailureKind::of(error, elapsed, self.age.is_unread(call.number));
+        let was_healthy_watch = self.was_healthy_watch(call, elapsed);
         let is_superseded = self.applied.is_some_and(|applied| call.number < applied.call);
-        match self.outages.record_failure(failure) {
+        let state = self.outages.record_failure(FailedCall { kind, was_healthy_watch, elapsed });
+        match state {
             ServiceState::Down { .. } => self.age.record_outage(now),
             ServiceState::Breaking { .. } if !is_superseded => self.age.record_lost_response(now),
             ServiceState::Breaking { .. } | ServiceState::Reachable => {}
         }
+        matches!(state, ServiceState::Down { .. })
+    }
+
+    /// Whether this call was a watch that followed a list, was not overdue, and had no other call beside it.
+    fn was_healthy_watch(&self, call: ListCall, elapsed: Duration) -> bool {
+        let is_only_call = self.calls.open().len() == 0;
+        let follows_list = self.applied.is_some_and(|applied| applied.call + 1 == call.number);
+        call.query.is_watch() && is_only_call && follows_list && elapsed < call.query.wait()
     }
 
     /// Decides whether the complete list has to be requested. The service lost no change if it rejected the call because
     /// it is overloaded; it may be restarting if it does so for a while.
-    fn record_lost_changes(&mut self, error: &PollError, now: Instant) {
+    fn record_lost_changes(&mut self, error: &PollError, is_down: bool, now: Instant) {
         let rejected_since = *self.rejected_since.get_or_insert(now);
-        let may_restart = now - rejected_since >= self.bounds.min_restart_duration();
+        let may_restart = is_down || now - rejected_since >= self.bounds.min_restart_duration();
         if !error.is_rejection() || may_restart {
             self.known_revision = None;
         }
@@ -354,14 +374,6 @@
     }
 }
 
-/// What confirms the list in use: a response at once, which is short if nothing has changed.
-fn confirmation_query(known_revision: Option<u64>) -> ListQuery {
-    known_revision.map_or(ListQuery::Complete, |since_revision| ListQuery::Changes {
-        since_revision,
-        wait: Duration::ZERO,
-    })
-}
-
 /// The revision since which changes suffice; `None` if the complete list is needed.
 fn next_revision(query: ListQuery, list: &EndpointList) -> Option<u64> {
     if list.complete {
@@ -377,11 +389,6 @@
     (!is_restarted && list.unreadable == 0).then_some(list.revision)
 }
 
-/// Whether a call that failed now had waited for its turn at the service. A service that is down fails calls at once.
-fn was_queued(call: ListCall, now: Instant) -> bool {
-    now - call.started_at > call.query.wait() + MIN_QUEUE_TIME
-}
-
 /// How long after the service could have sent it the list arrived, as far as that is known.
 fn response_time(call: ListCall, list: &EndpointList, now: Instant) -> Duration {
     let elapsed = now - call.started_at;
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -10,7 +10,7 @@
 
 /// A change must be known this long after the service had it and could be reached, whatever happened to the calls.
 const MAX_CHANGE_AGE: Duration = Duration::from_secs(6);
-/// After a failed call, a sender that polls must know changes that are older than this many maximum list ages.
+/// After a failed call, changes must be known that are older than this many maximum list ages.
 const FAILED_CALL_AGE_FACTOR: u32 = 4;
 /// A change must be known this long after operators configured another address of the service.
 const MAX_AGE_AFTER_ADDRESS_CHANGE: Duration = Duration::from_secs(4);
@@ -20,20 +20,37 @@
 /// The calls per second that a service which is shared by a fleet is expected to answer. All senders together stay
 /// below this rate while calls succeed.
 const SHARED_CALLS_PER_SECOND: f64 = 10.0;
-/// The rate of all senders together while calls fail, which cost the service less.
+/// The rate of all senders together while a crowded service rejects calls, which cost it less.
 const SHARED_RETRIES_PER_SECOND: f64 = 20.0;
-
-/// The shortest time for which the service is asked to wait for a change, as a fraction of the largest change age.
-const MIN_WATCH_FRACTION: f64 = 1.0 / 3.0;
-/// The longest such time. It leaves the rest of the age to detect a watch that gets no response, and to ask again.
-const MAX_WATCH_FRACTION: f64 = 2.0 / 3.0;
+/// The longest interval between such calls of one sender: a service for a larger fleet has a larger capacity.
+const MAX_SHARED_RETRY_INTERVAL: Duration = Duration::from_secs(5);
+/// The rate of all senders together while the service is down. It is low, so that they do not crowd it when it returns.
+const SHARED_OUTAGE_CALLS_PER_SECOND: f64 = 8.0;
+/// The longest interval between such calls of one sender.
+const MAX_OUTAGE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The time for which the service of a sender of its own is asked to wait for a change, as a fraction of the largest
+/// change age.
+const OWN_WATCH_FRACTION: f64 = 1.0 / 3.0;
+/// The same for a service that few senders share. It leaves the rest of the age to detect a watch that gets no response,
+/// and to ask again.
+const SHARED_WATCH_FRACTION: f64 = 2.0 / 3.0;
+/// The longest time for which the service may be asked to wait.
+const MAX_WATCH: Duration = Duration::from_secs(60);
 /// The latest moment at which a watch is overdue, as a fraction of the largest change age from its start.
 const MAX_OVERDUE_FRACTION: f64 = 0.75;
+/// What a watch that has fallen silent misses must be known this long after the service should have responded, if that is
+/// later than [`MAX_CHANGE_AGE`].
+const MAX_SILENCE_AFTER_WATCH: Duration = Duration::from_secs(2);
+/// A watch that shows whether the service has taken it up, before one that may wait for long.
+const FIRST_WATCH: Duration = Duration::from_millis(300);
 /// A call without a response after this time, in addition to the time that the service was asked to wait, is overdue:
 /// another call is made beside it.
 const MIN_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(500);
 /// The same for a service that responds slowly.
 const MAX_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(1500);
+/// The same for a service that many senders share, which handles the calls of others first.
+const CROWDED_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(2500);
 /// A slow service is allowed this multiple of its usual response time.
 const RESPONSE_ALLOWANCE_FACTOR: u32 = 2;
 /// The least interval between calls to a shared service that are made beside overdue ones.
@@ -66,23 +83,14 @@
 /// The time that the runtime takes to handle an event, beside the time between two turns.
 const EVENT_HANDLING: Duration = Duration::from_millis(50);
 
-/// How a sender follows the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum FollowMode {
-    /// Each call waits at the service until the list changes.
-    Watch,
-    /// The complete list is polled at a rate that adapts to the load of the service.
-    Poll,
-}
-
 /// The bounds of the age of the endpoint list, computed from the settings alone.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ListAgeBounds {
     /// Many senders call one service. Otherwise each has a service of its own, which updates are pushed to.
     is_shared: bool,
     senders: f64,
-    /// How old a list may become for a sender that polls; [`MAX_CHANGE_AGE`] if it is not configured.
-    max_list_age: Duration,
+    /// The age at which a change must be known, also if calls failed.
+    max_change_age: Duration,
     /// New calls to an endpoint must stop within this time after its drain must be known.
     drain_grace: Duration,
     turn_interval: Duration,
@@ -90,9 +98,9 @@
 
 impl fmt::Display for ListAgeBounds {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (senders, mode) = (self.senders, self.mode());
+        let (senders, watch) = (self.senders, self.watch_duration(&ServiceLoad::new()));
         let service = if self.is_shared { "a shared service" } else { "an own service" };
-        write!(formatter, "{senders} senders, {service}, follows the list by {mode:?}")
+        write!(formatter, "{senders} senders, {service}, watches of {} ms", watch.as_millis())
     }
 }
 
@@ -100,39 +108,21 @@
     /// The bounds for these settings.
     pub(crate) fn new(settings: &Settings) -> Self {
         let duration = |micros: i64| Duration::from_micros(micros.max(0).unsigned_abs());
-        let max_list_age = duration(settings.max_list_age);
+        let max_age_after_failure = duration(settings.max_list_age) * FAILED_CALL_AGE_FACTOR;
+        let is_limited = settings.poll_discovery && !max_age_after_failure.is_zero();
         ListAgeBounds {
             is_shared: settings.poll_discovery,
             senders: settings.sender_count.max(1) as f64,
-            max_list_age: if max_list_age.is_zero() { MAX_CHANGE_AGE } else { max_list_age },
+            max_change_age: if is_limited {
+                MAX_CHANGE_AGE.min(max_age_after_failure)
+            } else {
+                MAX_CHANGE_AGE
+            },
             drain_grace: duration(settings.drain_grace),
             turn_interval: duration(settings.min_turn_interval),
         }
     }
 
-    /// Senders watch, unless a shared service could not answer the watches of all of them. A watch tells changes at
-    /// once and transfers only these.
-    pub(super) fn mode(&self) -> FollowMode {
-        let longest_watch = self.max_change_age().mul_f64(MAX_WATCH_FRACTION);
-        match self.fair_interval(SHARED_CALLS_PER_SECOND) > longest_watch {
-            true => FollowMode::Poll,
-            false => FollowMode::Watch,
-        }
-    }
-
-    /// The age at which a change must be known to a sender that watches, also if its calls failed.
-    pub(super) fn max_change_age(&self) -> Duration {
-        match self.is_shared {
-            true => MAX_CHANGE_AGE.min(self.max_list_age * FAILED_CALL_AGE_FACTOR),
-            false => MAX_CHANGE_AGE,
-        }
-    }
-
-    /// The largest age of a list of a sender that polls, after a call that succeeded.
-    pub(super) fn max_list_age(&self) -> Duration {
-        self.max_list_age
-    }
-
     /// The interval at which each sender of the fleet may call, if all of them together make this many calls per
     /// second.
     fn fair_interval(&self, calls_per_second: f64) -> Duration {
@@ -142,23 +132,44 @@
         }
     }
 
-    /// How long the service is asked to wait for a change before it responds. `load` makes calls rarer and leaves more
-    /// time for a response.
+    /// How long the service is asked to wait for a change before it responds. In larger fleets, that is the interval at
+    /// which all senders together may call. `load` makes calls rarer and leaves more time for a response.
     pub(super) fn watch_duration(&self, load: &ServiceLoad) -> Duration {
-        let shortest = self.max_change_age().mul_f64(MIN_WATCH_FRACTION);
-        let longest = self.max_change_age().mul_f64(MAX_WATCH_FRACTION);
-        let usual = self.fair_interval(SHARED_CALLS_PER_SECOND).clamp(shortest, longest);
-        let factor = if self.is_shared { load.interval_factor() } else { 1.0 };
-        let overdue_at = self.max_change_age().mul_f64(MAX_OVERDUE_FRACTION);
-        let longest = overdue_at.saturating_sub(Self::response_allowance(load)).max(shortest);
-        let duration = usual.mul_f64(factor).min(longest);
-        // The protocol counts in whole milliseconds.
-        Duration::from_millis(duration.as_millis() as u64)
+        if !self.is_shared {
+            return whole_milliseconds(self.max_change_age.mul_f64(OWN_WATCH_FRACTION));
+        }
+        let fair = self.fair_interval(SHARED_CALLS_PER_SECOND);
+        if self.has_long_watches() {
+            return whole_milliseconds(fair.mul_f64(load.interval_factor()).min(MAX_WATCH));
+        }
+        let longest =
+            self.max_change_age.mul_f64(MAX_OVERDUE_FRACTION).saturating_sub(Self::response_allowance(load));
+        whole_milliseconds(self.max_change_age.mul_f64(SHARED_WATCH_FRACTION).min(longest))
+    }
+
+    /// Whether a watch may wait for longer than a list that is not known to be current may be used.
+    pub(super) fn has_long_watches(&self) -> bool {
+        self.fair_interval(SHARED_CALLS_PER_SECOND) > self.max_change_age.mul_f64(SHARED_WATCH_FRACTION)
+    }
+
+    /// How long the first watch after a failure waits.
+    pub(super) fn first_watch_duration(&self, load: &ServiceLoad) -> Duration {
+        if self.has_long_watches() { FIRST_WATCH } else { self.watch_duration(load) }
     }
 
     /// When a call that asks the service to wait for `wait` is overdue, counted from its start.
-    pub(super) fn overdue_after(wait: Duration, load: &ServiceLoad) -> Duration {
-        wait + Self::response_allowance(load)
+    pub(super) fn overdue_after(&self, wait: Duration, load: &ServiceLoad) -> Duration {
+        match self.has_long_watches() && wait <= FIRST_WATCH {
+            true => wait + CROWDED_RESPONSE_ALLOWANCE,
+            false => wait + Self::response_allowance(load),
+        }
+    }
+
+    /// How long a list is acted on that was current when a watch began, while that watch is open and no call fails. What a
+    /// watch that has fallen silent misses need not be known sooner.
+    pub(super) fn usable_during_watch(&self, wait: Duration) -> Duration {
+        let silence_known_after = self.max_change_age.max(wait + MAX_SILENCE_AFTER_WATCH);
+        (silence_known_after + self.drain_grace).saturating_sub(self.hold_up())
     }
 
     fn response_allowance(load: &ServiceLoad) -> Duration {
@@ -169,7 +180,10 @@
     /// The least interval between calls that are made beside overdue ones.
     pub(super) fn overlap_interval(&self) -> Duration {
         match self.is_shared {
-            true => SHARED_OVERLAP_INTERVAL.max(self.fair_interval(SHARED_CALLS_PER_SECOND)),
+            true => {
+                let fair = self.fair_interval(SHARED_CALLS_PER_SECOND);
+                fair.clamp(SHARED_OVERLAP_INTERVAL, MAX_SHARED_RETRY_INTERVAL)
+            }
             false => OWN_OVERLAP_INTERVAL,
         }
     }
@@ -179,28 +193,38 @@
         MIN_RESTART_DURATION.max(self.fair_interval(SHARED_CALLS_PER_SECOND) * RESTART_INTERVALS)
     }
 
-    /// The backoff of a watch after its first failed call, before jitter.
+    /// The backoff after the first connection that breaks, before jitter.
     pub(super) fn initial_backoff(&self) -> Duration {
-        INITIAL_BACKOFF.max(self.fair_interval(SHARED_RETRIES_PER_SECOND) / INITIAL_BACKOFF_DIVISOR)
+        INITIAL_BACKOFF.max(self.retry_interval() / INITIAL_BACKOFF_DIVISOR)
     }
 
     /// The same after a rejection. All senders may have been rejected together, so that all of them together stay within
     /// the rate of retries from the first one on.
     pub(super) fn initial_rejection_backoff(&self) -> Duration {
-        self.initial_backoff().max(self.fair_interval(SHARED_RETRIES_PER_SECOND))
+        self.initial_backoff().max(self.retry_interval())
     }
 
-    /// The longest backoff of a watch after failed calls, before jitter.
+    /// The longest backoff after failed calls, before jitter.
     pub(super) fn longest_backoff(&self) -> Duration {
         match self.is_shared {
-            true => SHARED_BACKOFF.max(self.fair_interval(SHARED_RETRIES_PER_SECOND)),
+            true => SHARED_BACKOFF.max(self.retry_interval()),
             false => OWN_BACKOFF,
         }
     }
 
-    /// The longest delay between two polls, at most `limit`: the smaller the fleet, the sooner a poll may follow.
-    pub(super) fn longest_delay_of_poll(&self, limit: Duration) -> Duration {
-        self.fair_interval(SHARED_CALLS_PER_SECOND).min(limit)
+    /// The longest backoff while the service is down, before jitter.
+    pub(super) fn longest_outage_backoff(&self) -> Duration {
+        match self.is_shared {
+            true => {
+                let fair = self.fair_interval(SHARED_OUTAGE_CALLS_PER_SECOND);
+                fair.clamp(SHARED_BACKOFF, MAX_OUTAGE_INTERVAL).max(self.longest_backoff())
+            }
+            false => OWN_BACKOFF,
+        }
+    }
+
+    fn retry_interval(&self) -> Duration {
+        self.fair_interval(SHARED_RETRIES_PER_SECOND).min(MAX_SHARED_RETRY_INTERVAL)
     }
 
     /// For how long no bytes of a response may arrive until another call is made beside it.
@@ -211,7 +235,7 @@
     /// The time limit of a call that asks the service to wait for `wait`. A slow response is awaited for as long as it
     /// can be of use; further calls are made beside it.
     pub(super) fn response_timeout(&self, wait: Duration) -> Duration {
-        wait + self.max_change_age()
+        wait + self.max_change_age
     }
 
     /// The time limit of establishing the first connection to the service.
@@ -221,14 +245,14 @@
 
     /// The longest time limit of establishing a connection to the service.
     pub(super) fn longest_connect_timeout(&self) -> Duration {
-        self.max_change_age().mul_f64(CONNECT_FRACTION)
+        self.max_change_age.mul_f64(CONNECT_FRACTION)
     }
 
     /// How long after it was current a list is still acted on, if the service can be reached and tells nothing newer.
     /// Each change since must be known after [`Self::max_change_age`], and calls must stop within the grace after that.
     /// It is shorter by the time that a call may be held up until its first byte.
     pub(super) fn usable_for(&self) -> Duration {
-        (self.max_change_age() + self.drain_grace).saturating_sub(self.hold_up())
+        (self.max_change_age + self.drain_grace).saturating_sub(self.hold_up())
     }
 
     /// How long the last list is still acted on after the address of the service has changed, if the new address can be
@@ -252,12 +276,7 @@
     /// How long a process waits for a shared service to confirm its list. After that, the service is assumed to be down.
     /// `None` if there is no limit: an agent that is silent may have had a change before this process started.
     pub(super) fn longest_confirmation(&self) -> Option<Duration> {
-        self.is_shared.then(|| self.max_change_age())
-    }
-
-    /// Whether the first list needs a confirmation. A large fleet that polls could not confirm its lists at once.
-    pub(super) fn needs_confirmation(&self) -> bool {
-        self.mode() == FollowMode::Watch
+        self.is_shared.then_some(self.max_change_age)
     }
 
     /// The longest time between a decision to call an endpoint and the first byte.
@@ -266,11 +285,16 @@
     }
 
     /// Whether a list that is too old is not acted on. A service that sends updates to its own sender only is silent
-    /// while it has none itself, and one that many senders poll may be overloaded by them.
+    /// while it has none itself.
     pub(super) fn expires(&self) -> bool {
-        self.is_shared && self.mode() == FollowMode::Watch
+        self.is_shared
     }
 }
 
+/// The protocol counts in whole milliseconds.
+fn whole_milliseconds(duration: Duration) -> Duration {
+    Duration::from_millis(duration.as_millis() as u64)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/forwarder/discovery/list_age/tests.rs
+++ b/src/forwarder/discovery/list_age/tests.rs
@@ -10,12 +10,8 @@
 const MAX_BACKOFF_JITTER: f64 = 1.5;
 
 /// The latest start of a call that follows a watch without a response, counted from the start of the watch.
-fn latest_call_after_silence(bounds: &ListAgeBounds) -> Duration {
-    latest_call_after_silence_under(bounds, &ServiceLoad::new())
-}
-
-fn latest_call_after_silence_under(bounds: &ListAgeBounds, load: &ServiceLoad) -> Duration {
-    ListAgeBounds::overdue_after(bounds.watch_duration(load), load)
+fn latest_call_after_silence(bounds: &ListAgeBounds, load: &ServiceLoad) -> Duration {
+    bounds.overdue_after(bounds.watch_duration(load), load)
 }
 
 /// A service that responds after these times or, where there is none, fails.
@@ -54,73 +50,81 @@
     )
 }
 
-fn watching_settings() -> impl Strategy<Value = Settings> {
-    any_settings().prop_filter("the sender watches", |settings| {
-        ListAgeBounds::new(settings).mode() == FollowMode::Watch
-    })
-}
-
 proptest! {
     #[test]
-    fn a_change_after_silence_is_heard_before_it_must_be_known(
-        settings in watching_settings(),
+    fn a_change_after_silence_is_heard_before_calls_are_held(
+        settings in any_settings(),
         load in any_load(),
     ) {
         let bounds = ListAgeBounds::new(&settings);
-        let latest = latest_call_after_silence_under(&bounds, &load) + RESPONSE_TIME;
-        prop_assert!(latest <= bounds.max_change_age(), "{latest:?}");
+        let wait = bounds.watch_duration(&load);
+        let latest = latest_call_after_silence(&bounds, &load);
+        prop_assert!(latest < bounds.usable_during_watch(wait), "{latest:?}");
+        // Short watches leave the service time to respond as well.
+        if !bounds.has_long_watches() {
+            prop_assert!(latest + RESPONSE_TIME <= bounds.max_change_age, "{latest:?}");
+        }
     }
 
     #[test]
-    fn a_change_after_an_outage_is_heard_before_it_must_be_known(settings in watching_settings()) {
+    fn a_list_is_acted_on_no_longer_than_a_silent_watch_may_hide_a_change(
+        settings in any_settings(),
+        load in any_load(),
+    ) {
+        let bounds = ListAgeBounds::new(&settings);
+        let wait = bounds.watch_duration(&load);
+        let latest_write = bounds.usable_during_watch(wait) + MAX_PROCESS_PAUSE + EVENT_HANDLING;
+        let known_after = MAX_CHANGE_AGE.max(wait + Duration::from_secs(2));
+        prop_assert!(latest_write <= known_after + bounds.drain_grace, "{latest_write:?}");
+        prop_assert!(wait <= MAX_WATCH);
+    }
+
+    #[test]
+    fn a_service_that_returns_is_called_before_its_changes_must_be_known_in_a_small_fleet(
+        settings in any_settings(),
+    ) {
         let bounds = ListAgeBounds::new(&settings);
-        // A rejection just before the service is back, the backoff, and the response.
-        let latest = latest_call_after_failure(&bounds) + RESPONSE_TIME;
-        prop_assert!(latest <= bounds.max_change_age(), "{latest:?}");
-        // A connection attempt that began during the outage and hangs.
         let latest = bounds.longest_connect_timeout() + RESPONSE_TIME;
-        prop_assert!(latest <= bounds.max_change_age(), "{latest:?}");
+        prop_assert!(latest <= bounds.max_change_age, "{latest:?}");
+        if bounds.is_shared && bounds.senders > 24.0 {
+            return Ok(());
+        }
+        let latest = bounds.longest_outage_backoff().mul_f64(MAX_BACKOFF_JITTER) + RESPONSE_TIME;
+        prop_assert!(latest <= bounds.max_change_age, "{latest:?}");
+        let latest = latest_call_after_failure(&bounds) + RESPONSE_TIME;
+        prop_assert!(latest <= bounds.max_change_age, "{latest:?}");
     }
 
     #[test]
     fn calls_stop_within_the_grace_even_if_the_process_is_held_up(settings in any_settings()) {
         let bounds = ListAgeBounds::new(&settings);
         let latest_write = bounds.usable_for() + MAX_PROCESS_PAUSE + EVENT_HANDLING;
-        prop_assert!(latest_write <= bounds.max_change_age() + bounds.drain_grace);
+        prop_assert!(latest_write <= bounds.max_change_age + bounds.drain_grace);
         let latest_write = bounds.usable_after_address_change() + MAX_PROCESS_PAUSE + EVENT_HANDLING;
         prop_assert!(latest_write <= MAX_AGE_AFTER_ADDRESS_CHANGE + bounds.drain_grace);
         let latest_write = bounds.usable_after_lost_response() + MAX_PROCESS_PAUSE + EVENT_HANDLING;
         prop_assert!(latest_write <= bounds.drain_grace);
     }
 
-    #[test]
-    fn a_list_is_still_usable_when_the_next_one_is_due(settings in watching_settings()) {
-        let bounds = ListAgeBounds::new(&settings);
-        prop_assert!(bounds.usable_for() > latest_call_after_silence(&bounds));
-    }
-
     #[test]
     fn all_senders_together_stay_within_the_rate_of_a_shared_service(settings in any_settings()) {
         let bounds = ListAgeBounds::new(&settings);
-        if !settings.poll_discovery || bounds.mode() == FollowMode::Poll {
+        if !settings.poll_discovery {
             return Ok(());
         }
         let senders = settings.sender_count as f64;
-        // Watches are as short as a few senders can afford.
-        let shortest = bounds.max_change_age().mul_f64(MIN_WATCH_FRACTION).as_secs_f64();
-        let watches = senders / bounds.watch_duration(&ServiceLoad::new()).as_secs_f64();
-        prop_assert!(watches <= (SHARED_CALLS_PER_SECOND * 1.01).max(senders / shortest), "{watches}");
-        let overlapping = senders / bounds.overlap_interval().as_secs_f64();
-        prop_assert!(overlapping <= SHARED_CALLS_PER_SECOND * 1.01, "{overlapping}");
-        let retries = senders / bounds.initial_rejection_backoff().as_secs_f64();
-        prop_assert!(retries <= SHARED_RETRIES_PER_SECOND * 1.01, "{retries}");
-        let retries = senders / bounds.longest_backoff().as_secs_f64();
-        prop_assert!(retries <= SHARED_RETRIES_PER_SECOND * 1.01, "{retries}");
-    }
-
-    #[test]
-    fn the_largest_fleets_poll_a_shared_service(settings in any_settings(), sender_count in 41..=900_usize) {
-        let settings = Settings { poll_discovery: true, sender_count, ..settings };
-        prop_assert_eq!(ListAgeBounds::new(&settings).mode(), FollowMode::Poll);
+        let rate = |interval: Duration| senders / interval.as_secs_f64();
+        // A fleet whose watches would have to be longer than the service allows makes more calls.
+        let watches = rate(bounds.watch_duration(&ServiceLoad::new()));
+        prop_assert!(watches <= (SHARED_CALLS_PER_SECOND * 1.01).max(rate(MAX_WATCH)), "{watches}");
+        // A service for a fleet so large that these intervals are the longest has a larger capacity.
+        let per_sender = rate(MAX_SHARED_RETRY_INTERVAL);
+        prop_assert!(rate(bounds.overlap_interval()) <= (SHARED_CALLS_PER_SECOND * 1.01).max(per_sender));
+        for interval in [bounds.initial_rejection_backoff(), bounds.longest_backoff()] {
+            prop_assert!(rate(interval) <= (SHARED_RETRIES_PER_SECOND * 1.01).max(per_sender));
+        }
+        let while_down = rate(bounds.longest_outage_backoff());
+        let per_sender = rate(MAX_OUTAGE_INTERVAL);
+        prop_assert!(while_down <= (SHARED_OUTAGE_CALLS_PER_SECOND * 1.01).max(per_sender), "{while_down}");
     }
 }
--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -23,6 +23,8 @@
     current_at: Instant,
     /// The list is too old from this time on, if it expires.
     expires_at: Instant,
+    /// The same while the watch is open that followed the list, and no call has failed since.
+    expires_during_watch_at: Option<Instant>,
     /// When the list must not be acted on unless the service confirms it.
     unconfirmed: Option<UnconfirmedPeriod>,
     /// Responses of which bytes have arrived, and which were not read to their end. Each may tell of a drain.
@@ -74,12 +76,12 @@
             ListOrigin::Configuration => start,
             ListOrigin::Predecessor => start + bounds.usable_after_handover(),
         };
-        let unconfirmed = unconfirmed_period(unconfirmed_from, &bounds);
         ListAgeMonitor {
             bounds,
             current_at: start,
             expires_at: start + bounds.usable_for(),
-            unconfirmed,
+            expires_during_watch_at: None,
+            unconfirmed: Some(UnconfirmedPeriod::new(unconfirmed_from, &bounds)),
             unread: Vec::new(),
             lost_response_at: None,
             reported: ListAge::Fresh,
@@ -96,10 +98,21 @@
         self.renew(at);
         self.unconfirmed = None;
         self.current_at = self.current_at.max(at);
+        self.expires_during_watch_at = None;
         self.unread.retain(|unread| at < unread.progress_at);
         self.lost_response_at.take_if(|lost_at| *lost_at <= at);
     }
 
+    /// A watch began at this time, right after the list was read.
+    pub(super) fn record_watch(&mut self, at: Instant, wait: Duration) {
+        self.expires_during_watch_at = Some(at + self.bounds.usable_during_watch(wait));
+    }
+
+    /// A call failed.
+    pub(super) fn record_failure(&mut self) {
+        self.expires_during_watch_at = None;
+    }
+
     /// How long ago the list was known to be current.
     pub(super) fn since_current(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.current_at)
@@ -143,18 +156,23 @@
         Some(earliest + self.bounds.usable_after_lost_response())
     }
 
+    fn expiry(&self) -> Instant {
+        self.expires_during_watch_at.map_or(self.expires_at, |at| at.max(self.expires_at))
+    }
+
     /// Another address of the service was configured at this time.
     pub(super) fn record_address_change(&mut self, at: Instant) {
         let usable_until = at + self.bounds.usable_after_address_change();
         self.expires_at = self.expires_at.min(usable_until);
+        self.expires_during_watch_at = None;
         // A list that was not confirmed before is not confirmed by this.
         let usable_until = self.unconfirmed.map_or(usable_until, |period| usable_until.min(period.from));
-        self.unconfirmed = unconfirmed_period(usable_until, &self.bounds);
+        self.unconfirmed = Some(UnconfirmedPeriod::new(usable_until, &self.bounds));
     }
 
     /// When the state will change, should nothing be recorded before.
     pub(super) fn next_change(&self) -> Option<Instant> {
-        let expiry = self.bounds.expires().then_some(self.expires_at);
+        let expiry = self.bounds.expires().then(|| self.expiry());
         let unconfirmed = self.unconfirmed.as_ref();
         match self.reported {
             ListAge::Fresh => {
@@ -169,7 +187,7 @@
     pub(super) fn change(&mut self, now: Instant) -> Option<ListAge> {
         self.unconfirmed.take_if(|period| period.until.is_some_and(|until| until <= now));
         let is_unconfirmed = self.unconfirmed.is_some_and(|period| period.contains(now));
-        let is_expired = self.bounds.expires() && self.expires_at <= now;
+        let is_expired = self.bounds.expires() && self.expiry() <= now;
         let is_unread = self.unread_from().is_some_and(|from| from <= now);
         let age = if is_unconfirmed || is_expired || is_unread { ListAge::Stale } else { ListAge::Fresh };
         let previous = std::mem::replace(&mut self.reported, age);
@@ -177,10 +195,5 @@
     }
 }
 
-/// When an unconfirmed list must not be acted on, if it may be acted on until `usable_until`.
-fn unconfirmed_period(usable_until: Instant, bounds: &ListAgeBounds) -> Option<UnconfirmedPeriod> {
-    bounds.needs_confirmation().then(|| UnconfirmedPeriod::new(usable_until, bounds))
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/forwarder/discovery/list_age_monitor/tests.rs
+++ b/src/forwarder/discovery/list_age_monitor/tests.rs
@@ -29,14 +29,16 @@
 #[test]
 fn a_list_expires_before_a_change_after_it_must_be_known_and_the_grace_is_over() {
     let start = Instant::now();
-    let mut monitor = first_list(&settings(), start);
-    monitor.record_current(start + seconds(3.0));
-    assert_eq!(monitor.change(start + seconds(9.2)), None);
-    assert_eq!(monitor.change(start + seconds(9.5)), Some(ListAge::Stale));
-    assert_eq!(monitor.change(start + seconds(9.6)), None, "it was reported");
-    assert_eq!(monitor.next_change(), None);
-    monitor.record_current(start + seconds(9.5));
-    assert_eq!(monitor.change(start + seconds(9.7)), Some(ListAge::Fresh));
+    for sender_count in [3, 40, 41, 900] {
+        let mut monitor = first_list(&Settings { sender_count, ..settings() }, start);
+        monitor.record_current(start + seconds(3.0));
+        assert_eq!(monitor.change(start + seconds(9.2)), None);
+        assert_eq!(monitor.change(start + seconds(9.5)), Some(ListAge::Stale));
+        assert_eq!(monitor.change(start + seconds(9.6)), None, "it was reported");
+        assert_eq!(monitor.next_change(), None);
+        monitor.record_current(start + seconds(9.5));
+        assert_eq!(monitor.change(start + seconds(9.7)), Some(ListAge::Fresh));
+    }
 }
 
 #[test]
@@ -64,14 +66,12 @@
 }
 
 #[test]
-fn a_list_does_not_expire_where_silence_may_be_an_outage_or_many_senders_poll() {
+fn a_list_does_not_expire_where_silence_may_be_an_outage() {
     let start = Instant::now();
-    for settings in [pushed(), Settings { sender_count: 300, ..settings() }] {
-        let mut monitor = first_list(&settings, start);
-        monitor.record_current(start);
-        assert_eq!(monitor.next_change(), None);
-        assert_eq!(monitor.change(start + seconds(100.0)), None);
-    }
+    let mut monitor = first_list(&pushed(), start);
+    monitor.record_current(start);
+    assert_eq!(monitor.next_change(), None);
+    assert_eq!(monitor.change(start + seconds(100.0)), None);
 }
 
 #[test]
--- a/src/forwarder/discovery/mod.rs
+++ b/src/forwarder/discovery/mod.rs
@@ -1,15 +1,15 @@
 //! Follows the endpoint list of the discovery service and sends each version of it to the runtime.
 //!
-//! A sender normally watches the list: each call waits at the service until the list changes. Where too many senders
-//! share one service, they poll the complete list instead, at a rate that adapts to the load of the service. How old
-//! the list may become, and all intervals that follow from it, are computed by [`list_age::ListAgeBounds`].
+//! A sender watches the list: each call waits at the service until the list changes. How old the list may become, and
+//! all intervals that follow from it, are computed by [`list_age::ListAgeBounds`]. No call to an endpoint starts while
+//! the list is too old ([`list_age_monitor`]); whether a failed call means that the service is down is decided by
+//! [`outage_detector`].
 
 mod follower;
 mod list_age;
 mod list_age_monitor;
 mod open_calls;
 mod outage_detector;
-mod poll_pacer;
 mod request;
 mod schedule;
 mod service_load;
--- a/src/forwarder/discovery/outage_detector/tests.rs
+++ b/src/forwarder/discovery/outage_detector/tests.rs
@@ -1,21 +1,29 @@
 use super::*;
-use FailureKind::{Broken, Other, Rejected, Unreachable};
+use FailureKind::{Broken, Other, RejectedAtOnce, RejectedLate, Unreachable};
+
+fn call(kind: FailureKind) -> FailedCall {
+    FailedCall { kind, was_healthy_watch: false, elapsed: Duration::from_secs(1) }
+}
+
+/// A watch that ended this long after its start.
+fn watch(kind: FailureKind, elapsed_ms: u64) -> FailedCall {
+    FailedCall { kind, was_healthy_watch: true, elapsed: Duration::from_millis(elapsed_ms) }
+}
 
 /// The state after failures in this order, which follow a list.
-fn state_after(failures: &[FailureKind]) -> ServiceState {
+fn state_after(failures: &[FailedCall]) -> ServiceState {
     let mut detector = OutageDetector::new();
-    detector.record_failure(Unreachable);
+    detector.record_failure(call(Unreachable));
     detector.record_list();
     failures.iter().fold(ServiceState::Reachable, |_, failure| detector.record_failure(*failure))
 }
 
 #[test]
-fn failures_tell_whether_the_service_is_down() {
+fn connections_tell_whether_the_service_is_down() {
     let breaking = |connections| ServiceState::Breaking { connections };
-    let down = |failure| ServiceState::Down { failure };
-    let cases: [(&[FailureKind], ServiceState); 10] = [
+    let down = |failure| ServiceState::Down { failure: Some(failure) };
+    let cases: [(&[FailureKind], ServiceState); 9] = [
         (&[Unreachable], down(Unreachable)),
-        (&[Rejected], down(Rejected)),
         (&[Other], ServiceState::Reachable),
         (&[Broken], breaking(1)),
         (&[Broken, Broken], breaking(2)),
@@ -25,6 +33,27 @@
         (&[Broken, Broken, Broken, Broken], down(Broken)),
         (&[Unreachable, Broken], breaking(1)),
     ];
+    for (kinds, expected) in cases {
+        let failures: Vec<FailedCall> = kinds.iter().copied().map(call).collect();
+        assert_eq!(state_after(&failures), expected, "{kinds:?}");
+    }
+}
+
+#[test]
+fn rejections_tell_of_an_outage_only_after_an_established_watch_has_ended() {
+    let down = |failure| ServiceState::Down { failure };
+    let cases: [(&[FailedCall], ServiceState); 9] = [
+        (&[call(RejectedAtOnce)], ServiceState::Reachable),
+        (&[call(RejectedLate), call(RejectedLate)], ServiceState::Reachable),
+        (&[watch(RejectedAtOnce, 60)], ServiceState::Reachable),
+        (&[watch(RejectedLate, 1200)], ServiceState::Reachable),
+        (&[watch(RejectedLate, 1700)], down(None)),
+        (&[watch(RejectedLate, 1700), call(RejectedAtOnce)], down(Some(RejectedAtOnce))),
+        (&[watch(RejectedLate, 1700), call(RejectedLate), call(RejectedLate)], down(Some(RejectedLate))),
+        // It works again, and is crowded.
+        (&[watch(RejectedLate, 1700), call(RejectedLate), call(RejectedAtOnce)], ServiceState::Reachable),
+        (&[watch(Broken, 1700)], ServiceState::Breaking { connections: 1 }),
+    ];
     for (failures, expected) in cases {
         assert_eq!(state_after(failures), expected, "{failures:?}");
     }
--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -1,130 +1,104 @@
 //! When the next call to the discovery service is made, and what it asks for.
 
-use super::list_age::{FollowMode, ListAgeBounds};
+use super::list_age::ListAgeBounds;
 use super::open_calls::CallLimits;
-use super::poll_pacer::PollPacer;
 use super::request::{ListQuery, PollError};
 use super::service_load::ServiceLoad;
 use crate::forwarder::discovery_client::Backoff;
 use std::time::Duration;
 
-/// Calls of a watching sender that may be open at once: the watch, and those made beside it while it is overdue.
-const MAX_OPEN_CALLS_OF_WATCH: usize = 6;
+/// Calls that may be open at once: the watch, and those made beside it while it is overdue.
+pub(super) const MAX_OPEN_CALLS: usize = 6;
 /// Of the calls that are made beside an overdue one, those are kept open that are this far apart.
-const KEPT_CALL_INTERVAL: Duration = Duration::from_millis(1500);
-/// Calls of a polling sender that may be open at once. A slow service gets no more calls than a fast one.
-const MAX_OPEN_CALLS_OF_POLL: usize = 2;
+pub(super) const KEPT_CALL_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// What a call follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallPosition {
+    /// Nothing: it is the first one, whose response confirms the list in use.
+    First,
+    /// A response with a list, right away.
+    AfterList,
+    /// A call that failed.
+    AfterFailure,
+    /// A call that is overdue and still open. A change may have been lost with its response.
+    BesideOverdue,
+}
 
-/// How a sender follows the list.
-enum Strategy {
-    /// Each call waits for a change. Failed ones are retried after a backoff.
-    Watch(WatchPacer),
-    /// The complete list is polled.
-    Poll(PollPacer),
+/// Chooses the queries and the delays between them.
+pub(super) struct CallSchedule {
+    bounds: ListAgeBounds,
+    load: ServiceLoad,
+    /// The time limit of establishing a connection. It doubles with each connection that is not established.
+    connect_timeout: Duration,
+    backoffs: Backoffs,
 }
 
-/// The delays between the calls of a watching sender.
-pub(super) struct WatchPacer {
-    /// After rejections: the service has too many calls, or is down.
+/// The delays between failed calls and the next ones.
+struct Backoffs {
+    /// After rejections: the service has too many calls.
     rejected: Backoff,
+    /// While the service is down.
+    outage: Backoff,
     /// After other failures. The response may have been written and lost.
     broken: Backoff,
 }
 
-impl WatchPacer {
-    /// A pacer that has made no call yet.
-    pub(super) fn new(bounds: &ListAgeBounds, seed: u64) -> Self {
+impl Backoffs {
+    fn new(bounds: &ListAgeBounds, seed: u64) -> Self {
         let longest = bounds.longest_backoff();
-        WatchPacer {
-            rejected: Backoff::with_jitter(bounds.initial_rejection_backoff(), longest, seed),
+        let after_rejection = bounds.initial_rejection_backoff();
+        Backoffs {
+            rejected: Backoff::with_jitter(after_rejection, longest, seed),
+            outage: Backoff::with_jitter(after_rejection, bounds.longest_outage_backoff(), seed),
             broken: Backoff::with_jitter(bounds.initial_backoff(), longest, seed),
         }
     }
 
-    pub(super) fn reset(&mut self) {
+    fn reset(&mut self) {
         self.rejected.reset();
+        self.outage.reset();
         self.broken.reset();
     }
-
-    /// The delay between a failed call and the next one.
-    pub(super) fn delay_after_failure(&mut self, is_rejection: bool) -> Duration {
-        if is_rejection { self.rejected.next_delay() } else { self.broken.next_delay() }
-    }
-}
-
-/// Chooses the queries and the delays between them.
-pub(super) struct CallSchedule {
-    bounds: ListAgeBounds,
-    load: ServiceLoad,
-    /// The time limit of establishing a connection. It doubles with each connection that is not established.
-    connect_timeout: Duration,
-    strategy: Strategy,
 }
 
 impl CallSchedule {
     /// The schedule that these bounds ask for. `seed` determines the jitter.
     pub(super) fn new(bounds: ListAgeBounds, seed: u64) -> Self {
-        let strategy = match bounds.mode() {
-            FollowMode::Watch => Strategy::Watch(WatchPacer::new(&bounds, seed)),
-            FollowMode::Poll => Strategy::Poll(PollPacer::new(bounds, seed)),
-        };
         CallSchedule {
             bounds,
             load: ServiceLoad::new(),
             connect_timeout: ListAgeBounds::initial_connect_timeout(),
-            strategy,
+            backoffs: Backoffs::new(&bounds, seed),
         }
     }
 
-    /// The delay of the first call. A list that is known already need not be requested at once by a whole fleet.
-    pub(super) fn first_delay(&mut self, list_is_known: bool) -> Duration {
-        match &mut self.strategy {
-            Strategy::Poll(pacer) if list_is_known => pacer.first_delay(),
-            Strategy::Poll(_) | Strategy::Watch(_) => Duration::ZERO,
-        }
-    }
-
-    /// What the next call asks for. `known_revision` is the revision of the list in use, if changes to it suffice. A
-    /// call beside an overdue one asks for the complete list: a change may have been lost with its response.
-    pub(super) fn query(&self, known_revision: Option<u64>, beside_overdue: bool) -> ListQuery {
-        match (&self.strategy, known_revision) {
-            (Strategy::Watch(_), Some(since_revision)) if !beside_overdue => {
-                ListQuery::Changes { since_revision, wait: self.bounds.watch_duration(&self.load) }
+    /// What the next call asks for. `known_revision` is the revision of the list in use, if changes to it suffice;
+    /// `is_confirmed` tells whether the service has confirmed that list.
+    pub(super) fn query(
+        &self,
+        known_revision: Option<u64>,
+        position: CallPosition,
+        is_confirmed: bool,
+    ) -> ListQuery {
+        let Some(since_revision) = known_revision else { return ListQuery::Complete };
+        let wait = match position {
+            CallPosition::BesideOverdue => return ListQuery::Complete,
+            CallPosition::AfterList => self.bounds.watch_duration(&self.load),
+            CallPosition::AfterFailure if self.bounds.has_long_watches() || is_confirmed => {
+                self.bounds.first_watch_duration(&self.load)
             }
-            _ => ListQuery::Complete,
-        }
-    }
-
-    /// The calls that may be open at once.
-    pub(super) fn max_open_calls(&self) -> usize {
-        match &self.strategy {
-            Strategy::Watch(_) => MAX_OPEN_CALLS_OF_WATCH,
-            Strategy::Poll(_) => MAX_OPEN_CALLS_OF_POLL,
-        }
-    }
-
-    /// The least time between two calls that are both kept open.
-    pub(super) fn kept_call_interval(&self) -> Duration {
-        match &self.strategy {
-            Strategy::Watch(_) => KEPT_CALL_INTERVAL,
-            Strategy::Poll(_) => Duration::ZERO,
-        }
+            // A response at once, which is short if nothing has changed.
+            CallPosition::First | CallPosition::AfterFailure => Duration::ZERO,
+        };
+        ListQuery::Changes { since_revision, wait }
     }
 
     /// The time after which a call is overdue.
-    pub(super) fn overdue_after(&self, query: ListQuery, beside_overdue: bool) -> Duration {
-        match &self.strategy {
-            Strategy::Watch(_) if beside_overdue => self.bounds.overlap_interval(),
-            Strategy::Watch(_) => ListAgeBounds::overdue_after(query.wait(), &self.load),
-            Strategy::Poll(pacer) => pacer.overdue_after(),
-        }
-    }
-
-    /// For how long no bytes of a response may arrive until another call is made beside it.
-    pub(super) fn response_completion_allowance(&self) -> Duration {
-        match &self.strategy {
-            Strategy::Watch(_) => ListAgeBounds::response_completion_allowance(),
-            Strategy::Poll(pacer) => pacer.overdue_after(),
+    pub(super) fn overdue_after(&self, query: ListQuery, position: CallPosition) -> Duration {
+        match position {
+            CallPosition::BesideOverdue => self.bounds.overlap_interval(),
+            _ => self.bounds.overdue_after(query.wait(), &self.load),
         }
     }
 
@@ -133,46 +107,35 @@
         CallLimits { connect: self.connect_timeout, response: self.bounds.response_timeout(query.wait()) }
     }
 
-    /// The delay between a list and the next call. The list arrived `response_time` after the service could have sent it.
-    pub(super) fn delay_after_list(&mut self, response_time: Duration) -> Duration {
+    /// A list arrived this long after the service could have sent it.
+    pub(super) fn record_list(&mut self, response_time: Duration) {
         self.load.record_list(response_time);
         self.connect_timeout = ListAgeBounds::initial_connect_timeout();
-        match &mut self.strategy {
-            Strategy::Watch(pacer) => {
-                pacer.reset();
-                Duration::ZERO
-            }
-            Strategy::Poll(pacer) => pacer.delay_after_list(),
-        }
+        self.backoffs.reset();
     }
 
-    /// The delay between a failed call and the next one.
-    pub(super) fn delay_after_failure(&mut self, error: &PollError) -> Duration {
+    /// The delay between a failed call and the next one. `is_down` tells whether the service is known to be down.
+    pub(super) fn delay_after_failure(&mut self, error: &PollError, is_down: bool) -> Duration {
         self.load.record_failure();
         if error.is_connect_failure() {
             self.connect_timeout = (self.connect_timeout * 2).min(self.bounds.longest_connect_timeout());
         }
-        match &mut self.strategy {
-            Strategy::Watch(pacer) => pacer.delay_after_failure(error.is_rejection()),
-            Strategy::Poll(pacer) => pacer.delay_after_failure(error.is_rejection()),
+        match (is_down, error.is_rejection()) {
+            (true, _) => self.backoffs.outage.next_delay(),
+            (false, true) => self.backoffs.rejected.next_delay(),
+            (false, false) => self.backoffs.broken.next_delay(),
         }
     }
 
-    /// The delay between the moment when a call becomes overdue and the next one.
-    pub(super) fn delay_after_overdue(&mut self) -> Duration {
+    /// A call became overdue.
+    pub(super) fn record_overdue(&mut self) {
         self.load.record_failure();
-        match &mut self.strategy {
-            Strategy::Watch(_) => Duration::ZERO,
-            Strategy::Poll(pacer) => pacer.delay_after_failure(false),
-        }
     }
 
     /// Forgets the failures of calls to an address that is no longer used.
     pub(super) fn change_address(&mut self) {
         self.load = ServiceLoad::new();
         self.connect_timeout = ListAgeBounds::initial_connect_timeout();
-        if let Strategy::Watch(pacer) = &mut self.strategy {
-            pacer.reset();
-        }
+        self.backoffs.reset();
     }
 }
--- a/tests/drain_outages.rs
+++ b/tests/drain_outages.rs
@@ -10,6 +10,9 @@
 const OUTAGE: Duration = Duration::from_secs(8);
 /// An outage that is longer than any backoff.
 const LONG_OUTAGE: Duration = Duration::from_secs(12);
+/// A watch that has been open for this long was taken up by the service. If it ends with an error status, the service has
+/// gone down.
+const WATCH_ESTABLISHED: Duration = Duration::from_secs(2);
 /// Within this time after an outage began, every sender has called.
 const FIRST_FAILURES: Duration = Duration::from_secs(2);
 
@@ -17,6 +20,7 @@
 async fn drain_after_outage(sender_count: u64, behavior: DiscoveryBehavior, outage: Duration) {
     let scenario = DrainScenario::start(DiscoveryMode::Ask, sender_count).await;
     scenario.discovery.until_followed().await;
+    sleep(WATCH_ESTABLISHED).await;
     let began_at = Instant::now();
     scenario.outage(behavior, outage).await;
     scenario.assert_served(began_at, Instant::now());
@@ -33,6 +37,7 @@
 ) {
     let scenario = DrainScenario::start(mode, sender_count).await;
     scenario.discovery.until_followed().await;
+    sleep(WATCH_ESTABLISHED).await;
     let began_at = Instant::now();
     scenario.discovery.set_behavior(behavior);
     sleep(FIRST_FAILURES).await;
