--- a/tests/support_soak/rules.rs
+++ b/tests/support_soak/rules.rs
@@ -32,6 +32,8 @@
     /// When it was ready after each start.
     pub ready_at: Vec<Instant>,
     pub submissions: BTreeMap<String, Submission>,
+    /// Peers that stopped in the middle of a request and got neither an error nor a close.
+    pub ignored_peers: usize,
     pub discovery: DiscoveryHistory,
 }
 
@@ -55,6 +57,10 @@
                 .map(|(start, ready)| format!("{name}: ready after {:?}", *ready - *start)),
         );
     }
+    let ignoring = run.members.iter().filter(|member| member.ignored_peers > 0);
+    broken.extend(
+        ignoring.map(|member| format!("{}: {} halted peers ignored", member.name, member.ignored_peers)),
+    );
     broken.extend(repeated(&run.first_bytes));
     broken
 }
