Let a successor act on a list only if its predecessor did

Cause: a successor used the list that it was handed for 2 s and the grace, though its predecessor held its calls since a response was lost. The hand-over tells now whether the list was acted on; an earlier version does not, and its list has to be confirmed. The first list is used after 6 s of an outage only, not of rejections.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -345,8 +345,10 @@
     }
 
     /// The service has rejected a call that should have continued a watch. It may have told the watch of changes until then.
+    /// One that a sender has for itself is not crowded, but down, and has nothing to tell.
     fn record_watch_gap(&mut self) {
-        if let Some(applied) = self.applied.filter(|applied| applied.ends_watch) {
+        let ends_watch = |applied: &AppliedList| applied.ends_watch && self.bounds.is_shared();
+        if let Some(applied) = self.applied.filter(ends_watch) {
             self.age.record_lost_response(applied.at);
         }
     }
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -276,12 +276,17 @@
         (MAX_AGE_AFTER_HANDOVER + self.drain_grace).saturating_sub(self.hold_up())
     }
 
-    /// How long a process waits for a shared service to confirm its list. After that, the service is assumed to be down.
-    /// `None` if there is no limit: an agent that is silent may have had a change before this process started.
+    /// How long a process waits for a shared service that is down to confirm its list. `None` if there is no limit: an agent
+    /// may have had a change before this process started.
     pub(super) fn longest_confirmation(&self) -> Option<Duration> {
         self.is_shared.then_some(self.max_change_age)
     }
 
+    /// Whether other senders call the same service.
+    pub(super) fn is_shared(&self) -> bool {
+        self.is_shared
+    }
+
     /// The longest time between a decision to call an endpoint and the first byte.
     fn hold_up(&self) -> Duration {
         MAX_PROCESS_PAUSE + EVENT_HANDLING + self.turn_interval
--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -47,13 +47,13 @@
 #[derive(Clone, Copy, Debug)]
 struct UnconfirmedPeriod {
     from: Instant,
-    /// The service is assumed to be down after this time.
+    /// The service, which was down before, is assumed to stay so after this time.
     until: Option<Instant>,
 }
 
 impl UnconfirmedPeriod {
-    fn new(from: Instant, bounds: &ListAgeBounds) -> Self {
-        UnconfirmedPeriod { from, until: bounds.longest_confirmation().map(|longest| from + longest) }
+    fn new(from: Instant) -> Self {
+        UnconfirmedPeriod { from, until: None }
     }
 
     fn contains(&self, instant: Instant) -> bool {
@@ -81,7 +81,7 @@
             current_at: start,
             expires_at: start + bounds.usable_for(),
             expires_during_watch_at: None,
-            unconfirmed: Some(UnconfirmedPeriod::new(unconfirmed_from, &bounds)),
+            unconfirmed: Some(UnconfirmedPeriod::new(unconfirmed_from)),
             unread: Vec::new(),
             lost_response_at: None,
             reported: ListAge::Fresh,
@@ -122,6 +122,9 @@
     pub(super) fn record_outage(&mut self, at: Instant) {
         self.renew(at);
         self.lost_response_at = None;
+        if let Some(period) = &mut self.unconfirmed {
+            period.until = self.bounds.longest_confirmation().map(|longest| period.from + longest);
+        }
     }
 
     /// A connection broke at this time, and a response that was written may not have arrived. What it told must be known.
@@ -167,7 +170,7 @@
         self.expires_during_watch_at = None;
         // A list that was not confirmed before is not confirmed by this.
         let usable_until = self.unconfirmed.map_or(usable_until, |period| usable_until.min(period.from));
-        self.unconfirmed = Some(UnconfirmedPeriod::new(usable_until, &self.bounds));
+        self.unconfirmed = Some(UnconfirmedPeriod::new(usable_until));
     }
 
     /// When the state will change, should nothing be recorded before.
--- a/src/forwarder/discovery/list_age_monitor/tests.rs
+++ b/src/forwarder/discovery/list_age_monitor/tests.rs
@@ -89,6 +89,15 @@
     }
 }
 
+#[test]
+fn the_first_list_is_never_used_while_the_service_only_rejects_calls() {
+    let start = Instant::now();
+    let mut monitor = first_list(&settings(), start);
+    assert_eq!(monitor.change(start), Some(ListAge::Stale));
+    assert_eq!(monitor.next_change(), None);
+    assert_eq!(monitor.change(start + seconds(6.1)), None);
+}
+
 #[test]
 fn a_change_of_address_does_not_confirm_the_first_list() {
     let start = Instant::now();
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -115,9 +115,6 @@
         never = reject_admin_requests(&mut event_queue) => match never {},
         _ = terminate.recv() => return Ok(()),
     };
-    // The list that this process starts with is as old as the service says from this moment on.
-    let list_age =
-        InitialListAge::new(&config.settings, state_folder.owned_since, state_folder.list_origin());
     let connection_counts = Arc::new(ConnectionCounts::default());
     // The notice sender holds the receiver.
     let (notices, notice_batches) = mpsc::channel(NOTICE_QUEUE_CAPACITY);
@@ -127,7 +124,7 @@
         events: events.clone(),
         connection_counts: connection_counts.clone(),
     };
-    let mut runtime = Runtime::start(&config, channels, state_folder, list_age).await;
+    let (mut runtime, list_age) = Runtime::start(&config, channels, state_folder).await;
     upgrade::listen_for_successors(&config.state_folder, events.clone());
     runtime.save_timeline();
     let discovery =
--- a/src/forwarder/runtime/endpoint_list.rs
+++ b/src/forwarder/runtime/endpoint_list.rs
@@ -46,6 +46,7 @@
 
     /// While the list is too old, no call may start: endpoints may have been drained since.
     pub(super) fn apply_list_age(&mut self, now: Micros, age: ListAge) {
+        self.list_age = age;
         let event = match age {
             ListAge::Stale => {
                 self.calls.withhold_all_writes();
--- a/src/forwarder/runtime/handover/handoff.rs
+++ b/src/forwarder/runtime/handover/handoff.rs
@@ -1,6 +1,7 @@
 //! The state that a process hands over to its successor beside the journal.
 
 use super::InheritedAttempts;
+use crate::forwarder::discovery::ListAge;
 use crate::forwarder::messages::endpoint_list::EndpointList;
 use crate::forwarder::runtime::Runtime;
 use crate::forwarder::runtime::calls::CallId;
@@ -18,6 +19,7 @@
             calls: self.calls_to_hand_over(now),
             client_connections: self.connection_counts.own.load(Relaxed),
             learned: self.learned_to_hand_over(now),
+            list_is_fresh: self.list_age == ListAge::Fresh,
         }
     }
 
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -28,7 +28,7 @@
 use crate::forwarder::clock::{KernelClocks, Timeline, UnixClock};
 use crate::forwarder::configuration::Config;
 use crate::forwarder::departed_endpoints::DepartedEndpoints;
-use crate::forwarder::discovery::InitialListAge;
+use crate::forwarder::discovery::{InitialListAge, ListAge, ListOrigin};
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::journal::{Journal, SharedJournal, WRITE_RETRY_DELAY_MS};
 use crate::forwarder::messages::notice::Notice;
@@ -96,6 +96,8 @@
     endpoints: Endpoints,
     /// For the next process.
     departed: DepartedEndpoints,
+    /// Whether the list may be acted on.
+    list_age: ListAge,
     /// The list of the configuration is not the last one that a process had.
     known_list_is_old: bool,
     idle_connections: IdleConnectionPool,
@@ -117,14 +119,13 @@
 
 impl Runtime {
     /// Recovers every open message of the state folder, together with the state that a live predecessor has handed
-    /// over.
+    /// over. Returns the age of the list as well that it starts with.
     pub(crate) async fn start(
         config: &Config,
         channels: RuntimeChannels,
         state_folder: StateFolder,
-        list_age: InitialListAge,
-    ) -> Self {
-        let StateFolder { ownership, timeline, journal, open_messages, .. } = state_folder;
+    ) -> (Self, InitialListAge) {
+        let StateFolder { ownership, owned_since, timeline, journal, open_messages } = state_folder;
         let inherited = match ownership.predecessor {
             // If it ended right after the hand-over, its calls ended with it, and the journal contains them.
             Some(predecessor) => predecessor.confirm_ownership(channels.events.clone()).await.ok(),
@@ -140,11 +141,14 @@
             let known = runtime.departed.update_known_list(known);
             runtime.apply_endpoint_list(now, &known);
         }
+        runtime.known_list_is_old &= handoff.is_none();
+        let origin = list_origin(handoff.as_ref());
+        let list_age = InitialListAge::new(&config.settings, owned_since, origin);
         runtime.recover(now, open_messages, handoff);
         runtime.apply_list_age(now, list_age.at(Instant::now()));
         runtime.log_start();
         runtime.finish_turn(now);
-        runtime
+        (runtime, list_age)
     }
 
     fn new(
@@ -167,6 +171,7 @@
             calls: CallsInFlight::default(),
             endpoints: Endpoints::default(),
             departed: DepartedEndpoints::open(&config.state_folder, config.limits.disk_mb),
+            list_age: ListAge::Stale,
             known_list_is_old: false,
             idle_connections: IdleConnectionPool::new(channels.max_idle_connections, settings.idle_timeout),
             notices: NoticeQueue::new(channels.notices),
@@ -301,6 +306,14 @@
     }
 }
 
+/// Where the first list comes from. What a predecessor did not act on any more, its successor must not act on either.
+fn list_origin(handoff: Option<&HandoffState>) -> ListOrigin {
+    match handoff {
+        Some(handoff) if handoff.list_is_fresh => ListOrigin::Predecessor,
+        _ => ListOrigin::Configuration,
+    }
+}
+
 /// Gives the server time to write the replies that are ready, and ends it.
 async fn finish_replies(mut server: JoinHandle<()>) {
     let _ = timeout(FINAL_REPLY_TIMEOUT, &mut server).await;
--- a/src/forwarder/state_folder.rs
+++ b/src/forwarder/state_folder.rs
@@ -1,7 +1,6 @@
 //! Opens the state folder when the process starts.
 
 use super::clock::{KernelClocks, Timeline};
-use super::discovery::ListOrigin;
 use super::journal::{Journal, JournalError, RecoveredMessage};
 use super::upgrade::{Ownership, UpgradeError, acquire_ownership, socket_path};
 use std::path::Path;
@@ -49,14 +48,6 @@
         }
     }
 
-    /// Where the endpoint list comes from that this process starts with.
-    pub(crate) fn list_origin(&self) -> ListOrigin {
-        match self.ownership.predecessor {
-            Some(_) => ListOrigin::Predecessor,
-            None => ListOrigin::Configuration,
-        }
-    }
-
     async fn try_open(path: &Path, disk_mb: f64) -> Result<Self, StateFolderError> {
         let ownership = acquire_ownership(path).await?;
         let max_journal_bytes = (disk_mb * JOURNAL_BYTES_PER_DISK_MB) as u64;
--- a/src/forwarder/upgrade/format_tests.rs
+++ b/src/forwarder/upgrade/format_tests.rs
@@ -78,6 +78,7 @@
             learned_entry(Some("endpoint-1"), learned(Some(3), warming_up, Some((10.0, 80.5)))),
             learned_entry(None, learned(None, HealthState::Down { next_probe: 500_000 }, Some((0.25, 1.0)))),
         ],
+        list_is_fresh: false,
     }))
 }
 
@@ -88,6 +89,7 @@
         calls: vec![],
         client_connections: 0,
         learned: vec![],
+        list_is_fresh: false,
     }))
 }
 
--- a/src/forwarder/upgrade/frames.rs
+++ b/src/forwarder/upgrade/frames.rs
@@ -66,6 +66,9 @@
     /// What the decision module has learned.
     #[serde(rename = "learnt")]
     pub(crate) learned: Vec<LearnedEntry>,
+    /// Whether the predecessor acted on the endpoint list. Earlier versions do not tell.
+    #[serde(rename = "fresh", default, skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) list_is_fresh: bool,
 }
 
 /// What the decision module has learned about a destination or an endpoint. Its JSON form is an array.
