Classify the failure of a call to discovery once

Read again: PollError had two predicates beside FailureKind, which says the same; overdue_after took a position that two of its callers made up; expires() and is_shared() of the bounds were one fact. Behaviour stays. The unit tests name the kinds; a table of its own holds which error is of which kind. Measured: clippy and the unit tests pass.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -211,8 +211,8 @@
         if position == CallPosition::AfterList && query.is_watch() {
             self.age.record_watch(call.started_at, query.wait());
         }
-        let overdue_after = self.schedule.overdue_after(query, position);
-        self.schedule_call(DueCall::Overdue, call.started_at + overdue_after);
+        let next_call_after = self.schedule.next_call_after(query, position);
+        self.schedule_call(DueCall::Overdue, call.started_at + next_call_after);
     }
 
     /// What the response tells must be known soon after its last byte: if no more arrives for a while and it has not
@@ -222,8 +222,7 @@
         self.age.record_response_progress(call.number, now);
         let newest = self.calls.open().next_back();
         if newest.is_some_and(|newest| newest.number == call.number) && self.due_call == DueCall::Overdue {
-            let overdue_at =
-                call.started_at + self.schedule.overdue_after(call.query, CallPosition::AfterList);
+            let overdue_at = call.started_at + self.schedule.overdue_after(call.query);
             let stalled_at = now + ListAgeBounds::response_completion_allowance();
             self.schedule_call(DueCall::Overdue, stalled_at.min(overdue_at));
         }
@@ -288,7 +287,7 @@
     /// A list arrived beside an open watch, which goes on unless it is older than the call for that list and either
     /// overdue or so long that the list would expire meanwhile.
     fn continue_watch(&mut self, watch: ListCall, call: ListCall, now: Instant) {
-        let overdue_at = watch.started_at + self.schedule.overdue_after(watch.query, CallPosition::AfterList);
+        let overdue_at = watch.started_at + self.schedule.overdue_after(watch.query);
         let is_short = !self.bounds.has_long_watches();
         if now < overdue_at && is_short {
             self.schedule_call(DueCall::Overdue, overdue_at);
@@ -298,20 +297,21 @@
     }
 
     fn record_failure(&mut self, call: ListCall, error: &PollError) {
-        if error.is_rejection() {
+        let now = Instant::now();
+        let failure = FailureKind::of(error, now - call.started_at, self.age.is_unread(call.number));
+        if failure.is_rejection() {
             self.age.record_response_end(call.number);
         }
         if !self.calls.is_to_present_address(call) {
             return;
         }
-        let now = Instant::now();
-        let is_down = self.record_service_state(call, error, now);
-        self.record_lost_changes(error, is_down, now);
+        let is_down = self.record_service_state(call, failure, now);
+        self.record_lost_changes(failure, is_down, now);
         self.age.record_failure();
         self.position = CallPosition::AfterFailure;
         let is_newest = self.calls.open().all(|open| open.number < call.number);
         if is_newest {
-            let delay = self.schedule.delay_after_failure(error, is_down);
+            let delay = self.schedule.delay_after_failure(failure, is_down);
             let (elapsed, next_in) = ((now - call.started_at).as_millis(), delay.as_millis());
             let list_age = self.age.since_current(now).as_millis();
             let number = call.number;
@@ -319,20 +319,19 @@
                 "discovery: call {number}: {error} after {elapsed} ms; list {list_age} ms old; next call in {next_in} ms"
             );
             // The time that a connection attempt took is a part of the delay.
-            let since = if error.is_connect_failure() { call.started_at } else { now };
+            let since = if failure == FailureKind::Unreachable { call.started_at } else { now };
             self.schedule_call(DueCall::Regular, now.max(since + delay));
         }
     }
 
     /// Decides what the failed call tells of the service. If its connection broke, a response may have been lost with it,
     /// unless a newer call was answered since. Returns whether the service is down.
-    fn record_service_state(&mut self, call: ListCall, error: &PollError, now: Instant) -> bool {
+    fn record_service_state(&mut self, call: ListCall, kind: FailureKind, now: Instant) -> bool {
         let elapsed = now - call.started_at;
-        let kind = FailureKind::of(error, elapsed, self.age.is_unread(call.number));
         let was_healthy_watch = self.was_healthy_watch(call, elapsed);
         let is_superseded = self.applied.is_some_and(|applied| call.number < applied.call);
         let failed_call = FailedCall { kind, was_healthy_watch, elapsed };
-        if was_healthy_watch && failed_call.was_rejected_before_taken_up() {
+        if failed_call.ended_watch_not_taken_up() {
             self.record_watch_gap();
         }
         let state = self.outages.record_failure(failed_call);
@@ -362,10 +361,10 @@
 
     /// Decides whether the complete list has to be requested. The service lost no change if it rejected the call because
     /// it is overloaded; it may be restarting if it does so for a while.
-    fn record_lost_changes(&mut self, error: &PollError, is_down: bool, now: Instant) {
+    fn record_lost_changes(&mut self, failure: FailureKind, is_down: bool, now: Instant) {
         let rejected_since = *self.rejected_since.get_or_insert(now);
         let may_restart = is_down || now - rejected_since >= self.bounds.min_restart_duration();
-        if !error.is_rejection() || may_restart {
+        if !failure.is_rejection() || may_restart {
             self.known_revision = None;
         }
     }
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -282,7 +282,8 @@
         self.is_shared.then_some(self.max_change_age)
     }
 
-    /// Whether other senders call the same service.
+    /// Whether other senders call the same service. If so, a list that is too old is not acted on; a service that sends
+    /// updates to its own sender only is silent while it has none itself.
     pub(super) fn is_shared(&self) -> bool {
         self.is_shared
     }
@@ -291,12 +292,6 @@
     fn hold_up(&self) -> Duration {
         MAX_PROCESS_PAUSE + EVENT_HANDLING + self.turn_interval
     }
-
-    /// Whether a list that is too old is not acted on. A service that sends updates to its own sender only is silent
-    /// while it has none itself.
-    pub(super) fn expires(&self) -> bool {
-        self.is_shared
-    }
 }
 
 /// The protocol counts in whole milliseconds.
--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -175,7 +175,7 @@
 
     /// When the state will change, should nothing be recorded before.
     pub(super) fn next_change(&self) -> Option<Instant> {
-        let expiry = self.bounds.expires().then(|| self.expiry());
+        let expiry = self.bounds.is_shared().then(|| self.expiry());
         let unconfirmed = self.unconfirmed.as_ref();
         match self.reported {
             ListAge::Fresh => {
@@ -190,7 +190,7 @@
     pub(super) fn change(&mut self, now: Instant) -> Option<ListAge> {
         self.unconfirmed.take_if(|period| period.until.is_some_and(|until| until <= now));
         let is_unconfirmed = self.unconfirmed.is_some_and(|period| period.contains(now));
-        let is_expired = self.bounds.expires() && self.expiry() <= now;
+        let is_expired = self.bounds.is_shared() && self.expiry() <= now;
         let is_unread = self.unread_from().is_some_and(|from| from <= now);
         let age = if is_unconfirmed || is_expired || is_unread { ListAge::Stale } else { ListAge::Fresh };
         let previous = std::mem::replace(&mut self.reported, age);
--- a/src/forwarder/discovery/outage_detector.rs
+++ b/src/forwarder/discovery/outage_detector.rs
@@ -50,7 +50,8 @@
         }
     }
 
-    fn is_rejection(self) -> bool {
+    /// Whether the service responded with an error status.
+    pub(super) fn is_rejection(self) -> bool {
         matches!(self, FailureKind::RejectedAtOnce | FailureKind::RejectedLate)
     }
 }
@@ -65,9 +66,9 @@
 }
 
 impl FailedCall {
-    /// Whether the call was rejected so soon that the service may not have taken it up.
-    pub(super) fn was_rejected_before_taken_up(&self) -> bool {
-        self.kind.is_rejection() && self.elapsed <= MAX_CROWD_REJECTION
+    /// Whether a watch was rejected so soon that the service may not have taken it up.
+    pub(super) fn ended_watch_not_taken_up(&self) -> bool {
+        self.was_healthy_watch && self.kind.is_rejection() && self.elapsed <= MAX_CROWD_REJECTION
     }
 
     /// Whether a watch was rejected that the service had taken up.
--- a/src/forwarder/discovery/outage_detector/tests.rs
+++ b/src/forwarder/discovery/outage_detector/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
 use FailureKind::{Broken, Other, RejectedAtOnce, RejectedLate, Unreachable};
+use hyper::StatusCode;
+use std::io;
 
 fn call(kind: FailureKind) -> FailedCall {
     FailedCall { kind, was_healthy_watch: false, elapsed: Duration::from_secs(1) }
@@ -58,3 +60,22 @@
         assert_eq!(state_after(failures), expected, "{failures:?}");
     }
 }
+
+#[test]
+fn errors_tell_how_a_call_has_failed() {
+    let rejection = || CallError::Status(StatusCode::SERVICE_UNAVAILABLE);
+    let cases = [
+        (CallError::Connect(io::ErrorKind::TimedOut.into()), 500, false, Unreachable),
+        (rejection(), 60, false, RejectedAtOnce),
+        (rejection(), 2000, false, RejectedLate),
+        (CallError::Interrupted, 60, false, Broken),
+        (CallError::Interrupted, 60, true, Other),
+        (CallError::IncompleteResponse, 60, true, Other),
+        (CallError::Timeout, 6000, false, Other),
+    ];
+    for (error, elapsed_ms, has_started, expected) in cases {
+        let error = PollError::from(error);
+        let kind = FailureKind::of(&error, Duration::from_millis(elapsed_ms), has_started);
+        assert_eq!(kind, expected, "{error}");
+    }
+}
--- a/src/forwarder/discovery/request.rs
+++ b/src/forwarder/discovery/request.rs
@@ -25,18 +25,6 @@
     InvalidList(#[from] serde_json::Error),
 }
 
-impl PollError {
-    /// Whether the service responded with an error status, because it is overloaded or down.
-    pub(super) fn is_rejection(&self) -> bool {
-        matches!(self, PollError::Call(CallError::Status(_)))
-    }
-
-    /// Whether no connection to the service was established.
-    pub(super) fn is_connect_failure(&self) -> bool {
-        matches!(self, PollError::Call(CallError::Connect(_)))
-    }
-}
-
 /// What a call asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ListQuery {
--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -2,7 +2,8 @@
 
 use super::list_age::ListAgeBounds;
 use super::open_calls::CallLimits;
-use super::request::{ListQuery, PollError};
+use super::outage_detector::FailureKind;
+use super::request::ListQuery;
 use super::service_load::ServiceLoad;
 use crate::forwarder::discovery_client::Backoff;
 use std::time::Duration;
@@ -94,11 +95,18 @@
         ListQuery::Changes { since_revision, wait }
     }
 
-    /// The time after which a call is overdue.
-    pub(super) fn overdue_after(&self, query: ListQuery, position: CallPosition) -> Duration {
+    /// The time after which a call is overdue that is not made beside another one.
+    pub(super) fn overdue_after(&self, query: ListQuery) -> Duration {
+        self.bounds.overdue_after(query.wait(), &self.load)
+    }
+
+    /// The time after which the next call is made beside those that are open.
+    pub(super) fn next_call_after(&self, query: ListQuery, position: CallPosition) -> Duration {
         match position {
             CallPosition::BesideOverdue => self.bounds.overlap_interval(),
-            _ => self.bounds.overdue_after(query.wait(), &self.load),
+            CallPosition::First | CallPosition::AfterList | CallPosition::AfterFailure => {
+                self.overdue_after(query)
+            }
         }
     }
 
@@ -115,12 +123,12 @@
     }
 
     /// The delay between a failed call and the next one. `is_down` tells whether the service is known to be down.
-    pub(super) fn delay_after_failure(&mut self, error: &PollError, is_down: bool) -> Duration {
+    pub(super) fn delay_after_failure(&mut self, failure: FailureKind, is_down: bool) -> Duration {
         self.load.record_failure();
-        if error.is_connect_failure() {
+        if failure == FailureKind::Unreachable {
             self.connect_timeout = (self.connect_timeout * 2).min(self.bounds.longest_connect_timeout());
         }
-        match (is_down, error.is_rejection()) {
+        match (is_down, failure.is_rejection()) {
             (true, _) => self.backoffs.outage.next_delay(),
             (false, true) => self.backoffs.rejected.next_delay(),
             (false, false) => self.backoffs.broken.next_delay(),
--- a/src/forwarder/discovery/tests.rs
+++ b/src/forwarder/discovery/tests.rs
@@ -1,10 +1,9 @@
 use super::list_age::ListAgeBounds;
-use super::request::{ListQuery, PollError};
+use super::outage_detector::FailureKind;
+use super::request::ListQuery;
 use super::schedule::{CallPosition, CallSchedule};
 use super::{InitialListAge, ListAge, ListOrigin};
-use crate::forwarder::discovery_client::CallError;
 use crate::interface::Settings;
-use hyper::StatusCode;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -54,10 +53,6 @@
 #[test]
 fn failed_calls_are_repeated_soon_unless_many_senders_share_the_service_or_it_is_down() {
     let pushed = Settings { poll_discovery: false, ..settings(300) };
-    let (rejected, broken) = (
-        || PollError::from(CallError::Status(StatusCode::SERVICE_UNAVAILABLE)),
-        || PollError::from(CallError::Interrupted),
-    );
     // The interval after rejections, after broken connections and while the service is down, at first and at the longest.
     let cases = [
         (pushed, [50, 200], [50, 200], [50, 200]),
@@ -68,20 +63,20 @@
     ];
     for (settings, after_rejection, after_break, while_down) in cases {
         let failures = [
-            (rejected(), false, after_rejection),
-            (broken(), false, after_break),
-            (rejected(), true, while_down),
+            (FailureKind::RejectedAtOnce, false, after_rejection),
+            (FailureKind::Broken, false, after_break),
+            (FailureKind::RejectedAtOnce, true, while_down),
         ];
-        for (error, is_down, [first_ms, longest_ms]) in failures {
+        for (failure, is_down, [first_ms, longest_ms]) in failures {
             let mut schedule = schedule(&settings);
             let delays: Vec<u128> =
-                (0..12).map(|_| schedule.delay_after_failure(&error, is_down).as_millis()).collect();
+                (0..12).map(|_| schedule.delay_after_failure(failure, is_down).as_millis()).collect();
             let allows =
                 |interval_ms: u128, delay: u128| (interval_ms / 2..=interval_ms * 3 / 2).contains(&delay);
             assert!(allows(first_ms, delays[0]) && allows(longest_ms, delays[11]), "{settings:?} {delays:?}");
             assert!(delays.iter().all(|delay| *delay <= longest_ms * 3 / 2), "{settings:?} {delays:?}");
             schedule.record_list(Duration::ZERO);
-            assert!(allows(first_ms, schedule.delay_after_failure(&error, is_down).as_millis()));
+            assert!(allows(first_ms, schedule.delay_after_failure(failure, is_down).as_millis()));
         }
     }
 }
@@ -93,10 +88,9 @@
     for (settings, expected) in cases {
         let mut schedule = schedule(&settings);
         let connect_ms = |schedule: &CallSchedule| schedule.limits(ListQuery::Complete).connect.as_millis();
-        let refused = PollError::from(CallError::Connect(std::io::ErrorKind::TimedOut.into()));
         let limits = expected.map(|_| {
             let limit = connect_ms(&schedule);
-            schedule.delay_after_failure(&refused, true);
+            schedule.delay_after_failure(FailureKind::Unreachable, true);
             limit
         });
         assert_eq!(limits, expected);
@@ -109,7 +103,7 @@
 fn the_delays_of_two_senders_differ() {
     let delays = |seed| {
         let mut schedule = CallSchedule::new(ListAgeBounds::new(&settings(300)), seed);
-        [(); 12].map(|()| schedule.delay_after_failure(&PollError::from(CallError::Timeout), false))
+        [(); 12].map(|()| schedule.delay_after_failure(FailureKind::Other, false))
     };
     let (one, other) = (delays(0x8c1f_30d2_7a5b_e964), delays(0x51d2_0c7e_93ab_4f06));
     assert!(one.iter().zip(&other).all(|(a, b)| a != b), "{one:?} {other:?}");
