Pass the first list to the follower as one value, and set up the soak once

Read again: the runtime kept a flag for its whole life that only the first call to discovery needs, and the follower got the age and the revision of the first list apart. The soak had the time to SIGKILL twice and a plan field that is a constant; the fleet of the drain tests sorted what it does not look up by position any more. Behaviour and assertions stay.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -3,7 +3,7 @@
 //! A call that gets no response in time is not given up, because a slow service would never be heard. Another call is
 //! made beside it, and the first response counts.
 
-use super::InitialListAge;
+use super::InitialList;
 use super::list_age::ListAgeBounds;
 use super::list_age_monitor::{ListAge, ListAgeMonitor};
 use super::open_calls::{CallEvent, FinishedCall, ListCall, OpenCalls};
@@ -90,16 +90,15 @@
 }
 
 impl ListFollower {
-    /// A follower that has made no call yet. `known_revision` is the revision of the list that the runtime has.
+    /// A follower that has made no call yet. `initial_list` is the list that the runtime has.
     pub(super) fn new(
         address: Receiver<SocketAddr>,
         events: Sender<RuntimeEvent>,
-        list_age: InitialListAge,
-        known_revision: Option<u64>,
+        initial_list: InitialList,
         seed: u64,
     ) -> Self {
         let now = Instant::now();
-        let bounds = list_age.bounds;
+        let bounds = initial_list.bounds;
         ListFollower {
             address,
             events,
@@ -109,11 +108,11 @@
             schedule: CallSchedule::new(bounds, seed),
             due_call: DueCall::Regular,
             position: CallPosition::First,
-            known_revision,
+            known_revision: initial_list.revision,
             applied: None,
             rejected_since: None,
             outages: OutageDetector::new(),
-            age: list_age.monitor(),
+            age: initial_list.monitor(),
         }
     }
 
--- a/src/forwarder/discovery/mod.rs
+++ b/src/forwarder/discovery/mod.rs
@@ -26,23 +26,31 @@
 use tokio::sync::watch::Receiver;
 use tokio::time::Instant;
 
-/// The age of the list that a process starts with.
+/// The list that a process starts with.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct InitialListAge {
+pub(crate) struct InitialList {
     bounds: ListAgeBounds,
+    /// Changes since this revision suffice; `None` if the complete list has to be requested.
+    revision: Option<u64>,
     /// When the process took over from an earlier one.
     start: Instant,
     origin: ListOrigin,
 }
 
-impl InitialListAge {
-    /// The list of a process with these settings, which took over from an earlier one at `start`.
-    pub(crate) fn new(settings: &Settings, start: Instant, origin: ListOrigin) -> Self {
-        InitialListAge { bounds: ListAgeBounds::new(settings), start, origin }
+impl InitialList {
+    /// The list of a process with these settings, which took over from an earlier one at `start`. `revision` is that of
+    /// the list, if changes since it suffice.
+    pub(crate) fn new(
+        settings: &Settings,
+        revision: Option<u64>,
+        start: Instant,
+        origin: ListOrigin,
+    ) -> Self {
+        InitialList { bounds: ListAgeBounds::new(settings), revision, start, origin }
     }
 
     /// Whether the list may be acted on at this time, before the service has responded.
-    pub(crate) fn at(self, now: Instant) -> ListAge {
+    pub(crate) fn age_at(self, now: Instant) -> ListAge {
         self.monitor().change(now).unwrap_or(ListAge::Fresh)
     }
 
@@ -53,18 +61,16 @@
 
 /// Follows the endpoint list until the runtime stops receiving events.
 ///
-/// `revision` is the revision of the list that the runtime already has; `None` if it has no list. `address` changes
-/// when operators reload a configuration with another address. `seed` determines the jitter of delays. All lists are
-/// sent to `events` in the order in which they arrived; the runtime holds the other end of this bounded channel, and
-/// a full channel delays the next call.
+/// `initial_list` is the list that the runtime already has. `address` changes when operators reload a configuration with
+/// another address. `seed` determines the jitter of delays. All lists are sent to `events` in the order in which they
+/// arrived; the runtime holds the other end of this bounded channel, and a full channel delays the next call.
 pub(crate) async fn follow(
     address: Receiver<SocketAddr>,
-    revision: Option<u64>,
     events: Sender<RuntimeEvent>,
-    list_age: InitialListAge,
+    initial_list: InitialList,
     seed: u64,
 ) {
-    ListFollower::new(address, events, list_age, revision, seed).run().await;
+    ListFollower::new(address, events, initial_list, seed).run().await;
 }
 
 #[cfg(test)]
--- a/src/forwarder/discovery/tests.rs
+++ b/src/forwarder/discovery/tests.rs
@@ -2,7 +2,7 @@
 use super::outage_detector::FailureKind;
 use super::request::ListQuery;
 use super::schedule::{CallPosition, CallSchedule};
-use super::{InitialListAge, ListAge, ListOrigin};
+use super::{InitialList, ListAge, ListOrigin};
 use crate::interface::Settings;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -114,8 +114,8 @@
     let start = Instant::now();
     for senders in [6, 300] {
         let settings = Settings { drain_grace: 500_000, ..settings(senders) };
-        let age = InitialListAge::new(&settings, start, ListOrigin::Configuration);
-        assert_eq!(age.at(start), ListAge::Stale);
-        assert_eq!(age.at(start + Duration::from_secs(1)), ListAge::Stale);
+        let list = InitialList::new(&settings, Some(1), start, ListOrigin::Configuration);
+        assert_eq!(list.age_at(start), ListAge::Stale);
+        assert_eq!(list.age_at(start + Duration::from_secs(1)), ListAge::Stale);
     }
 }
--- a/src/forwarder/mod.rs
+++ b/src/forwarder/mod.rs
@@ -37,7 +37,7 @@
 
 use background_tasks::BackgroundTasks;
 use descriptor_budget::DescriptorBudget;
-use discovery::InitialListAge;
+use discovery::InitialList;
 use discovery_client::Backoff;
 use event::RuntimeEvent;
 use messages::admin_command::AdminError;
@@ -124,11 +124,11 @@
         events: events.clone(),
         connection_counts: connection_counts.clone(),
     };
-    let (mut runtime, list_age) = Runtime::start(&config, channels, state_folder).await;
+    let (mut runtime, initial_list) = Runtime::start(&config, channels, state_folder).await;
     upgrade::listen_for_successors(&config.state_folder, events.clone());
     runtime.save_timeline();
     let discovery =
-        start_platform_clients(&config, list_age, &events, notice_batches, &mut runtime, &mut tasks);
+        start_platform_clients(&config, initial_list, &events, notice_batches, &mut runtime, &mut tasks);
     tasks.spawn(reload_configuration(hangup, discovery));
     tasks.spawn(forward_termination(terminate, events.clone()));
     // The runtime publishes its phase, the server and its connections follow it.
@@ -201,20 +201,15 @@
 /// Returns where the address of the platform is published to them.
 fn start_platform_clients(
     config: &Config,
-    list_age: InitialListAge,
+    initial_list: InitialList,
     events: &Sender<RuntimeEvent>,
     notice_batches: Receiver<Vec<Notice>>,
     runtime: &mut Runtime,
     tasks: &mut BackgroundTasks,
 ) -> watch::Sender<SocketAddr> {
     let (publisher, address) = watch::channel(config.discovery);
-    let discovery = tasks.spawn(discovery::follow(
-        address.clone(),
-        runtime.first_list_revision(),
-        events.clone(),
-        list_age,
-        config.seed,
-    ));
+    let discovery =
+        tasks.spawn(discovery::follow(address.clone(), events.clone(), initial_list, config.seed));
     let notices = tasks.spawn(notices::send_all(address, notice_batches, events.clone()));
     runtime.abort_after_handover(discovery);
     runtime.abort_after_handover(notices);
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -28,7 +28,7 @@
 use crate::forwarder::clock::{KernelClocks, Timeline, UnixClock};
 use crate::forwarder::configuration::Config;
 use crate::forwarder::departed_endpoints::DepartedEndpoints;
-use crate::forwarder::discovery::{InitialListAge, ListAge, ListOrigin};
+use crate::forwarder::discovery::{InitialList, ListAge, ListOrigin};
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::journal::{Journal, SharedJournal, WRITE_RETRY_DELAY_MS};
 use crate::forwarder::messages::notice::Notice;
@@ -98,8 +98,6 @@
     departed: DepartedEndpoints,
     /// Whether the list may be acted on.
     list_age: ListAge,
-    /// The list of the configuration is not the last one that a process had.
-    known_list_is_old: bool,
     idle_connections: IdleConnectionPool,
     notices: NoticeQueue,
     lifecycle: Lifecycle,
@@ -119,12 +117,12 @@
 
 impl Runtime {
     /// Recovers every open message of the state folder, together with the state that a live predecessor has handed
-    /// over. Returns the age of the list as well that it starts with.
+    /// over. Returns the list as well that it starts with.
     pub(crate) async fn start(
         config: &Config,
         channels: RuntimeChannels,
         state_folder: StateFolder,
-    ) -> (Self, InitialListAge) {
+    ) -> (Self, InitialList) {
         let StateFolder { ownership, owned_since, timeline, journal, open_messages } = state_folder;
         let inherited = match ownership.predecessor {
             // If it ended right after the hand-over, its calls ended with it, and the journal contains them.
@@ -137,18 +135,20 @@
         let mut runtime = Runtime::new(config, channels, journal, timeline, ownership.lock, predecessor);
         let now = runtime.clock.now();
         if let Some(known) = &config.known_endpoints {
-            runtime.known_list_is_old = runtime.departed.is_older(known);
             let known = runtime.departed.update_known_list(known);
             runtime.apply_endpoint_list(now, &known);
         }
-        runtime.known_list_is_old &= handoff.is_none();
         let origin = list_origin(handoff.as_ref());
-        let list_age = InitialListAge::new(&config.settings, owned_since, origin);
+        // A service that has started again may count the revision of an older list for another one.
+        let known = config.known_endpoints.as_ref();
+        let is_outdated = handoff.is_none() && known.is_some_and(|known| runtime.departed.is_older(known));
         runtime.recover(now, open_messages, handoff);
-        runtime.apply_list_age(now, list_age.at(Instant::now()));
+        let revision = runtime.endpoints.revision().filter(|_| !is_outdated);
+        let initial_list = InitialList::new(&config.settings, revision, owned_since, origin);
+        runtime.apply_list_age(now, initial_list.age_at(Instant::now()));
         runtime.log_start();
         runtime.finish_turn(now);
-        (runtime, list_age)
+        (runtime, initial_list)
     }
 
     fn new(
@@ -172,7 +172,6 @@
             endpoints: Endpoints::default(),
             departed: DepartedEndpoints::open(&config.state_folder, config.limits.disk_mb),
             list_age: ListAge::Stale,
-            known_list_is_old: false,
             idle_connections: IdleConnectionPool::new(channels.max_idle_connections, settings.idle_timeout),
             notices: NoticeQueue::new(channels.notices),
             lifecycle: Lifecycle::new(),
@@ -194,12 +193,6 @@
         self.timeline.save();
     }
 
-    /// The revision of the first endpoint list, if changes since it suffice. A service that has started again since then may
-    /// count it for another list.
-    pub(crate) fn first_list_revision(&self) -> Option<u64> {
-        self.endpoints.revision().filter(|_| !self.known_list_is_old)
-    }
-
     /// Aborts this task once a successor owns the messages.
     pub(crate) fn abort_after_handover(&mut self, task: AbortHandle) {
         self.tasks_of_owner.push(task);
--- a/tests/support/drain_fleet.rs
+++ b/tests/support/drain_fleet.rs
@@ -50,8 +50,7 @@
         for (number, address) in addresses.into_iter().enumerate() {
             starting.spawn(FleetMember::start(number, address, records.clone(), mode, sender_count));
         }
-        let mut members = starting.join_all().await;
-        members.sort_by_key(|member| member.caller);
+        let members = starting.join_all().await;
         DrainFleet { discovery, draining, staying, members, settings: drain_settings(mode) }
     }
 
--- a/tests/support_soak/fleet.rs
+++ b/tests/support_soak/fleet.rs
@@ -1,7 +1,7 @@
 //! Plays a plan with real processes, and returns what was broken.
 
 use super::client::{KeptClient, MESSAGE_DEADLINE, Submissions, halt_in_request};
-use super::plan::{Incident, MemberPlan, Plan, ProcessStep, TRAFFIC};
+use super::plan::{BEFORE_KILL, Incident, LISTED_ENDPOINTS, MemberPlan, Plan, ProcessStep, TRAFFIC};
 use super::rules::{MemberRecord, RunRecord, broken_rules};
 use crate::support::{
     DESTINATION, EndpointBehavior, FirstByteEndpoint, ForwarderProcess, ForwarderTimeline, ScriptedDiscovery,
@@ -15,8 +15,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until};
 
-/// From SIGTERM to SIGKILL of a process that has been upgraded.
-const BEFORE_KILL_AFTER_UPGRADE: Duration = Duration::from_millis(3700);
 /// A peer that stops in the middle of a request gets an error or a close within this time.
 const HALTED_PEER_TIMEOUT: Duration = Duration::from_millis(3500);
 /// After the last message is out of time, its notice has arrived by then.
@@ -34,7 +32,8 @@
     for _ in 0..plan.endpoints {
         endpoints.push(FirstByteEndpoint::start().await);
     }
-    let records: Vec<Value> = (0..plan.listed).map(|index| record(&endpoints, index, "in_service")).collect();
+    let records: Vec<Value> =
+        (0..LISTED_ENDPOINTS).map(|index| record(&endpoints, index, "in_service")).collect();
     let mut discovery = ScriptedDiscovery::start(records.clone()).await;
     discovery.set_latency(plan.latency_ms);
     discovery.set_behavior(plan.usual);
@@ -233,7 +232,7 @@
         self.timeline.upgrades.push(start..Instant::now());
         predecessor.terminate();
         self.predecessors.spawn(async move {
-            sleep(BEFORE_KILL_AFTER_UPGRADE).await;
+            sleep(BEFORE_KILL).await;
             predecessor.kill();
         });
     }
--- a/tests/support_soak/plan.rs
+++ b/tests/support_soak/plan.rs
@@ -11,7 +11,7 @@
 /// After this time nothing fails any more.
 const LAST_FAULT_MS: u64 = 15_000;
 /// From SIGTERM to SIGKILL.
-const BEFORE_KILL: Duration = Duration::from_millis(3700);
+pub(crate) const BEFORE_KILL: Duration = Duration::from_millis(3700);
 /// From SIGKILL to the next start.
 const BEFORE_START: Duration = Duration::from_millis(600);
 /// A configuration changes no sooner after a start.
@@ -22,7 +22,9 @@
 const LONGEST_ROLL: Duration = Duration::from_secs(7);
 /// For how long a process is held up at the most. Stopping and continuing it takes some time as well.
 const HOLD_UP_MS: u64 = 100;
-/// The number of endpoints, at most.
+/// The endpoints that are listed when a run begins. The first of them stays.
+pub(crate) const LISTED_ENDPOINTS: usize = 4;
+/// The number of all endpoints is less than this.
 const MAX_ENDPOINTS: u64 = 13;
 
 /// Something that happens to discovery, endpoints or connections, at a time after the start of the run.
@@ -92,8 +94,6 @@
     pub latency_ms: u64,
     /// How discovery behaves when nothing else is said.
     pub usual: DiscoveryBehavior,
-    /// Endpoints that are listed when the run begins. The first of them stays.
-    pub listed: usize,
     /// All endpoints, those included that are listed later.
     pub endpoints: usize,
     pub traffic: Traffic,
@@ -112,14 +112,13 @@
         let latency_ms = choices.number(5..45);
         let traffic = choose_traffic(&mut choices, senders);
         let endpoints = choices.number(5..MAX_ENDPOINTS) as usize;
-        let listed = 4;
         let mut incidents = Vec::new();
-        plan_release(&mut choices, listed, endpoints, &mut incidents);
+        plan_release(&mut choices, endpoints, &mut incidents);
         plan_discovery_faults(&mut choices, senders, mode, &mut incidents);
         plan_endpoint_faults(&mut choices, endpoints, &mut incidents);
         incidents.sort_by_key(|(at, _)| *at);
         let members = (0..senders).map(|member| plan_member(&mut choices, member, senders)).collect();
-        Plan { mode, latency_ms, usual, listed, endpoints, traffic, incidents, members }
+        Plan { mode, latency_ms, usual, endpoints, traffic, incidents, members }
     }
 }
 
@@ -158,16 +157,11 @@
 }
 
 /// Endpoints are added, drain and leave the list, one after the other; in some runs in fast succession and for long.
-fn plan_release(
-    choices: &mut Choices,
-    listed: usize,
-    endpoints: usize,
-    incidents: &mut Vec<(Duration, Incident)>,
-) {
+fn plan_release(choices: &mut Choices, endpoints: usize, incidents: &mut Vec<(Duration, Incident)>) {
     let is_fast = choices.happens(50);
     let mut at = choices.milliseconds(1500..4000);
     for endpoint in 1..endpoints {
-        if endpoint >= listed {
+        if endpoint >= LISTED_ENDPOINTS {
             incidents.push((at, Incident::Add(endpoint)));
             at += choices.milliseconds(300..900);
         }
