Pin the first answer after an outage that reset connections, and list it as a known failure

Not mended: holding calls after each reset would stop the service in every such outage, and the tests of outages ask for the opposite.

--- a/tests/drain_partial_answers.rs
+++ b/tests/drain_partial_answers.rs
@@ -72,6 +72,22 @@
     scenario.finish_after(LONGEST_DELAY).await;
 }
 
+/// Seen in a seeded run: requests to drained endpoints up to 0.8 s late after an outage in which connections were reset. The
+/// first answer of the returned service was lost with its connection. To the sender that is one more reset of the outage,
+/// so that it goes on with its list until its next call.
+#[tokio::test]
+async fn the_first_answer_after_an_outage_that_reset_connections_is_lost() {
+    let scenario = DrainScenario::start(DiscoveryMode::Ask, 14).await;
+    scenario.discovery.until_followed().await;
+    sleep(SETTLED).await;
+    scenario.discovery.set_behavior(DiscoveryBehavior::Reset);
+    scenario.drain();
+    sleep(BACKOFF_GROWN).await;
+    scenario.discovery.spoil_next_answer(CALLER, AnswerFault::Lose);
+    scenario.discovery.set_behavior(DiscoveryBehavior::Healthy);
+    scenario.finish_after(LONGEST_DELAY).await;
+}
+
 #[tokio::test]
 async fn every_answer_stalls_for_a_while() {
     let scenario = DrainScenario::start(DiscoveryMode::Ask, 6).await;
