Confirm the list 4 s after a new address was configured, not only by its first list

Cause: the first list from the new address ended the obligation; what was changed after it, up to 4 s after the signal, counts as told then as well. Ruled out: an outdated list of the old address (its call ended before), a second SIGHUP. Change: a period without confirmation names since when a list has to be current; a watch that is open then ends at that moment, so that its response confirms the list.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -205,7 +205,7 @@
 
     fn call(&mut self, position: CallPosition) {
         let address = *self.address.borrow();
-        let query = self.schedule.query(self.known_revision, position, self.age.is_confirmed());
+        let query = self.query(position);
         let call = self.calls.start(address, query, self.schedule.limits(query));
         if position == CallPosition::AfterList && query.is_watch() {
             self.age.record_watch(call.started_at, query.wait());
@@ -214,6 +214,17 @@
         self.schedule_call(DueCall::Overdue, call.started_at + next_call_after);
     }
 
+    /// What the next call asks for. If the list has to be confirmed at a later time, a watch ends then: its response
+    /// shows that the list was current at that time.
+    fn query(&self, position: CallPosition) -> ListQuery {
+        let query = self.schedule.query(self.known_revision, position, self.age.is_confirmed());
+        let now = Instant::now();
+        match self.age.next_confirmation(now) {
+            Some(confirmation) => query.with_longest_wait(confirmation - now),
+            None => query,
+        }
+    }
+
     /// What the response tells must be known soon after its last byte: if no more arrives for a while and it has not
     /// ended, another call is made beside it.
     fn expect_response_end(&mut self, call: ListCall) {
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -258,6 +258,11 @@
         (self.max_change_age + self.drain_grace).saturating_sub(self.hold_up())
     }
 
+    /// How long after another address of the service was configured a change must be known that it has.
+    pub(super) fn max_age_after_address_change() -> Duration {
+        MAX_AGE_AFTER_ADDRESS_CHANGE
+    }
+
     /// How long the last list is still acted on after the address of the service has changed, if the new address can be
     /// reached and tells nothing.
     pub(super) fn usable_after_address_change(&self) -> Duration {
--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -26,7 +26,7 @@
     /// The same while the watch is open that followed the list, and no call has failed since.
     expires_during_watch_at: Option<Instant>,
     /// When the list must not be acted on unless the service confirms it.
-    unconfirmed: Option<UnconfirmedPeriod>,
+    unconfirmed: Vec<UnconfirmedPeriod>,
     /// Responses of which bytes have arrived, and which were not read to their end. Each may tell of a drain.
     unread: Vec<UnreadResponse>,
     /// When the first connection broke with which a response may have been lost. It may have told of a drain.
@@ -46,14 +46,16 @@
 /// When a list must not be acted on that the service has not confirmed.
 #[derive(Clone, Copy, Debug)]
 struct UnconfirmedPeriod {
+    /// A list that was current at this time or later confirms the one in use.
+    current_since: Instant,
     from: Instant,
     /// The service, which was down before, is assumed to stay so after this time.
     until: Option<Instant>,
 }
 
 impl UnconfirmedPeriod {
-    fn new(from: Instant) -> Self {
-        UnconfirmedPeriod { from, until: None }
+    fn new(current_since: Instant, from: Instant) -> Self {
+        UnconfirmedPeriod { current_since, from, until: None }
     }
 
     fn contains(&self, instant: Instant) -> bool {
@@ -81,7 +83,7 @@
             current_at: start,
             expires_at: start + bounds.usable_for(),
             expires_during_watch_at: None,
-            unconfirmed: Some(UnconfirmedPeriod::new(unconfirmed_from)),
+            unconfirmed: vec![UnconfirmedPeriod::new(start, unconfirmed_from)],
             unread: Vec::new(),
             lost_response_at: None,
             reported: ListAge::Fresh,
@@ -90,13 +92,13 @@
 
     /// Whether the service has confirmed the list, or is assumed to be down.
     pub(super) fn is_confirmed(&self) -> bool {
-        self.unconfirmed.is_none()
+        self.unconfirmed.is_empty()
     }
 
     /// The list was current at this time.
     pub(super) fn record_current(&mut self, at: Instant) {
         self.renew(at);
-        self.unconfirmed = None;
+        self.unconfirmed.retain(|period| at < period.current_since);
         self.current_at = self.current_at.max(at);
         self.expires_during_watch_at = None;
         self.unread.retain(|unread| at < unread.progress_at);
@@ -122,7 +124,7 @@
     pub(super) fn record_outage(&mut self, at: Instant) {
         self.renew(at);
         self.lost_response_at = None;
-        if let Some(period) = &mut self.unconfirmed {
+        for period in &mut self.unconfirmed {
             period.until = self.bounds.longest_confirmation().map(|longest| period.from + longest);
         }
     }
@@ -163,33 +165,38 @@
         self.expires_during_watch_at.map_or(self.expires_at, |at| at.max(self.expires_at))
     }
 
-    /// Another address of the service was configured at this time.
+    /// Another address of the service was configured at this time. What that has to tell some time later must be known
+    /// then, also what is changed after its first list. The address before, if it was not in use for so long, is not asked.
     pub(super) fn record_address_change(&mut self, at: Instant) {
         let usable_until = at + self.bounds.usable_after_address_change();
         self.expires_at = self.expires_at.min(usable_until);
         self.expires_during_watch_at = None;
-        // A list that was not confirmed before is not confirmed by this.
-        let usable_until = self.unconfirmed.map_or(usable_until, |period| usable_until.min(period.from));
-        self.unconfirmed = Some(UnconfirmedPeriod::new(usable_until));
+        self.unconfirmed.retain(|period| period.current_since <= at);
+        let current_since = at + ListAgeBounds::max_age_after_address_change();
+        self.unconfirmed.push(UnconfirmedPeriod::new(current_since, usable_until));
+    }
+
+    /// From when on a list has to be current to confirm the one in use, if that is later than this time.
+    pub(super) fn next_confirmation(&self, now: Instant) -> Option<Instant> {
+        self.unconfirmed.iter().map(|period| period.current_since).filter(|at| now < *at).max()
     }
 
     /// When the state will change, should nothing be recorded before.
     pub(super) fn next_change(&self) -> Option<Instant> {
         let expiry = self.bounds.is_shared().then(|| self.expiry());
-        let unconfirmed = self.unconfirmed.as_ref();
         match self.reported {
             ListAge::Fresh => {
-                let changes = [expiry, unconfirmed.map(|period| period.from), self.unread_from()];
-                changes.into_iter().flatten().min()
+                let unconfirmed_from = self.unconfirmed.iter().map(|period| period.from);
+                unconfirmed_from.chain(expiry).chain(self.unread_from()).min()
             }
-            ListAge::Stale => unconfirmed.and_then(|period| period.until),
+            ListAge::Stale => self.unconfirmed.iter().filter_map(|period| period.until).min(),
         }
     }
 
     /// The state at this time, if it differs from the one that was returned last.
     pub(super) fn change(&mut self, now: Instant) -> Option<ListAge> {
-        self.unconfirmed.take_if(|period| period.until.is_some_and(|until| until <= now));
-        let is_unconfirmed = self.unconfirmed.is_some_and(|period| period.contains(now));
+        self.unconfirmed.retain(|period| period.until.is_none_or(|until| now < until));
+        let is_unconfirmed = self.unconfirmed.iter().any(|period| period.contains(now));
         let is_expired = self.bounds.is_shared() && self.expiry() <= now;
         let is_unread = self.unread_from().is_some_and(|from| from <= now);
         let age = if is_unconfirmed || is_expired || is_unread { ListAge::Stale } else { ListAge::Fresh };
--- a/src/forwarder/discovery/request.rs
+++ b/src/forwarder/discovery/request.rs
@@ -14,6 +14,8 @@
 /// The longest body of a response that is read.
 const MAX_LIST_BYTES: usize = 8 << 20;
 
+const NANOSECONDS_PER_MILLISECOND: u128 = 1_000_000;
+
 /// Why a call did not return a list.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum PollError {
@@ -48,6 +50,17 @@
         !self.wait().is_zero()
     }
 
+    /// The same query with a wait of at most `longest`, in whole milliseconds that are not shorter.
+    pub(super) fn with_longest_wait(self, longest: Duration) -> Self {
+        let longest = Duration::from_millis(longest.as_nanos().div_ceil(NANOSECONDS_PER_MILLISECOND) as u64);
+        match self {
+            ListQuery::Complete => self,
+            ListQuery::Changes { since_revision, wait } => {
+                ListQuery::Changes { since_revision, wait: wait.min(longest) }
+            }
+        }
+    }
+
     fn uri(self) -> Uri {
         match self {
             ListQuery::Complete => Uri::from_static("/api/targets"),
