Check a call that breaks while connections break by another one at once

Cause: the first answer of the returned service, lost with its connection, was taken for one more reset, and the list went on being used until the next call, a backoff later. Ruled out by the wire: such a break cannot be told from a reset, so that the call itself tells nothing.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -321,7 +321,10 @@
         self.position = CallPosition::AfterFailure;
         let is_newest = self.calls.open().all(|open| open.number < call.number);
         if is_newest {
-            let delay = self.schedule.delay_after_failure(failure, is_down);
+            let delay = match self.outages.is_check_due() {
+                true => self.schedule.delay_before_check(),
+                false => self.schedule.delay_after_failure(failure, is_down),
+            };
             let (elapsed, next_in) = ((now - call.started_at).as_millis(), delay.as_millis());
             let list_age = self.age.since_current(now).as_millis();
             let number = call.number;
@@ -345,12 +348,14 @@
             self.record_watch_gap();
         }
         let state = self.outages.record_failure(failed_call);
-        match state {
-            ServiceState::Down { .. } => self.age.record_outage(now),
-            ServiceState::Breaking { .. } if !is_superseded => self.age.record_lost_response(now),
-            ServiceState::Breaking { .. } | ServiceState::Reachable => {}
+        let may_be_lost = self.outages.is_check_due() || matches!(state, ServiceState::Breaking { .. });
+        let is_down = matches!(state, ServiceState::Down { .. });
+        if may_be_lost && !is_superseded {
+            self.age.record_lost_response(now);
+        } else if is_down {
+            self.age.record_outage(now);
         }
-        matches!(state, ServiceState::Down { .. })
+        is_down
     }
 
     /// The service has rejected a call that should have continued a watch. It may have told the watch of changes until then.
--- a/src/forwarder/discovery/outage_detector.rs
+++ b/src/forwarder/discovery/outage_detector.rs
@@ -91,22 +91,35 @@
 /// Follows the state of the service.
 pub(super) struct OutageDetector {
     state: ServiceState,
+    is_check_due: bool,
 }
 
 impl OutageDetector {
     /// A service that has not been called yet.
     pub(super) fn new() -> Self {
-        OutageDetector { state: ServiceState::Reachable }
+        OutageDetector { state: ServiceState::Reachable, is_check_due: false }
     }
 
     /// A call returned a list.
     pub(super) fn record_list(&mut self) {
         self.state = ServiceState::Reachable;
+        self.is_check_due = false;
+    }
+
+    /// Whether the last call has to be checked by another one at once.
+    ///
+    /// While connections break, the first response of a service that has returned may be lost with its connection, which
+    /// looks like one more break. A response is hardly lost with the checked call and with the next one.
+    pub(super) fn is_check_due(&self) -> bool {
+        self.is_check_due
     }
 
     /// A call failed. Returns what that tells.
     pub(super) fn record_failure(&mut self, call: FailedCall) -> ServiceState {
         let failure = Some(call.kind);
+        let breaks_on = self.state == ServiceState::Down { failure: Some(FailureKind::Broken) }
+            && call.kind == FailureKind::Broken;
+        self.is_check_due = breaks_on && !self.is_check_due;
         self.state = match (self.state, call.kind) {
             (_, FailureKind::Unreachable) => ServiceState::Down { failure },
             _ if call.ended_established_watch() => ServiceState::Down { failure: None },
--- a/src/forwarder/discovery/outage_detector/tests.rs
+++ b/src/forwarder/discovery/outage_detector/tests.rs
@@ -61,6 +61,27 @@
     }
 }
 
+#[test]
+fn each_connection_that_breaks_while_the_service_is_down_is_checked_by_one_more_call() {
+    let cases: [(&[FailureKind], bool); 6] = [
+        (&[Broken, Broken, Broken], false),
+        (&[Broken, Broken, Broken, Broken], true),
+        (&[Broken, Broken, Broken, Broken, Broken], false),
+        (&[Broken, Broken, Broken, Broken, Broken, Broken], true),
+        (&[Broken, Broken, Broken, Broken, Unreachable], false),
+        (&[Unreachable, Broken], false),
+    ];
+    for (kinds, expected) in cases {
+        let mut detector = OutageDetector::new();
+        for kind in kinds {
+            detector.record_failure(call(*kind));
+        }
+        assert_eq!(detector.is_check_due(), expected, "{kinds:?}");
+        detector.record_list();
+        assert!(!detector.is_check_due());
+    }
+}
+
 #[test]
 fn errors_tell_how_a_call_has_failed() {
     let rejection = || CallError::Status(StatusCode::SERVICE_UNAVAILABLE);
--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// The delay until the call that checks one whose connection broke.
+    pub(super) fn delay_before_check(&mut self) -> Duration {
+        self.backoffs.broken.reset();
+        self.delay_after_failure(FailureKind::Broken, false)
+    }
+
     /// A call became overdue.
     pub(super) fn record_overdue(&mut self) {
         self.load.record_failure();
