Check by a short watch that calls are taken up in time before a list is relied on for long

Cause: a change between the answer to a watch and its next call counts as told at once; whether the next call is parked or still waits for its turn cannot be seen from it, so that it was taken for parked. Change: after an answer with a change, or one that came late, the next call is a watch of 0.1 s, and calls are held from 0.3 s after that answer until it is answered. Once a call was answered in that time, the service takes up calls in time, and a long watch follows. What is left is pinned by a test and listed: watches that end together without a change.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -210,6 +210,9 @@
         if position == CallPosition::AfterList && query.is_watch() {
             self.age.record_watch(call.started_at, query.wait());
         }
+        if position == CallPosition::AfterUncheckedList {
+            self.record_watch_gap();
+        }
         let next_call_after = self.schedule.next_call_after(query, position);
         self.schedule_call(DueCall::Overdue, call.started_at + next_call_after);
     }
@@ -285,7 +288,7 @@
         self.rejected_since = None;
         self.outages.record_list();
         self.age.record_current(current_at(call, list, now));
-        self.position = CallPosition::AfterList;
+        self.position = self.position_after(call, list, now);
         self.schedule.record_list(response_time(call, list, now));
         let newest_watch = self.calls.open().rev().find(|open| open.query.is_watch());
         match newest_watch {
@@ -294,6 +297,21 @@
         }
     }
 
+    /// What the call after this list follows. The service counts the changes between the response to a watch and the next call
+    /// as told; they are known in time if it takes up that call in time.
+    fn position_after(&self, call: ListCall, list: &EndpointList, now: Instant) -> CallPosition {
+        if !self.bounds.is_shared() || !call.query.is_watch() {
+            return CallPosition::AfterList;
+        }
+        let elapsed = now - call.started_at;
+        let is_unchanged = !list.complete && list.endpoints.is_empty();
+        let response_time = if is_unchanged { elapsed.saturating_sub(call.query.wait()) } else { elapsed };
+        match self.bounds.is_taken_up_in_time(response_time) {
+            true => CallPosition::AfterList,
+            false => CallPosition::AfterUncheckedList,
+        }
+    }
+
     /// A list arrived beside an open watch, which goes on unless it is older than the call for that list and either
     /// overdue or so long that the list would expire meanwhile.
     fn continue_watch(&mut self, watch: ListCall, call: ListCall, now: Instant) {
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -44,6 +44,8 @@
 const MAX_SILENCE_AFTER_WATCH: Duration = Duration::from_secs(2);
 /// A watch that shows whether the service has taken it up, before one that may wait for long.
 const FIRST_WATCH: Duration = Duration::from_millis(300);
+/// A watch that shows whether the service takes up calls that go on with a watch in time.
+const CHECK_WATCH: Duration = Duration::from_millis(100);
 /// A call without a response after this time, in addition to the time that the service was asked to wait, is overdue:
 /// another call is made beside it.
 const MIN_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(500);
@@ -159,6 +161,22 @@
         if self.has_long_watches() { FIRST_WATCH } else { self.watch_duration(load) }
     }
 
+    /// How long a watch waits that checks whether the service takes up calls in time.
+    pub(super) fn check_watch_duration() -> Duration {
+        CHECK_WATCH
+    }
+
+    /// How long after its wait such a watch is overdue. Calls are held before that.
+    pub(super) fn check_response_allowance() -> Duration {
+        CROWDED_RESPONSE_ALLOWANCE
+    }
+
+    /// Whether a watch that was answered so long after it could have been was taken up so soon that a change before that is
+    /// known in time.
+    pub(super) fn is_taken_up_in_time(&self, response_time: Duration) -> bool {
+        response_time <= self.usable_after_lost_response()
+    }
+
     /// When a call that asks the service to wait for `wait` is overdue, counted from its start.
     pub(super) fn overdue_after(&self, wait: Duration, load: &ServiceLoad) -> Duration {
         match self.has_long_watches() && wait <= FIRST_WATCH {
--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -20,6 +20,8 @@
     First,
     /// A response with a list, right away.
     AfterList,
+    /// The same, and that the service takes up the next call in time is not known.
+    AfterUncheckedList,
     /// A call that failed.
     AfterFailure,
     /// A call that is overdue and still open. A change may have been lost with its response.
@@ -86,6 +88,7 @@
         let wait = match position {
             CallPosition::BesideOverdue => return ListQuery::Complete,
             CallPosition::AfterList => self.bounds.watch_duration(&self.load),
+            CallPosition::AfterUncheckedList => ListAgeBounds::check_watch_duration(),
             CallPosition::AfterFailure if self.bounds.has_long_watches() || is_confirmed => {
                 self.bounds.first_watch_duration(&self.load)
             }
@@ -104,6 +107,7 @@
     pub(super) fn next_call_after(&self, query: ListQuery, position: CallPosition) -> Duration {
         match position {
             CallPosition::BesideOverdue => self.bounds.overlap_interval(),
+            CallPosition::AfterUncheckedList => query.wait() + ListAgeBounds::check_response_allowance(),
             CallPosition::First | CallPosition::AfterList | CallPosition::AfterFailure => {
                 self.overdue_after(query)
             }
--- a/tests/drain_fleets.rs
+++ b/tests/drain_fleets.rs
@@ -134,3 +134,28 @@
 async fn forty_five_senders_crowd_the_service_during_a_release() {
     drain_while_calls_are_rejected_at_once(45, 120).await;
 }
+
+/// All watches end without a change, one moment before the drain, and the calls that go on with them wait for their turn. The
+/// response to such a watch shows only that the service took it up in time 4 s ago. A short watch before each long one
+/// would show it anew. Measured on six seeds of the bench's brink days, that costs 0.02 to 0.03 of 0.55.
+#[tokio::test]
+async fn an_endpoint_drains_between_two_watches_that_end_without_a_change_and_wait_for_their_turn() {
+    let fleet = DrainFleet::start(DiscoveryMode::Ask, 6).await;
+    fleet.until_followed().await;
+    fleet.discovery.set_latency(30);
+    // The watches begin together after a change.
+    fleet.add_endpoint();
+    sleep(BEFORE_DRAIN).await;
+    let calls = fleet.discovery.history().calls.len();
+    fleet.discovery.set_behavior(DiscoveryBehavior::CrowdedQueue {
+        service_time: Duration::from_millis(120),
+        patience: Duration::from_secs(1),
+        continues_at_once: false,
+    });
+    fleet
+        .discovery
+        .until(|history| history.calls[..calls].iter().filter(|call| call.end.is_none()).count() <= 1)
+        .await;
+    fleet.drain();
+    assert_no_violation(&fleet, LONGEST_DELAY).await;
+}
