Send a recovered message by a probe before its time is over

Symptom: a message that was accepted before a restart, must not be executed twice and has no attempt yet is given up with no call, where its destination is down. Cause: best_message passes over such messages for probes while repeatable ones are queued, without a limit in time. Change: it may be sent by a probe once the longest interval between two probes is all that is left of its time.

--- a/src/decision/circuit_breaker.rs
+++ b/src/decision/circuit_breaker.rs
@@ -9,6 +9,11 @@
 const MIN_PROBE_INTERVAL_OBJECTIVE_DIVISOR: f64 = 16.0;
 const MAX_PROBE_INTERVAL_WARM_UP_DIVISOR: f64 = 4.0;
 
+/// The longest time between two probes, before it is varied at random.
+pub(super) fn longest_probe_interval(parameters: &Parameters) -> f64 {
+    parameters.warm_up / MAX_PROBE_INTERVAL_WARM_UP_DIVISOR / parameters.share
+}
+
 impl Route {
     /// Starts an outage, unless there is one.
     pub(super) fn open_breaker(&mut self, now: Micros, parameters: &Parameters) {
@@ -41,7 +46,7 @@
         let settings = &parameters.settings;
         let rate = settings.overload_factor * settings.initial_capacity * self.breaker.healthy_rate;
         let shortest = parameters.latency_objective / MIN_PROBE_INTERVAL_OBJECTIVE_DIVISOR;
-        let longest = parameters.warm_up / MAX_PROBE_INTERVAL_WARM_UP_DIVISOR / parameters.share;
+        let longest = longest_probe_interval(parameters);
         let interval = (SECOND / rate.max(parameters.rate_floor)).clamp(shortest, longest);
         // Many senders learn of an outage, or of its end, together: their probes are placed at random.
         let offset = if self.breaker.is_open() { 0.5 } else { 0.0 };
--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -1,6 +1,6 @@
 //! The value of messages, and the choice of a message for an endpoint.
 
-use super::Balancer;
+use super::{Balancer, circuit_breaker::longest_probe_interval};
 use crate::interface::{Idempotency, MessageId, Micros, WeightDecay};
 use crate::sender_state::{Message, RouteId};
 
@@ -35,6 +35,12 @@
         key_known && now < self.sendable_until(message)
     }
 
+    /// Whether a message that was accepted before a restart may get no attempt any more if the next probe takes another one.
+    fn is_last_chance(&self, message: &Message, now: Micros) -> bool {
+        let next_chance = now + longest_probe_interval(&self.parameters) as Micros;
+        message.is_accepted_and_untried() && self.sendable_until(message) < next_chance
+    }
+
     /// Fraction of its weight that a message has left at a time, by the weight decay that is configured.
     fn remaining_weight(&self, message: &Message, at: Micros) -> f64 {
         let class = &self.parameters.settings.classes[message.submission.class];
@@ -78,12 +84,13 @@
         let mut best: Option<MessageChoice> = None;
         for (key, queue) in queues.of(route_id.destination) {
             // A probe may be lost: a message that may be executed again is preferred.
-            if probe && repeatable_queued && at_most_once(key.class) {
-                continue;
-            }
+            let avoids_probe = probe && repeatable_queued && at_most_once(key.class);
             let on_time = queue.range((delivered_at, 0)..).next();
             for &(due, id) in on_time.into_iter().chain(queue.first()) {
                 let message = &self.state.messages[id];
+                if avoids_probe && !self.is_last_chance(message, now) {
+                    continue;
+                }
                 // Where calls fail, a message that must not be executed twice waits for a recovery.
                 let may_wait = delivered_at + self.parameters.objective_part(4) < message.due;
                 if wait_for_recovery && may_wait && at_most_once(key.class) {
