Act on the list of the configuration in the first process of a forwarder

Symptom: after a common start processes send nothing for up to 9.9 s, since their first calls to discovery are rejected. Cause: no process acted on the list of its configuration before discovery had confirmed it, since the one before may have been told more. With an empty state folder there was none before: the list is what the forwarder last had (DEPLOY), and a change since its start must be known after 6 s and the grace, or after the time that the settings allow without a call, if that is shorter. Ruled out for pushed lists: what the agent has counts from the first moment of a process. A process with a state folder that was used waits as before.

--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -95,6 +95,8 @@
     senders: f64,
     /// The age at which a change must be known, also if calls failed.
     max_change_age: Duration,
+    /// The same before the first call has ended.
+    max_age_without_call: Duration,
     /// New calls to an endpoint must stop within this time after its drain must be known.
     drain_grace: Duration,
     turn_interval: Duration,
@@ -114,13 +116,16 @@
         let duration = |micros: i64| Duration::from_micros(micros.max(0).unsigned_abs());
         let max_age_after_failure = duration(settings.max_list_age) * FAILED_CALL_AGE_FACTOR;
         let is_limited = settings.poll_discovery && !max_age_after_failure.is_zero();
+        let max_change_age =
+            if is_limited { MAX_CHANGE_AGE.min(max_age_after_failure) } else { MAX_CHANGE_AGE };
         ListAgeBounds {
             is_shared: settings.poll_discovery,
             senders: settings.sender_count.max(1) as f64,
-            max_change_age: if is_limited {
-                MAX_CHANGE_AGE.min(max_age_after_failure)
+            max_change_age,
+            max_age_without_call: if is_limited {
+                max_change_age.min(duration(settings.max_list_age))
             } else {
-                MAX_CHANGE_AGE
+                max_change_age
             },
             drain_grace: duration(settings.drain_grace),
             turn_interval: duration(settings.min_turn_interval),
@@ -276,6 +281,12 @@
         (self.max_change_age + self.drain_grace).saturating_sub(self.hold_up())
     }
 
+    /// How long after its start the first process with a state folder acts on the list in its configuration, if the service
+    /// tells nothing.
+    pub(super) fn usable_without_call(&self) -> Duration {
+        (self.max_age_without_call + self.drain_grace).saturating_sub(self.hold_up())
+    }
+
     /// How long after another address of the service was configured a change must be known that it has.
     pub(super) fn max_age_after_address_change() -> Duration {
         MAX_AGE_AFTER_ADDRESS_CHANGE
--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -37,6 +37,8 @@
 /// What the list in use comes from, if the service has not confirmed it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ListOrigin {
+    /// The configuration of the first process with its state folder. Nothing was told since.
+    FirstConfiguration,
     /// The configuration of the process. The list may be older than what the process before was told.
     Configuration,
     /// The process that has handed over to this one.
@@ -51,11 +53,26 @@
     from: Instant,
     /// The service, which was down before, is assumed to stay so after this time.
     until: Option<Instant>,
+    /// Nothing was told that this process does not know: the period begins later if the service is down.
+    is_delayed_by_outages: bool,
 }
 
 impl UnconfirmedPeriod {
     fn new(current_since: Instant, from: Instant) -> Self {
-        UnconfirmedPeriod { current_since, from, until: None }
+        UnconfirmedPeriod { current_since, from, until: None, is_delayed_by_outages: false }
+    }
+
+    fn delayed_by_outages(self) -> Self {
+        UnconfirmedPeriod { is_delayed_by_outages: true, ..self }
+    }
+
+    /// The service was down at this time.
+    fn record_outage(&mut self, at: Instant, bounds: &ListAgeBounds) {
+        if self.is_delayed_by_outages {
+            self.from = self.from.max(at + bounds.usable_for());
+        } else {
+            self.until = bounds.longest_confirmation().map(|longest| self.from + longest);
+        }
     }
 
     fn contains(&self, instant: Instant) -> bool {
@@ -74,16 +91,22 @@
 impl ListAgeMonitor {
     /// The list that the process starts with at this time.
     pub(super) fn new(bounds: ListAgeBounds, start: Instant, origin: ListOrigin) -> Self {
-        let unconfirmed_from = match origin {
-            ListOrigin::Configuration => start,
-            ListOrigin::Predecessor => start + bounds.usable_after_handover(),
+        let unconfirmed = match origin {
+            ListOrigin::FirstConfiguration if bounds.is_shared() => {
+                UnconfirmedPeriod::new(start, start + bounds.usable_without_call()).delayed_by_outages()
+            }
+            // What an agent has counts as told from the start of the process on.
+            ListOrigin::FirstConfiguration | ListOrigin::Configuration => {
+                UnconfirmedPeriod::new(start, start)
+            }
+            ListOrigin::Predecessor => UnconfirmedPeriod::new(start, start + bounds.usable_after_handover()),
         };
         ListAgeMonitor {
             bounds,
             current_at: start,
             expires_at: start + bounds.usable_for(),
             expires_during_watch_at: None,
-            unconfirmed: vec![UnconfirmedPeriod::new(start, unconfirmed_from)],
+            unconfirmed: vec![unconfirmed],
             unread: Vec::new(),
             lost_response_at: None,
             reported: ListAge::Fresh,
@@ -125,7 +148,7 @@
         self.renew(at);
         self.lost_response_at = None;
         for period in &mut self.unconfirmed {
-            period.until = self.bounds.longest_confirmation().map(|longest| period.from + longest);
+            period.record_outage(at, &self.bounds);
         }
     }
 
--- a/src/forwarder/discovery/list_age_monitor/tests.rs
+++ b/src/forwarder/discovery/list_age_monitor/tests.rs
@@ -89,6 +89,30 @@
     }
 }
 
+#[test]
+fn the_first_process_uses_its_list_until_a_change_since_its_start_must_be_known() {
+    let start = Instant::now();
+    let origin = ListOrigin::FirstConfiguration;
+    let short = Settings { max_list_age: 2_000_000, ..settings() };
+    for (settings, usable, stale) in [(settings(), 6.2, 6.5), (short, 2.2, 2.5)] {
+        let mut monitor = ListAgeMonitor::new(ListAgeBounds::new(&settings), start, origin);
+        assert!(!monitor.is_confirmed());
+        assert_eq!(monitor.change(start + seconds(usable)), None);
+        assert!(monitor.next_change().is_some_and(|at| at <= start + seconds(stale)));
+        assert_eq!(monitor.change(start + seconds(stale)), Some(ListAge::Stale));
+        monitor.record_current(start + seconds(7.0));
+        assert_eq!(monitor.change(start + seconds(7.0)), Some(ListAge::Fresh));
+    }
+    // It counts anew while the service is down.
+    let mut monitor = ListAgeMonitor::new(ListAgeBounds::new(&settings()), start, origin);
+    monitor.record_outage(start + seconds(5.0));
+    assert_eq!(monitor.change(start + seconds(11.2)), None);
+    assert_eq!(monitor.change(start + seconds(11.5)), Some(ListAge::Stale));
+    // What an agent has counts as told at once.
+    let mut monitor = ListAgeMonitor::new(ListAgeBounds::new(&pushed()), start, origin);
+    assert_eq!(monitor.change(start), Some(ListAge::Stale));
+}
+
 #[test]
 fn the_first_list_is_never_used_while_the_service_only_rejects_calls() {
     let start = Instant::now();
--- a/src/forwarder/runtime/mod.rs
+++ b/src/forwarder/runtime/mod.rs
@@ -123,7 +123,7 @@
         channels: RuntimeChannels,
         state_folder: StateFolder,
     ) -> (Self, InitialList) {
-        let StateFolder { ownership, owned_since, timeline, journal, open_messages } = state_folder;
+        let StateFolder { is_new, ownership, owned_since, timeline, journal, open_messages } = state_folder;
         let inherited = match ownership.predecessor {
             // If it ended right after the hand-over, its calls ended with it, and the journal contains them.
             Some(predecessor) => predecessor.confirm_ownership(channels.events.clone()).await.ok(),
@@ -138,7 +138,7 @@
             let known = runtime.departed.update_known_list(known);
             runtime.apply_endpoint_list(now, &known);
         }
-        let origin = list_origin(handoff.as_ref());
+        let origin = list_origin(handoff.as_ref(), is_new);
         // A service that has started again may count the revision of an older list for another one.
         let known = config.known_endpoints.as_ref();
         let is_outdated = handoff.is_none() && known.is_some_and(|known| runtime.departed.is_older(known));
@@ -300,9 +300,10 @@
 }
 
 /// Where the first list comes from. What a predecessor did not act on any more, its successor must not act on either.
-fn list_origin(handoff: Option<&HandoffState>) -> ListOrigin {
+fn list_origin(handoff: Option<&HandoffState>, is_new: bool) -> ListOrigin {
     match handoff {
         Some(handoff) if handoff.list_is_fresh => ListOrigin::Predecessor,
+        None if is_new => ListOrigin::FirstConfiguration,
         _ => ListOrigin::Configuration,
     }
 }
--- a/src/forwarder/state_folder.rs
+++ b/src/forwarder/state_folder.rs
@@ -3,6 +3,7 @@
 use super::clock::{KernelClocks, Timeline};
 use super::journal::{Journal, JournalError, RecoveredMessage};
 use super::upgrade::{Ownership, UpgradeError, acquire_ownership, socket_path};
+use std::fs;
 use std::path::Path;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -14,6 +15,8 @@
 
 /// The state folder, which this process owns.
 pub(crate) struct StateFolder {
+    /// It was empty: no process has run with it.
+    pub(crate) is_new: bool,
     pub(crate) ownership: Ownership,
     /// When this process took over from an earlier one.
     pub(crate) owned_since: Instant,
@@ -38,9 +41,10 @@
 impl StateFolder {
     /// Waits until this process owns the folder and has opened its journal. While the folder fails, it retries.
     pub(crate) async fn open(path: &Path, disk_mb: f64) -> Self {
+        let is_new = is_empty(path);
         loop {
             match StateFolder::try_open(path, disk_mb).await {
-                Ok(folder) => return folder,
+                Ok(folder) => return StateFolder { is_new, ..folder },
                 // The ownership was given up: a predecessor continues meanwhile.
                 Err(error) => eprintln!("{error}; retrying"),
             }
@@ -55,6 +59,11 @@
         let timeline = Timeline::open(path, socket_path(path), KernelClocks);
         let now_unix_ms = timeline.clock().now_unix_ms();
         let (journal, open_messages) = Journal::open(path, max_journal_bytes, now_unix_ms)?;
-        Ok(StateFolder { ownership, owned_since, timeline, journal, open_messages })
+        Ok(StateFolder { is_new: false, ownership, owned_since, timeline, journal, open_messages })
     }
 }
+
+/// Whether the folder can be read and nothing is in it.
+fn is_empty(path: &Path) -> bool {
+    fs::read_dir(path).is_ok_and(|mut entries| entries.next().is_none())
+}
