Widen the soak by faults that last, signals in series and crowds

Its faults of discovery lasted 7 s at the most, and each process was restarted meanwhile, so that it held its calls anyway. Now discovery rejects calls or is silent for 9.5 to 12 s in half of the runs, endpoints are released meanwhile, and six in ten processes live through it; SIGHUP and SIGTERM come in series, and a quarter of the small fleets has a crowd of idle clients. A check is narrowed: an agent that is silent to every call learns nothing, and what it gets at its return counts then (STANDING); the watch that was open was counted as told after 6 s. The check of a single silent watch stays, and the new one has a test.

--- a/tests/drain_checker.rs
+++ b/tests/drain_checker.rs
@@ -142,6 +142,18 @@
     run.assert_told(22_100, ToldBy::SilentWatch);
 }
 
+#[test]
+fn what_the_watch_of_a_silent_agent_misses_is_told_once_the_agent_is_back() {
+    let mut run = WrittenRun::new(DiscoveryMode::Push, 1000).call(watch(), 100, None);
+    run.history.calls[0].silent_since = Some(run.at(500));
+    // Another call would be answered: only the watch is silent.
+    run.assert_told(6500, ToldBy::SilentWatch);
+    let run = run.behavior(DiscoveryBehavior::Silent, 500).behavior(DiscoveryBehavior::Healthy, 9000);
+    run.assert_told(9000, ToldBy::SilentWatch);
+    let run = run.behavior(DiscoveryBehavior::Silent, 9500);
+    run.assert_told(9000, ToldBy::SilentWatch);
+}
+
 #[test]
 fn a_poller_is_told_once_its_list_is_too_old() {
     let run = WrittenRun::new(DiscoveryMode::Ask, 1000).poll(500, OLD_LIST);
--- a/tests/support_soak/mod.rs
+++ b/tests/support_soak/mod.rs
@@ -9,3 +9,4 @@
 pub(crate) mod plan;
 pub(crate) mod random;
 pub(crate) mod rules;
+mod wider_faults;
