--- a/tests/drain_ambiguous_failures.rs
+++ b/tests/drain_ambiguous_failures.rs
@@ -15,6 +15,10 @@
 const CALLER: usize = 0;
 /// A watch that has been open for this long was taken up by the service.
 const WATCH_ESTABLISHED: Duration = Duration::from_secs(2);
+/// How long bytes take to the service, and back.
+const LATENCY_MS: u64 = 45;
+/// The next call arrives later than this after the answer to a watch was written.
+const BETWEEN_WATCHES: Duration = Duration::from_millis(40);
 /// How long the service is down.
 const OUTAGE: Duration = Duration::from_secs(6);
 /// An outage after which a process that started in it has used the list of its configuration for a while.
@@ -36,6 +40,21 @@
     scenario.finish_after(LONGEST_DELAY).await;
 }
 
+/// Found by the soak (seed 2013): an endpoint drains between the answer to a watch and its next call, which finds the service
+/// down. The change counts as told all the same, and the outage was taken for a proof that there was nothing to tell.
+#[tokio::test]
+async fn an_endpoint_drains_between_two_watches_and_the_service_goes_down() {
+    let scenario = DrainScenario::start(DiscoveryMode::Ask, 6).await;
+    scenario.discovery.until_followed().await;
+    scenario.discovery.set_latency(LATENCY_MS);
+    sleep(WATCH_ESTABLISHED).await;
+    scenario.discovery.change(scenario.staying_record());
+    sleep(BETWEEN_WATCHES).await;
+    scenario.drain();
+    scenario.outage(DiscoveryBehavior::Reset, OUTAGE).await;
+    scenario.finish_after(LONGEST_DELAY).await;
+}
+
 /// A service that was down, and rejected each call, is back and rejects each call because other callers take all of its
 /// time. The sender sees one outage.
 #[tokio::test]
