Check before every long watch that calls are taken up in time

Cause: a watch that ended without a change was taken for evidence that the service takes up the next call in time, though that evidence was as old as the watch.

--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -107,10 +107,10 @@
     pub(super) fn next_call_after(&self, query: ListQuery, position: CallPosition) -> Duration {
         match position {
             CallPosition::BesideOverdue => self.bounds.overlap_interval(),
-            CallPosition::AfterUncheckedList => query.wait() + ListAgeBounds::check_response_allowance(),
-            CallPosition::First | CallPosition::AfterList | CallPosition::AfterFailure => {
-                self.overdue_after(query)
-            }
+            CallPosition::First
+            | CallPosition::AfterList
+            | CallPosition::AfterUncheckedList
+            | CallPosition::AfterFailure => self.overdue_after(query),
         }
     }
 
