--- a/tests/drain_fleets.rs
+++ b/tests/drain_fleets.rs
@@ -137,7 +137,7 @@
 
 /// All watches end without a change, one moment before the drain, and the calls that go on with them wait for their turn. The
 /// response to such a watch shows only that the service took it up in time 4 s ago. Seen in seeded runs of the soak (14 and
-/// 2046): first bytes up to 5.7 s late (WatchGap), where the next call was rejected after a second.
+/// 2046): first bytes up to 5.7 s late, where the next call was rejected after a second.
 #[tokio::test]
 async fn an_endpoint_drains_between_two_watches_that_end_without_a_change_and_wait_for_their_turn() {
     let fleet = DrainFleet::start(DiscoveryMode::Ask, 6).await;
