--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -282,7 +282,7 @@
     fn record_list(&mut self, call: ListCall, list: &EndpointList) {
         let now = Instant::now();
         let newest_call = self.applied.map_or(call.number, |applied| applied.call.max(call.number));
-        let ends_watch = call.query.may_be_continued();
+        let ends_watch = call.query.is_watch();
         self.applied = Some(AppliedList { call: newest_call, revision: list.revision, at: now, ends_watch });
         self.known_revision = next_revision(call.query, list);
         self.rejected_since = None;
@@ -300,13 +300,13 @@
     /// What the call after this list follows. The service counts the changes between the response to a watch and the next call
     /// as told; they are known in time if it takes up that call in time.
     fn position_after(&self, call: ListCall, list: &EndpointList, now: Instant) -> CallPosition {
-        if !self.bounds.is_shared() || !call.query.may_be_continued() {
+        if !self.bounds.is_shared() || !call.query.is_watch() {
             return CallPosition::AfterList;
         }
         let elapsed = now - call.started_at;
         let is_unchanged = !list.complete && list.endpoints.is_empty();
         let response_time = if is_unchanged { elapsed.saturating_sub(call.query.wait()) } else { elapsed };
-        match self.bounds.shows_prompt_service(elapsed, response_time) {
+        match self.bounds.is_taken_up_in_time(response_time) {
             true => CallPosition::AfterList,
             false => CallPosition::AfterUncheckedList,
         }
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -46,8 +46,8 @@
 const FIRST_WATCH: Duration = Duration::from_millis(300);
 /// A watch that shows whether the service takes up calls that go on with a watch in time.
 const CHECK_WATCH: Duration = Duration::from_millis(100);
-/// A call that began earlier shows nothing of the time that the service takes now.
-const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(1);
+/// A response within this time is that of a service that takes up calls at once.
+const MIN_PROMPT_RESPONSE: Duration = Duration::from_millis(150);
 /// A call without a response after this time, in addition to the time that the service was asked to wait, is overdue:
 /// another call is made beside it.
 const MIN_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(500);
@@ -173,10 +173,10 @@
         CHECK_WATCH
     }
 
-    /// Whether the response to a call shows that the service takes up calls in time: the call began a short time ago, and was
-    /// answered within the time in which a change between it and the next one has to be known.
-    pub(super) fn shows_prompt_service(&self, elapsed: Duration, response_time: Duration) -> bool {
-        elapsed <= MAX_EVIDENCE_AGE && response_time <= self.usable_after_lost_response()
+    /// Whether a watch that was answered so long after it could have been was taken up so soon that a change before that is
+    /// known in time. Where the grace leaves next to no time for that, a usual response time suffices.
+    pub(super) fn is_taken_up_in_time(&self, response_time: Duration) -> bool {
+        response_time <= self.usable_after_lost_response().max(MIN_PROMPT_RESPONSE)
     }
 
     /// When a call that asks the service to wait for `wait` is overdue, counted from its start.
--- a/src/forwarder/discovery/request.rs
+++ b/src/forwarder/discovery/request.rs
@@ -50,11 +50,6 @@
         !self.wait().is_zero()
     }
 
-    /// Whether the service counts changes after the response as told to the caller, since the next call may go on with this one.
-    pub(super) fn may_be_continued(self) -> bool {
-        matches!(self, ListQuery::Changes { .. })
-    }
-
     /// The same query with a wait of at most `longest`, in whole milliseconds that are not shorter.
     pub(super) fn with_longest_wait(self, longest: Duration) -> Self {
         let longest = Duration::from_millis(longest.as_nanos().div_ceil(NANOSECONDS_PER_MILLISECOND) as u64);
