Compute the two ages of a change in one way, and say where the state folder was new when it is opened

Behaviour stays as it is. Found by reading the whole change again: the limit of the list's age was written twice, and a field was set to a value that was replaced at once.

--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -116,19 +116,15 @@
     /// The bounds for these settings.
     pub(crate) fn new(settings: &Settings) -> Self {
         let duration = |micros: i64| Duration::from_micros(micros.max(0).unsigned_abs());
-        let max_age_after_failure = duration(settings.max_list_age) * FAILED_CALL_AGE_FACTOR;
-        let is_limited = settings.poll_discovery && !max_age_after_failure.is_zero();
-        let max_change_age =
-            if is_limited { MAX_CHANGE_AGE.min(max_age_after_failure) } else { MAX_CHANGE_AGE };
+        let max_list_age = duration(settings.max_list_age);
+        let is_limited = settings.poll_discovery && !max_list_age.is_zero();
+        let change_age =
+            |limit: Duration| if is_limited { MAX_CHANGE_AGE.min(limit) } else { MAX_CHANGE_AGE };
         ListAgeBounds {
             is_shared: settings.poll_discovery,
             senders: settings.sender_count.max(1) as f64,
-            max_change_age,
-            max_age_without_call: if is_limited {
-                max_change_age.min(duration(settings.max_list_age))
-            } else {
-                max_change_age
-            },
+            max_change_age: change_age(max_list_age * FAILED_CALL_AGE_FACTOR),
+            max_age_without_call: change_age(max_list_age),
             drain_grace: duration(settings.drain_grace),
             turn_interval: duration(settings.min_turn_interval),
         }
--- a/src/forwarder/state_folder.rs
+++ b/src/forwarder/state_folder.rs
@@ -43,8 +43,8 @@
     pub(crate) async fn open(path: &Path, disk_mb: f64) -> Self {
         let is_new = is_empty(path);
         loop {
-            match StateFolder::try_open(path, disk_mb).await {
-                Ok(folder) => return StateFolder { is_new, ..folder },
+            match StateFolder::try_open(path, disk_mb, is_new).await {
+                Ok(folder) => return folder,
                 // The ownership was given up: a predecessor continues meanwhile.
                 Err(error) => eprintln!("{error}; retrying"),
             }
@@ -52,14 +52,14 @@
         }
     }
 
-    async fn try_open(path: &Path, disk_mb: f64) -> Result<Self, StateFolderError> {
+    async fn try_open(path: &Path, disk_mb: f64, is_new: bool) -> Result<Self, StateFolderError> {
         let ownership = acquire_ownership(path).await?;
         let max_journal_bytes = (disk_mb * JOURNAL_BYTES_PER_DISK_MB) as u64;
         let owned_since = Instant::now();
         let timeline = Timeline::open(path, socket_path(path), KernelClocks);
         let now_unix_ms = timeline.clock().now_unix_ms();
         let (journal, open_messages) = Journal::open(path, max_journal_bytes, now_unix_ms)?;
-        Ok(StateFolder { is_new: false, ownership, owned_since, timeline, journal, open_messages })
+        Ok(StateFolder { is_new, ownership, owned_since, timeline, journal, open_messages })
     }
 }
 
--- a/tests/drain_crowded_discovery.rs
+++ b/tests/drain_crowded_discovery.rs
@@ -105,7 +105,7 @@
 }
 
 /// The first process of a forwarder, which finds the service crowded. Nobody was told anything since the list in its
-/// configuration: it acts on that, for as long as a change since its start may be unknown. Measured on the bench's days that
+/// configuration: it acts on that, for as long as a change since its start may be unknown. Measured on generated days that
 /// begin with a common start: processes held their calls for up to 9.9 s, since their first calls were rejected.
 #[derive(Clone, Copy, Debug)]
 struct FirstProcess {
