--- a/src/forwarder/discovery/list_age_monitor/tests.rs
+++ b/src/forwarder/discovery/list_age_monitor/tests.rs
@@ -171,6 +171,24 @@
     assert_eq!(monitor.change(start + seconds(64.6)), Some(ListAge::Fresh));
 }
 
+#[test]
+fn a_second_change_of_address_does_not_put_off_what_the_first_one_has_to_tell() {
+    let start = Instant::now();
+    for settings in [settings(), pushed()] {
+        let mut monitor = first_list(&settings, start);
+        monitor.record_current(start + seconds(1.0));
+        monitor.record_address_change(start + seconds(1.0));
+        monitor.record_address_change(start + seconds(4.5));
+        assert_eq!(monitor.change(start + seconds(5.2)), None);
+        assert_eq!(monitor.change(start + seconds(5.5)), Some(ListAge::Stale));
+        // A list that was current at the end of the first time confirms the list until the end of the second one.
+        monitor.record_current(start + seconds(5.1));
+        assert_eq!(monitor.change(start + seconds(5.6)), Some(ListAge::Fresh));
+        assert_eq!(monitor.next_confirmation(start + seconds(5.6)), Some(start + seconds(8.5)));
+        assert_eq!(monitor.change(start + seconds(8.9)), Some(ListAge::Stale));
+    }
+}
+
 /// The list of a sender that got a whole list at `start`, in each way to follow it.
 fn monitors(start: Instant) -> Vec<ListAgeMonitor> {
     let polled = Settings { sender_count: 300, ..settings() };
