Keep the obligation of an earlier change of address until a list fulfils it

The confirmation 4 s after SIGHUP dropped that of an earlier signal which was not 4 s old, so that signals in series put off the moment from which calls are held; before it, the earliest one held. All are kept now, and a watch ends at the next of their moments.

--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -200,19 +200,18 @@
     }
 
     /// Another address of the service was configured at this time. What that has to tell some time later must be known
-    /// then, also what is changed after its first list. The address before, if it was not in use for so long, is not asked.
+    /// then, also what is changed after its first list.
     pub(super) fn record_address_change(&mut self, at: Instant) {
         let usable_until = at + self.bounds.usable_after_address_change();
         self.expires_at = self.expires_at.min(usable_until);
         self.expires_during_watch_at = None;
-        self.unconfirmed.retain(|period| period.current_since <= at);
         let current_since = at + ListAgeBounds::max_age_after_address_change();
         self.unconfirmed.push(UnconfirmedPeriod::new(current_since, usable_until));
     }
 
-    /// From when on a list has to be current to confirm the one in use, if that is later than this time.
+    /// From when on a list has to be current next to confirm the one in use, if that is later than this time.
     pub(super) fn next_confirmation(&self, now: Instant) -> Option<Instant> {
-        self.unconfirmed.iter().map(|period| period.current_since).filter(|at| now < *at).max()
+        self.unconfirmed.iter().map(|period| period.current_since).filter(|at| now < *at).min()
     }
 
     /// When the state will change, should nothing be recorded before.
