Tell in one place whether a list has no changes, and share the set-up of new tests

Found by reading the whole change again: the check stood twice in the follower, once without unreadable records; the stream of the wider faults belongs to their module; a scenario's start stood three times in a new file. Behaviour stays as it is, but that a list whose only record is unreadable counts as a change for the next call as well.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -304,9 +304,9 @@
             return CallPosition::AfterList;
         }
         let elapsed = now - call.started_at;
-        let is_unchanged = !list.complete && list.endpoints.is_empty();
-        let response_time = if is_unchanged { elapsed.saturating_sub(call.query.wait()) } else { elapsed };
-        match self.bounds.is_taken_up_in_time(response_time) {
+        let longest_response_time =
+            if has_no_changes(list) { elapsed.saturating_sub(call.query.wait()) } else { elapsed };
+        match self.bounds.is_taken_up_in_time(longest_response_time) {
             true => CallPosition::AfterList,
             false => CallPosition::AfterUncheckedList,
         }
@@ -339,9 +339,10 @@
         self.position = CallPosition::AfterFailure;
         let is_newest = self.calls.open().all(|open| open.number < call.number);
         if is_newest {
-            let delay = match self.outages.is_check_due() {
-                true => self.schedule.delay_before_check(),
-                false => self.schedule.delay_after_failure(failure, is_down),
+            let delay = if self.outages.is_check_due() {
+                self.schedule.delay_before_check()
+            } else {
+                self.schedule.delay_after_failure(failure, is_down)
             };
             let (elapsed, next_in) = ((now - call.started_at).as_millis(), delay.as_millis());
             let list_age = self.age.since_current(now).as_millis();
@@ -439,6 +440,11 @@
     (!is_restarted && list.unreadable == 0).then_some(list.revision)
 }
 
+/// Whether the service has told that nothing changed.
+fn has_no_changes(list: &EndpointList) -> bool {
+    !list.complete && list.endpoints.is_empty() && list.unreadable == 0
+}
+
 /// How long after the service could have sent it the list arrived, as far as that is known.
 fn response_time(call: ListCall, list: &EndpointList, now: Instant) -> Duration {
     let elapsed = now - call.started_at;
@@ -452,9 +458,8 @@
 
 /// A moment at which the list was current for sure.
 fn current_at(call: ListCall, list: &EndpointList, now: Instant) -> Instant {
-    let has_no_changes = !list.complete && list.endpoints.is_empty() && list.unreadable == 0;
     let waited_until = call.started_at + call.query.wait();
-    match has_no_changes && waited_until <= now {
+    match has_no_changes(list) && waited_until <= now {
         // The service waited for all of the time that it was asked to.
         true => waited_until,
         false => call.started_at,
--- a/tests/drain_ambiguous_failures.rs
+++ b/tests/drain_ambiguous_failures.rs
@@ -28,13 +28,19 @@
 /// A process that starts during an outage uses the list of its configuration after this time.
 const LIST_USED_AFTER: Duration = Duration::from_secs(8);
 
+/// Starts a forwarder that follows the list, and waits until its watch is established.
+async fn start_watching() -> DrainScenario {
+    let scenario = DrainScenario::start(DiscoveryMode::Ask, 6).await;
+    scenario.discovery.until_followed().await;
+    sleep(WATCH_ESTABLISHED).await;
+    scenario
+}
+
 /// The answer that tells of the drain is written, and its connection is reset in the same moment; right after that the
 /// service goes down. To the sender its watch was reset by the outage, as all watches are.
 #[tokio::test]
 async fn a_response_is_lost_right_before_the_service_goes_down() {
-    let scenario = DrainScenario::start(DiscoveryMode::Ask, 6).await;
-    scenario.discovery.until_followed().await;
-    sleep(WATCH_ESTABLISHED).await;
+    let scenario = start_watching().await;
     scenario.discovery.spoil_next_answer(CALLER, AnswerFault::Lose);
     scenario.drain();
     scenario.discovery.until_latest_list_is_written().await;
@@ -46,10 +52,8 @@
 /// down. The change counts as told all the same, and the outage was taken for a proof that there was nothing to tell.
 #[tokio::test]
 async fn an_endpoint_drains_between_two_watches_and_the_service_goes_down() {
-    let scenario = DrainScenario::start(DiscoveryMode::Ask, 6).await;
-    scenario.discovery.until_followed().await;
+    let scenario = start_watching().await;
     scenario.discovery.set_latency(LATENCY_MS);
-    sleep(WATCH_ESTABLISHED).await;
     scenario.discovery.change(scenario.staying_record());
     sleep(ANSWER_UNDER_WAY).await;
     scenario.drain();
@@ -62,9 +66,7 @@
 /// time. The sender sees one outage.
 #[tokio::test]
 async fn a_crowd_rejects_calls_in_the_way_of_the_outage_before_it() {
-    let scenario = DrainScenario::start(DiscoveryMode::Ask, 6).await;
-    scenario.discovery.until_followed().await;
-    sleep(WATCH_ESTABLISHED).await;
+    let scenario = start_watching().await;
     scenario.outage(DiscoveryBehavior::Reject503, OUTAGE).await;
     scenario.discovery.set_behavior(DiscoveryBehavior::CrowdedByOthers { patience: Duration::ZERO });
     scenario.drain();
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -72,10 +72,10 @@
     }
     let mut results = runs.join_all().await;
     results.sort();
-    let known = if env::var_os("SOAK_SEEDS").is_none() { known_red_seeds() } else { BTreeSet::new() };
+    let known_seeds = if env::var_os("SOAK_SEEDS").is_none() { known_red_seeds() } else { BTreeSet::new() };
     let is_broken = |(_, problems): &&(u64, Vec<String>)| !problems.is_empty();
     let (known, new): (Vec<_>, Vec<_>) =
-        results.iter().filter(is_broken).partition(|(seed, _)| known.contains(seed));
+        results.iter().filter(is_broken).partition(|(seed, _)| known_seeds.contains(seed));
     let broken: Vec<String> = new.into_iter().map(describe).collect();
     eprintln!("{} of {} seeds keep the rules", results.len() - broken.len() - known.len(), results.len());
     known.into_iter().for_each(|result| eprintln!("known red: {}", describe(result)));
--- a/tests/support_soak/plan.rs
+++ b/tests/support_soak/plan.rs
@@ -21,8 +21,6 @@
 const BETWEEN_MEMBERS: Duration = Duration::from_millis(1100);
 /// The last member of a larger fleet restarts at most this much later than the first one.
 const LONGEST_ROLL: Duration = Duration::from_secs(7);
-/// Distinguishes the random choices of the wider faults from those of the rest, which stay as they are for each seed.
-const WIDER_FAULTS_STREAM: u64 = 0x7769_6465_7200_0000;
 /// For how long a process is held up at the most. Stopping and continuing it takes some time as well.
 const HOLD_UP_MS: u64 = 100;
 /// The endpoints that are listed when a run begins. The first of them stays.
@@ -122,7 +120,7 @@
         incidents.sort_by_key(|(at, _)| *at);
         let members = (0..senders).map(|member| plan_member(&mut choices, member, senders)).collect();
         let mut plan = Plan { mode, latency_ms, usual, endpoints, traffic, incidents, members };
-        wider_faults::add(&mut plan, &mut Choices::new(seed ^ WIDER_FAULTS_STREAM));
+        wider_faults::add(&mut plan, seed);
         plan
     }
 }
--- a/tests/support_soak/wider_faults.rs
+++ b/tests/support_soak/wider_faults.rs
@@ -3,16 +3,19 @@
 use super::plan::{BEFORE_KILL, Incident, MemberPlan, Plan, ProcessStep, TRAFFIC};
 use super::random::Choices;
 use crate::support::{DiscoveryBehavior, DiscoveryMode};
+use std::ops::Range;
 use std::time::Duration;
 
+/// Distinguishes these random choices from those of the rest of a plan, which stay as they are for each seed.
+const STREAM: u64 = 0x7769_6465_7200_0000;
 /// In this many of a hundred runs discovery cannot be used for most of the time.
 const LASTING_FAULT_PERCENT: u64 = 50;
 /// When such a fault begins, in milliseconds.
-const LASTING_FAULT_BEGIN_MS: std::ops::Range<u64> = 800..2500;
+const LASTING_FAULT_BEGIN_MS: Range<u64> = 800..2500;
 /// How long it lasts, in milliseconds: a list that is current when its watch ends is too old before the end of it.
-const LASTING_FAULT_MS: std::ops::Range<u64> = 9_500..12_000;
+const LASTING_FAULT_MS: Range<u64> = 9_500..12_000;
 /// After how long a crowded service rejects a call then, in milliseconds.
-const CROWD_PATIENCE_MS: std::ops::Range<u64> = 0..1200;
+const CROWD_PATIENCE_MS: Range<u64> = 0..1200;
 /// In this many of a hundred cases a process lives through such a fault.
 const SURVIVOR_PERCENT: u64 = 60;
 /// Endpoints are released this much later in such a run: after watches have ended, and before the service can be used again.
@@ -26,8 +29,9 @@
 /// In this many of a hundred cases a signal is sent again, or another one with it.
 const SERIES_PERCENT: u64 = 35;
 
-/// Adds them to a plan.
-pub(super) fn add(plan: &mut Plan, choices: &mut Choices) {
+/// Adds those of this seed to a plan.
+pub(super) fn add(plan: &mut Plan, seed: u64) {
+    let choices = &mut Choices::new(seed ^ STREAM);
     if choices.happens(LASTING_FAULT_PERCENT) {
         add_lasting_fault(plan, choices);
     }
