--- a/tests/drain_ambiguous_failures.rs
+++ b/tests/drain_ambiguous_failures.rs
@@ -7,7 +7,8 @@
 
 use std::time::{Duration, Instant};
 use support::{
-    AnswerFault, DiscoveryBehavior, DiscoveryMode, DrainScenario, LONGEST_DELAY, LONGEST_SLOW_DELAY,
+    AnswerFault, DiscoveryBehavior, DiscoveryHistory, DiscoveryMode, DrainScenario, LONGEST_DELAY,
+    LONGEST_SLOW_DELAY,
 };
 use tokio::time::sleep;
 
@@ -21,6 +22,8 @@
 const ANSWER_UNDER_WAY: Duration = Duration::from_millis(40);
 /// After this time more it has arrived, and the next call has not.
 const BETWEEN_WATCHES: Duration = Duration::from_millis(95);
+/// So many connections that break one after the other are an outage.
+const OVERLAPPING_CALLS: usize = 3;
 /// How long the service is down.
 const OUTAGE: Duration = Duration::from_secs(6);
 /// An outage after which a process that started in it has used the list of its configuration for a while.
@@ -62,6 +65,25 @@
     scenario.finish_after(LONGEST_DELAY).await;
 }
 
+/// Found by the soak (seed 3017): first bytes up to 4.9 s late. The service is silent, so that several calls are open beside each
+/// other, an endpoint drains, and the service restarts, still silent. Its log has three calls that broke in the same moment,
+/// and right after that "the endpoint list is fresh again": they counted as three connections that break one after the other.
+#[tokio::test]
+async fn an_endpoint_drains_before_a_restart_breaks_several_open_calls_at_once() {
+    let scenario = start_watching().await;
+    scenario.discovery.set_behavior(DiscoveryBehavior::Silent);
+    scenario.discovery.until(|history| open_calls(history) >= OVERLAPPING_CALLS).await;
+    scenario.drain();
+    scenario.discovery.restart_at_revision(1);
+    sleep(LONGEST_DELAY).await;
+    scenario.discovery.set_behavior(DiscoveryBehavior::Healthy);
+    scenario.finish_after(LONGEST_DELAY).await;
+}
+
+fn open_calls(history: &DiscoveryHistory) -> usize {
+    history.calls.iter().filter(|call| call.end.is_none()).count()
+}
+
 /// A service that was down, and rejected each call, is back and rejects each call because other callers take all of its
 /// time. The sender sees one outage.
 #[tokio::test]
