Count open calls that break together as one broken connection

Cause, by the log of a play: discovery is silent, the list is 9.8 s old, and calls 1, 2, 3 and 7 break in the same moment when discovery restarts. Each counted as a connection of its own; the third one made it an outage, and the list was fresh again. Ruled out: load, the plays were alone. Change: while connections break, one whose call was open when the last one broke does not count again.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -86,6 +86,8 @@
     /// The first of the rejections since the last list.
     rejected_since: Option<Instant>,
     outages: OutageDetector,
+    /// When a connection to the present address broke last.
+    broken_at: Option<Instant>,
     age: ListAgeMonitor,
 }
 
@@ -112,6 +114,7 @@
             applied: None,
             rejected_since: None,
             outages: OutageDetector::new(),
+            broken_at: None,
             age: initial_list.monitor(),
         }
     }
@@ -162,6 +165,7 @@
         self.applied = None;
         self.rejected_since = None;
         self.outages = OutageDetector::new();
+        self.broken_at = None;
         self.position = CallPosition::AfterFailure;
         self.schedule_call(DueCall::Regular, now);
     }
@@ -366,7 +370,14 @@
         if failed_call.ended_watch_not_taken_up() {
             self.record_watch_gap();
         }
-        let state = self.outages.record_failure(failed_call);
+        let state = if self.broke_with_earlier_call(call, kind) {
+            self.outages.state()
+        } else {
+            self.outages.record_failure(failed_call)
+        };
+        if kind == FailureKind::Broken {
+            self.broken_at = Some(now);
+        }
         let may_be_lost = self.outages.is_check_due() || matches!(state, ServiceState::Breaking { .. });
         let is_down = matches!(state, ServiceState::Down { .. });
         if may_be_lost && !is_superseded {
@@ -377,6 +388,14 @@
         is_down
     }
 
+    /// Whether the connection of this call broke together with that of an earlier one, beside which it was open. One restart of
+    /// the service breaks all of them.
+    fn broke_with_earlier_call(&self, call: ListCall, kind: FailureKind) -> bool {
+        let connections_break = matches!(self.outages.state(), ServiceState::Breaking { .. });
+        let was_open = self.broken_at.is_some_and(|broken_at| call.started_at <= broken_at);
+        kind == FailureKind::Broken && connections_break && was_open
+    }
+
     /// The service has rejected a call that should have continued a watch. It may have told the watch of changes until then.
     /// One that a sender has for itself is not crowded, but down, and has nothing to tell.
     fn record_watch_gap(&mut self) {
--- a/src/forwarder/discovery/outage_detector.rs
+++ b/src/forwarder/discovery/outage_detector.rs
@@ -104,6 +104,11 @@
         self.is_check_due = false;
     }
 
+    /// What the failed calls since the last list tell.
+    pub(super) fn state(&self) -> ServiceState {
+        self.state
+    }
+
     /// Whether the last call has to be checked by another one at once.
     ///
     /// While connections break, the first response of a service that has returned may be lost with its connection, which
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -64,7 +64,7 @@
             let played = timeout(MAX_RUN, fleet::play(plan.clone())).await;
             let mut problems = played.unwrap_or_else(|_| vec!["the run does not end".to_owned()]);
             if !problems.is_empty() {
-                eprintln!("seed {seed}: {plan:#?}");
+                eprintln!("seed {seed}: {plan:?}");
                 problems.push(format!("the test itself was late by up to {:?}", delays.longest()));
             }
             (seed, problems)
