Split what a response tells, and which open calls are kept, from the follower of the list

Functions are moved, nothing else changes; unit tests (150) and 23 tests of slow discovery and ambiguous failures pass.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -6,10 +6,11 @@
 use super::InitialList;
 use super::list_age::ListAgeBounds;
 use super::list_age_monitor::{ListAge, ListAgeMonitor};
+use super::list_response::{current_at, log_list, longest_response_time, next_revision, response_time};
 use super::open_calls::{CallEvent, FinishedCall, ListCall, OpenCalls};
 use super::outage_detector::{FailedCall, FailureKind, OutageDetector, ServiceState};
 use super::request::{ListQuery, PollError};
-use super::schedule::{CallPosition, CallSchedule, KEPT_CALL_INTERVAL, MAX_OPEN_CALLS};
+use super::schedule::{CallPosition, CallSchedule};
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::endpoint_list::EndpointList;
 use std::net::SocketAddr;
@@ -179,7 +180,7 @@
         match self.due_call {
             DueCall::Regular => self.call(self.position),
             DueCall::BesideOverdue => {
-                self.limit_open_calls();
+                self.calls.make_room();
                 self.call(CallPosition::BesideOverdue);
             }
             DueCall::Overdue => {
@@ -191,22 +192,6 @@
         }
     }
 
-    /// Makes room for another call. Those that are kept are spread over time, so that a slow service has a good while to
-    /// respond to each.
-    fn limit_open_calls(&mut self) {
-        let mut newest_first = self.calls.open().rev();
-        if let (Some(newest), Some(previous)) = (newest_first.next(), newest_first.next())
-            && newest.started_at - previous.started_at < KEPT_CALL_INTERVAL
-        {
-            drop(newest_first);
-            return self.calls.abort_newest();
-        }
-        drop(newest_first);
-        if self.calls.open().len() >= MAX_OPEN_CALLS {
-            self.calls.abort_oldest();
-        }
-    }
-
     fn call(&mut self, position: CallPosition) {
         let address = *self.address.borrow();
         let query = self.query(position);
@@ -307,10 +292,7 @@
         if !self.bounds.is_shared() || !call.query.is_watch() {
             return CallPosition::AfterList;
         }
-        let elapsed = now - call.started_at;
-        let longest_response_time =
-            if has_no_changes(list) { elapsed.saturating_sub(call.query.wait()) } else { elapsed };
-        match self.bounds.is_taken_up_in_time(longest_response_time) {
+        match self.bounds.is_taken_up_in_time(longest_response_time(call, list, now)) {
             true => CallPosition::AfterList,
             false => CallPosition::AfterUncheckedList,
         }
@@ -433,57 +415,5 @@
     }
 }
 
-/// Logs a list that contains something.
-fn log_list(call: ListCall, list: &EndpointList, now: Instant) {
-    let (number, revision, records) = (call.number, list.revision, list.endpoints.len());
-    let elapsed = (now - call.started_at).as_millis();
-    if list.complete {
-        eprintln!("discovery: call {number}: revision {revision}, {records} endpoints, after {elapsed} ms");
-    } else if records > 0 {
-        eprintln!("discovery: call {number}: revision {revision}, {records} changes, after {elapsed} ms");
-    }
-}
-
-/// The revision since which changes suffice; `None` if the complete list is needed.
-fn next_revision(query: ListQuery, list: &EndpointList) -> Option<u64> {
-    if list.complete {
-        // One with an unreadable record is used as it is, since another request would return the same.
-        return Some(list.revision);
-    }
-    let is_restarted = match query {
-        // The service counts from a lower revision again: its changes do not build on the list in use.
-        ListQuery::Changes { since_revision, .. } => list.revision < since_revision,
-        ListQuery::Complete => false,
-    };
-    // A changed record that could not be parsed may be a drain.
-    (!is_restarted && list.unreadable == 0).then_some(list.revision)
-}
-
-/// Whether the service has told that nothing changed.
-fn has_no_changes(list: &EndpointList) -> bool {
-    !list.complete && list.endpoints.is_empty() && list.unreadable == 0
-}
-
-/// How long after the service could have sent it the list arrived, as far as that is known.
-fn response_time(call: ListCall, list: &EndpointList, now: Instant) -> Duration {
-    let elapsed = now - call.started_at;
-    match call.query {
-        ListQuery::Complete => elapsed,
-        ListQuery::Changes { wait, .. } if list.endpoints.is_empty() => elapsed.saturating_sub(wait),
-        // The change may have been made at any time since the start of the call.
-        ListQuery::Changes { .. } => Duration::ZERO,
-    }
-}
-
-/// A moment at which the list was current for sure.
-fn current_at(call: ListCall, list: &EndpointList, now: Instant) -> Instant {
-    let waited_until = call.started_at + call.query.wait();
-    match has_no_changes(list) && waited_until <= now {
-        // The service waited for all of the time that it was asked to.
-        true => waited_until,
-        false => call.started_at,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/forwarder/discovery/mod.rs
+++ b/src/forwarder/discovery/mod.rs
@@ -8,6 +8,7 @@
 mod follower;
 mod list_age;
 mod list_age_monitor;
+mod list_response;
 mod open_calls;
 mod outage_detector;
 mod request;
--- a/src/forwarder/discovery/open_calls.rs
+++ b/src/forwarder/discovery/open_calls.rs
@@ -42,6 +42,11 @@
     Finished(FinishedCall),
 }
 
+/// Calls that may be open at once: the watch, and those made beside it while it is overdue.
+const MAX_OPEN_CALLS: usize = 6;
+/// Of the calls that are made beside an overdue one, those are kept open that are this far apart.
+const KEPT_CALL_INTERVAL: Duration = Duration::from_millis(1500);
+
 /// Upper bound of the arrivals that have not been handled yet. If there are more, the response counts as having stopped
 /// a little earlier than it did.
 const PROGRESS_CAPACITY: usize = 64;
@@ -106,18 +111,22 @@
         call
     }
 
-    /// Gives up the oldest open call.
-    pub(super) fn abort_oldest(&mut self) {
-        if !self.open.is_empty() {
-            self.open.remove(0).task.abort();
+    /// Gives up a call if another one could not be kept beside those that are open. Those that are kept are spread over time, so
+    /// that a slow service has a good while to respond to each.
+    pub(super) fn make_room(&mut self) {
+        let mut newest_first = self.open.iter().rev().map(|open| open.call.started_at);
+        let newest_interval =
+            newest_first.next().zip(newest_first.next()).map(|(newest, previous)| newest - previous);
+        if newest_interval.is_some_and(|interval| interval < KEPT_CALL_INTERVAL) {
+            self.abort(self.open.len() - 1);
+        } else if self.open.len() >= MAX_OPEN_CALLS {
+            self.abort(0);
         }
     }
 
-    /// Gives up the newest open call.
-    pub(super) fn abort_newest(&mut self) {
-        if let Some(newest) = self.open.pop() {
-            newest.task.abort();
-        }
+    /// Gives up the open call at this index.
+    fn abort(&mut self, index: usize) {
+        self.open.remove(index).task.abort();
     }
 
     /// Waits until something happens to a call. Arrivals are returned before the end of their call.
--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -8,11 +8,6 @@
 use crate::forwarder::discovery_client::Backoff;
 use std::time::Duration;
 
-/// Calls that may be open at once: the watch, and those made beside it while it is overdue.
-pub(super) const MAX_OPEN_CALLS: usize = 6;
-/// Of the calls that are made beside an overdue one, those are kept open that are this far apart.
-pub(super) const KEPT_CALL_INTERVAL: Duration = Duration::from_millis(1500);
-
 /// What a call follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallPosition {
