Count a broken connection again whose call began after the last one that counted

Cause, by its log: the service gives up each watch when the next one arrives. Each of these calls was open when the one before broke, so that none counted but the first, and the list was held for good. Change: only a connection that counted makes others that were open then count with it. Measured: batches.rs passes, and an_endpoint_drains_before_a_restart_breaks_several_open_calls_at_once still does.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -87,7 +87,7 @@
     /// The first of the rejections since the last list.
     rejected_since: Option<Instant>,
     outages: OutageDetector,
-    /// When a connection to the present address broke last.
+    /// When the last connection broke that counted as one of its own, if no call has failed otherwise since.
     broken_at: Option<Instant>,
     age: ListAgeMonitor,
 }
@@ -355,11 +355,9 @@
         let state = if self.broke_with_earlier_call(call, kind) {
             self.outages.state()
         } else {
+            self.broken_at = (kind == FailureKind::Broken).then_some(now);
             self.outages.record_failure(failed_call)
         };
-        if kind == FailureKind::Broken {
-            self.broken_at = Some(now);
-        }
         let may_be_lost = self.outages.is_check_due() || matches!(state, ServiceState::Breaking { .. });
         let is_down = matches!(state, ServiceState::Down { .. });
         if may_be_lost && !is_superseded {
@@ -371,7 +369,7 @@
     }
 
     /// Whether the connection of this call broke together with that of an earlier one, beside which it was open. One restart of
-    /// the service breaks all of them.
+    /// the service breaks all of them. A call that starts later counts again, also where each call breaks the one before.
     fn broke_with_earlier_call(&self, call: ListCall, kind: FailureKind) -> bool {
         let connections_break = matches!(self.outages.state(), ServiceState::Breaking { .. });
         let was_open = self.broken_at.is_some_and(|broken_at| call.started_at <= broken_at);
