--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -35,7 +35,8 @@
         key_known && now < self.sendable_until(message)
     }
 
-    /// Whether a message that was accepted before a restart may get no attempt any more if the next probe takes another one.
+    /// Whether a message that was accepted before a restart may get no attempt any more if the next probe
+    /// takes another one.
     fn is_last_chance(&self, message: &Message, now: Micros) -> bool {
         let next_chance = now + longest_probe_interval(&self.parameters) as Micros;
         message.is_accepted_and_untried() && self.sendable_until(message) < next_chance
