Review: share the stand-ins of the drain cases, and end the forwarder in any case

The endpoints and clients move to common.rs, only GET lines count as watches, and run.sh ends a forwarder that its stand-in could not end.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,5 +7,7 @@
 temporary=$(mktemp -d) || exit 2
 timeout 115 "$root/review/bin/case_cut" "$root" "$case_folder" "$temporary"
 status=$?
+# Only if the program could not end the forwarder itself.
+[ -e "$temporary/process" ] && kill -KILL "$(cat "$temporary/process")" 2> /dev/null
 rm -rf "$temporary"
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/standin/case_cut.rs
+++ b/review/standin/case_cut.rs
@@ -36,7 +36,7 @@
 /// sent in time has been answered by then.
 const END_AFTER_LIMIT: Duration = Duration::from_millis(250);
 /// Two of three messages are payments, and the traffic is thirty messages a second.
-const INTERVAL_MS: u64 = 33;
+const INTERVAL: Duration = Duration::from_millis(33);
 const DESTINATION: u64 = 7;
 
 /// The network between the forwarder and the platform. Connections that are open when a cut begins are silent
@@ -114,7 +114,9 @@
     fn note_request(&self, bytes: &[u8]) {
         let text = String::from_utf8_lossy(bytes);
         let first = text.lines().next().unwrap_or_default();
-        self.record.log(&format!("discovery: {first}"));
+        if !first.starts_with("GET ") {
+            return;
+        }
         let wait = first.split("wait=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
         let watch = wait.filter(|wait| *wait > 0).map(|wait| (Instant::now(), Duration::from_millis(wait)));
         *self.last_watch.lock().unwrap() = watch;
@@ -142,34 +144,13 @@
     }
 }
 
-fn endpoint(name: &'static str, record: &Record, calls: Arc<Mutex<Vec<Instant>>>, drains: Arc<AtomicBool>) -> Arc<Endpoint> {
-    let record = record.clone();
-    Endpoint::start(Arc::new(move |request, stream| {
-        calls.lock().unwrap().push(request.first_byte);
-        let ids = match request.path.as_str() {
-            "/hook" => vec![request.header("req-id").to_owned()],
-            _ => batch_ids(&request.body),
-        };
-        thread::sleep(WORK);
-        let state = if drains.load(Ordering::SeqCst) { " while it drains" } else { "" };
-        record.log(&format!("{name}: {} {ids:?}: answered{state}", request.path));
-        if request.path == "/hook" {
-            return write_response(stream, 200, "", b"").is_ok();
-        }
-        let states: Vec<String> =
-            ids.iter().map(|id| format!(r#"{{"id":"{id}","state":"accepted"}}"#)).collect();
-        write_response(stream, 200, "", format!("[{}]", states.join(",")).as_bytes()).is_ok()
-    }))
-}
-
 fn main() {
     let case = Case::from_arguments();
     let record = case.record.clone();
-    let drains = Arc::new(AtomicBool::new(false));
     let calls = Arc::new(Mutex::new(Vec::new()));
     let other_calls = Arc::new(Mutex::new(Vec::new()));
-    let draining = endpoint("s-draining", &record, calls.clone(), drains.clone());
-    let staying = endpoint("s-staying", &record, other_calls, Arc::new(AtomicBool::new(false)));
+    let draining = delivering_endpoint("s-draining", &record, WORK, &calls);
+    let staying = delivering_endpoint("s-staying", &record, WORK, &other_calls);
     let target = |uid: &str, address| Target {
         uid: uid.to_owned(),
         address,
@@ -191,30 +172,8 @@
         Settings::default(),
     );
 
-    let (address, stop) = (forwarder.address, Arc::new(AtomicBool::new(false)));
-    let clients = {
-        let (record, stop) = (record.clone(), stop.clone());
-        thread::spawn(move || {
-            for number in 0.. {
-                if stop.load(Ordering::SeqCst) {
-                    return;
-                }
-                let (id, key) = (format!("{number:016x}"), format!("{number:032x}"));
-                let is_notice = number % 3 == 0;
-                let message = Message {
-                    class: if is_notice { "notice" } else { "payment" },
-                    id: &id,
-                    destination: DESTINATION,
-                    deadline_ms: if is_notice { 20000 } else { 28000 },
-                    key: is_notice.then_some(key.as_str()),
-                    body: b"a booking",
-                };
-                let status = hand_in(address, &message);
-                record.log(&format!("client: {} {id}: {status:?}", message.class));
-                sleep_ms(INTERVAL_MS);
-            }
-        })
-    };
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients = steady_clients(forwarder.address, DESTINATION, INTERVAL, &record, &stop);
 
     // The forwarder has settled; the cut begins within one of its watches.
     sleep_ms(3000);
@@ -240,7 +199,6 @@
     thread::sleep(DRAIN_AFTER_CUT);
     platform.change(&Target { state: "terminating".to_owned(), ..targets[0].clone() });
     let made_at = Instant::now();
-    drains.store(true, Ordering::SeqCst);
     thread::sleep(CUT.saturating_sub(silent_since.elapsed()));
     if case.trouble {
         network.heal(fillers);
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -216,6 +216,12 @@
     targets: Vec<Target>,
     changes: Vec<(u64, Target)>,
     notices: Vec<Notice>,
+    /// The next list with a change is written and does not arrive: its connection is reset.
+    loses_next_change: bool,
+    /// When that list was written.
+    lost_at: Option<Instant>,
+    /// Discovery is down: its calls and watches end in a reset. Notices are still answered.
+    is_down: bool,
 }
 
 /// Discovery and the receiver of notices. It answers at once, and watches as soon as something changes.
@@ -254,7 +260,10 @@
                 self.take_notices(&request.body);
                 write_response(&mut writer, 204, "", b"")
             } else {
-                let body = self.list(&request.path);
+                let Some(body) = self.list(&request.path) else {
+                    let _ = writer.shutdown(std::net::Shutdown::Both);
+                    return;
+                };
                 write_response(&mut writer, 200, "Content-Type: application/json\r\n", body.as_bytes())
             };
             if answered.is_err() {
@@ -275,7 +284,8 @@
         }
     }
 
-    fn list(&self, path: &str) -> String {
+    /// The list that a call gets; `None` if it ends in a reset.
+    fn list(&self, path: &str) -> Option<String> {
         let query = path.split_once('?').map_or("", |(_, query)| query);
         let number = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -283,9 +293,12 @@
         };
         let (lock, changed) = &*self.shared;
         let mut state = lock.lock().unwrap();
-        let Some(index) = number("index") else { return list_json(state.revision, true, &state.targets) };
+        self.record.log(&format!("discovery: GET {path}{}", if state.is_down { ": reset" } else { "" }));
+        let Some(index) = number("index") else {
+            return (!state.is_down).then(|| list_json(state.revision, true, &state.targets));
+        };
         let until = Instant::now() + Duration::from_millis(number("wait").unwrap_or(0));
-        while state.revision <= index {
+        while state.revision <= index && !state.is_down {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 break;
@@ -294,7 +307,29 @@
         }
         let newer: Vec<Target> =
             state.changes.iter().filter(|(revision, _)| *revision > index).map(|(_, t)| t.clone()).collect();
-        list_json(state.revision, false, &newer)
+        if !newer.is_empty() && std::mem::take(&mut state.loses_next_change) {
+            state.lost_at = Some(Instant::now());
+            self.record.log("discovery: the list with the change is written, and lost with its connection");
+            changed.notify_all();
+            return None;
+        }
+        (!state.is_down).then(|| list_json(state.revision, false, &newer))
+    }
+
+    /// Changes an entry so that the next list with a change is written and lost. Returns when that was.
+    pub fn change_and_lose_answer(&self, target: &Target) -> Option<Instant> {
+        self.shared.0.lock().unwrap().loses_next_change = true;
+        self.change(target);
+        let (lock, changed) = &*self.shared;
+        let state = lock.lock().unwrap();
+        let wait = Duration::from_secs(1);
+        changed.wait_timeout_while(state, wait, |state| state.lost_at.is_none()).unwrap().0.lost_at
+    }
+
+    pub fn set_down(&self, is_down: bool) {
+        self.record.log(if is_down { "discovery: goes down" } else { "discovery: is back" });
+        self.shared.0.lock().unwrap().is_down = is_down;
+        self.shared.1.notify_all();
     }
 
     /// Changes an entry of the list.
@@ -406,6 +441,63 @@
     }
 }
 
+/// An endpoint that works for `work` on each call and delivers it. It records when the first byte of each call
+/// was read.
+pub fn delivering_endpoint(
+    name: &'static str,
+    record: &Record,
+    work: Duration,
+    calls: &Arc<Mutex<Vec<Instant>>>,
+) -> Arc<Endpoint> {
+    let (record, calls) = (record.clone(), calls.clone());
+    Endpoint::start(Arc::new(move |request, stream| {
+        calls.lock().unwrap().push(request.first_byte);
+        let ids = match request.path.as_str() {
+            "/hook" => vec![request.header("req-id").to_owned()],
+            _ => batch_ids(&request.body),
+        };
+        record.log(&format!("{name}: {} {ids:?}", request.path));
+        thread::sleep(work);
+        if request.path == "/hook" {
+            return write_response(stream, 200, "", b"").is_ok();
+        }
+        let states: Vec<String> =
+            ids.iter().map(|id| format!(r#"{{"id":"{id}","state":"accepted"}}"#)).collect();
+        write_response(stream, 200, "", format!("[{}]", states.join(",")).as_bytes()).is_ok()
+    }))
+}
+
+/// Clients that hand in a message every `interval` until `stop` is set: two of three are payments.
+pub fn steady_clients(
+    address: SocketAddr,
+    destination: u64,
+    interval: Duration,
+    record: &Record,
+    stop: &Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
+    let (record, stop) = (record.clone(), stop.clone());
+    thread::spawn(move || {
+        for number in 0.. {
+            if stop.load(Ordering::SeqCst) {
+                return;
+            }
+            let (id, key) = (format!("{number:016x}"), format!("{number:032x}"));
+            let is_notice = number % 3 == 0;
+            let message = Message {
+                class: if is_notice { "notice" } else { "payment" },
+                id: &id,
+                destination,
+                deadline_ms: if is_notice { 20000 } else { 28000 },
+                key: is_notice.then_some(key.as_str()),
+                body: b"a booking",
+            };
+            let status = hand_in(address, &message);
+            record.log(&format!("client: {} {id}: {status:?}", message.class));
+            thread::sleep(interval);
+        }
+    })
+}
+
 /// The value of a key in the deploy file.
 fn deploy_command(root: &Path, key: &str) -> String {
     let text = fs::read_to_string(root.join("deploy/balancer.toml")).expect("the deploy file");
@@ -530,6 +622,8 @@
             .stderr(Stdio::from(log))
             .spawn()
             .expect("the program starts");
+        // The script ends the process that this names, if this program can't.
+        fs::write(self.folder.join("process"), child.id().to_string()).expect("the folder can be written");
         self.record.log(&format!("forwarder: started, process {}", child.id()));
         self.child = Some(child);
     }
@@ -575,6 +669,7 @@
             self.record.log(&format!("forwarder: SIGKILL to process {}", child.id()));
             let _ = child.kill();
             let _ = child.wait();
+            let _ = fs::remove_file(self.folder.join("process"));
         }
     }
 
