--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 root=$(cd "$case_folder/../.." && pwd)
 [ -x "$root/review/bin/case_lost_answer" ] || { echo "cannot run: review/build.sh has not built the stand-in"; exit 2; }
 temporary=$(mktemp -d) || exit 2
-timeout 115 "$root/review/bin/case_lost_answer" "$root" "$case_folder" "$temporary"
+timeout 115 "$root/review/bin/case_lost_answer" "$root" "$case_folder/record.txt" "$temporary"
 status=$?
 # Only if the program could not end the forwarder itself.
 [ -e "$temporary/process" ] && kill -KILL "$(cat "$temporary/process")" 2> /dev/null
--- a/review/standin/case_clump.rs
+++ b/review/standin/case_clump.rs
@@ -28,16 +28,23 @@
     too_long: Vec<usize>,
 }
 
-/// Hands in a message of this number, in this try. Each try has an id of its own.
-fn hand_in_message(case: &Case, forwarder: &Forwarder, number: usize, attempt: usize) -> (String, Option<u16>) {
+/// Hands in a message of this number, in this try, so long after its first one. Each try has an id of its own.
+fn hand_in_message(
+    case: &Case,
+    forwarder: &Forwarder,
+    number: usize,
+    attempt: usize,
+    age: Duration,
+) -> (String, Option<u16>) {
     let (id, key) = (format!("{number:08x}{attempt:08x}"), format!("{number:032x}"));
     let is_payment = number % 2 == 1;
     let message = Message {
         class: if is_payment { "payment" } else { "notice" },
         id: &id,
         destination: DESTINATION,
-        deadline_ms: if is_payment { 28000 } else { 20000 },
+        deadline_ms: (if is_payment { 28000 } else { 20000_u64 }).saturating_sub(age.as_millis() as u64),
         key: (!is_payment).then_some(key.as_str()),
+        is_repeat: attempt > 0,
         body: &vec![b'a' + number as u8; MESSAGE_BYTES],
     };
     let status = hand_in(forwarder.address, &message);
@@ -90,10 +97,11 @@
     // The id of the last try of each message, and its number of tries.
     let mut tries: BTreeMap<usize, (String, usize)> = BTreeMap::new();
     let mut accepted = BTreeSet::new();
+    let first_try = Instant::now();
     if case.trouble {
         let handed_in: Vec<_> = std::thread::scope(|scope| {
             let clients: Vec<_> = (0..MESSAGES)
-                .map(|number| scope.spawn({ let (c, f) = (&case, &forwarder); move || hand_in_message(c, f, number, 0) }))
+                .map(|number| scope.spawn({ let (c, f) = (&case, &forwarder); move || hand_in_message(c, f, number, 0, Duration::ZERO) }))
                 .collect();
             clients.into_iter().map(|client| client.join().expect("a client")).collect()
         });
@@ -105,7 +113,7 @@
         }
     } else {
         for number in 0..MESSAGES {
-            let (id, status) = hand_in_message(&case, &forwarder, number, 0);
+            let (id, status) = hand_in_message(&case, &forwarder, number, 0, Duration::ZERO);
             if matches!(status, Some(200 | 202)) {
                 accepted.insert(number);
             }
@@ -136,7 +144,7 @@
             if Instant::now() >= at {
                 due.remove(number);
                 *tried += 1;
-                *id = hand_in_message(&case, &forwarder, *number, *tried).0;
+                *id = hand_in_message(&case, &forwarder, *number, *tried, first_try.elapsed()).0;
             }
         }
         sleep_ms(5);
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -41,6 +42,19 @@
     TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
 }
 
+unsafe extern "C" {
+    /// Of the C library, which the standard library is linked with.
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
+}
+
+/// Makes the connection end in a reset once it is closed.
+pub fn reset_at_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    // Linger for 0 s.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
+}
+
 /// A request that has arrived completely.
 pub struct Request {
     pub method: String,
@@ -156,6 +170,8 @@
     pub destination: u64,
     pub deadline_ms: u64,
     pub key: Option<&'a str>,
+    /// It was refused before, and is handed in once more.
+    pub is_repeat: bool,
     pub body: &'a [u8],
 }
 
@@ -167,6 +183,9 @@
     if let Some(key) = message.key {
         headers.push_str(&format!("Idempotency-Key: {key}\r\n"));
     }
+    if message.is_repeat {
+        headers.push_str("Req-Retry: 1\r\n");
+    }
     headers
 }
 
@@ -260,10 +279,7 @@
                 self.take_notices(&request.body);
                 write_response(&mut writer, 204, "", b"")
             } else {
-                let Some(body) = self.list(&request.path) else {
-                    let _ = writer.shutdown(std::net::Shutdown::Both);
-                    return;
-                };
+                let Some(body) = self.list(&request.path) else { return reset_at_close(&writer) };
                 write_response(&mut writer, 200, "Content-Type: application/json\r\n", body.as_bytes())
             };
             if answered.is_err() {
@@ -365,6 +381,9 @@
     text.split("\"id\":\"").skip(1).map(|rest| rest.split('"').next().unwrap_or_default().to_owned()).collect()
 }
 
+/// `limits.idleClose` of the settings: an endpoint closes a connection that has been idle for so long.
+const IDLE_CLOSE: Duration = Duration::from_secs(10);
+
 /// What an endpoint does with a call. It gets the request and the writing half of the connection, and returns
 /// whether the connection stays open.
 pub type Handler = Arc<dyn Fn(&Request, &mut TcpStream) -> bool + Send + Sync>;
@@ -425,6 +444,7 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(IDLE_CLOSE));
         let Ok(mut writer) = stream.try_clone() else { return };
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         if let Ok(kept) = stream.try_clone() {
@@ -489,6 +509,7 @@
                 destination,
                 deadline_ms: if is_notice { 20000 } else { 28000 },
                 key: is_notice.then_some(key.as_str()),
+                is_repeat: false,
                 body: b"a booking",
             };
             let status = hand_in(address, &message);
@@ -712,7 +733,7 @@
     std::process::exit(2)
 }
 
-/// What a script gets: the root of the repository, the folder of the case, a folder for its files, and
+/// What a script gets: the root of the repository, the path of the record, a folder for its files, and
 /// whether the disruption is played.
 pub struct Case {
     pub root: PathBuf,
@@ -724,10 +745,10 @@
 impl Case {
     pub fn from_arguments() -> Self {
         let mut arguments = std::env::args().skip(1);
-        let mut next = || PathBuf::from(arguments.next().unwrap_or_else(|| cannot_run("ROOT CASE TEMPORARY")));
-        let (root, case, folder) = (next(), next(), next());
+        let mut next = || PathBuf::from(arguments.next().unwrap_or_else(|| cannot_run("ROOT RECORD TEMPORARY")));
+        let (root, record, folder) = (next(), next(), next());
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        let record = Record::create(&case.join("record.txt"));
+        let record = Record::create(&record);
         record.log(&format!("case: the disruption is {}", if trouble { "played" } else { "left out" }));
         Case { root, folder, record, trouble }
     }
