Review case 6: after an upgrade in an outage a drain whose answer was lost is ignored

Tried: discovery answers a watch with a drain, the answer is lost with its connection, and the service refuses connections for 12 s; 1 s later a new version takes over.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,7 +5,9 @@
 //! `run` of the deploy file, and exits with 1 if the rule was broken, 0 if it held and 2 if the case
 //! could not run. With `TROUBLE=0` the case leaves its disruption out.
 
+mod discovery;
 mod memory;
+mod upgrade;
 mod world;
 
 use std::process::exit;
@@ -30,6 +32,8 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
         "memory" => memory::run(record, trouble),
+        "upgrade" => upgrade::run(record, trouble, upgrade::Operation::Upgrade),
+        "restart" => upgrade::run(record, trouble, upgrade::Operation::Restart),
         _ => Err(format!("unknown case {case}")),
     };
     world::end_all();
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -52,11 +52,7 @@
             if stop.load(Relaxed) {
                 return;
             }
-            let request = format!(
-                "POST /notice HTTP/1.1\r\nHost: api.internal\r\nReq-Id: {number:016x}\r\nReq-Deadline-Ms: 20000\r\n\
-                 Idempotency-Key: {number:032x}\r\nContent-Length: 5\r\nEnvelope: dest=7\r\n\r\nhello"
-            );
-            let answer = world::request(address, &request);
+            let answer = world::request(address, &world::notice(number));
             record.line(&format!("client: {number:016x} answered with {answer:?}"));
             thread::sleep(Duration::from_millis(100));
         }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -49,6 +50,8 @@
     pub first_line: String,
     headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// When its first byte had arrived.
+    pub first_byte: Instant,
 }
 
 impl Message {
@@ -65,6 +68,8 @@
 /// Reads one message; `None` at the end of the connection.
 pub fn read_message(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
     let mut lines = Vec::new();
+    reader.fill_buf()?;
+    let first_byte = Instant::now();
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -82,7 +87,7 @@
         Some((name.to_ascii_lowercase(), value.trim().to_owned()))
     };
     let headers = lines.iter().filter_map(split).collect();
-    let mut message = Message { first_line, headers, body: Vec::new() };
+    let mut message = Message { first_line, headers, body: Vec::new(), first_byte };
     let length = message.header("content-length").parse().unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body)?;
@@ -188,7 +193,7 @@
             "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":{sockets},\"disk_mb\":3}},\
              \"known\":{known},\"settings\":{{\"classes\":[{classes}],\"kinds\":[\"bulk\",\"small\"],\
-             \"zone\":\"a\",\"zones\":[\"a\"],\"me\":0,\"peersTotal\":3,\"realms\":[],\"discovery\":\"ask\",\"round\":5.0,\
+             \"zone\":\"a\",\"zones\":[\"a\",\"b\"],\"me\":0,\"peersTotal\":3,\"realms\":[],\"discovery\":\"ask\",\"round\":5.0,\
              \"weights\":\"rough\",\"report\":{{\"fields\":[],\"how\":\"off\"}},\
              \"familyInfo\":{{\"batchByKind\":[5,1],\"kindApart\":[false,true],\"slots\":9,\"decay\":\"halves\"}},\
              \"limits\":{{\"maxAttempts\":6,\"openCap\":184,\"connectTimeout\":1500.0,\"idleClose\":10000.0,\
@@ -208,18 +213,38 @@
     value.ok_or(format!("the deploy file has no {key}"))
 }
 
-/// Starts a forwarder with the command of the deploy file, waits until it is ready and returns its process id.
-pub fn start_forwarder(setup: &Setup, record: &Record) -> Result<u32, String> {
-    let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
-    let text = |error: io::Error| error.to_string();
-    for name in ["state", "tmp"] {
-        fs::create_dir_all(folder.join(name)).map_err(text)?;
+/// The folder of the forwarder: its state, its temporary files, its configuration and its logs.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn create(setup: &Setup) -> Result<Self, String> {
+        let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        let text = |error: io::Error| error.to_string();
+        for name in ["state", "tmp"] {
+            fs::create_dir_all(folder.join(name)).map_err(text)?;
+        }
+        STARTED.lock().map_err(|error| error.to_string())?.1 = Some(folder.clone());
+        fs::write(folder.join("config.json"), setup.configuration()).map_err(text)?;
+        Ok(Folder(folder))
     }
-    STARTED.lock().map_err(|error| error.to_string())?.1 = Some(folder.clone());
-    fs::write(folder.join("config.json"), setup.configuration()).map_err(text)?;
-    let log = File::create(folder.join("log")).map_err(text)?;
-    let child = Command::new("/bin/sh")
-        .args(["-c", &deploy_command("run")?])
+}
+
+/// Where a process gets what it serves on.
+pub struct Sockets<'a> {
+    /// The clients' listening socket, if the platform holds it.
+    pub listener: Option<&'a TcpListener>,
+    /// The operators' address.
+    pub admin: Option<SocketAddr>,
+}
+
+/// Starts a forwarder with the command of the deploy file, and returns its process id.
+pub fn start_process(setup: &Setup, folder: &Folder, sockets: &Sockets) -> Result<u32, String> {
+    let Folder(folder) = folder;
+    let text = |error: io::Error| error.to_string();
+    let log = File::options().create(true).append(true).open(folder.join("log")).map_err(text)?;
+    let run = deploy_command("run")?;
+    let mut command = Command::new("/bin/sh");
+    command
         .env("BALANCER_NAME", "n0")
         .env("BALANCER_LISTEN", setup.listen.to_string())
         .env("BALANCER_DISCOVERY", setup.discovery.to_string())
@@ -228,23 +253,73 @@
         .env("TMPDIR", folder.join("tmp"))
         .env_remove("BALANCER_ADMIN")
         .env_remove("BALANCER_FD")
-        .stdin(Stdio::null())
-        .stderr(log)
-        .spawn()
-        .map_err(text)?;
+        .stderr(log);
+    match sockets.listener {
+        // The shell moves the socket from its standard input to descriptor 3.
+        Some(listener) => command
+            .stdin(Stdio::from(OwnedFd::from(listener.try_clone().map_err(text)?)))
+            .env("BALANCER_FD", "3")
+            .args(["-c", &format!("exec 3<&0 </dev/null; {run}")]),
+        None => command.stdin(Stdio::null()).args(["-c", &run]),
+    };
+    if let Some(admin) = sockets.admin {
+        command.env("BALANCER_ADMIN", admin.to_string());
+    }
+    let child = command.spawn().map_err(text)?;
     let id = child.id();
     STARTED.lock().map_err(|error| error.to_string())?.0.push(child);
+    Ok(id)
+}
+
+/// Waits until the forwarder answers the readiness check of clients with 200.
+pub fn wait_until_ready(address: SocketAddr, record: &Record) -> Result<(), String> {
     let give_up_at = Instant::now() + Duration::from_secs(30);
     while Instant::now() < give_up_at {
-        if request(setup.listen, "GET /-/ready HTTP/1.1\r\nHost: api.internal\r\n\r\n") == Ok(200) {
+        if request(address, "GET /-/ready HTTP/1.1\r\nHost: api.internal\r\n\r\n") == Ok(200) {
             record.line("forwarder: ready");
-            return Ok(id);
+            return Ok(());
         }
         thread::sleep(Duration::from_millis(20));
     }
     Err("the forwarder is not ready after 30 s".to_owned())
 }
 
+/// Starts a forwarder, waits until it is ready and returns its process id.
+pub fn start_forwarder(setup: &Setup, record: &Record) -> Result<u32, String> {
+    let folder = Folder::create(setup)?;
+    let sockets = Sockets { listener: None, admin: None };
+    let id = start_process(setup, &folder, &sockets)?;
+    wait_until_ready(setup.listen, record)?;
+    Ok(id)
+}
+
+/// Waits until the process with this operators' address says that it is ready.
+pub fn wait_for_yes(admin: SocketAddr, limit: Duration) -> Result<(), String> {
+    let ask = || -> io::Result<String> {
+        let mut stream = TcpStream::connect(admin)?;
+        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+        stream.write_all(b"ready\n")?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line)?;
+        Ok(line)
+    };
+    let give_up_at = Instant::now() + limit;
+    while Instant::now() < give_up_at {
+        if ask().is_ok_and(|line| line.starts_with("ACK")) {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Err("the new process does not say yes".to_owned())
+}
+
+/// Sends a signal to a process that was started.
+pub fn signal(name: &str, id: u32) -> Result<(), String> {
+    let command = format!("kill -{name} {id}");
+    let status = Command::new("/bin/sh").args(["-c", &command]).stderr(Stdio::null()).status();
+    status.map(|_| ()).map_err(|error| error.to_string())
+}
+
 /// Whether a process that was started still runs.
 pub fn is_running(id: u32) -> bool {
     let Ok(mut started) = STARTED.lock() else { return false };
@@ -270,3 +345,11 @@
     let listener = TcpListener::bind((host, 0)).map_err(|error| error.to_string())?;
     listener.local_addr().map_err(|error| error.to_string())
 }
+
+/// A notice for destination 7, which may be delivered for 20 s.
+pub fn notice(number: usize) -> String {
+    format!(
+        "POST /notice HTTP/1.1\r\nHost: api.internal\r\nReq-Id: {number:016x}\r\nReq-Deadline-Ms: 20000\r\n\
+         Idempotency-Key: {number:032x}\r\nContent-Length: 5\r\nEnvelope: dest=7\r\n\r\nhello"
+    )
+}
