--- a/review/standin-2/discovery.rs
+++ b/review/standin-2/discovery.rs
@@ -8,6 +8,8 @@
 use std::time::{Duration, Instant};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// How long a call waits for its turn at a crowded service until it ends in 503 (`timeout_ms` of the site).
+const LONGEST_QUEUE: Duration = Duration::from_secs(1);
 
 struct State {
     /// The records of the list, and the version in which each changed last.
@@ -17,7 +19,13 @@
     is_down: bool,
     /// The next answer with a change is written and lost on its way; then the service goes down.
     loses_change: bool,
-    /// When an answer with the latest change was written, whether or not it arrived.
+    /// The record that replaces the first one right after the next watch was answered without a change.
+    change_after_watch: Option<String>,
+    /// How long the service is crowded from that change on, and until when it is.
+    crowd: Duration,
+    crowded_until: Option<Instant>,
+    /// When the latest change was told: an answer with it was written, whether or not it arrived, or the
+    /// change was made between two calls of a watch.
     told_at: Option<Instant>,
 }
 
@@ -35,7 +43,16 @@
         let listener = TcpListener::bind((host, 0)).map_err(|error| error.to_string())?;
         let address = listener.local_addr().map_err(|error| error.to_string())?;
         let records = records.into_iter().map(|record| (1, record)).collect();
-        let state = State { records, version: 1, is_down: false, loses_change: false, told_at: None };
+        let state = State {
+            records,
+            version: 1,
+            is_down: false,
+            loses_change: false,
+            change_after_watch: None,
+            crowd: Duration::ZERO,
+            crowded_until: None,
+            told_at: None,
+        };
         let platform = Platform { address, state: Arc::new(Mutex::new(state)), record: record.clone() };
         let accepting = platform.clone();
         thread::spawn(move || accepting.accept(listener));
@@ -60,13 +77,22 @@
         self.with(|state| state.loses_change = true);
     }
 
+    /// Replaces the first record between the next answer to a watch without a change and the call that
+    /// continues this watch. From then on the service is crowded for a while.
+    pub fn change_between_watches(&self, new: String, crowd: Duration) {
+        self.with(|state| {
+            state.change_after_watch = Some(new);
+            state.crowd = crowd;
+        });
+    }
+
     /// The service is back.
     pub fn recover(&self) {
         self.record.line("discovery: back");
         self.with(|state| state.is_down = false);
     }
 
-    /// When an answer with the latest change was written.
+    /// When the latest change was told.
     pub fn told_at(&self) -> Option<Instant> {
         self.with(|state| state.told_at)
     }
@@ -109,8 +135,17 @@
             let value = path.split(['?', '&']).find_map(|part| part.strip_prefix(name))?;
             value.parse().ok()
         };
+        let is_crowded = self.with(|state| state.crowded_until.is_some_and(|until| Instant::now() < until));
+        if is_crowded {
+            self.record.line(&format!("discovery: {path} waits its turn"));
+            thread::sleep(LONGEST_QUEUE);
+            self.record.line(&format!("discovery: {path} has waited too long"));
+            stream.read_exact(&mut byte)?;
+            return stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
         let known = parameter("index=");
-        let end = Instant::now() + Duration::from_millis(parameter("wait=").unwrap_or(0));
+        let wait = parameter("wait=").unwrap_or(0);
+        let end = Instant::now() + Duration::from_millis(wait);
         loop {
             let (version, is_down) = self.with(|state| (state.version, state.is_down));
             if is_down {
@@ -122,10 +157,16 @@
             }
             thread::sleep(POLL_INTERVAL);
         }
-        self.answer(stream, byte, known)
+        self.answer(stream, byte, known, wait > 0)
     }
 
-    fn answer(&self, mut stream: TcpStream, mut byte: [u8; 1], known: Option<u64>) -> io::Result<()> {
+    fn answer(
+        &self,
+        mut stream: TcpStream,
+        mut byte: [u8; 1],
+        known: Option<u64>,
+        is_watch: bool,
+    ) -> io::Result<()> {
         let (body, has_change, is_lost) = self.with(|state| {
             let is_new = |(version, _): &&(u64, String)| known.is_none_or(|known| *version > known);
             let records: Vec<&str> =
@@ -153,7 +194,27 @@
         }
         stream.read_exact(&mut byte)?;
         let length = body.len();
-        stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").as_bytes())
+        stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").as_bytes())?;
+        if !has_change && known.is_some() && is_watch {
+            self.change_if_planned();
+        }
+        Ok(())
+    }
+
+    /// Makes the change that was planned for the moment after the answer to a watch.
+    fn change_if_planned(&self) {
+        let changed = self.with(|state| {
+            let new = state.change_after_watch.take()?;
+            state.version += 1;
+            state.records[0] = (state.version, new.clone());
+            let now = Instant::now();
+            state.told_at = Some(now);
+            state.crowded_until = Some(now + state.crowd);
+            Some(new)
+        });
+        if let Some(new) = changed {
+            self.record.line(&format!("discovery: changes {new} between two calls of a watch"));
+        }
     }
 
     fn take_notices(&self, mut stream: TcpStream, head: &str) -> io::Result<()> {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 //! `run` of the deploy file, and exits with 1 if the rule was broken, 0 if it held and 2 if the case
 //! could not run. With `TROUBLE=0` the case leaves its disruption out.
 
+mod crowd;
 mod discovery;
 mod memory;
 mod upgrade;
@@ -31,6 +32,7 @@
     });
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
+        "crowd" => crowd::run(record, trouble),
         "memory" => memory::run(record, trouble),
         "upgrade" => upgrade::run(record, trouble, upgrade::Operation::Upgrade),
         "restart" => upgrade::run(record, trouble, upgrade::Operation::Restart),
--- a/review/standin-2/upgrade.rs
+++ b/review/standin-2/upgrade.rs
@@ -12,6 +12,8 @@
 const NORMAL_TIME: Duration = Duration::from_secs(3);
 /// From the lost answer to the operation.
 const BEFORE_OPERATION: Duration = Duration::from_secs(1);
+/// The time between two requests.
+const CLIENT_INTERVAL: Duration = Duration::from_millis(200);
 /// How long discovery is down.
 const OUTAGE: Duration = Duration::from_secs(12);
 /// How long the case goes on after the outage.
@@ -21,7 +23,7 @@
 const BEFORE_START: Duration = Duration::from_millis(600);
 /// New calls have to stop this long after the forwarder was told (`stopSendingWithin`), with the allowance of
 /// the sockets and the time for which a forwarder may be held up.
-const GRACE: Duration = Duration::from_millis(500 + 50 + 150);
+pub const GRACE: Duration = Duration::from_millis(500 + 50 + 150);
 /// "What discovery tells becomes binding 2 s after the yes."
 const BINDING_AFTER_YES: Duration = Duration::from_secs(2);
 
@@ -33,7 +35,7 @@
 }
 
 /// When the first byte of each call to an endpoint arrived.
-type FirstBytes = Arc<Mutex<Vec<Instant>>>;
+pub type FirstBytes = Arc<Mutex<Vec<Instant>>>;
 
 /// Runs the case. Returns whether the rule was kept.
 pub fn run(record: &str, trouble: bool, operation: Operation) -> Result<bool, String> {
@@ -54,7 +56,7 @@
         world::start_process(&setup, &folder, &Sockets { listener: Some(&listener), admin: Some(admin) })?;
     world::wait_until_ready(listen, &record)?;
     let stop = Arc::new(AtomicBool::new(false));
-    let clients = start_clients(listen, &record, &stop);
+    let clients = start_clients(listen, &record, &stop, CLIENT_INTERVAL);
     sleep(NORMAL_TIME);
     if trouble {
         platform.lose_next_change();
@@ -97,7 +99,7 @@
 }
 
 /// Whether no call to the draining endpoint began after this time.
-fn judge(record: &Record, told_at: Instant, latest: Instant, calls: &FirstBytes) -> bool {
+pub fn judge(record: &Record, told_at: Instant, latest: Instant, calls: &FirstBytes) -> bool {
     let calls = calls.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let late: Vec<&Instant> = calls.iter().filter(|at| **at > latest).collect();
     match late.last() {
@@ -117,7 +119,7 @@
 }
 
 /// A record of the list. The forwarder is in zone a.
-fn entry(uid: &str, address: SocketAddr, zone: &str, state: &str) -> String {
+pub fn entry(uid: &str, address: SocketAddr, zone: &str, state: &str) -> String {
     format!(
         "{{\"uid\":\"{uid}\",\"endpoint\":\"{address}\",\"az\":\"{zone}\",\"model\":\"bulk\",\"pod_group\":7,\
          \"state\":\"{state}\",\"capacity_hint\":50.0,\"boot_ms\":0}}"
@@ -125,7 +127,12 @@
 }
 
 /// A sound endpoint of destination 7, which takes 50 ms for each call.
-fn start_endpoint(host: &str, name: &str, record: &Record, calls: &FirstBytes) -> Result<SocketAddr, String> {
+pub fn start_endpoint(
+    host: &str,
+    name: &str,
+    record: &Record,
+    calls: &FirstBytes,
+) -> Result<SocketAddr, String> {
     let (name, record, calls) = (name.to_owned(), record.clone(), calls.clone());
     world::serve(host, move |call, stream| {
         calls.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(call.first_byte);
@@ -145,8 +152,13 @@
     format!("[{}]", states.join(","))
 }
 
-/// Five requests a second.
-fn start_clients(address: SocketAddr, record: &Record, stop: &Arc<AtomicBool>) -> thread::JoinHandle<()> {
+/// Requests at this interval.
+pub fn start_clients(
+    address: SocketAddr,
+    record: &Record,
+    stop: &Arc<AtomicBool>,
+    interval: Duration,
+) -> thread::JoinHandle<()> {
     let (record, stop) = (record.clone(), stop.clone());
     thread::spawn(move || {
         for number in 0.. {
@@ -155,7 +167,7 @@
             }
             let answer = world::request(address, &world::notice(number));
             record.line(&format!("client: {number:016x} answered with {answer:?}"));
-            sleep(Duration::from_millis(200));
+            sleep(interval);
         }
     })
 }
