--- a/review/standin-2/discovery.rs
+++ b/review/standin-2/discovery.rs
@@ -192,10 +192,19 @@
         if has_change {
             self.record.line(&format!("discovery: wrote {body}"));
         }
+        let ends_watch = !has_change && known.is_some() && is_watch;
+        if ends_watch {
+            // The next call finds the service crowded, however soon it comes.
+            self.with(|state| {
+                if state.change_after_watch.is_some() {
+                    state.crowded_until = Some(Instant::now() + state.crowd);
+                }
+            });
+        }
         stream.read_exact(&mut byte)?;
         let length = body.len();
         stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}").as_bytes())?;
-        if !has_change && known.is_some() && is_watch {
+        if ends_watch {
             self.change_if_planned();
         }
         Ok(())
@@ -207,9 +216,7 @@
             let new = state.change_after_watch.take()?;
             state.version += 1;
             state.records[0] = (state.version, new.clone());
-            let now = Instant::now();
-            state.told_at = Some(now);
-            state.crowded_until = Some(now + state.crowd);
+            state.told_at = Some(Instant::now());
             Some(new)
         });
         if let Some(new) = changed {
