--- a/review/standin-2/discovery.rs
+++ b/review/standin-2/discovery.rs
@@ -186,7 +186,9 @@
             )
         });
         if is_lost {
-            self.record.line(&format!("discovery: wrote {body}, which is lost; its process died"));
+            self.record.line(&format!(
+                "discovery: wrote {body} and died; the network lost the answer and reset the connection"
+            ));
             return Ok(());
         }
         if has_change {
--- a/review/standin-2/upgrade.rs
+++ b/review/standin-2/upgrade.rs
@@ -47,13 +47,20 @@
         vec![entry("draining", draining, "a", "in_service"), entry("staying", staying, "b", "in_service")];
     let known = format!("{{\"rev\":1,\"all\":true,\"targets\":[{}]}}", records.join(","));
     let platform = Platform::start("127.62.0.4", records, &record)?;
-    let listener = TcpListener::bind("127.62.0.1:0").map_err(|error| error.to_string())?;
-    let listen = listener.local_addr().map_err(|error| error.to_string())?;
+    // On days with an upgrade the platform holds the clients' listening socket.
+    let listener = match operation {
+        Operation::Upgrade => Some(TcpListener::bind("127.62.0.1:0").map_err(|error| error.to_string())?),
+        Operation::Restart => None,
+    };
+    let listen = match &listener {
+        Some(listener) => listener.local_addr().map_err(|error| error.to_string())?,
+        None => world::free_address("127.62.0.1")?,
+    };
     let setup = Setup { listen, discovery: platform.address, known, memory_mb: 48, sockets: 384 };
     let folder = Folder::create(&setup)?;
     let admin = world::free_address("127.62.0.5")?;
     let first =
-        world::start_process(&setup, &folder, &Sockets { listener: Some(&listener), admin: Some(admin) })?;
+        world::start_process(&setup, &folder, &Sockets { listener: listener.as_ref(), admin: Some(admin) })?;
     world::wait_until_ready(listen, &record)?;
     let stop = Arc::new(AtomicBool::new(false));
     let clients = start_clients(listen, &record, &stop, CLIENT_INTERVAL);
@@ -64,11 +71,11 @@
     platform.change(0, entry("draining", draining, "a", "terminating"));
     sleep(BEFORE_OPERATION);
     let told_at = platform.told_at().ok_or("the forwarder has no watch")?;
-    let admin = world::free_address("127.62.0.6")?;
-    let sockets = Sockets { listener: Some(&listener), admin: Some(admin) };
     let binding_from = match operation {
         Operation::Upgrade => {
             record.line("operators: start a new version");
+            let admin = world::free_address("127.62.0.6")?;
+            let sockets = Sockets { listener: listener.as_ref(), admin: Some(admin) };
             world::start_process(&setup, &folder, &sockets)?;
             world::wait_for_yes(admin, Duration::from_secs(6))?;
             let yes = Instant::now();
@@ -82,9 +89,10 @@
             record.line("platform: SIGKILL");
             world::signal("KILL", first)?;
             sleep(BEFORE_START);
+            folder.prepare_restart(&setup)?;
+            let sockets = Sockets { listener: None, admin: Some(admin) };
             world::start_process(&setup, &folder, &sockets)?;
-            world::wait_for_yes(admin, Duration::from_secs(6))?;
-            record.line("forwarder: ready again");
+            world::wait_until_ready(listen, &record)?;
             told_at
         }
     };
@@ -95,6 +103,10 @@
     sleep(AFTER_OUTAGE);
     stop.store(true, Relaxed);
     clients.join().map_err(|_| "a client failed")?;
+    // A dead discovery takes no notice, while PROTOCOL has it acknowledge them: none may fall due.
+    if folder.log()?.contains("notices: ") {
+        return Err("a notice fell due in the outage".to_owned());
+    }
     Ok(judge(&record, told_at, told_at.max(binding_from) + GRACE, &calls))
 }
 
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -227,6 +227,21 @@
         fs::write(folder.join("config.json"), setup.configuration()).map_err(text)?;
         Ok(Folder(folder))
     }
+
+    /// Empties the folder for temporary files and draws a new seed, as the platform does for each start.
+    pub fn prepare_restart(&self, setup: &Setup) -> Result<(), String> {
+        let text = |error: io::Error| error.to_string();
+        fs::remove_dir_all(self.0.join("tmp")).map_err(text)?;
+        fs::create_dir_all(self.0.join("tmp")).map_err(text)?;
+        let configuration = setup.configuration().replace("8c1f30d27a5be964", "41b07c9e2d6f8a35");
+        fs::write(self.0.join("config.json"), configuration).map_err(text)
+    }
+
+    /// What the forwarder's processes have logged.
+    pub fn log(&self) -> Result<String, String> {
+        let log = fs::read(self.0.join("log")).map_err(|error| error.to_string())?;
+        Ok(String::from_utf8_lossy(&log).into_owned())
+    }
 }
 
 /// Where a process gets what it serves on.
