Check before the watch that continues an old one, whether or not that one ended with a change

Cause: ListFollower::context_after took a watch that ended promptly after its wait for evidence that the service accepts the next call in time. That evidence was as old as the watch, 4 to 60 s. The next call looked open, and the list fresh, until it failed; after 1.5 s in the queue its 503 even counted as the end of an established watch, that is as an outage, which renews the list. The log between the response and the 503 is empty, and calls stop at the 503.

Change: a response is evidence for as long as its call is recent, 0.3 s with a grace period of 0.5 s. After an older watch a verification watch comes first and calls are held from 0.3 s after the response until it is answered, as after a change.

The checker of the tests took a watch that was open beside the one that ended for the end of the gap; it is stricter now. Cost: one short watch more for each watch without a change.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -14,7 +14,7 @@
 use super::InitialList;
 use super::list_age::ListAgeBounds;
 use super::list_age_monitor::{ListAge, ListAgeMonitor};
-use super::list_response::{current_at, log_list, longest_response_time, next_revision, response_time};
+use super::list_response::{acceptance_age, current_at, log_list, next_revision, response_time};
 use super::open_calls::{CallEvent, FinishedCall, ListCall, OpenCalls};
 use super::outage_detector::{FailedCall, FailureKind, ListEvidence, OutageDetector, is_established};
 use super::request::{ListQuery, PollError};
@@ -306,12 +306,13 @@
 
     /// The context of the call after this list. The service counts a change between the response to a watch
     /// and the next call as sent. The list includes such a change in time only if the service accepts the
-    /// next call in time, which is assumed if the response was prompt.
+    /// next call in time, which is assumed if it has just accepted this one in time.
     fn context_after(&self, call: ListCall, list: &EndpointList, now: Instant) -> CallContext {
         if !self.bounds.is_shared() || !call.query.is_watch() {
             return CallContext::AfterList;
         }
-        match self.bounds.is_accepted_in_time(longest_response_time(call, list, now)) {
+        let age = acceptance_age(call, list, now, ListAgeBounds::longest_short_watch());
+        match self.bounds.is_accepted_in_time(age) {
             true => CallContext::AfterList,
             false => CallContext::AfterPossiblyLateList,
         }
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -204,11 +204,17 @@
         VERIFICATION_WATCH
     }
 
-    /// Whether a response that arrived this long after it could have been sent shows that the service accepts
-    /// calls within the grace period, so that a change between two calls of a watch arrives in time. A
-    /// response within [`MIN_PROMPT_RESPONSE`] suffices where the grace period leaves hardly any time.
-    pub(super) fn is_accepted_in_time(&self, response_time: Duration) -> bool {
-        response_time <= self.usable_after_missed_change().max(MIN_PROMPT_RESPONSE)
+    /// The longest wait of a watch whose response shows that the service still accepts calls as it accepted
+    /// this one.
+    pub(super) fn longest_short_watch() -> Duration {
+        FIRST_WATCH
+    }
+
+    /// Whether a call that the service accepted this long ago shows that it accepts calls within the grace
+    /// period, so that a change between two calls of a watch arrives in time. A response within
+    /// [`MIN_PROMPT_RESPONSE`] suffices where the grace period leaves hardly any time.
+    pub(super) fn is_accepted_in_time(&self, acceptance_age: Duration) -> bool {
+        acceptance_age <= self.usable_after_missed_change().max(MIN_PROMPT_RESPONSE)
     }
 
     /// How long after its start a call that asks the service to wait for `wait` is overdue.
--- a/src/forwarder/discovery/list_response.rs
+++ b/src/forwarder/discovery/list_response.rs
@@ -50,10 +50,17 @@
     }
 }
 
-/// The upper bound of the time from the moment at which the service could have sent the list to its arrival.
-pub(super) fn longest_response_time(call: ListCall, list: &EndpointList, now: Instant) -> Duration {
+/// The upper bound of the time since the service accepted a call in time. A watch shows this of its start
+/// only; that is recent if its wait was at most `short_wait`, which is not counted then.
+pub(super) fn acceptance_age(
+    call: ListCall,
+    list: &EndpointList,
+    now: Instant,
+    short_wait: Duration,
+) -> Duration {
     let elapsed = now - call.started_at;
-    if has_no_changes(list) { elapsed.saturating_sub(call.query.wait()) } else { elapsed }
+    let wait = call.query.wait();
+    if has_no_changes(list) && wait <= short_wait { elapsed.saturating_sub(wait) } else { elapsed }
 }
 
 /// The latest moment at which the list is known to have been current.
--- a/tests/support/discovery_connection.rs
+++ b/tests/support/discovery_connection.rs
@@ -259,9 +259,16 @@
         call: &OpenCall,
         response: ListResponse,
     ) -> io::Result<ConnectionState> {
+        let change = self.shared.lock().take_change_after(call.query, response.outcome);
+        if let Some(change) = &change {
+            self.shared.lock().set_behavior(change.behavior);
+        }
         call.begin_response(response.outcome);
         call.end(response.outcome);
         self.respond("200 OK", &response.body).await?;
+        if let Some(change) = change {
+            self.shared.change(change.record);
+        }
         Ok(ConnectionState::KeepAlive)
     }
 
--- a/tests/support/discovery_history.rs
+++ b/tests/support/discovery_history.rs
@@ -87,6 +87,25 @@
     Outdated(Duration),
 }
 
+/// A watch that ends after its wait, without a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WatchEnding {
+    /// One that waits for seconds.
+    Long,
+    /// One with a short wait, which checks whether the service accepts calls.
+    Short,
+}
+
+impl WatchEnding {
+    /// Whether a watch with this wait is meant.
+    pub(super) fn includes(self, wait: Duration) -> bool {
+        match self {
+            WatchEnding::Long => wait >= Duration::from_secs(1),
+            WatchEnding::Short => !wait.is_zero() && wait < Duration::from_secs(1),
+        }
+    }
+}
+
 impl DiscoveryBehavior {
     /// Whether the service can be reached, even if it is slow.
     pub(crate) fn is_reachable(self) -> bool {
@@ -158,6 +177,16 @@
     Watch { since_revision: u64, wait: Duration },
 }
 
+impl DiscoveryQuery {
+    /// How long the service waits for a change, if the call is a watch.
+    pub(crate) fn wait(self) -> Option<Duration> {
+        match self {
+            DiscoveryQuery::CompleteList => None,
+            DiscoveryQuery::Watch { wait, .. } => Some(wait),
+        }
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallOutcome {
