Cover the call behind a verification watch by a standby watch in quiet fleets

Cause: each watch that ends leaves a moment in which the next one may be queued. Only another watch that the service has accepted before covers it.

Change: once a shared list has not changed for a random time, a second watch of 60 s starts, which is relied on after 3.5 s. The one that starts last waits for 60 s if the other would end soon after it. Two late verifications in a row are followed by a watch, and the gap closes once that one is established. A watch is established after 1.5 s only where it follows a prompt response, else after 3.5 s: after a queue of 2 s its 503 counted as an outage, which renewed the list. A rejected call that ends the open watch with it is no outage either. watch_coverage.rs keeps what is known of the watches. The loop now distinguishes watches of the list in use, and those that may be silent since a call failed.

The gap right after a change stays open and listed.

--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -14,11 +14,14 @@
 use super::InitialList;
 use super::list_age::ListAgeBounds;
 use super::list_age_monitor::{ListAge, ListAgeMonitor};
-use super::list_response::{acceptance_age, current_at, log_list, next_revision, response_time};
+use super::list_response::{
+    acceptance_age, current_at, has_no_changes, log_list, next_revision, response_time,
+};
 use super::open_calls::{CallEvent, FinishedCall, ListCall, OpenCalls};
-use super::outage_detector::{FailedCall, FailureKind, ListEvidence, OutageDetector, is_established};
+use super::outage_detector::{FailedCall, FailureKind, ListEvidence, OutageDetector};
 use super::request::{ListQuery, PollError};
 use super::schedule::{CallContext, CallSchedule};
+use super::watch_coverage::WatchCoverage;
 use crate::forwarder::event::RuntimeEvent;
 use crate::forwarder::messages::endpoint_list::EndpointList;
 use std::net::SocketAddr;
@@ -51,8 +54,13 @@
     MarkOverdue,
     /// A call beside the overdue one starts.
     Hedge,
+    /// A watch beside the only open one starts.
+    Standby,
 }
 
+/// After this number of late responses to verification watches in a row, a long watch follows.
+const MAX_LATE_VERIFICATIONS: u32 = 2;
+
 /// The runtime has stopped receiving events.
 #[derive(Debug, thiserror::Error)]
 #[error("the runtime has ended")]
@@ -71,8 +79,8 @@
     call: u64,
     revision: u64,
     at: Instant,
-    /// Whether the list was the response to a watch.
-    is_watch_response: bool,
+    /// Whether the response was prompt.
+    is_prompt: bool,
 }
 
 /// The state of the loop that follows the list.
@@ -96,6 +104,11 @@
     failing_since: Option<Instant>,
     outages: OutageDetector,
     age: ListAgeMonitor,
+    coverage: WatchCoverage,
+    /// The number of verification watches in a row whose response was late.
+    late_verifications: u32,
+    /// When a call showed last that the service had sent nothing.
+    nothing_sent_at: Option<Instant>,
 }
 
 impl ListFollower {
@@ -123,6 +136,9 @@
             failing_since: None,
             outages: OutageDetector::new(),
             age: initial_list.monitor(),
+            coverage: WatchCoverage::default(),
+            late_verifications: 0,
+            nothing_sent_at: None,
         }
     }
 
@@ -142,11 +158,14 @@
             Step::Timer => self.handle_timer(),
             Step::CheckAge => {}
         }
+        if self.gap_closes_at().is_some_and(|at| at <= Instant::now()) {
+            self.age.close_watch_gap();
+        }
         self.report_age().await
     }
 
     async fn next_step(&mut self) -> Step {
-        let age_changes_at = self.age.next_change();
+        let age_changes_at = self.age.next_change().into_iter().chain(self.gap_closes_at()).min();
         tokio::select! {
             biased;
             Ok(()) = self.address.changed() => Step::ChangeAddress,
@@ -168,7 +187,7 @@
         if self.has_unanswered_call() {
             self.age.record_inconclusive_failure(now);
         }
-        if self.calls.open().any(|call| self.follows_list(call) && !is_established(now - call.started_at)) {
+        if !self.is_covered(now) {
             self.record_watch_gap();
         }
         self.calls.change_address();
@@ -180,6 +199,7 @@
         self.applied = None;
         self.failing_since = None;
         self.outages = OutageDetector::new();
+        self.coverage = WatchCoverage::default();
         self.next_context = CallContext::AfterFailure;
         self.set_timer(TimerAction::Call, now);
     }
@@ -200,30 +220,115 @@
                 let list_age = self.age.since_current(Instant::now()).as_millis();
                 eprintln!("discovery: no response in time; list {list_age} ms old");
                 self.schedule.record_overdue();
+                self.suspect_open_calls();
                 self.set_timer(TimerAction::Hedge, Instant::now());
             }
+            TimerAction::Standby => {
+                self.coverage.cancel_standby();
+                self.call(CallContext::Standby);
+            }
         }
     }
 
     fn call(&mut self, context: CallContext) {
         let address = *self.address.borrow();
         let query = self.query(context);
-        let call = self.calls.start(address, query, self.schedule.limits(query));
-        if context == CallContext::AfterList && query.is_watch() {
-            self.age.record_watch(call.started_at, query.wait());
-        }
+        let established_after = self.established_after(context);
+        let call = self.calls.start(address, query, self.schedule.limits(query, context), established_after);
         if context == CallContext::AfterPossiblyLateList {
             self.record_watch_gap();
         }
-        let hedge_after = self.schedule.hedge_after(query, context);
-        self.set_timer(TimerAction::MarkOverdue, call.started_at + hedge_after);
+        match context {
+            CallContext::AfterList | CallContext::Standby if query.is_watch() => {
+                if context == CallContext::AfterList {
+                    self.record_watches();
+                }
+                self.await_watches(call.started_at);
+            }
+            _ => {
+                let hedge_after = self.schedule.hedge_after(query, context);
+                self.set_timer(TimerAction::MarkOverdue, call.started_at + hedge_after);
+            }
+        }
+    }
+
+    /// How long a call in this context has to be open so that the service must have accepted it.
+    fn established_after(&self, context: CallContext) -> Duration {
+        let follows_prompt_list =
+            context == CallContext::AfterList && self.applied.is_some_and(|applied| applied.is_prompt);
+        self.bounds.established_after(follows_prompt_list)
+    }
+
+    /// The open watches for changes of the list in use that nothing shows to be silent.
+    fn watches(&self) -> impl Iterator<Item = ListCall> {
+        self.calls.open().filter(|call| self.is_trusted_watch(*call))
+    }
+
+    /// Whether a call is a watch for changes of the list in use, and nothing shows it to be silent.
+    fn is_trusted_watch(&self, call: ListCall) -> bool {
+        self.coverage.is_trusted(call)
+            && self.known_revision.is_some_and(|revision| call.query.watches(revision))
+    }
+
+    /// Whether an established watch is open, by whose response a change is noticed.
+    fn is_covered(&self, now: Instant) -> bool {
+        self.watches().filter_map(accepted_at).any(|accepted_at| accepted_at <= now)
+    }
+
+    /// When a possible gap between two watches is closed, because the service must have accepted the later one
+    /// and has reported no change.
+    fn gap_closes_at(&self) -> Option<Instant> {
+        let gap_at = self.age.watch_gap_at()?;
+        self.watches().filter(|watch| gap_at <= watch.started_at).filter_map(accepted_at).min()
+    }
+
+    /// Records that the open calls may be silent.
+    fn suspect_open_calls(&mut self) {
+        let newest = self.calls.open().next_back().map(|call| call.number);
+        self.coverage.record_silence(newest);
+    }
+
+    /// Sets the timer while watches are open: to the start of a standby watch if there is one watch only, or to
+    /// the time at which the first of them is overdue.
+    fn await_watches(&mut self, now: Instant) {
+        let overdue_at = |watch: ListCall| watch.started_at + self.schedule.overdue_after(watch.query);
+        let Some(first_overdue_at) = self.watches().map(overdue_at).min() else {
+            return self.set_timer(TimerAction::Call, now);
+        };
+        match self.plan_standby(now) {
+            Some(standby_at) if standby_at < first_overdue_at => {
+                self.set_timer(TimerAction::Standby, standby_at);
+            }
+            _ => self.set_timer(TimerAction::MarkOverdue, first_overdue_at),
+        }
+    }
+
+    /// Sets the timer after the end of a watch that needs no call, if other watches are open.
+    fn await_other_watches(&mut self, now: Instant) {
+        let awaits_response = matches!(self.timer_action, TimerAction::MarkOverdue | TimerAction::Standby);
+        if awaits_response && self.watches().next().is_some() {
+            self.await_watches(now);
+        }
+    }
+
+    /// When a standby watch starts, if one watch is open. A local agent is never overloaded, and needs none.
+    fn plan_standby(&mut self, now: Instant) -> Option<Instant> {
+        if !self.bounds.is_shared() || self.watches().count() != 1 {
+            return None;
+        }
+        let planned = self.coverage.standby_at();
+        let standby_at = planned.unwrap_or_else(|| now + self.schedule.standby_delay());
+        self.coverage.plan_standby(standby_at);
+        Some(standby_at.max(now))
     }
 
     /// What the next call asks for. If the list has to be confirmed at a later time, the wait of a watch ends
     /// then, so that the response confirms the list.
     fn query(&self, context: CallContext) -> ListQuery {
-        let query = self.schedule.query(self.known_revision, context, self.age.is_confirmed());
         let now = Instant::now();
+        let other_watch = self.watches().map(|watch| watch.wait_end()).max();
+        let remaining = other_watch.and_then(|end| end.checked_duration_since(now));
+        let query = self.schedule.query(self.known_revision, context, self.age.is_confirmed(), remaining);
         match self.age.next_confirmation(now) {
             Some(confirmation) => query.with_longest_wait(confirmation - now),
             None => query,
@@ -237,9 +342,9 @@
         let now = Instant::now();
         self.age.record_response_progress(call.number, now);
         let newest = self.calls.open().next_back();
-        if newest.is_some_and(|newest| newest.number == call.number)
-            && self.timer_action == TimerAction::MarkOverdue
-        {
+        let is_awaited = newest.is_some_and(|newest| newest.number == call.number)
+            || self.watches().any(|watch| watch.number == call.number);
+        if is_awaited && matches!(self.timer_action, TimerAction::MarkOverdue | TimerAction::Standby) {
             let overdue_at = call.started_at + self.schedule.overdue_after(call.query);
             let stalled_at = now + ListAgeBounds::response_completion_allowance();
             self.set_timer(TimerAction::MarkOverdue, stalled_at.min(overdue_at));
@@ -262,9 +367,11 @@
         self.age.record_response_end(call.number);
         if self.is_outdated(call, &list) {
             eprintln!("discovery: call {}: revision {} is outdated; ignored", call.number, list.revision);
-            self.next_context = CallContext::AfterFailure;
             if self.calls.open().len() == 0 {
+                self.next_context = CallContext::AfterFailure;
                 self.set_timer(TimerAction::Call, Instant::now());
+            } else {
+                self.await_other_watches(Instant::now());
             }
             return Ok(());
         }
@@ -276,11 +383,11 @@
     }
 
     /// Whether this list adds nothing to one that was applied before: one from a newer call, unless this list
-    /// has a higher revision, or one of a higher revision that arrived while this call was open. A lower
+    /// has a higher revision or ends a watch for changes of that list, or one of a higher revision that arrived while this call was open. A lower
     /// revision in the response to a call that started later is that of a service that has restarted.
     fn is_outdated(&self, call: ListCall, list: &EndpointList) -> bool {
         let Some(applied) = self.applied else { return false };
-        let is_late = call.number < applied.call;
+        let is_late = call.number < applied.call && !self.is_trusted_watch(call);
         let is_overtaken = call.started_at < applied.at && list.revision < applied.revision;
         is_overtaken || is_late && self.known_revision.is_none_or(|known| list.revision <= known)
     }
@@ -288,49 +395,78 @@
     fn record_list(&mut self, call: ListCall, list: &EndpointList) {
         let now = Instant::now();
         let newest_call = self.applied.map_or(call.number, |applied| applied.call.max(call.number));
-        let is_watch_response = call.query.is_watch();
-        self.applied =
-            Some(AppliedList { call: newest_call, revision: list.revision, at: now, is_watch_response });
+        let waited = (now - call.started_at).saturating_sub(call.query.wait());
+        let is_prompt = self.bounds.is_accepted_in_time(waited);
+        self.applied = Some(AppliedList { call: newest_call, revision: list.revision, at: now, is_prompt });
         self.known_revision = next_revision(call.query, list);
+        if !has_no_changes(list) {
+            self.coverage.cancel_standby();
+        }
         self.failing_since = None;
         self.outages.record_list();
         self.age.record_current(current_at(call, list, now));
         self.next_context = self.context_after(call, list, now);
         self.schedule.record_list(response_time(call, list, now));
-        let newest_watch = self.calls.open().rev().find(|open| open.query.is_watch());
-        match newest_watch {
-            Some(watch) if self.known_revision.is_some() => self.continue_watch(watch, call, now),
-            _ => self.set_timer(TimerAction::Call, now),
-        }
+        self.set_timer_after_list(call, list, now);
     }
 
     /// The context of the call after this list. The service counts a change between the response to a watch
-    /// and the next call as sent. The list includes such a change in time only if the service accepts the
-    /// next call in time, which is assumed if it has just accepted this one in time.
-    fn context_after(&self, call: ListCall, list: &EndpointList, now: Instant) -> CallContext {
+    /// and the next call as sent. The list includes such a change in time only if the service accepts the next
+    /// call in time. This is verified after a long watch, and assumed if the service has just accepted this call
+    /// in time, or if an established watch is open.
+    fn context_after(&mut self, call: ListCall, list: &EndpointList, now: Instant) -> CallContext {
         if !self.bounds.is_shared() || !call.query.is_watch() {
+            self.coverage.close_gap();
             return CallContext::AfterList;
         }
+        let is_short = call.query.wait() <= ListAgeBounds::longest_short_watch();
+        let is_covered = is_short && self.is_covered(now);
+        self.coverage.record_watch_response(now, is_covered);
         let age = acceptance_age(call, list, now, ListAgeBounds::longest_short_watch());
-        match self.bounds.is_accepted_in_time(age) {
-            true => CallContext::AfterList,
-            false => CallContext::AfterPossiblyLateList,
+        if is_covered || self.bounds.is_accepted_in_time(age) {
+            self.late_verifications = 0;
+            return CallContext::AfterList;
+        }
+        self.late_verifications = if is_short { self.late_verifications + 1 } else { 0 };
+        if self.late_verifications < MAX_LATE_VERIFICATIONS {
+            return CallContext::AfterPossiblyLateList;
         }
+        // The service is too slow to verify this. The gap is closed once the next watch is established.
+        self.record_watch_gap();
+        CallContext::AfterList
     }
 
-    /// Handles a list that arrived while a watch is open. Another call starts at once only if the watch was
-    /// started before the call that returned the list, and is either overdue or so long that the list would
-    /// become stale meanwhile.
-    fn continue_watch(&mut self, watch: ListCall, call: ListCall, now: Instant) {
-        let overdue_at = watch.started_at + self.schedule.overdue_after(watch.query);
-        let is_short = !self.bounds.has_long_watches();
-        if now < overdue_at && is_short {
-            self.set_timer(TimerAction::MarkOverdue, overdue_at);
-        } else if watch.number < call.number {
+    /// Sets the timer after a list. The next call starts at once, unless a watch is open that continues to
+    /// watch this list.
+    fn set_timer_after_list(&mut self, call: ListCall, list: &EndpointList, now: Instant) {
+        let open_watches = self.watches().count();
+        let is_end_of_watch = call.query.is_watch() && has_no_changes(list);
+        let is_relied_on = match open_watches {
+            0 => false,
+            1 => !is_end_of_watch && !self.needs_new_watch(call),
+            _ => true,
+        };
+        if is_relied_on {
+            self.record_watches();
+            self.await_watches(now);
+        } else {
             self.set_timer(TimerAction::Call, now);
         }
     }
 
+    /// Records that the open watches follow the list in use.
+    fn record_watches(&mut self) {
+        let watches: Vec<ListCall> = self.watches().collect();
+        self.age.record_watches(&watches);
+    }
+
+    /// Whether a watch has to start after this list although an earlier one is open: that one is so long that
+    /// the list would become stale meanwhile.
+    fn needs_new_watch(&self, call: ListCall) -> bool {
+        let is_older = self.watches().all(|watch| watch.number < call.number);
+        is_older && self.bounds.has_long_watches() && !call.query.is_watch()
+    }
+
     fn record_failure(&mut self, call: ListCall, error: &PollError) {
         let now = Instant::now();
         let failure =
@@ -345,8 +481,13 @@
         let is_outage = self.outages.state().is_outage();
         self.record_lost_changes(failure, is_outage, now);
         self.next_context = CallContext::AfterFailure;
+        if !failure.is_rejection() {
+            self.suspect_open_calls();
+        }
         let is_newest = self.calls.open().all(|open| open.number < call.number);
-        if is_newest {
+        if !is_newest {
+            self.await_other_watches(now);
+        } else {
             let delay = self.schedule.delay_after_failure(failure, is_outage);
             let (elapsed, next_in) = ((now - call.started_at).as_millis(), delay.as_millis());
             let list_age = self.age.since_current(now).as_millis();
@@ -367,24 +508,38 @@
         let failed_call = FailedCall {
             kind,
             was_healthy_watch: self.was_healthy_watch(call, now - call.started_at),
+            was_established: call.is_established(now),
             is_other_unanswered: self.has_unanswered_call(),
             started_at: call.started_at,
             failed_at: now,
         };
-        if failed_call.ended_unestablished_watch() {
+        let is_covered = self.is_covered(now);
+        if failed_call.ended_unestablished_watch() && !is_covered {
             self.record_watch_gap();
+        } else if failed_call.was_healthy_watch {
+            self.coverage.close_gap();
         }
         let evidence = self.outages.record_failure(failed_call);
         if self.is_superseded(call) {
             return;
         }
         self.age.record_failure();
+        let was_covered = is_covered || self.nothing_sent_at.is_some_and(|at| call.started_at <= at);
         match evidence {
-            ListEvidence::NothingSent => self.age.record_nothing_sent(now),
+            ListEvidence::NothingSent => {
+                self.nothing_sent_at = Some(now);
+                self.age.record_nothing_sent(now);
+            }
+            ListEvidence::NothingSentByWatch => {
+                self.nothing_sent_at = Some(now);
+                self.age.record_watch_end(now);
+            }
             ListEvidence::ResponsePossiblyLost => self.age.record_lost_response(now),
             ListEvidence::Unknown if kind.has_no_connection() && failed_call.is_other_unanswered => {
                 self.age.record_unreachable(now);
             }
+            // The service has written nothing to this call, and another watch shows what it has sent.
+            ListEvidence::Unknown if kind.ended_without_list() && was_covered => {}
             ListEvidence::Unknown => self.age.record_inconclusive_failure(now),
         }
     }
@@ -403,22 +558,19 @@
     /// since the response to the watch as sent. A local agent is never overloaded: if it rejects a call, it
     /// is down and has sent nothing.
     fn record_watch_gap(&mut self) {
-        let is_watch_response = |applied: &AppliedList| applied.is_watch_response && self.bounds.is_shared();
-        if let Some(applied) = self.applied.filter(is_watch_response) {
-            self.age.record_watch_gap(applied.at);
+        if let Some(at) = self.coverage.uncovered_at().filter(|_| self.bounds.is_shared()) {
+            self.age.record_watch_gap(at);
         }
     }
 
-    /// Whether this call was a watch right after a list, was within its wait, and had no other call beside
-    /// it.
+    /// Whether this call was a watch for changes of the list in use, was within its wait, and had only such
+    /// watches beside it.
     fn was_healthy_watch(&self, call: ListCall, elapsed: Duration) -> bool {
-        let is_only_call = self.calls.open().len() == 0;
-        self.follows_list(call) && is_only_call && elapsed < call.query.wait()
-    }
-
-    /// Whether this call is a watch right after a list.
-    fn follows_list(&self, call: ListCall) -> bool {
-        call.query.is_watch() && self.applied.is_some_and(|applied| applied.call + 1 == call.number)
+        let has_only_watches = self.watches().count() == self.calls.open().len();
+        self.applied.is_some()
+            && self.is_trusted_watch(call)
+            && has_only_watches
+            && elapsed < call.query.wait()
     }
 
     /// Requests the complete list next if changes may have been lost. An overloaded service that rejects a
@@ -442,5 +594,11 @@
     }
 }
 
+/// When the service must have accepted this watch; `None` if its wait ends before.
+fn accepted_at(watch: ListCall) -> Option<Instant> {
+    let accepted_at = watch.started_at + ListAgeBounds::longest_queue_time();
+    (accepted_at <= watch.wait_end()).then_some(accepted_at)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/forwarder/discovery/follower/tests.rs
+++ b/src/forwarder/discovery/follower/tests.rs
@@ -29,7 +29,7 @@
 #[test]
 fn a_watch_without_changes_shows_that_the_list_was_current_when_the_wait_ended() {
     let started_at = Instant::now();
-    let call = |query| ListCall { number: 0, query, started_at };
+    let call = |query| ListCall { number: 0, query, started_at, established_after: WAIT };
     let now = started_at + Duration::from_secs(5);
     assert_eq!(current_at(call(watch(4)), &changes(4), now), started_at + WAIT);
     // The response arrived before the end of the wait.
--- a/src/forwarder/discovery/list_age.rs
+++ b/src/forwarder/discovery/list_age.rs
@@ -28,6 +28,7 @@
 use super::service_load::ServiceLoad;
 use crate::interface::Settings;
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// The maximum staleness: the list must include a change this long after the service had it and could be
@@ -61,6 +62,20 @@
 /// How long a service that few senders share is asked to wait for a change, as a fraction of the maximum
 /// staleness. The rest of that time is left to detect a watch that gets no response, and to call again.
 const SHARED_WATCH_FRACTION: f64 = 2.0 / 3.0;
+/// The longest time for which a service keeps a call in its queue until it rejects it. A watch that has been
+/// open for longer is accepted.
+const LONGEST_QUEUE_TIME: Duration = Duration::from_millis(3500);
+/// A watch that follows a prompt response, or a watch of a local agent, is accepted if it has been open for
+/// longer than this.
+const MIN_ESTABLISHED_WATCH: Duration = Duration::from_millis(1500);
+/// How much longer than [`LONGEST_QUEUE_TIME`] a watch is meant to be open when the other one ends.
+const QUEUE_TIME_MARGIN: Duration = Duration::from_secs(1);
+/// The earliest start of a standby watch after that of the watch beside which it starts.
+const MIN_STANDBY_DELAY: Duration = Duration::from_millis(1500);
+/// The earliest and the latest start of the standby watches of a fleet, multiplied by the square root of the
+/// number of senders: the service of a larger fleet accepts more calls a second. Until the earliest start, the
+/// service accepts the first calls of a fleet that has started together.
+const STANDBY_SPREAD: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_secs(3);
 /// The longest time for which the service may be asked to wait for a change.
 const MAX_WATCH: Duration = Duration::from_secs(60);
 /// The latest time after its start at which a watch is overdue, as a fraction of the maximum staleness.
@@ -111,6 +126,8 @@
 const INITIAL_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The time limit of establishing a connection to a local agent, which is near.
 const AGENT_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The time limit of establishing the connection of a standby watch.
+const STANDBY_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The longest time limit of establishing a connection to a shared service, as a fraction of the maximum
 /// staleness. It applies after failed connections, because the network may be slow.
 const CONNECT_FRACTION: f64 = 0.5;
@@ -188,6 +205,41 @@
         whole_milliseconds(self.max_staleness.mul_f64(SHARED_WATCH_FRACTION).min(longest))
     }
 
+    /// How long the service is asked to wait for a change by a watch beside another one that ends after
+    /// `remaining`. It waits for as long as possible if the other one would end soon after it otherwise: one of
+    /// the two is established when the other ends.
+    pub(super) fn watch_duration_beside(&self, remaining: Duration, load: &ServiceLoad) -> Duration {
+        let usual = self.watch_duration(load);
+        if usual + LONGEST_QUEUE_TIME + QUEUE_TIME_MARGIN <= remaining { usual } else { MAX_WATCH }
+    }
+
+    /// How long the service is asked to wait for a change by a standby watch.
+    pub(super) fn standby_duration() -> Duration {
+        MAX_WATCH
+    }
+
+    /// How long after a list a standby watch starts. The senders of a fleet choose different times, because
+    /// they receive a change at the same time.
+    pub(super) fn standby_delay(&self) -> RangeInclusive<Duration> {
+        let [earliest, latest] =
+            [STANDBY_SPREAD.start(), STANDBY_SPREAD.end()].map(|delay| delay.mul_f64(self.senders.sqrt()));
+        earliest.max(MIN_STANDBY_DELAY)..=latest.max(MIN_STANDBY_DELAY)
+    }
+
+    /// The longest time for which a service keeps a call in its queue until it rejects it.
+    pub(super) fn longest_queue_time() -> Duration {
+        LONGEST_QUEUE_TIME
+    }
+
+    /// How long a call has to be open so that the service must have accepted it. `follows_prompt_list` is true
+    /// if the service has just responded promptly to another call.
+    pub(super) fn established_after(&self, follows_prompt_list: bool) -> Duration {
+        match self.is_shared && !follows_prompt_list {
+            true => LONGEST_QUEUE_TIME,
+            false => MIN_ESTABLISHED_WATCH,
+        }
+    }
+
     /// Whether watches are long: the fleet is so large that the fair interval exceeds the wait of a watch in
     /// a small fleet.
     pub(super) fn has_long_watches(&self) -> bool {
@@ -305,6 +357,11 @@
         if self.is_shared { INITIAL_CONNECT_TIMEOUT } else { AGENT_CONNECT_TIMEOUT }
     }
 
+    /// The time limit of establishing the connection of a standby watch. It ends within the grace period.
+    pub(super) fn standby_connect_timeout() -> Duration {
+        STANDBY_CONNECT_TIMEOUT
+    }
+
     /// The longest time limit of establishing a connection to the service. It is short for a local agent,
     /// which sends its changes as soon as it is back.
     pub(super) fn longest_connect_timeout(&self) -> Duration {
--- a/src/forwarder/discovery/list_age_monitor.rs
+++ b/src/forwarder/discovery/list_age_monitor.rs
@@ -7,6 +7,7 @@
 //! [`list_age`]: super::list_age
 
 use super::list_age::ListAgeBounds;
+use super::open_calls::ListCall;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -171,9 +172,12 @@
         self.watch_gap_at.take_if(|gap_at| *gap_at <= at);
     }
 
-    /// Records that a watch started at this time, right after the list was received.
-    pub(super) fn record_watch(&mut self, at: Instant, wait: Duration) {
-        self.expires_during_watch_at = Some(at + self.bounds.usable_during_watch(wait));
+    /// Records that these watches for changes of the list in use are open. The list becomes stale as soon as one
+    /// of them may have missed a change.
+    pub(super) fn record_watches(&mut self, watches: &[ListCall]) {
+        let usable_until =
+            |watch: &ListCall| watch.started_at + self.bounds.usable_during_watch(watch.query.wait());
+        self.expires_during_watch_at = watches.iter().map(usable_until).min();
     }
 
     /// Records that a call failed.
@@ -199,6 +203,14 @@
         }
     }
 
+    /// Records that a service that is up has ended a watch for changes of this list at this time, and has sent
+    /// nothing before.
+    pub(super) fn record_watch_end(&mut self, at: Instant) {
+        if self.inconclusive_at.is_none() {
+            self.renew(at);
+        }
+    }
+
     /// Records that a call failed, or was abandoned, at this time and leaves open what the service has sent. A
     /// later outage does not renew the list.
     pub(super) fn record_inconclusive_failure(&mut self, at: Instant) {
@@ -226,6 +238,17 @@
         self.watch_gap_at.get_or_insert(at);
     }
 
+    /// When the response arrived after which the service may not have accepted the next call in time, if no list
+    /// has arrived since that was current later.
+    pub(super) fn watch_gap_at(&self) -> Option<Instant> {
+        self.watch_gap_at
+    }
+
+    /// Records that the service has accepted a watch that started after the gap, and reports no change.
+    pub(super) fn close_watch_gap(&mut self) {
+        self.watch_gap_at = None;
+    }
+
     fn renew(&mut self, at: Instant) {
         self.expires_at = self.expires_at.max(at + self.bounds.usable_for());
     }
--- a/src/forwarder/discovery/list_response.rs
+++ b/src/forwarder/discovery/list_response.rs
@@ -34,7 +34,7 @@
 }
 
 /// Whether the service has responded that nothing changed.
-fn has_no_changes(list: &EndpointList) -> bool {
+pub(super) fn has_no_changes(list: &EndpointList) -> bool {
     !list.complete && list.endpoints.is_empty() && list.invalid_records == 0
 }
 
--- a/src/forwarder/discovery/mod.rs
+++ b/src/forwarder/discovery/mod.rs
@@ -17,6 +17,7 @@
 mod request;
 mod schedule;
 mod service_load;
+mod watch_coverage;
 
 pub(crate) use list_age_monitor::{ListAge, ListOrigin};
 
@@ -79,5 +80,7 @@
     ListFollower::new(address, events, initial_list, seed, max_list_bytes).run().await;
 }
 
+#[cfg(test)]
+mod fleet_tests;
 #[cfg(test)]
 mod tests;
--- a/src/forwarder/discovery/open_calls.rs
+++ b/src/forwarder/discovery/open_calls.rs
@@ -16,6 +16,20 @@
     pub(super) number: u64,
     pub(super) query: ListQuery,
     pub(super) started_at: Instant,
+    /// If the call is a watch and has been open for longer than this, the service has accepted it.
+    pub(super) established_after: Duration,
+}
+
+impl ListCall {
+    /// Whether the call has been open for so long that the service must have accepted it.
+    pub(super) fn is_established(&self, now: Instant) -> bool {
+        self.established_after < now.saturating_duration_since(self.started_at)
+    }
+
+    /// When the service responds to a watch if nothing changes.
+    pub(super) fn wait_end(&self) -> Instant {
+        self.started_at + self.query.wait()
+    }
 }
 
 /// A call that has ended.
@@ -83,8 +97,15 @@
     }
 
     /// Starts a call.
-    pub(super) fn start(&mut self, address: SocketAddr, query: ListQuery, limits: CallLimits) -> ListCall {
-        let call = ListCall { number: self.next_number, query, started_at: Instant::now() };
+    pub(super) fn start(
+        &mut self,
+        address: SocketAddr,
+        query: ListQuery,
+        limits: CallLimits,
+        established_after: Duration,
+    ) -> ListCall {
+        let call =
+            ListCall { number: self.next_number, query, started_at: Instant::now(), established_after };
         self.next_number += 1;
         let progress = self.progress_sender.clone();
         let max_bytes = self.max_list_bytes;
--- a/src/forwarder/discovery/outage_detector.rs
+++ b/src/forwarder/discovery/outage_detector.rs
@@ -18,16 +18,10 @@
 /// The number of consecutive broken connections after which the service counts as unresponsive.
 const MIN_BROKEN_CONNECTIONS: u32 = 3;
 
+/// Calls that end within this time after each other ended together.
+const MAX_JOINT_END: Duration = Duration::from_millis(100);
 /// A call that fails later than this after its start has waited, for a connection or at the service.
 const MAX_IMMEDIATE_FAILURE: Duration = Duration::from_millis(500);
-/// A watch that was open for longer than this is established: the service has accepted it.
-const MIN_ESTABLISHED_WATCH: Duration = Duration::from_millis(1500);
-
-/// Whether a watch that has been open for this long is established.
-pub(super) fn is_established(elapsed: Duration) -> bool {
-    elapsed > MIN_ESTABLISHED_WATCH
-}
-
 /// How a call failed, as far as it indicates the state of the service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum FailureKind {
@@ -78,7 +72,7 @@
     }
 
     /// Whether the service ended the call and shows thereby that it has written no list.
-    fn ended_without_list(self) -> bool {
+    pub(super) fn ended_without_list(self) -> bool {
         self.is_rejection() || self == FailureKind::Closed
     }
 }
@@ -87,8 +81,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct FailedCall {
     pub(super) kind: FailureKind,
-    /// Whether the call was a watch, the only open call, and within its wait.
+    /// Whether the call was a watch within its wait, and no call was overdue.
     pub(super) was_healthy_watch: bool,
+    /// Whether the call was open for so long that the service must have accepted it.
+    pub(super) was_established: bool,
     /// Whether another call is open that started after the list in use was requested. It may have missed a
     /// change.
     pub(super) is_other_unanswered: bool,
@@ -99,12 +95,12 @@
 impl FailedCall {
     /// Whether the call was a watch that the service ended so soon that it may not have accepted it.
     pub(super) fn ended_unestablished_watch(&self) -> bool {
-        self.ended_watch() && !is_established(self.failed_at - self.started_at)
+        self.ended_watch() && !self.was_established
     }
 
     /// Whether the call was a watch that the service ended after it had accepted it.
     fn ended_established_watch(&self) -> bool {
-        self.ended_watch() && is_established(self.failed_at - self.started_at)
+        self.ended_watch() && self.was_established
     }
 
     fn ended_watch(&self) -> bool {
@@ -135,6 +131,9 @@
 /// What a failed call shows about changes that the service has sent since the list in use was current.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ListEvidence {
+    /// The call was an established watch, and the service, which is overloaded and not down, has ended it
+    /// together with a call that it rejected. It has sent none while the watch was open.
+    NothingSentByWatch,
     /// The call shows that the service has sent none while the call was open, or that it is down. The list
     /// does not age up to the end of this call, unless an earlier call leaves open what was sent.
     NothingSent,
@@ -149,12 +148,21 @@
     state: ServiceState,
     /// When the last broken connection was counted; `None` if a call has failed in another way since.
     broken_at: Option<Instant>,
+    /// When a call was rejected at once last.
+    rejected_at: Option<Instant>,
+    /// When an established watch ended last with an error status.
+    watch_ended_at: Option<Instant>,
 }
 
 impl OutageDetector {
     /// Creates a detector for a service that has not been called yet.
     pub(super) fn new() -> Self {
-        OutageDetector { state: ServiceState::Reachable, broken_at: None }
+        OutageDetector {
+            state: ServiceState::Reachable,
+            broken_at: None,
+            rejected_at: None,
+            watch_ended_at: None,
+        }
     }
 
     /// Records that a call returned a list.
@@ -170,6 +178,13 @@
     /// Records a failed call, and returns what it shows about the list.
     pub(super) fn record_failure(&mut self, call: FailedCall) -> ListEvidence {
         let was_down = matches!(self.state, ServiceState::Down { .. });
+        if self.ended_by_rejection(call) {
+            self.state = ServiceState::Reachable;
+            return match call.ended_established_watch() {
+                true => ListEvidence::NothingSentByWatch,
+                false => ListEvidence::Unknown,
+            };
+        }
         if !self.broke_with_earlier_call(call) {
             self.broken_at = (call.kind == FailureKind::Broken).then_some(call.failed_at);
             self.state = self.state_after(call);
@@ -184,6 +199,23 @@
         }
     }
 
+    /// Whether an established watch ended together with a call that was rejected at once, of which this call is
+    /// one. An overloaded service that rejects a call may end the other calls of the same sender.
+    fn ended_by_rejection(&mut self, call: FailedCall) -> bool {
+        let is_joint =
+            |at: Option<Instant>| at.is_some_and(|at| call.failed_at.duration_since(at) <= MAX_JOINT_END);
+        if call.ended_established_watch() && call.kind.is_rejection() {
+            self.watch_ended_at = Some(call.failed_at);
+            return is_joint(self.rejected_at);
+        }
+        if call.kind != FailureKind::RejectedAtOnce {
+            return false;
+        }
+        self.rejected_at = Some(call.failed_at);
+        let was_open = self.watch_ended_at.is_some_and(|ended_at| call.started_at <= ended_at);
+        was_open && is_joint(self.watch_ended_at)
+    }
+
     /// Whether the connection of this call broke together with the last one that was counted, because the
     /// call was open at that time. One restart of the service breaks all open connections and counts once. A
     /// call that started later counts again, also if each call breaks the connection of the one before.
--- a/src/forwarder/discovery/outage_detector/tests.rs
+++ b/src/forwarder/discovery/outage_detector/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use FailureKind::{Broken, Closed, NotConnected, Other, Refused, RejectedAtOnce, RejectedLate};
-use ListEvidence::{NothingSent, ResponsePossiblyLost, Unknown};
+use ListEvidence::{NothingSent, NothingSentByWatch, ResponsePossiblyLost, Unknown};
 use hyper::StatusCode;
 use std::io;
 
@@ -9,17 +9,18 @@
     FailedCall {
         kind,
         was_healthy_watch: false,
+        was_established: false,
         is_other_unanswered: false,
         started_at,
         failed_at: started_at,
     }
 }
 
-/// A watch that ended this long after its start.
+/// A watch that ended this long after its start, and that is established after 1.5 s.
 fn watch(kind: FailureKind, elapsed_ms: u64) -> FailedCall {
     let call = call(kind);
     let failed_at = call.started_at + Duration::from_millis(elapsed_ms);
-    FailedCall { was_healthy_watch: true, failed_at, ..call }
+    FailedCall { was_healthy_watch: true, was_established: elapsed_ms > 1500, failed_at, ..call }
 }
 
 /// A call that failed beside another one without a response.
@@ -102,6 +103,26 @@
     }
 }
 
+/// Guards against an overloaded service that is taken for one that is down, because it ends the open watch of a
+/// sender together with a call that it rejects.
+#[test]
+fn a_watch_that_ends_together_with_a_rejected_call_shows_no_outage() {
+    let ended = watch(RejectedLate, 5000);
+    let beside = |started_before_ms: u64, failed_after_ms: u64| FailedCall {
+        started_at: ended.failed_at - Duration::from_millis(started_before_ms),
+        failed_at: ended.failed_at + Duration::from_millis(failed_after_ms),
+        ..call(RejectedAtOnce)
+    };
+    let reachable = ServiceState::Reachable;
+    assert_eq!(after_each([beside(60, 0), ended]), (reachable, NothingSentByWatch));
+    assert_eq!(after_each([ended, beside(60, 5)]), (reachable, Unknown));
+    // A call that starts after the end of the watch, and one that had waited, show an outage.
+    let later = FailedCall { started_at: ended.failed_at + Duration::from_millis(1), ..beside(0, 5) };
+    assert_eq!(after_each([ended, later]), (down(Some(RejectedAtOnce)), NothingSent));
+    let waited = FailedCall { kind: RejectedLate, ..beside(900, 0) };
+    assert_eq!(after_each([waited, ended]), (down(None), NothingSent));
+}
+
 #[test]
 fn an_orderly_close_shows_that_nothing_was_sent_only_on_an_established_watch() {
     let reachable = ServiceState::Reachable;
--- a/src/forwarder/discovery/request.rs
+++ b/src/forwarder/discovery/request.rs
@@ -47,6 +47,12 @@
         !self.wait().is_zero()
     }
 
+    /// Whether the call waits for a change of the list of this revision.
+    pub(super) fn watches(self, revision: u64) -> bool {
+        self.is_watch()
+            && matches!(self, ListQuery::Changes { since_revision, .. } if since_revision == revision)
+    }
+
     /// The same query with a wait of at most `longest`, rounded up to whole milliseconds.
     pub(super) fn with_longest_wait(self, longest: Duration) -> Self {
         let longest = Duration::from_millis(longest.as_nanos().div_ceil(NANOSECONDS_PER_MILLISECOND) as u64);
--- a/src/forwarder/discovery/schedule.rs
+++ b/src/forwarder/discovery/schedule.rs
@@ -4,6 +4,7 @@
 use super::outage_detector::FailureKind;
 use super::request::ListQuery;
 use super::service_load::ServiceLoad;
+use crate::estimators::random_unit;
 use crate::forwarder::discovery_client::{Backoff, CallLimits};
 use std::time::Duration;
 
@@ -17,6 +18,9 @@
     /// A call right after a response to a watch that may have arrived so late that the service may not accept
     /// this call in time.
     AfterPossiblyLateList,
+    /// A watch beside the only open one. It is established when that one ends, so that a change between the end
+    /// and the next call is noticed.
+    Standby,
     /// A call after one that failed.
     AfterFailure,
     /// A call beside one that is overdue and still open, with whose response a change may have been lost.
@@ -31,6 +35,8 @@
     /// up to a maximum.
     connect_timeout: Duration,
     backoffs: Backoffs,
+    /// The state of the random generator of the delays of standby watches.
+    jitter_state: u64,
 }
 
 /// The delays between failed calls and the next ones.
@@ -69,21 +75,29 @@
             load: ServiceLoad::new(),
             connect_timeout: bounds.initial_connect_timeout(),
             backoffs: Backoffs::new(&bounds, seed),
+            // The random generator would return zero forever if its state were zero.
+            jitter_state: seed | 1,
         }
     }
 
     /// What the next call asks for. `known_revision` is the revision since which changes are requested;
-    /// `is_confirmed` is true if the service has confirmed the list in use.
+    /// `is_confirmed` is true if the service has confirmed the list in use. `other_watch` is the time until the
+    /// end of the watch that is open already.
     pub(super) fn query(
         &self,
         known_revision: Option<u64>,
         context: CallContext,
         is_confirmed: bool,
+        other_watch: Option<Duration>,
     ) -> ListQuery {
         let Some(since_revision) = known_revision else { return ListQuery::Complete };
         let wait = match context {
             CallContext::Hedge => return ListQuery::Complete,
-            CallContext::AfterList => self.bounds.watch_duration(&self.load),
+            CallContext::Standby => ListAgeBounds::standby_duration(),
+            CallContext::AfterList => match other_watch {
+                Some(remaining) => self.bounds.watch_duration_beside(remaining, &self.load),
+                None => self.bounds.watch_duration(&self.load),
+            },
             CallContext::AfterPossiblyLateList => ListAgeBounds::verification_watch_duration(),
             CallContext::AfterFailure if self.bounds.has_long_watches() || is_confirmed => {
                 self.bounds.first_watch_duration(&self.load)
@@ -94,6 +108,12 @@
         ListQuery::Changes { since_revision, wait }
     }
 
+    /// How long after a list a standby watch starts.
+    pub(super) fn standby_delay(&mut self) -> Duration {
+        let (earliest, latest) = self.bounds.standby_delay().into_inner();
+        earliest + latest.saturating_sub(earliest).mul_f64(random_unit(&mut self.jitter_state))
+    }
+
     /// The time after which a call that is not a hedge is overdue.
     pub(super) fn overdue_after(&self, query: ListQuery) -> Duration {
         self.bounds.overdue_after(query.wait(), &self.load)
@@ -106,13 +126,19 @@
             CallContext::First
             | CallContext::AfterList
             | CallContext::AfterPossiblyLateList
+            | CallContext::Standby
             | CallContext::AfterFailure => self.overdue_after(query),
         }
     }
 
-    /// The time limits of a call.
-    pub(super) fn limits(&self, query: ListQuery) -> CallLimits {
-        CallLimits { connect: self.connect_timeout, response: self.bounds.response_timeout(query.wait()) }
+    /// The time limits of a call. A standby watch that is not connected soon shows that the list may lack a
+    /// change.
+    pub(super) fn limits(&self, query: ListQuery, context: CallContext) -> CallLimits {
+        let connect = match context {
+            CallContext::Standby => self.connect_timeout.min(ListAgeBounds::standby_connect_timeout()),
+            _ => self.connect_timeout,
+        };
+        CallLimits { connect, response: self.bounds.response_timeout(query.wait()) }
     }
 
     /// Records a list that arrived this long after the service could have sent it.
--- a/src/forwarder/discovery/tests.rs
+++ b/src/forwarder/discovery/tests.rs
@@ -25,15 +25,42 @@
     let fleets = [(settings(3), 4000), (settings(40), 4000), (settings(41), 4100), (settings(300), 30_000)];
     for (settings, watch_ms) in fleets.into_iter().chain([(settings(900), 60_000), (pushed, 2000)]) {
         let schedule = schedule(&settings);
-        assert_eq!(schedule.query(Some(7), CallContext::First, false), watch(0));
-        assert_eq!(schedule.query(Some(7), CallContext::AfterList, true), watch(watch_ms));
+        assert_eq!(schedule.query(Some(7), CallContext::First, false, None), watch(0));
+        assert_eq!(schedule.query(Some(7), CallContext::AfterList, true, None), watch(watch_ms));
+    }
+}
+
+/// Of two watches, one is established, after a queue of 3.5 s, when the other ends.
+#[test]
+fn a_watch_beside_one_that_ends_soon_waits_for_as_long_as_possible() {
+    for (senders, usual_ms) in [(3, 4000), (40, 4000), (45, 4500), (300, 30_000)] {
+        let schedule = schedule(&settings(senders));
+        let query = |context, remaining_ms| {
+            schedule.query(Some(7), context, true, Some(Duration::from_millis(remaining_ms)))
+        };
+        assert_eq!(query(CallContext::AfterList, 59_000), watch(usual_ms));
+        assert_eq!(query(CallContext::AfterList, usual_ms + 4500), watch(usual_ms));
+        assert_eq!(query(CallContext::AfterList, usual_ms + 4499), watch(60_000));
+        assert_eq!(query(CallContext::Standby, usual_ms), watch(60_000));
+    }
+}
+
+#[test]
+fn the_standby_watches_of_a_fleet_start_at_different_times() {
+    for (senders, earliest_ms, latest_ms) in [(1, 1500, 3000), (45, 6708, 20_125), (900, 30_000, 90_000)] {
+        let mut schedule = schedule(&settings(senders));
+        let delays: std::collections::BTreeSet<u128> =
+            (0..100).map(|_| schedule.standby_delay().as_micros()).collect();
+        assert!(delays.len() > 90, "{senders} senders: {} different delays", delays.len());
+        let is_allowed = |delay: &u128| (earliest_ms * 1000..=latest_ms * 1000).contains(delay);
+        assert!(delays.iter().all(is_allowed), "{senders} senders: {delays:?}");
     }
 }
 
 #[test]
 fn a_long_watch_follows_a_failure_only_once_a_short_one_got_a_response() {
     let query = |senders, is_confirmed| {
-        schedule(&settings(senders)).query(Some(7), CallContext::AfterFailure, is_confirmed)
+        schedule(&settings(senders)).query(Some(7), CallContext::AfterFailure, is_confirmed, None)
     };
     assert_eq!([query(300, false), query(300, true)], [watch(300); 2]);
     assert_eq!([query(6, false), query(6, true)], [watch(0), watch(4000)]);
@@ -43,9 +70,9 @@
 fn the_complete_list_is_requested_beside_an_overdue_call_or_if_changes_do_not_suffice() {
     for senders in [6, 300] {
         let schedule = schedule(&settings(senders));
-        assert_eq!(schedule.query(Some(7), CallContext::Hedge, true), ListQuery::Complete);
+        assert_eq!(schedule.query(Some(7), CallContext::Hedge, true, None), ListQuery::Complete);
         for context in [CallContext::First, CallContext::AfterList, CallContext::AfterFailure] {
-            assert_eq!(schedule.query(None, context, true), ListQuery::Complete);
+            assert_eq!(schedule.query(None, context, true, None), ListQuery::Complete);
         }
     }
 }
@@ -88,7 +115,9 @@
     let cases = [(settings(6), [500, 1000, 2000, 3000, 3000]), (pushed, [250; 5])];
     for (settings, expected) in cases {
         let mut schedule = schedule(&settings);
-        let connect_ms = |schedule: &CallSchedule| schedule.limits(ListQuery::Complete).connect.as_millis();
+        let connect_ms = |schedule: &CallSchedule| {
+            schedule.limits(ListQuery::Complete, CallContext::AfterList).connect.as_millis()
+        };
         let limits = expected.map(|_| {
             let limit = connect_ms(&schedule);
             schedule.delay_after_failure(FailureKind::NotConnected, true);
--- a/tests/drain_watch_gaps.rs
+++ b/tests/drain_watch_gaps.rs
@@ -22,6 +22,9 @@
 /// How long before its end the crowd begins that is there before a watch ends.
 const EARLIER_CROWD: Duration = Duration::from_millis(1500);
 
+/// In a quiet fleet of up to six senders, each has a second watch that is established after this time.
+const STANDBY_ESTABLISHED: Duration = Duration::from_secs(12);
+
 /// How a crowded service treats the calls that it does not accept in time.
 #[derive(Clone, Copy, Debug)]
 enum Crowd {
@@ -51,11 +54,13 @@
     crowd: Crowd,
     /// Whether another change precedes the watch.
     follows_change: bool,
+    /// How long nothing changes before.
+    quiet_time: Duration,
 }
 
 impl fmt::Debug for DrainAfterWatch {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let DrainAfterWatch { sender_count, ending, crowd, follows_change } = self;
+        let DrainAfterWatch { sender_count, ending, crowd, follows_change, .. } = self;
         write!(formatter, "{sender_count} senders, {ending:?}, {crowd:?}, after a change: {follows_change}")
     }
 }
@@ -65,6 +70,7 @@
         let scenario = DrainScenario::start(DiscoveryMode::Ask, self.sender_count).await;
         scenario.discovery.until_followed().await;
         scenario.discovery.until_watched().await;
+        sleep(self.quiet_time).await;
         let drained = scenario.draining_record("terminating");
         scenario.discovery.change_after_watch(self.ending, self.crowd.behavior(), drained);
         if self.follows_change {
@@ -106,6 +112,7 @@
             ending: WatchEnding::Long,
             crowd,
             follows_change: false,
+            quiet_time: Duration::ZERO,
         })
     });
     run_cases(cases.collect(), LONGEST_SLOW_DELAY, DrainAfterWatch::run).await;
@@ -121,6 +128,23 @@
             ending: WatchEnding::Short,
             crowd,
             follows_change: true,
+            quiet_time: Duration::ZERO,
+        })
+    });
+    run_cases(cases.collect(), LONGEST_SLOW_DELAY, DrainAfterWatch::run).await;
+}
+
+/// The same where nothing has changed for a while: another watch was established before, whose response arrives
+/// in time.
+#[tokio::test]
+async fn calls_stop_after_a_drain_behind_a_verification_watch_beside_an_established_watch() {
+    let cases = [3, 6].into_iter().flat_map(|sender_count| {
+        [1, 2, 3].map(|patience| DrainAfterWatch {
+            sender_count,
+            ending: WatchEnding::Short,
+            crowd: Crowd::Rejects(Duration::from_secs(patience)),
+            follows_change: false,
+            quiet_time: STANDBY_ESTABLISHED,
         })
     });
     run_cases(cases.collect(), LONGEST_SLOW_DELAY, DrainAfterWatch::run).await;
