--- a/src/forwarder/discovery/follower.rs
+++ b/src/forwarder/discovery/follower.rs
@@ -2,7 +2,8 @@
 //! runtime.
 //!
 //! After a list, the next call is a watch, to which the service responds when the list changes or the wait
-//! ends. After a failure, the next call follows a backoff. A call without a response in time is overdue: it
+//! ends. Once the list has not changed for a while, a second watch is kept open, so that one of the two is
+//! established when the other ends. After a failure, the next call follows a backoff. A call without a response in time is overdue: it
 //! stays open, because a slow service may still respond to it, and another call, a hedge, is made beside it.
 //! The first response counts.
 //!
@@ -383,8 +384,9 @@
     }
 
     /// Whether this list adds nothing to one that was applied before: one from a newer call, unless this list
-    /// has a higher revision or ends a watch for changes of that list, or one of a higher revision that arrived while this call was open. A lower
-    /// revision in the response to a call that started later is that of a service that has restarted.
+    /// has a higher revision or ends a watch for changes of that list, or one of a higher revision that arrived
+    /// while this call was open. A lower revision in the response to a call that started later is that of a
+    /// service that has restarted.
     fn is_outdated(&self, call: ListCall, list: &EndpointList) -> bool {
         let Some(applied) = self.applied else { return false };
         let is_late = call.number < applied.call && !self.is_trusted_watch(call);
--- a/src/forwarder/discovery/outage_detector.rs
+++ b/src/forwarder/discovery/outage_detector.rs
@@ -22,6 +22,7 @@
 const MAX_JOINT_END: Duration = Duration::from_millis(100);
 /// A call that fails later than this after its start has waited, for a connection or at the service.
 const MAX_IMMEDIATE_FAILURE: Duration = Duration::from_millis(500);
+
 /// How a call failed, as far as it indicates the state of the service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum FailureKind {
